Keep bytes past a whole answer out of its body, status and headers

The outcome is OK and the connection is closed, but the client is given both bodies as one.

Ruled out: answers that cross from one request to another, since every read stands behind the write of its own call on the same connection and no connection was reused after a surplus; the module, since bodies never pass through it; interim answers (103, 102) and garbled load reports, since the parser drops them and the body that follows is whole.

At fault: `AnswerParser` in framing.py noted in `on_message_begin` that more had begun, but `on_header`, `on_headers_complete`, `on_body` and `on_message_complete` went on writing to the answer already complete. A second answer also replaced its status, and a large one ended the parse. Now a complete answer stays as it is, and the connection is closed as before.

--- a/fordtrestle/framing.py
+++ b/fordtrestle/framing.py
@@ -121,21 +121,28 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser."""
+        if self.complete:
+            return
         self.headers.append((name, value))
         self._framed = self._framed or name.lower() in (b"content-length", b"transfer-encoding")
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
-        self.status = self._parser.get_status_code()
+        if not self.complete:
+            self.status = self._parser.get_status_code()
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser; what is too large ends the parse."""
+        if self.complete:
+            return
         self.body += data
         if len(self.body) > MAX_BODY:
             raise BadAnswer("the body is too large")
 
     def on_message_complete(self) -> None:
         """Called by the parser; an interim answer (1xx) is passed over."""
+        if self.complete:
+            return
         if self.status < 200:
             self.reset()
             return
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -76,6 +76,28 @@
         await until(lambda: module.outcomes() == [(0, outcome, outcome == Outcome.OK)])
 
 
+@pytest.mark.parametrize(
+    "more",
+    [
+        OK.replace(b"done", b"evil"),
+        ERROR,
+        b"no HTTP",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000,
+    ],
+)
+@loopback
+async def test_what_follows_an_answer_is_no_part_of_it_and_ends_the_connection(more):
+    upstream = await Upstream([OK + more, OK]).start()
+    module = Scripted(outcome=failing)
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        for _ in range(2):
+            answer = await app.ask()
+            assert (answer.start, answer.body) == ("HTTP/1.1 200 OK", b"done")
+        assert [message.connection for message in upstream.seen] == [0, 1]
+        assert module.outcomes() == [(0, Outcome.OK, True)] * 2
+
+
 @loopback
 async def test_a_request_goes_on_unchanged_with_the_time_left_and_its_answer_comes_back_unchanged():
     upstream = await Upstream([OK]).start()
