Count a rejection as strain only where its own report shows a crowd

Ruled out: a full queue (nothing held, and no other class turned away); a draining server (the watch lives, with an empty line every 2 s, and tells no change); connections (the same rejections on new and reused ones, after gaps of 2 ms and of 4 s); a budget used up (420 ms were left).

At fault: `_strain` in balancer.py took every rejection for a crowded service, while an answer in time speaks of one only as far as its report of requests held shows a crowd. A rejection that brings a report is now held to the same measure; without a report it counts in full as before. The throttle's window still counts it as not accepted, and the server still rests for it.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -714,7 +714,6 @@
         server = attempt.server
         window = self._throttle
         if status in (OK, FULL, TIMEOUT):
-            late = spent > request.profile.objective
             self._shed.strain(now, self._strain(server, status, now))
             least = 0.0 if status == OK else request.profile.objective
             self._learn_pace(server, max(spent, least), request.work)
@@ -789,13 +788,14 @@
 
     def _strain(self, server: Server, status: int, now: float) -> float:
         """How far an outcome speaks of a crowd, 0 to 1; reports count by their mean, not their sum."""
-        if status == OK and "inflight" in self._set.report_fields and server.seen_at == now:
+        if status in (OK, FULL) and "inflight" in self._set.report_fields and server.seen_at == now:
+            # A server that turns work away while it holds little is at fault itself.
             crowd = min(1.0, max(0.0, (server.seen_load - CROWD) / CROWD_SPAN))
-            return crowd * min(1.0, RATE_MS / (SHED_GAIN * SHED_LEAK_MS * max(1.0, self._sends)))
+            mean = min(1.0, RATE_MS / (SHED_GAIN * SHED_LEAK_MS * max(1.0, self._sends)))
+            return crowd if status == FULL else crowd * mean
         if status != TIMEOUT:
             return 1.0 if status == FULL else 0.0
-        # Guards against shedding for answers that are lost while servers have room; it may shed
-        # late where a crowd drops work unseen and serves the rest quickly.
+        # Guards against shedding for lost answers; it is late where a crowd drops work unseen.
         return DUE_STRAIN * min(1.0, max(0.0, (self._slowness - SLOW) / SLOW_SPAN))
 
     def _learn_pace(self, server: Server, spent: float, work: float) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,6 +4,8 @@
 
 from collections import Counter
 
+import pytest
+
 from poppypulley import Balancer, Settings
 from poppypulley.model import Arrival, CloseIdle, Listing, Outcome, Refuse, Send, Timer
 from tests.helpers import arrival, balancer, listing, of_type, raw_settings
@@ -295,3 +297,21 @@
             now += step
         levels.append(made._shed.level(now))
     assert levels[1] < 2.0 * levels[0] and levels[1] < 0.5
+
+
+@pytest.mark.parametrize(("held", "strained"), [(0.0, False), (20.0, True)])
+def test_rejections_by_servers_that_hold_little_are_no_strain(held, strained):
+    # Found on sev6922: four servers turned one class away while they held nothing, and the sidecar
+    # refused two thirds of all requests for it.
+    made = balancer("unsafe", servers=8, Report={"How": "inline", "Fields": ["inflight"]})
+    most = 0.0
+    for number in range(400):
+        now = 10.0 * number
+        actions, hop = made.request(now, arrival(number, now)), 0
+        while sends := of_type(actions, Send):
+            turned = hop == 0 and sends[0].server in ("s0", "s1")
+            status, report = (Outcome.FULL, held) if turned else (Outcome.OK, 1.0)
+            actions = made.outcome(now + 5.0, number, hop, status, 5.0, not turned, {"inflight": report})
+            hop += 1
+        most = max(most, made._shed.level(now))
+    assert most > 0.1 if strained else most == 0.0
