Reload at SIGHUP and move the watch to the discovery address in the file

The program installed handlers for SIGTERM and SIGINT alone, so the default action of SIGHUP ended it. The new test sends the signal to a real process, with a broken file first and a right one after: without the mend the process is gone.

Ruled out: memory (14 of 80 MB), descriptors (184 of 384), a fault in the code (no traceback in the log, and the exit code is a signal's).

At fault: `serve` in __main__.py, and discovery.py, which had no way to change its address. At SIGHUP the file is now read again, a bad one is one line in the log, and the watch goes on from the version held at the new address. It is opened also where no watch is up: news counts as told 4 s after the signal, and the next ask may be further off.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
 
 from fordtrestle import config
 from fordtrestle.config import Address, Config, ConfigError
@@ -43,6 +44,17 @@
         self.discovery.start()
         return await self.inbound.listen(self._told.listen)
 
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """The configuration file was replaced: discovery may have moved, all else stays as started.
+
+        The file has the last word here, since the environment is still that of the start."""
+        try:
+            told = config.load({**environment, "NODE_DISCOVERY": ""})
+        except ConfigError as error:
+            log(f"reload: {error}")
+            return
+        self.discovery.move(told.discovery)
+
     async def drain(self) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
         self.inbound.stop_listening()
@@ -69,6 +81,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     sidecar = Sidecar(loop, told)
+    loop.add_signal_handler(signal.SIGHUP, sidecar.reload, os.environ)
     await sidecar.start()
     # What is there now stays: later collections need not walk it, and stop the loop for less.
     gc.collect()
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from fordtrestle.config import Config, ServerList, parse_list
+from fordtrestle.config import Address, Config, ServerList, parse_list
 from fordtrestle.driver import log
 
 PATH = "/registry/instances"
@@ -133,6 +133,18 @@
             self._watching.cancel()
         self._watching = self._loop.create_task(self._watch_once()) if on else None
 
+    def move(self, address: Address) -> None:
+        """Discovery has another address: what it says goes on from the version held, told there.
+
+        At once and also where no watch is open: the news counts as told 4 s after the move, and the
+        module may be waiting for longer before it asks again."""
+        if address == self._address:
+            return
+        self._address = address
+        if self._watching is not None:
+            self._watching.cancel()
+        self._watching = self._loop.create_task(self._keep_watch() if self._pushed else self._watch_once())
+
     def fetch(self) -> None:
         """The module asks for the whole list once."""
         task = self._loop.create_task(self._fetch())
--- a/tests/test_sidecar_lists.py
+++ b/tests/test_sidecar_lists.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fordtrestle import discovery
+from fordtrestle import config, discovery
 from poppypulley.model import Fetch, Tell, Watch
 from tests.loopback import Registry, Scripted, entry, listed, loopback, running, until
 
@@ -111,6 +111,41 @@
         assert len(registry.watches) == 1
 
 
+@pytest.mark.parametrize("pushed", [True, False])
+@loopback
+async def test_a_watch_goes_on_where_discovery_has_moved_to(pushed):
+    old, new = await Registry().start(), await Registry().start()
+    module = Scripted()
+    settings = {"Discovery": "automatic" if pushed else "subscribe"}
+    async with running(balancer=module, registry=old, **settings) as sidecar:
+        if not pushed:
+            sidecar.driver._act(Watch(True))
+        await until(lambda: old.watches)
+        old.tell(44, entry("s1"))
+        await until(lambda: len(told_of(module)) == 2)
+        sidecar.discovery.move(config.parse_address(new.address))
+        await until(lambda: new.watches)
+        assert new.asked == ["/registry/instances?watch=1&from=44"]
+        new.tell(45, entry("s2"))
+        await until(lambda: ("changes", ["s2"]) in told_of(module))
+        assert "refused" not in [form for form, _ in told_of(module)]
+        assert len(old.asked) == 1
+    new.stop()
+
+
+@loopback
+async def test_discovery_is_asked_at_its_new_address_though_no_watch_is_open():
+    gone, new = await Registry().start(), await Registry().start()
+    gone.stop()
+    module = Scripted()
+    async with running(balancer=module, registry=gone, Discovery="subscribe") as sidecar:
+        sidecar.driver._act(Watch(True))
+        await until(lambda: ("refused", []) in told_of(module))
+        sidecar.discovery.move(config.parse_address(new.address))
+        await until(lambda: new.watches)
+    new.stop()
+
+
 def udp():
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.bind(("127.0.0.1", 0))
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -14,7 +14,7 @@
 import pytest
 
 from fordtrestle.config import Address
-from tests.loopback import SETTINGS, App, Upstream, entry, hang, listed, loopback, until
+from tests.loopback import SETTINGS, App, Registry, Upstream, entry, hang, listed, loopback, until
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -137,6 +137,31 @@
     upstream.stop()
 
 
+@loopback
+async def test_at_sighup_it_asks_where_the_file_says_and_survives_a_bad_one(tmp_path, monkeypatch):
+    old, new = await Registry().start(), await Registry().start()
+    monkeypatch.setattr(sys.modules[__name__], "environment", with_discovery(old.address))
+    made = await Process.start(tmp_path)
+    await until(lambda: old.watches)
+    path = tmp_path / "config.json"
+    right = json.loads(path.read_text()) | {"discovery": new.address}
+    for text in ("{", json.dumps(right)):
+        path.write_text(text)
+        made.process.send_signal(signal.SIGHUP)
+        answer = await made.app.ask("GET", "/health/ready", X_Call_Class=None)
+        assert answer.start.split(" ")[1] == "200"
+    await until(lambda: new.watches)
+    made.process.terminate()
+    assert await made.process.wait() == 0
+    old.stop()
+    new.stop()
+
+
+def with_discovery(address, made=environment):
+    """An environment that also names discovery, as the platform's does."""
+    return lambda path, **changes: {**made(path, discovery=address, **changes), "NODE_DISCOVERY": address}
+
+
 @loopback
 async def test_it_survives_running_out_of_descriptors(tmp_path):
     upstream = await Upstream([hang]).start()
