Tell a client to stay away if its retry would come past its use

Evidence: in the traces each time-out of a class that is safe to repeat is followed within a millisecond by a refusal with Retry-After 0.021, a tenth of the aim. In the first seconds of sev6922 the refusals are these alone: 9, 8, 5 and 5 a second, as many as the time-outs.

At fault: `_give_up` in balancer.py gave the same short wait to a request that may still be served and to one that has outlived its use. Where now plus the wait lies past the use, the client is now told to stay away for as long as the settings let it be told. The answer is given at once as before.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -728,8 +728,7 @@
             server.strikes = server.fulls = 0
             server.answered_at = now
             server.ill *= ILL_MEMORY
-            late = spent > request.profile.objective
-            self._throttle.add(now, LATE_ACCEPT if late else 1.0)
+            self._throttle.add(now, 1.0 if spent <= request.profile.objective else LATE_ACCEPT)
         elif status == FULL:
             server.rest_until = max(server.rest_until, now + FULL_REST_MS * 2.0**server.fulls)
             server.fulls = min(server.fulls + 1, FULL_REST_MAX)
@@ -910,9 +909,8 @@
 
     def _may_refuse(self, request: Request) -> bool:
         profile = request.profile
-        if profile.semantics == "pure" or request.bound() is None:
-            return True
-        return profile.semantics == "token" and profile.group == "all"
+        again = profile.semantics == "token" and profile.group == "all"
+        return again or profile.semantics == "pure" or request.bound() is None
 
     def _send(self, now: float, request: Request, server: Server) -> None:
         timeout = self._timeout(now, request)
@@ -938,10 +936,12 @@
         self._out.append(model.Send(request.id, server.name, timeout))
 
     def _give_up(self, now: float, request: Request) -> None:
-        """The final answer where no attempt has served."""
+        """The final answer where no attempt has served. A client whose retry would come past its
+        use is told to stay away: that retry could only take a server from others."""
         if request.done or request.out:
             return
-        wait = min(COME_BACK * request.profile.objective, self._set.max_retry_after * self._set.retry_after)
+        wait, most = COME_BACK * request.profile.objective, self._set.max_retry_after * self._set.retry_after
+        wait = min(wait, most) if now + wait < request.useful_until() else most
         refuse = self._may_refuse(request)
         self._out.append(model.Refuse(request.id, wait) if refuse else model.Fail(request.id))
         self._close(request)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -317,3 +317,13 @@
 def test_a_refusal_is_given_at_once_and_tells_when_to_come_back(limits, wait):
     made = balancer("safe", servers=0, PolicyLimits={"MaxAttempts": 3, **limits})
     assert made.request(0.0, arrival(1)) == [Refuse(1, wait)]
+
+
+def test_a_client_whose_retry_would_come_past_its_use_is_told_to_stay_away():
+    made = balancer("safe", servers=4, PolicyLimits={"RetryAfter": True, "MaxRetryAfter": 2000.0})
+    made.request(0.0, arrival(1))
+    assert made.outcome(200.0, 1, 0, Outcome.TIMEOUT, 200.0) == [Refuse(1, 2000.0)]
+    (send,) = of_type(made.request(300.0, arrival(2, 300.0)), Send)
+    made.server_list(310.0, "all", [])
+    # There is still time for a retry to be served: not far off, as after any other refusal.
+    assert made.outcome(320.0, send.request, 0, Outcome.FULL, 20.0) == [Refuse(2, 20.0)]
