Pass on no trailer, and take no request with a doubled or senseless id

Evidence: tests that fail without the mend. A chunked request with `X-Call-Id: other` as its trailer reached the server with both ids as headers, since the parser reports trailers as it does headers and the check had read the head alone. A request with two ids, classes, budgets or keys was taken by its last one and passed on with both. An id of two words was passed on as it was.

Ruled out: folded headers, bare line feeds, both framings at once, doubled lengths and bad versions, all of which the parser refuses (each tried by itself).

At fault: `on_header` and `Message.needed` in inbound.py.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -26,6 +26,7 @@
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
 BUDGET = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
+CALL_ID = re.compile(r"[!-~]{1,128}")
 NOT_FOR_SERVERS = frozenset((b"x-budget",))
 
 
@@ -68,8 +69,8 @@
         kind = _class_of(message, names)
         self.band = kind.band
         self.budget = _budget(message.needed("x-budget"))
-        if not 0 < len(message.needed("x-call-id")) <= 128:
-            raise BadRequest(400, "X-Call-Id: empty or too long")
+        if not CALL_ID.fullmatch(message.needed("x-call-id")):
+            raise BadRequest(400, "X-Call-Id: not an id")
         if names.tenants:
             tenant = names.tenants.get(message.needed("x-caller"))
             if tenant is None:
@@ -137,10 +138,13 @@
         return self._texts.get(name)
 
     def needed(self, name: str) -> str:
-        """A header's value; a request without it is bad."""
+        """A header's value; a request without it, or with more than one, is bad."""
         value = self.text(name)
         if value is None:
             raise BadRequest(400, f"{name}: missing")
+        # Guards against a server that goes by another of them than this sidecar.
+        if sum(key.lower() == name.encode() for key, _ in self.headers) > 1:
+            raise BadRequest(400, f"{name}: more than once")
         return value
 
 
@@ -285,7 +289,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser."""
         message = self._message
-        if message is None:
+        # Trailers are no part of the head: passed on, they would stand as headers nobody checked.
+        if message is None or message.head_done:
             return
         message.headers.append((name, value))
         self._head_bytes += len(name) + len(value)
--- a/tests/test_sidecar_requests.py
+++ b/tests/test_sidecar_requests.py
@@ -235,6 +235,41 @@
         assert module.named("request") == []
 
 
+@pytest.mark.parametrize("name", ["X-Call-Id", "X-Call-Class", "X-Budget", "Idempotency-Key"])
+@loopback
+async def test_a_request_that_says_one_thing_twice_reaches_no_server(name):
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        once = partners.request("POST", "/book", b"x")
+        (row,) = [row for row in once.split(b"\r\n") if row.startswith(name.encode())]
+        app.writer.write(once.replace(row, row + b"\r\n" + row))
+        assert status_of(await app.answer()) == 400
+        assert not upstream.seen
+
+
+@pytest.mark.parametrize("number", ["", "two words", "\xe9", "x" * 129])
+@loopback
+async def test_what_is_no_call_id_reaches_no_server(number):
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert status_of(await app.ask(X_Call_Id=number)) == 400
+        assert not upstream.seen
+
+
+@loopback
+async def test_a_trailer_is_not_passed_on_as_a_header():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send("POST", "/pay", Content_Length=None, Transfer_Encoding="chunked")
+        app.writer.write(b"2\r\nhi\r\n0\r\nX-Call-Id: other\r\n\r\n")
+        assert status_of(await app.answer()) == 200
+        (seen,) = upstream.seen
+        assert (seen.headers["x-call-id"], seen.body) == ("9b1f03aa5c7e2d41", b"hi")
+
+
 @loopback
 async def test_a_peer_that_sends_nothing_is_closed_in_time(monkeypatch):
     assert inbound.HALF_SENT_S < 3.0
