--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -120,6 +120,18 @@
     assert max(delays) < 10_000.0
 
 
+def test_a_long_outage_of_discovery_is_noticed_to_be_over_before_its_news_counts_as_told():
+    raw = raw_settings("safe", Discovery="subscribe", Rules={"AskWithin": 10_000.0})
+    for seed in range(20):
+        made = Balancer(0.0, Settings.parse(raw), seed)
+        now, token = 0.0, of_type(made.server_list(0.0, "remembered", listing(3)), Timer)[0].token
+        for _ in range(10):
+            assert made.timer(now, token) == [Watch(True)]
+            (again,) = of_type(made.server_list(now, "refused", []), Timer)
+            assert again.delay < 5_000.0
+            now, token = now + again.delay, again.token
+
+
 def test_a_sidecar_keeps_to_a_small_subset_and_sidecars_cover_the_fleet():
     met = Counter()
     for me in range(30):
