Hold a server's faults against those of sends, not against own refusals too

Evidence: s- answers 500 to all classes from 2 s to 10 s, 17 of 18 get-transcript and 17 of 19 send-notice between 4 and 6 s, beside at most one such answer in two seconds at any other server. It is ejected for 2 s at 2.23 s, comes back, and is not ejected again before 8.71 s although its share of faults stands at 0.8 and more.

Ruled out: errors that belong to one class or one sidecar (all classes, both sidecars); a lost trial, since every trial that happened to be served cleared its strikes and let all classes in again.

At fault: `missed` read the throttle's window, in which the design counts local refusals as requests. They say nothing of servers. The service's share of faults is now learned from sends alone.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -148,10 +148,6 @@
         self.accepts += accepted
         self.trim(now)
 
-    def missed(self) -> float:
-        """The share of requests that were not accepted; a lone one tells nothing."""
-        return max(0.0, self.requests - self.accepts - 1.0) / max(1, self.requests)
-
     def trim(self, now: float) -> None:
         entries = self._entries
         while entries and (len(entries) > self._samples or entries[0][0] <= now - self._age):
@@ -395,6 +391,7 @@
         self._idle_learned = settings.idle_close
         self._idle_at = now
         self._connect_ill = 0.0  # fading share of new connections that fail
+        self._missed = 0.0  # fading share of sends that were not accepted: no refusal of one's own
         self._slowness = SLOW  # mean share of the aim that answers take
         self._turns: dict[int, Turn] = {}
         self._born = now
@@ -711,6 +708,7 @@
     def _learn(self, now: float, request: Request, attempt: Attempt, status: int, spent: float) -> None:
         """Charge an outcome to the server's own health or to the service."""
         server = attempt.server
+        self._missed += (status < CANCELLED) * (1.0 - PACE_MEMORY) * ((status != OK) - self._missed)
         if status in (OK, FULL, TIMEOUT):
             self._shed.strain(now, self._strain(server, status, now))
             least = 0.0 if status == OK else request.profile.objective
@@ -758,7 +756,8 @@
     def _blame(self, now: float, server: Server, silent: bool) -> None:
         """Count a fault; a server at fault far more than the service is ejected."""
         server.ill += (1.0 - ILL_MEMORY) * (1.0 - server.ill)
-        if server.ill > ILL_LEAST + ILL_OVER * self._throttle.missed():
+        usual = max(self._missed, self._shed.level(now)) if silent else self._missed  # a crowd is slow
+        if server.ill > ILL_LEAST + ILL_OVER * usual:
             self._strike(now, server)
             if silent and server.strikes > 1:
                 self._silent_at = now
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -330,3 +330,21 @@
         made.outcome(now + 200.0, number, 0, Outcome.TIMEOUT, 200.0)
         made.client_gone(now + 200.0, number)
     assert bool(made._servers["s0"].strikes) != answers
+
+
+def test_own_refusals_do_not_excuse_a_server_that_errs():
+    # Found on rd86f53: a server erred four times in five for six seconds and was not ejected, since
+    # what the sidecar had refused by itself counted as the service's faults.
+    made = balancer("safe", servers=4)
+    picks = Counter()
+    for number in range(300):
+        now = 20.0 * number
+        if number % 2:
+            made._throttle.add(now, 0.0)
+        for send in of_type(made.request(now, arrival(number, now)), Send):
+            picks[send.server] += number >= 50
+            bad = send.server == "s0" and number % 5
+            status = Outcome.ERROR if bad else Outcome.OK
+            made.outcome(now + 10.0, number, 0, status, 10.0, last=not bad)
+            made.client_gone(now + 10.0, number)
+    assert picks["s0"] < 0.25 * sum(picks.values()) / 4
