--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -11,12 +11,15 @@
 import httptools
 
 from fordtrestle import framing
-from fordtrestle.config import Address, Config, Names, RequestClass, stable_number
+from fordtrestle.config import RESERVED, Address, Config, Names, RequestClass, stable_number
 from fordtrestle.driver import Answer, Clock, Request
 
 READY_PATH = "/health/ready"
 BACKLOG = 2048
-SHARE = 0.4  # of the descriptors: past it idle connections are closed, then requests refused
+# Past it idle connections are closed, then requests refused: client requests may hold no more than
+# a third of all descriptors, and where there are few, those that are left for connections decide.
+THIRD = 1.0 / 3.0
+SHARE = 0.4
 HARD_SHARE = 0.47  # past this a connection is closed unread
 PIPELINED_MOST = 16
 # A peer that sends no whole request is owed an error or a close within 3 s of connecting; half a
@@ -408,7 +411,8 @@
         self.taker = taker
         self.draining = False
         self._names = config.names
-        self._soft = max(1, int(config.descriptors * SHARE))
+        third = (config.descriptors + RESERVED) * THIRD
+        self._soft = max(1, int(min(config.descriptors * SHARE, third)))
         self._hard = max(2, int(config.descriptors * HARD_SHARE))
         self._connections: dict[Connection, None] = {}
         self._server: asyncio.Server | None = None
--- a/tests/test_sidecar_requests.py
+++ b/tests/test_sidecar_requests.py
@@ -364,6 +364,13 @@
         assert (status_of(answer), answer.headers["connection"]) == (503, "close")
 
 
+@pytest.mark.parametrize(("sockets", "most"), [(256, 85), (384, 128), (64, 16)])
+@loopback
+async def test_client_requests_hold_no_more_than_a_third_of_all_descriptors(sockets, most):
+    async with running(raw={"limits": {"sockets": sockets}}) as sidecar:
+        assert sidecar.inbound._soft == most
+
+
 # --- readiness and drain -----------------------------------------------------------
 
 
