Give operators a door, and drain by readiness, last answers and idle closes

The state now has one owner, lifecycle.py, which the door, readiness, client connections and SIGTERM ask. Accepting moved to a listener that bounds each batch, since asyncio's takes 2,048 in one turn and rests a second where descriptors run out.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -10,10 +10,12 @@
 from collections.abc import Mapping
 
 from fordtrestle import config
+from fordtrestle.admin import Door
 from fordtrestle.config import Address, Config, ConfigError
 from fordtrestle.discovery import Discovery
 from fordtrestle.driver import Clock, Driver, log
 from fordtrestle.inbound import Inbound
+from fordtrestle.lifecycle import Lifecycle
 from fordtrestle.outbound import Pool
 from fordtrestle.peers import Peers
 
@@ -31,18 +33,24 @@
         self._told = told
         self._loop = loop
         clock = Clock(loop)
+        self.life = Lifecycle()
+        self.door = Door(loop, self.life)
         self.driver = Driver(loop, clock, told)
         self.pool = Pool(loop, clock, told)
         self.discovery = Discovery(loop, told, self.driver.server_list)
-        self.inbound = Inbound(loop, clock, told, self.driver)
+        self.inbound = Inbound(loop, clock, told, self.driver, self.life)
         self.peers = Peers(told, self.driver.peer_message)
 
     async def start(self) -> Address:
         """Be ready: the known list is taken in before the first request; where it listens."""
+        if self._told.operator is not None:
+            self.door.listen(self._told.operator)
         await self.peers.listen(self._loop)
         self.driver.connect(self.pool, self.discovery, self.peers)
         self.discovery.start()
-        return await self.inbound.listen(self._told.listen)
+        address = self.inbound.listen(self._told.listen)
+        self.life.serve()
+        return address
 
     def reload(self, environment: Mapping[str, str]) -> None:
         """The configuration file was replaced: discovery may have moved, all else stays as started.
@@ -57,6 +65,8 @@
 
     async def drain(self) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
+        self.life.stop()
+        await asyncio.sleep(STILL_LISTEN_S)
         self.inbound.stop_listening()
         while not self.driver.idle:
             await asyncio.sleep(POLL_S)
@@ -68,6 +78,7 @@
 
     def close(self) -> None:
         """Close what is left."""
+        self.door.close()
         self.inbound.close()
         self.pool.close()
         self.discovery.close()
@@ -87,7 +98,6 @@
     gc.collect()
     gc.freeze()
     await stop.wait()
-    await asyncio.sleep(STILL_LISTEN_S)
     await sidecar.drain()
     sidecar.close()
 
--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -14,6 +14,7 @@
 
 KEY_BELOW = 2**53
 RESERVED = 24  # descriptors for the log, the loop, discovery, peers and what opens for a moment
+DOOR_CALLERS = 8  # operators at the door at once; where there is a door, their descriptors are kept free
 STATES = frozenset(("active", "leaving", "left"))
 
 
@@ -63,6 +64,7 @@
 
     name: str
     listen: Address
+    operator: Address | None  # where operators call
     discovery: Address
     seed: int
     descriptors: int  # for connections
@@ -103,14 +105,14 @@
     """The configuration from its JSON; the environment has the last word on addresses."""
     settings, names = raw["settings"], _names(raw["settings"])
     limits, rules = settings.get("PolicyLimits") or {}, settings.get("Rules") or {}
-    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    given = int((raw.get("limits") or {}).get("sockets", 1024))
+    operator = environment.get("NODE_OPERATOR") or raw.get("operator")
     return Config(
         name=environment.get("NODE_NAME") or str(raw["name"]),
         listen=parse_address(environment.get("NODE_LISTEN") or raw["listen"]),
+        operator=parse_address(operator) if operator else None,
         discovery=parse_address(environment.get("NODE_DISCOVERY") or raw["discovery"]),
         seed=stable_number(str(raw.get("seed", ""))),
-        descriptors=max(4, (given if allowed < 0 else min(given, allowed)) - RESERVED),
+        descriptors=_descriptors(raw, RESERVED + (DOOR_CALLERS + 1 if operator else 0)),
         peer_listen=parse_address(raw["peer_listen"]) if raw.get("peer_listen") else None,
         peers=tuple(parse_address(peer) for peer in raw.get("peers") or ()),
         peers_all=parse_address(raw["peers_all"]) if raw.get("peers_all") else None,
@@ -122,6 +124,13 @@
     )
 
 
+def _descriptors(raw: Mapping[str, Any], reserved: int) -> int:
+    """Those for connections: what is granted, less what else needs one."""
+    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    given = int((raw.get("limits") or {}).get("sockets", 1024))
+    return max(4, (given if allowed < 0 else min(given, allowed)) - reserved)
+
+
 def _names(settings: Mapping[str, Any]) -> Names:
     return Names(
         classes={row["Name"]: _request_class(i, row) for i, row in enumerate(settings["Profiles"])},
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -13,9 +13,10 @@
 from fordtrestle import framing
 from fordtrestle.config import RESERVED, Address, Config, Names, RequestClass, stable_number
 from fordtrestle.driver import Answer, Clock, Request
+from fordtrestle.lifecycle import Lifecycle
+from fordtrestle.listener import Listener, bound
 
 READY_PATH = "/health/ready"
-BACKLOG = 2048
 # Past it idle connections are closed, then requests refused: client requests may hold no more than
 # a third of all descriptors, and where there are few, those that are left for connections decide.
 THIRD = 1.0 / 3.0
@@ -26,6 +27,9 @@
 # second is left for a loop that lags.
 HALF_SENT_S = 2.5
 MESSAGE_MOST = 2 * framing.MAX_HEAD + 8 * framing.MAX_BODY  # with the framing of small chunks
+# Clients are sent away: new connections come for 0.3 s more, and 4 s after the call none may be idle.
+SENT_AWAY_S = 1.0
+SENT_AWAY_SWEEP_S = 0.1
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
 BUDGET = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
@@ -342,7 +346,7 @@
             if exchange.answer is None:
                 return
             self._waiting.popleft()
-            last = not exchange.keep_alive or (self._inbound.draining and not self._waiting)
+            last = not exchange.keep_alive or (self._inbound.closing and not self._waiting)
             status, headers, body = exchange.answer
             self._transport.write(framing.answer(status, headers, body, last))
             if last:
@@ -405,32 +409,54 @@
 class Inbound:
     """The listening socket and its connections."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, config: Config, taker: Taker) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        config: Config,
+        taker: Taker,
+        life: Lifecycle,
+    ) -> None:
         self.loop = loop
         self.clock = clock
         self.taker = taker
-        self.draining = False
+        self._life = life
+        life.on_change(self._life_changed)
+        self._sweep: asyncio.TimerHandle | None = None
         self._names = config.names
         third = (config.descriptors + RESERVED) * THIRD
         self._soft = max(1, int(min(config.descriptors * SHARE, third)))
         self._hard = max(2, int(config.descriptors * HARD_SHARE))
         self._connections: dict[Connection, None] = {}
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
 
-    async def listen(self, address: Address) -> Address:
+    def listen(self, address: Address) -> Address:
         """Accept connections from now on; the address bound."""
-        self._server = await self.loop.create_server(
-            lambda: Connection(self), address.host, address.port, backlog=BACKLOG
-        )
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return Address(host, port)
+        self._listener = Listener(self.loop, bound(address), lambda: Connection(self))
+        return self._listener.address
 
     def stop_listening(self) -> None:
         """Take no new connection, and close each one once it stands between requests."""
-        self.draining = True
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
+        self.close_idle()
+
+    @property
+    def closing(self) -> bool:
+        """Whether each answer is the last on its connection."""
+        return self._life.lame_duck or (self._listener is not None and not self._listener.open)
+
+    def _life_changed(self) -> None:
+        if self._sweep is not None:
+            self._sweep.cancel()
+            self._sweep = None
+        if self._life.lame_duck:
+            self._sweep = self.loop.call_later(SENT_AWAY_S, self._send_away)
+
+    def _send_away(self) -> None:
+        """Close what stands idle, as often as it takes until clients are to come again."""
         self.close_idle()
+        self._sweep = self.loop.call_later(SENT_AWAY_SWEEP_S, self._send_away)
 
     def close_idle(self) -> None:
         """Close what stands between requests."""
@@ -445,6 +471,10 @@
 
     def close(self) -> None:
         """Close all at the end."""
+        if self._listener is not None:
+            self._listener.close()
+        if self._sweep is not None:
+            self._sweep.cancel()
         for connection in list(self._connections):
             connection.abort()
 
@@ -468,7 +498,7 @@
     def serve(self, exchange: Exchange, message: Message, read_at: float) -> None:
         """A whole request: answered here, or taken."""
         if message.target.partition(b"?")[0] == READY_PATH.encode():
-            exchange.answer = (503 if self.draining else 200, [], b"")
+            exchange.answer = (200 if self._life.ready else 503, [], b"")
         elif len(self._connections) > self._soft:
             exchange.keep_alive = False
             exchange.refused(0.0)
--- /dev/null
+++ b/fordtrestle/listener.py
@@ -0,0 +1,97 @@
+"""A listening socket whose accepting is bounded: by the batch, and by the descriptors there are."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+
+from fordtrestle.config import Address
+
+BACKLOG = 2048
+# asyncio's own server accepts as many as the backlog in one turn, and stands still for a second
+# where descriptors run out: both hold up all that is being served.
+BATCH = 32
+AGAIN_S = 0.02
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+def bound(address: Address, backlog: int = BACKLOG) -> socket.socket:
+    """A new socket that listens on an address."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Listener:
+    """Accepts connections on a socket that listens already."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        made: Callable[[], asyncio.Protocol],
+        no_room: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._loop = loop
+        self._sock = sock
+        self._made = made
+        self._no_room = no_room  # told that no descriptor is left
+        self._begun: set[asyncio.Task[object]] = set()
+        self._again: asyncio.TimerHandle | None = None
+        sock.setblocking(False)
+        loop.add_reader(sock.fileno(), self._accept)
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        host, port = self._sock.getsockname()[:2]
+        return Address(host, port)
+
+    @property
+    def open(self) -> bool:
+        """Whether it still accepts."""
+        return self._sock.fileno() >= 0
+
+    def close(self) -> None:
+        """Accept no more. An inherited socket stays open in the processes that share it."""
+        if self.open:
+            self._loop.remove_reader(self._sock.fileno())
+            self._sock.close()
+        if self._again is not None:
+            self._again.cancel()
+
+    def _accept(self) -> None:
+        for _ in range(BATCH):
+            try:
+                sock, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in NO_ROOM:
+                    return  # a connection that broke while it waited
+                self._loop.remove_reader(self._sock.fileno())
+                self._again = self._loop.call_later(AGAIN_S, self._resume)
+                self._no_room()
+                return
+            sock.setblocking(False)
+            task = self._loop.create_task(self._loop.connect_accepted_socket(self._made, sock))
+            self._begun.add(task)
+            task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[object]) -> None:
+        self._begun.discard(task)
+        if not task.cancelled():
+            task.exception()  # looked at: a connection that broke at once is no fault
+
+    def _resume(self) -> None:
+        if self.open:
+            self._loop.add_reader(self._sock.fileno(), self._accept)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -45,6 +45,7 @@
 
 
 CONFIG, DRIVER, FRAMING = "fordtrestle.config", "fordtrestle.driver", "fordtrestle.framing"
+LIFECYCLE, LISTENER = "fordtrestle.lifecycle", "fordtrestle.listener"
 MODEL, MODULE = "poppypulley.model", "poppypulley.Balancer"
 
 
@@ -54,7 +55,10 @@
         ("config.py", {MODEL}),
         ("framing.py", set()),
         ("driver.py", {CONFIG, MODEL, MODULE}),
-        ("inbound.py", {CONFIG, DRIVER, FRAMING}),
+        ("lifecycle.py", set()),
+        ("listener.py", {CONFIG}),
+        ("admin.py", {CONFIG, DRIVER, LIFECYCLE, LISTENER}),
+        ("inbound.py", {CONFIG, DRIVER, FRAMING, LIFECYCLE, LISTENER}),
         ("outbound.py", {CONFIG, DRIVER, FRAMING, MODEL}),
         ("discovery.py", {CONFIG, DRIVER}),
         ("peers.py", {CONFIG, DRIVER}),
