Accept clients on an inherited socket, and take over from a process that still serves

Clients are now accepted on the descriptor that the platform holds; a lock in TMPDIR tells the new process to wait for discovery's first answer; the old one accepts no more from SIGTERM on and ends each connection on an answer. Nothing is handed on.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -14,6 +14,7 @@
 from fordtrestle.config import Address, Config, ConfigError
 from fordtrestle.discovery import Discovery
 from fordtrestle.driver import Clock, Driver, log
+from fordtrestle.handover import Seat
 from fordtrestle.inbound import Inbound
 from fordtrestle.lifecycle import Lifecycle
 from fordtrestle.outbound import Pool
@@ -24,6 +25,8 @@
 STILL_LISTEN_S = 0.5
 POLL_S = 0.02
 LAST_BYTES_S = 0.3
+# A process that replaces another says yes within 6 s; the module asks discovery within 2.5 s.
+FIRST_LIST_S = 4.0
 
 
 class Sidecar:
@@ -34,6 +37,7 @@
         self._loop = loop
         clock = Clock(loop)
         self.life = Lifecycle()
+        self.seat = Seat(os.environ.get("TMPDIR")) if told.inherited is not None else None
         self.door = Door(loop, self.life)
         self.driver = Driver(loop, clock, told)
         self.pool = Pool(loop, clock, told)
@@ -48,7 +52,10 @@
         await self.peers.listen(self._loop)
         self.driver.connect(self.pool, self.discovery, self.peers)
         self.discovery.start()
-        address = self.inbound.listen(self._told.listen)
+        if self.seat is not None and not self.seat.take():
+            log("another process of this sidecar serves: waiting for the list before taking clients")
+            await self.discovery.first_answer(FIRST_LIST_S)
+        address = self.inbound.listen(self._told.listen, self._told.inherited)
         self.life.serve()
         return address
 
@@ -66,8 +73,11 @@
     async def drain(self) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
         self.life.stop()
+        if self._told.inherited is not None:
+            self.inbound.stop_listening()  # what still comes is for the process that takes over
         await asyncio.sleep(STILL_LISTEN_S)
         self.inbound.stop_listening()
+        self.inbound.close_idle()
         while not self.driver.idle:
             await asyncio.sleep(POLL_S)
             self.inbound.close_idle()
@@ -83,6 +93,8 @@
         self.pool.close()
         self.discovery.close()
         self.peers.close()
+        if self.seat is not None:
+            self.seat.leave()
 
 
 async def serve(told: Config) -> None:
--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -64,6 +64,7 @@
 
     name: str
     listen: Address
+    inherited: int | None  # the descriptor of the listening socket, where the platform holds it
     operator: Address | None  # where operators call
     discovery: Address
     seed: int
@@ -109,6 +110,7 @@
     return Config(
         name=environment.get("NODE_NAME") or str(raw["name"]),
         listen=parse_address(environment.get("NODE_LISTEN") or raw["listen"]),
+        inherited=_descriptor(environment.get("NODE_INHERITED_FD")),
         operator=parse_address(operator) if operator else None,
         discovery=parse_address(environment.get("NODE_DISCOVERY") or raw["discovery"]),
         seed=stable_number(str(raw.get("seed", ""))),
@@ -124,6 +126,14 @@
     )
 
 
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError(f"NODE_INHERITED_FD: {text!r} is no descriptor")
+    return int(text)
+
+
 def _descriptors(raw: Mapping[str, Any], reserved: int) -> int:
     """Those for connections: what is granted, less what else needs one."""
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 from collections.abc import Callable
@@ -117,6 +118,7 @@
         self._known = config.known
         self._rng = random.Random(config.seed)
         self._watching: asyncio.Task[None] | None = None
+        self._first = asyncio.Event()
         self._fetches: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
@@ -125,6 +127,11 @@
         if self._pushed:
             self._watching = self._loop.create_task(self._keep_watch())
 
+    async def first_answer(self, limit: float) -> None:
+        """Wait until discovery has told something of its own, or the limit is over."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._first.wait(), limit)
+
     def watch(self, on: bool) -> None:
         """The module asks for changes, or for no more of them."""
         if self._pushed:
@@ -236,4 +243,5 @@
 
     def _tell(self, form: str, news: ServerList) -> None:
         self._version = news.version
+        self._first.set()
         self._news(form, news)
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -14,7 +14,7 @@
 from fordtrestle.config import RESERVED, Address, Config, Names, RequestClass, stable_number
 from fordtrestle.driver import Answer, Clock, Request
 from fordtrestle.lifecycle import Lifecycle
-from fordtrestle.listener import Listener, bound
+from fordtrestle.listener import Listener, bound, inherited
 
 READY_PATH = "/health/ready"
 # Past it idle connections are closed, then requests refused: client requests may hold no more than
@@ -430,16 +430,16 @@
         self._connections: dict[Connection, None] = {}
         self._listener: Listener | None = None
 
-    def listen(self, address: Address) -> Address:
-        """Accept connections from now on; the address bound."""
-        self._listener = Listener(self.loop, bound(address), lambda: Connection(self))
+    def listen(self, address: Address, descriptor: int | None = None) -> Address:
+        """Accept connections from now on, on an inherited socket if there is one; where that is."""
+        sock = bound(address) if descriptor is None else inherited(descriptor)
+        self._listener = Listener(self.loop, sock, lambda: Connection(self))
         return self._listener.address
 
     def stop_listening(self) -> None:
-        """Take no new connection, and close each one once it stands between requests."""
+        """Take no new connection; each answer from now on is the last on its own."""
         if self._listener is not None:
             self._listener.close()
-        self.close_idle()
 
     @property
     def closing(self) -> bool:
--- a/fordtrestle/listener.py
+++ b/fordtrestle/listener.py
@@ -31,6 +31,21 @@
     return sock
 
 
+def inherited(descriptor: int) -> socket.socket:
+    """The socket that the platform holds and listens on; it is not bound, shut down or set up here."""
+    try:
+        sock = socket.socket(fileno=descriptor)
+    except OSError as error:
+        raise OSError(f"NODE_INHERITED_FD: {descriptor} is no socket ({error.strerror})") from error
+    try:
+        listens = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    except OSError:
+        listens = 0
+    if not listens or sock.type != socket.SOCK_STREAM:
+        raise OSError(f"NODE_INHERITED_FD: {descriptor} is not listening")
+    return sock
+
+
 class Listener:
     """Accepts connections on a socket that listens already."""
 
--- a/fordtrestle/peers.py
+++ b/fordtrestle/peers.py
@@ -17,6 +17,7 @@
 
     def __init__(self, config: Config, hear: Callable[[int, bytes], None]) -> None:
         self._bind = config.peer_listen if config.settings.peer_messages else None
+        self._shared = config.inherited is not None  # with the process that this one replaces
         self._me = config.settings.me
         self._addresses = config.peers
         self._all = config.peers_all
@@ -27,7 +28,9 @@
     async def listen(self, loop: asyncio.AbstractEventLoop) -> None:
         """Bind where messages arrive, if the settings allow them."""
         if self._bind is not None:
-            await loop.create_datagram_endpoint(lambda: self, local_addr=self._bind)
+            await loop.create_datagram_endpoint(
+                lambda: self, local_addr=self._bind, reuse_port=self._shared or None
+            )
 
     def tell(self, peer: int | None, data: bytes) -> None:
         """Send a message to one peer, or to all."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -56,6 +56,7 @@
         ("framing.py", set()),
         ("driver.py", {CONFIG, MODEL, MODULE}),
         ("lifecycle.py", set()),
+        ("handover.py", {DRIVER}),
         ("listener.py", {CONFIG}),
         ("admin.py", {CONFIG, DRIVER, LIFECYCLE, LISTENER}),
         ("inbound.py", {CONFIG, DRIVER, FRAMING, LIFECYCLE, LISTENER}),
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -77,6 +77,26 @@
         assert (done.returncode, len(done.stderr.splitlines())) == (2, 1)
 
 
+@pytest.mark.parametrize("value", ["four", "-1", "0x4", "987", "0", "bound"])
+def test_a_descriptor_that_is_no_listening_socket_is_one_line_too(tmp_path, value):
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        done = subprocess.run(
+            [sys.executable, "-m", "fordtrestle"],
+            env=environment(tmp_path)
+            | {"NODE_INHERITED_FD": str(sock.fileno()) if value == "bound" else value},
+            pass_fds=[sock.fileno()],
+            stdin=subprocess.DEVNULL,
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+    assert done.returncode != 0
+    assert len(done.stderr.splitlines()) == 1
+    assert "NODE_INHERITED_FD" in done.stderr
+
+
 def free_port():
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,172 @@
+"""One process takes over from another on a socket that both inherit: real processes, no bench."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import sys
+
+from fordtrestle.config import Address
+from fordtrestle.handover import Seat
+from tests.loopback import OK, PATIENCE_S, App, Registry, Upstream, entry, listed, loopback, until
+from tests.test_sidecar_process import ROOT, environment
+
+
+class Platform:
+    """Holds the clients' listening socket, and starts processes that inherit it."""
+
+    def __init__(self, tmp_path, **changes):
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.address = Address(*self.socket.getsockname())
+        self._tmp_path, self._changes = tmp_path, changes
+        self.processes = []
+
+    async def start(self):
+        """A process, and where its door is."""
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            door = Address(*free.getsockname())
+        env = environment(
+            self._tmp_path,
+            listen=f"{self.address.host}:{self.address.port}",
+            operator=f"{door.host}:{door.port}",
+            **self._changes,
+        )
+        number = str(self.socket.fileno())
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "fordtrestle",
+            env={**env, "NODE_INHERITED_FD": number, "TMPDIR": str(self._tmp_path)},
+            pass_fds=[self.socket.fileno()],
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self.processes.append(process)
+        return process, door
+
+    def end(self):
+        self.socket.close()
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+
+
+async def ping(door):
+    """What a door says, or None where none is open yet."""
+    try:
+        reader, writer = await asyncio.open_connection(*door)
+    except ConnectionError:
+        return None
+    writer.write(b"PING\n")
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+async def yes(door):
+    async with asyncio.timeout(PATIENCE_S):
+        while not (await ping(door) or b"").startswith(b"done"):
+            await asyncio.sleep(0.02)
+
+
+class Load:
+    """Clients that keep connections, and open one anew where an answer was the last."""
+
+    def __init__(self, address):
+        self._address = address
+        self.answered, self.wrong, self.crossed = 0, [], 0
+        self.going = True
+
+    async def client(self):
+        app = None
+        while self.going:
+            app = app or await App.connect(self._address)
+            answer = await app.ask()
+            if answer is None:  # closed as the request crossed: it is sent once more
+                self.crossed += 1
+                app = None
+                continue
+            self.answered += 1
+            if answer.body != b"done":
+                self.wrong.append(answer)
+            if answer.headers.get("connection") == "close":
+                app.close()
+                app = None
+            await asyncio.sleep(0.003)
+        if app is not None:
+            app.close()
+
+
+@loopback
+async def test_a_second_process_takes_over_under_load_and_no_request_is_lost(tmp_path):
+    upstream = await Upstream([OK]).start()
+    platform = Platform(tmp_path, known=listed(1, entry("s0", upstream.address)))
+    old, door = await platform.start()
+    await yes(door)
+    load = Load(platform.address)
+    clients = [asyncio.create_task(load.client()) for _ in range(8)]
+    await until(lambda: load.answered > 100)
+
+    registry = await Registry().start()
+    platform._changes["discovery"] = registry.address
+    new, door = await platform.start()
+    await until(lambda: registry.watches)
+    # It is there, and sees that another serves: it takes nobody before it has its list.
+    assert (await ping(door)).startswith(b"error")
+    registry.tell(2, entry("s0", upstream.address), snapshot=True)
+    await yes(door)
+    old.send_signal(signal.SIGTERM)
+    _, said = await old.communicate()
+    assert (old.returncode, said) == (0, b"")
+    answered = load.answered
+    await until(lambda: load.answered > answered + 100)
+    load.going = False
+    await asyncio.gather(*clients)
+    assert load.wrong == []
+    assert load.crossed <= 2
+    # Nobody is left unread: the queue was handed on, and the socket is as it was.
+    assert new.returncode is None
+    new.terminate()
+    assert await new.wait() == 0
+    assert platform.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    platform.end()
+    upstream.stop()
+    registry.stop()
+
+
+@loopback
+async def test_a_process_that_follows_a_killed_one_waits_for_nothing(tmp_path):
+    # The old one's lock file stays, discovery can't be reached.
+    platform = Platform(tmp_path)
+    old, door = await platform.start()
+    await yes(door)
+    old.kill()
+    await old.wait()
+    new, door = await platform.start()
+    await yes(door)
+    new.terminate()
+    _, said = await new.communicate()
+    assert b"another process" not in said
+    platform.end()
+
+
+def test_only_one_holds_the_seat(tmp_path):
+    first, second = Seat(str(tmp_path)), Seat(str(tmp_path))
+    assert first.take() and not second.take()
+    first.leave()
+    assert second.take()
+    second.leave()
+
+
+def test_a_folder_that_can_not_be_written_stops_no_start(tmp_path, capsys):
+    assert Seat(str(tmp_path / "missing")).take()
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+def test_the_lock_file_holds_nothing(tmp_path):
+    (tmp_path / "fordtrestle.lock").write_text(json.dumps({"version": 99})[:-3])
+    seat = Seat(str(tmp_path))
+    assert seat.take()
+    seat.leave()
