--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,8 +7,8 @@
 import pytest
 
 from poppypulley import Balancer, Settings
-from poppypulley.balancer import Shed
 from poppypulley.model import Arrival, Listing, Outcome, Probe, Refuse, Send, Timer, Watch
+from poppypulley.shedding import Shed
 from tests.helpers import arrival, balancer, listing, of_type, raw_settings
 
 LOOKING = {
