--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -60,15 +60,24 @@
         return address
 
     def reload(self, environment: Mapping[str, str]) -> None:
-        """The configuration file was replaced: discovery may have moved, all else stays as started.
+        """The configuration file was replaced: it is taken whole, or not at all.
 
-        The file has the last word here, since the environment is still that of the start."""
+        The file has the last word on discovery, since the environment is still that of the start."""
         try:
             told = config.load({**environment, "NODE_DISCOVERY": ""})
+            busy = self.driver.bands | self.inbound.bands
+            news = config.successor(self._told, told, busy)
         except ConfigError as error:
-            log(f"reload: {error}")
+            log(f"reload: {error}; nothing is changed")
             return
-        self.discovery.move(told.discovery)
+        for name in news.unchanged:
+            log(f"reload: {name} stays as it was until a restart")
+        self._told = news.config
+        self.driver.reload(news.config, news.kept)
+        self.pool.reload(news.config)
+        self.inbound.reload(news.config.names)
+        self.discovery.move(news.config.discovery)
+        log(f"reload: done, classes {', '.join(news.config.names.classes)}")
 
     async def drain(self) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -5,9 +5,10 @@
 import json
 import math
 import resource
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, replace
 from hashlib import blake2b
+from itertools import count
 from typing import Any, NamedTuple
 
 from poppypulley import model
@@ -15,6 +16,21 @@
 KEY_BELOW = 2**53
 RESERVED = 24  # descriptors for the log, the loop, discovery, peers and what opens for a moment
 DOOR_CALLERS = 8  # operators at the door at once; where there is a door, their descriptors are kept free
+OPTIONAL = frozenset(("AimStretch", "PassesDeadline", "WarmKeys"))  # the keys that may come and go
+# What a running process can't change: it is tied to sockets, to servers known or to its place.
+FIXED = ("name", "listen", "operator", "descriptors", "peer_listen", "peers", "peers_all")
+FIXED_SETTINGS = (
+    "me",
+    "balancers",
+    "locality",
+    "zones",
+    "kinds",
+    "discovery",
+    "allowances",
+    "peer_messages",
+    "report_how",
+    "report_fields",
+)
 STATES = frozenset(("active", "leaving", "left"))
 
 
@@ -77,6 +93,7 @@
     names: Names
     max_open: int
     drain_grace: float
+    shape: frozenset[str]  # the keys that were there
 
 
 def stable_number(text: str) -> int:
@@ -97,7 +114,7 @@
         return parse(raw, environment)
     except OSError as error:
         raise ConfigError(f"configuration: {error.strerror}") from error
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError) as error:
         what = f"{error.args[0]} is missing" if isinstance(error, KeyError) else error
         raise ConfigError(" ".join(f"configuration: {what}".split())) from error
 
@@ -123,9 +140,78 @@
         names=names,
         max_open=int(limits.get("MaxOpen", 2**31)),
         drain_grace=_amount(rules.get("StopSendingWithin", 0.0)),
+        shape=_shape(raw),
     )
 
 
+def _shape(raw: Mapping[str, Any]) -> frozenset[str]:
+    """The keys of a configuration: those of its objects, and those that all classes have."""
+    settings = raw["settings"]
+    parts = {"": raw, "settings.": settings}
+    parts |= {f"{name}.": part for name, part in settings.items() if isinstance(part, Mapping)}
+    found = {f"{at}{key}" for at, part in parts.items() for key, value in part.items() if value is not None}
+    rows = [{key for key, value in row.items() if value is not None} for row in settings["Profiles"]]
+    return frozenset(found | {f"Profiles.{key}" for key in set.intersection(*rows)})
+
+
+@dataclass(frozen=True, slots=True)
+class Reload:
+    """A configuration that takes the place of the running one."""
+
+    config: Config
+    kept: frozenset[int]  # the slots of classes that are the same as before
+    unchanged: tuple[str, ...]  # what differs in the file, and waits for a restart
+
+
+def successor(running: Config, told: Config, busy: Collection[int]) -> Reload:
+    """The running configuration with all that may change taken from another; `ConfigError` if that
+    lacks a key. The slots in `busy` are still named by requests or by clients."""
+    missing = sorted(key for key in running.shape - told.shape if key.rpartition(".")[2] not in OPTIONAL)
+    if missing:
+        raise ConfigError(f"configuration: {missing[0]} is missing")
+    classes, kept = _slots(running, told, busy)
+    profiles = dict(enumerate(running.settings.profiles))
+    for name, kind in told.names.classes.items():
+        profiles[classes[name].band] = told.settings.profiles[kind.band]
+    fixed = {name: getattr(running.settings, name) for name in FIXED_SETTINGS}
+    differ = [name for name in FIXED_SETTINGS if getattr(told.settings, name) != fixed[name]]
+    differ += [name for name in FIXED if getattr(told, name) != getattr(running, name)]
+    names = replace(running.names, classes=classes)
+    differ += [n for n in ("tenants", "zones", "kinds") if getattr(told.names, n) != getattr(names, n)]
+    config = replace(
+        running,
+        discovery=told.discovery,
+        settings=replace(
+            told.settings, profiles=tuple(profiles[slot] for slot in range(len(profiles))), **fixed
+        ),
+        names=names,
+        max_open=told.max_open,
+        drain_grace=told.drain_grace,
+        shape=told.shape,
+    )
+    return Reload(config, kept, tuple(dict.fromkeys(differ)))
+
+
+def _slots(
+    running: Config, told: Config, busy: Collection[int]
+) -> tuple[dict[str, RequestClass], frozenset[int]]:
+    """Where each class goes: to its old slot if it is the same, else to one that is free."""
+    before = running.names.classes
+    same = {
+        name: replace(kind, band=before[name].band)
+        for name, kind in told.names.classes.items()
+        if name in before and (before[name].method, before[name].keyed) == (kind.method, kind.keyed)
+    }
+    kept = frozenset(kind.band for kind in same.values())
+    # Clients go on naming the classes before for a while: their slots are taken later.
+    taken = {*kept, *busy, *(kind.band for kind in before.values())}
+    free = (slot for slot in count() if slot not in taken)
+    placed = {
+        name: same.get(name) or replace(kind, band=next(free)) for name, kind in told.names.classes.items()
+    }
+    return placed, kept
+
+
 def _descriptor(text: str | None) -> int | None:
     if not text:
         return None
@@ -142,6 +228,9 @@
 
 
 def _names(settings: Mapping[str, Any]) -> Names:
+    named = [row["Name"] for row in settings["Profiles"]]
+    if len(set(named)) < len(named) or not all(isinstance(name, str) and name for name in named):
+        raise ValueError("Profiles: each class needs a name of its own")
     return Names(
         classes={row["Name"]: _request_class(i, row) for i, row in enumerate(settings["Profiles"])},
         tenants=_indices(row["Name"] for row in settings.get("Tenants") or ()),
--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -143,6 +143,7 @@
     id: int
     call: Call
     give_up_at: float
+    max_attempts: int  # as allowed at its arrival
     ended: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
@@ -174,15 +175,25 @@
         """Whether nothing taken is unanswered."""
         return self._open == 0
 
+    @property
+    def bands(self) -> set[int]:
+        """The classes of the requests held."""
+        return {request.call.band for request in self._requests.values()}
+
     # --- events -----------------------------------------------------------
 
+    def reload(self, config: Config, kept: frozenset[int]) -> None:
+        """Other settings for the requests that come from now on."""
+        self._settings, self._max_open = config.settings, config.max_open
+        self._ask(None, self._balancer.reload, config.settings, kept)
+
     def arrive(self, call: Call, now: float) -> Request | None:
         """Take a request whose last byte was read at `now`; its `call` gets one final answer."""
         if self._open >= self._max_open:
             call.refused(0.0)
             return None
         give_up_at = now + call.budget - DEADLINE_MARGIN_MS
-        request = Request(self._new_id(), call, give_up_at)
+        request = Request(self._new_id(), call, give_up_at, self._settings.max_attempts)
         self._requests[request.id] = request
         self._open += 1
         # Guards against a module that forgets a request: a safety net, not a decision.
@@ -323,7 +334,7 @@
         request.out += 1
         left = request.give_up_at - now
         over = request.ended or left <= 0.0 or action.timeout < 0.0
-        if over or attempt.hop >= self._settings.max_attempts:
+        if over or attempt.hop >= request.max_attempts:
             self._loop.call_soon(self._outcome, attempt, Result(Outcome.MOOT))
             return
         wait = min(action.timeout, left) if action.timeout > 0.0 else left
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -30,6 +30,7 @@
 # Clients are sent away: new connections come for 0.3 s more, and 4 s after the call none may be idle.
 SENT_AWAY_S = 1.0
 SENT_AWAY_SWEEP_S = 0.1
+CLASSES_BEFORE_S = 4.0  # clients use other classes 1.2 s after a reload, and come again for a while
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
 BUDGET = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
@@ -424,6 +425,8 @@
         life.on_change(self._life_changed)
         self._sweep: asyncio.TimerHandle | None = None
         self._names = config.names
+        self._before: Names | None = None  # what clients may still name, for a while
+        self._forget_before: asyncio.TimerHandle | None = None
         third = (config.descriptors + RESERVED) * THIRD
         self._soft = max(1, int(min(config.descriptors * SHARE, third)))
         self._hard = max(2, int(config.descriptors * HARD_SHARE))
@@ -436,6 +439,30 @@
         self._listener = Listener(self.loop, sock, lambda: Connection(self))
         return self._listener.address
 
+    def reload(self, names: Names) -> None:
+        """Other classes. Clients learn of them later: what they knew is served for a while."""
+        if self._forget_before is not None:
+            self._forget_before.cancel()
+        self._before, self._names = self._names, names
+        self._forget_before = self.loop.call_later(CLASSES_BEFORE_S, self._forget_classes)
+
+    def _forget_classes(self) -> None:
+        self._before = self._forget_before = None
+
+    @property
+    def bands(self) -> set[int]:
+        """The classes that clients may name."""
+        known = (self._names, self._before)
+        return {kind.band for names in known if names for kind in names.classes.values()}
+
+    def _read(self, exchange: Exchange, message: Message) -> None:
+        try:
+            exchange.read(message, self._names)
+        except BadRequest:
+            if self._before is None:
+                raise
+            exchange.read(message, self._before)
+
     def stop_listening(self) -> None:
         """Take no new connection; each answer from now on is the last on its own."""
         if self._listener is not None:
@@ -473,8 +500,9 @@
         """Close all at the end."""
         if self._listener is not None:
             self._listener.close()
-        if self._sweep is not None:
-            self._sweep.cancel()
+        for timer in (self._sweep, self._forget_before):
+            if timer is not None:
+                timer.cancel()
         for connection in list(self._connections):
             connection.abort()
 
@@ -504,7 +532,7 @@
             exchange.refused(0.0)
         else:
             try:
-                exchange.read(message, self._names)
+                self._read(exchange, message)
                 exchange.request = self.taker.arrive(exchange, read_at)
             except BadRequest as error:
                 text = "" if message.method == "HEAD" else f"{error}\n"
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -178,10 +178,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, config: Config) -> None:
         self._loop = loop
         self._clock = clock
+        self.reload(config)
         settings = config.settings
-        self._connect_timeout = settings.connect_timeout / 1000.0
-        self._idle_most = settings.idle_close * IDLE_SHARE
-        self._grace = max(0.0, config.drain_grace - GRACE_MARGIN_MS)
         self._fields = settings.report_fields if settings.report_how != "off" else ()
         self._probe_target = b"/stats" if self._fields else b"/health/live"
         self._most = max(1, int(config.descriptors * POOL_SHARE))
@@ -190,6 +188,12 @@
         self._opening: set[asyncio.Task[None]] = set()
         self._sweeping = False
 
+    def reload(self, config: Config) -> None:
+        """Other settings for what begins from now on."""
+        self._connect_timeout = config.settings.connect_timeout / 1000.0
+        self._idle_most = config.settings.idle_close * IDLE_SHARE
+        self._grace = max(0.0, config.drain_grace - GRACE_MARGIN_MS)
+
     # --- what the driver asks for --------------------------------------------
 
     def send(self, server: str, message: Callable[[float], bytes], expires: float, done: Done) -> Exchange:
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -11,7 +11,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
@@ -216,6 +216,7 @@
     band: int
     key: int | None
     profile: model.Profile
+    limits: model.Settings  # those of its arrival
     arrived: float
     give_up_at: float
     work: float = 1.0
@@ -258,12 +259,8 @@
         self._kind_pace: dict[int, Pace] = {}
         self._keys: deque[int] = deque()
         self._key_counts: dict[int, int] = {}
-        # The worth that a crossing costs, as a share of what a request of each class is worth.
-        worths = [profile.worth for profile in settings.profiles]
-        price = settings.prices.get("CrossZone", 0.0)
-        self._zoned = settings.zones > 1 and price >= CROSS_PRICE_LEAST
-        self._margins = [CROSS_MARGIN * price * max(worths) / (worth or 1.0) for worth in worths]
-        self._spill = [0.0] * len(worths)  # part of each class that crosses
+        self._weigh_crossings()
+        self._spill = [0.0] * len(settings.profiles)  # part of each class that crosses
         self._far_miss = 0.0
         self._groups: dict[tuple[str, int], list[Server]] = {}
         self._near: list[Server] = []
@@ -283,15 +280,33 @@
         self._ask_delay = ASK_AGAIN_MS
         self._out: list[model.Action] = []
 
+    def _weigh_crossings(self) -> None:
+        """The worth that a crossing costs, as a share of what a request of each class is worth."""
+        worths = [profile.worth for profile in self._set.profiles]
+        price = self._set.prices.get("CrossZone", 0.0)
+        self._zoned = self._set.zones > 1 and price >= CROSS_PRICE_LEAST
+        self._margins = [CROSS_MARGIN * price * max(worths) / (worth or 1.0) for worth in worths]
+
     # --- events -----------------------------------------------------------
 
+    def reload(self, now: float, settings: model.Settings, kept: Collection[int]) -> list[model.Action]:
+        """Other settings from now on; requests held keep theirs. What was learned stays, but
+        for the classes that are not kept: their slots may be another's now."""
+        self._set = settings
+        self._shed.reload(settings, kept)
+        self._weigh_crossings()
+        spill = enumerate(self._spill[: len(settings.profiles)])
+        self._spill = [part if slot in kept else 0.0 for slot, part in spill]
+        self._spill += [0.0] * (len(settings.profiles) - len(self._spill))
+        return self._take()
+
     def request(self, now: float, arrival: model.Arrival) -> list[model.Action]:
         """A client's request: refuse it at once or send it."""
         if not 0 <= arrival.band < len(self._set.profiles):
             raise ValueError(f"request {arrival.request}: no class {arrival.band}")
         profile, key = self._set.profiles[arrival.band], arrival.key
         until = arrival.give_up_at if math.isfinite(arrival.give_up_at) else now + profile.deadline
-        request = Request(arrival.request, arrival.band, key, profile, now, until)
+        request = Request(arrival.request, arrival.band, key, profile, self._set, now, until)
         # A figure that is not finite must not reach a time-out: the class's own serves.
         request.work = arrival.work if arrival.work and 0.0 < arrival.work < math.inf else 1.0
         request.in_turn = profile.in_turn and key is not None
@@ -711,7 +726,7 @@
 
     def _after_failure(self, now: float, request: Request) -> None:
         """No attempt is out: resend as far as class, time and throttle allow."""
-        if len(request.attempts) < self._set.max_attempts and now < request.useful_until():
+        if len(request.attempts) < request.limits.max_attempts and now < request.useful_until():
             self._try(now, request)
         else:
             self._give_up(now, request)
@@ -722,7 +737,7 @@
         whole = max(0.0, (useful if useful > now else request.give_up_at) - now)
         again = profile.semantics == "pure" or (profile.semantics == "token" and profile.group == "all")
         quick = self._slowness < SLOW and now - self._silent_at < REST_MAX_MS
-        if again and quick and len(request.attempts) + 1 < self._set.max_attempts:
+        if again and quick and len(request.attempts) + 1 < request.limits.max_attempts:
             # Guards against hung and silent servers, also where they hold up a key's line. Only
             # after one was met and while answers are quick: in a crowd repeats would add to it.
             usual = self._usual()
@@ -778,7 +793,8 @@
     def _may_send(self, now: float, request: Request, server: Server) -> bool:
         if request.done or not server.usable or now >= request.give_up_at:
             return False
-        if len(request.attempts) >= self._set.max_attempts or (request.out and not self._set.parallel_tries):
+        limits = request.limits
+        if len(request.attempts) >= limits.max_attempts or (request.out and not limits.parallel_tries):
             return False
         if request.in_turn and not request.attempts and request.key is not None:
             turn = self._turns[request.key]
@@ -827,7 +843,8 @@
         use is told to stay away: that retry could only take a server from others."""
         if request.done or request.out:
             return
-        wait, most = COME_BACK * request.profile.objective, self._set.max_retry_after * self._set.retry_after
+        limits = request.limits
+        wait, most = COME_BACK * request.profile.objective, limits.max_retry_after * limits.retry_after
         wait = min(wait, most) if now + wait < request.useful_until() else most
         refuse = self._may_refuse(request)
         self._out.append(model.Refuse(request.id, wait) if refuse else model.Fail(request.id))
@@ -839,7 +856,7 @@
         self._cancel_rest(request, -1)
 
     def _cancel_rest(self, request: Request, kept: int) -> None:
-        if self._set.may_cancel:
+        if request.limits.may_cancel:
             for hop, attempt in enumerate(request.attempts):
                 if attempt.out and hop != kept:
                     self._out.append(model.Cancel(request.id, hop))
--- a/poppypulley/shedding.py
+++ b/poppypulley/shedding.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Collection
 
 from poppypulley import model
 
@@ -57,16 +58,21 @@
     """
 
     def __init__(self, settings: model.Settings) -> None:
+        self._seen = [0.0] * len(settings.allowances)
+        self._seen_all = 0.0
+        self._mix: dict[tuple[int, bool], list[float]] = {}  # work asked and its worth
+        self._level = 0.0
+        self._at = 0.0
+        self.reload(settings, ())
+
+    def reload(self, settings: model.Settings, kept: Collection[int]) -> None:
+        """Other settings; the mix remembers the classes that stay."""
         self._by_work = settings.worth_by_work
         self._over_worth = settings.over_share_worth
         self._worst_class = settings.worst_class
         whole = sum(settings.allowances) or 1.0
         self._shares = [allowance / whole for allowance in settings.allowances]
-        self._seen = [0.0] * len(self._shares)
-        self._seen_all = 0.0
-        self._mix: dict[tuple[int, bool], list[float]] = {}  # work asked and its worth
-        self._level = 0.0
-        self._at = 0.0
+        self._mix = {kind: entry for kind, entry in self._mix.items() if kind[0] in kept}
 
     def arrive(self, band: int, worth: float, work: float, tenant: int, luck: float) -> bool:
         """Count an arrival; whether it is held to be past its tenant's share."""
