Give a slow sender more time with each byte that comes

A request whose body comes at 64 kB/s was answered 408 2.5 s after its first byte, whatever had come (Connection._unsent).

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -26,6 +26,8 @@
 # A peer that sends no whole request is owed an error or a close within 3 s of connecting; half a
 # second is left for a loop that lags.
 HALF_SENT_S = 2.5
+BODY_BYTES_PER_S = 32_000  # half of what the slowest client gives: more time comes with each byte
+CLOCK_STEP_S = 0.001
 MESSAGE_MOST = 2 * framing.MAX_HEAD + 8 * framing.MAX_BODY  # with the framing of small chunks
 # Clients are sent away: new connections come for 0.3 s more, and 4 s after the call none may be idle.
 SENT_AWAY_S = 1.0
@@ -213,6 +215,7 @@
         self._message: Message | None = None
         self._head_bytes = 0
         self._read_at = 0.0
+        self._begun_at = 0.0  # when the connection, or a later request on it, began
         self._half_sent: asyncio.TimerHandle | None = None
         self._deaf = False  # nothing more is read as a request
         self._lost = False
@@ -239,7 +242,7 @@
         """The application has connected."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._half_sent = self._inbound.loop.call_later(HALF_SENT_S, self._unsent)
+        self._start_clock()
         self._inbound.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -391,11 +394,20 @@
                 self._turn_away(431)
                 return
         if self._half_sent is None:
-            self._half_sent = self._inbound.loop.call_later(HALF_SENT_S, self._unsent)
+            self._start_clock()
+
+    def _start_clock(self) -> None:
+        self._begun_at = self._inbound.loop.time()
+        self._half_sent = self._inbound.loop.call_later(HALF_SENT_S, self._unsent)
 
     def _unsent(self) -> None:
-        """No whole request has come in time: one that was begun is told so."""
+        """No whole request has come in time, by what has come: one that was begun is told so."""
         self._half_sent = None
+        size = self._message.size if self._message is not None else 0
+        until = self._begun_at + HALF_SENT_S + size / BODY_BYTES_PER_S
+        if until > self._inbound.loop.time() + CLOCK_STEP_S:
+            self._half_sent = self._inbound.loop.call_at(until, self._unsent)
+            return
         if self._message is not None:
             self._turn_away(408)
         elif self.idle:
--- a/tests/test_sidecar_requests.py
+++ b/tests/test_sidecar_requests.py
@@ -296,6 +296,20 @@
         sending.cancel()
 
 
+@loopback
+async def test_a_body_that_goes_on_coming_has_more_time(monkeypatch):
+    monkeypatch.setattr(inbound, "HALF_SENT_S", 0.1)
+    monkeypatch.setattr(inbound, "BODY_BYTES_PER_S", 100)
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        whole = partners.request("POST", "/pay", b"x" * 3000)
+        app.writer.write(whole[:-1])
+        await asyncio.sleep(0.3)
+        app.writer.write(whole[-1:])
+        assert (await app.answer()).body == b"done"
+
+
 @loopback
 async def test_a_request_that_is_mostly_framing_is_turned_away():
     # An endless trailer is no body, so neither bound on head and body meets it.
