Strip the blanks that may follow a header's value

Followed one by its id through a log line for each answer of our own: X-Call-Class came as 'new-message ', and so did ids, budgets and lengths; the parser strips blanks before a value, not after it. Ruled out: time (no 408) and size (no 413 or 431) in the same log.

--- a/fordtrestle/framing.py
+++ b/fordtrestle/framing.py
@@ -160,7 +160,7 @@
         """Called by the parser."""
         if self.complete:
             return
-        self.headers.append((name, value))
+        self.headers.append((name, value.rstrip(b" \t")))  # the parser leaves blanks after it
         self._framed = self._framed or name.lower() in (b"content-length", b"transfer-encoding")
 
     def on_headers_complete(self) -> None:
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -440,7 +440,8 @@
         # Trailers are no part of the head: passed on, they would stand as headers nobody checked.
         if message is None or message.head_done:
             return
-        message.headers.append((name, value))
+        # The parser leaves the blanks that may follow a value.
+        message.headers.append((name, value.rstrip(b" \t")))
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > framing.MAX_HEAD:
             raise BadRequest(431, "headers too large")
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -453,6 +453,17 @@
         assert upstream.seen[0].start == "GET /look/7?a=1 HTTP/1.1"
 
 
+@loopback
+async def test_blanks_after_a_value_are_no_part_of_it():
+    upstream = await Upstream([OK.replace(b"queue=0", b"queue=0 \t")]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        whole = partners.request("POST", "/pay", b"hello").replace(b"\r\n", b" \t\r\n")
+        app.writer.write(whole.replace(b"HTTP/1.1 \t", b"HTTP/1.1", 1).replace(b"\r\n \t\r\n", b"\r\n\r\n"))
+        assert (await app.answer()).body == b"done"
+        assert upstream.seen[0].headers["x-call-id"] == "9b1f03aa5c7e2d41"
+
+
 @pytest.mark.parametrize(
     ("target", "origin"),
     [
