At the end, wait for requests that still come, and answer before a kill can come

After SIGTERM a process ended as soon as nothing that it had taken was open: a request still being written was reset, and the last bytes of an answer had 0.3 s to leave, whatever its reader's pace. Requests on kept connections could also be taken with a deadline past the kill. Seen by the tests, which fail without it.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -21,8 +21,9 @@
 from fordtrestle.peers import Peers
 
 # New connections go on coming for up to 0.4 s after SIGTERM; SIGKILL comes no sooner than the
-# longest deadline and 0.7 s after it, and nothing may be taken past 0.7 s.
+# longest deadline and 0.7 s after it: whatever comes late is answered before that.
 STILL_LISTEN_S = 0.5
+LONGEST_MS, ANSWERED_MS = 3000.0, 550.0
 POLL_S = 0.02
 LAST_BYTES_S = 0.3
 # A process that replaces another says yes within 6 s; the module asks discovery within 2.5 s.
@@ -35,7 +36,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, told: Config) -> None:
         self._told = told
         self._loop = loop
-        clock = Clock(loop)
+        clock = self._clock = Clock(loop)
         self.life = Lifecycle()
         self.seat = Seat(os.environ.get("TMPDIR")) if told.inherited is not None else None
         self.door = Door(loop, self.life)
@@ -82,12 +83,14 @@
     async def drain(self) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
         self.life.stop()
+        longest = max(profile.deadline for profile in self._told.settings.profiles)
+        self.driver.stopping(self._clock.now() + min(longest, LONGEST_MS) + ANSWERED_MS)
         if self._told.inherited is not None:
             self.inbound.stop_listening()  # what still comes is for the process that takes over
         await asyncio.sleep(STILL_LISTEN_S)
         self.inbound.stop_listening()
         self.inbound.close_idle()
-        while not self.driver.idle:
+        while not self.driver.idle or self.inbound.unfinished:
             await asyncio.sleep(POLL_S)
             self.inbound.close_idle()
         until = self._loop.time() + LAST_BYTES_S
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -35,6 +35,7 @@
 # Clients are sent away: new connections come for 0.3 s more, and 4 s after the call none may be idle.
 SENT_AWAY_S = 1.0
 SENT_AWAY_SWEEP_S = 0.1
+STILL_COMING_MS = 700.0  # at the end, a request of which nothing came for so long is not awaited
 CLASSES_BEFORE_S = 4.0  # clients use other classes 1.2 s after a reload, and come again for a while
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
@@ -330,6 +331,13 @@
         quiet = not self._waiting and self._message is None and not self._deaf
         return quiet and not framing.readable(self._transport)
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a request is still coming here, or the rest of an answer still going."""
+        coming = self._message is not None and not self._deaf
+        silent = self._inbound.clock.now() - self._read_at
+        return (coming and silent < STILL_COMING_MS) or self._transport.get_write_buffer_size() > 0
+
     def close(self) -> None:
         """Close it, between requests."""
         self._deaf = True
@@ -719,6 +727,11 @@
             if connection.idle:
                 connection.close()
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a request is still coming, or the rest of an answer still going."""
+        return any(connection.unfinished for connection in self._connections)
+
     @property
     def empty(self) -> bool:
         """Whether all connections are closed."""
--- a/tests/test_sidecar_requests.py
+++ b/tests/test_sidecar_requests.py
@@ -398,6 +398,45 @@
         assert module.events[0][:2] == ("server_list", "remembered")
 
 
+@loopback
+async def test_a_stop_waits_for_a_request_that_is_still_coming_and_answers_it_in_time():
+    async def never(reader, writer):
+        await reader.read()
+
+    upstream = await Upstream([OK, never]).start()
+    profiles = [{"Name": "look", "Semantics": "pure", "Objective": 200.0, "Deadline": 800.0}]
+    async with running(upstream, Profiles=profiles) as sidecar:
+        app, other, silent = [await App.connect(sidecar.address) for _ in range(3)]
+        whole = partners.request(X_Long="x" * 4000)
+        app.writer.write(whole[:50])
+        silent.writer.write(whole[:50])
+        stopping = asyncio.create_task(sidecar.drain())
+        for i in range(50, len(whole) - 1):
+            app.writer.write(whole[i : i + 1])
+            await asyncio.sleep(0.005)
+            if sidecar.inbound.closing:
+                break
+        assert not stopping.done()
+        app.writer.write(whole[i + 1 : -1])
+        await asyncio.sleep(0.05)
+        assert not stopping.done()
+        app.writer.write(whole[-1:])
+        answer = await app.answer()
+        assert (answer.body, answer.headers["connection"]) == (b"done", "close")
+        other.writer.write(whole)  # a connection that was closed by now: it was idle
+        assert await other.answer() is None
+        await stopping
+
+
+@loopback
+async def test_what_comes_late_at_the_end_is_answered_before_the_process_is_killed():
+    upstream = await Upstream([hang]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        sidecar.driver.stopping(sidecar._clock.now() + 100.0)
+        assert status_of(await app.ask(X_Budget="9000m")) in (502, 503, 504)
+
+
 @loopback
 async def test_a_drain_finishes_what_was_taken_and_closes_between_requests():
     release = asyncio.Event()
