--- a/tests/test_sidecar_requests.py
+++ b/tests/test_sidecar_requests.py
@@ -411,6 +411,7 @@
             new = await App.connect(sidecar.address)
             assert await gone.answer() is None
             new.send()
+            apps.append(new)  # or else it is closed with its last name
             await until(lambda held=held: sidecar.inbound._requests_held() == held)
         last = await App.connect(sidecar.address)
         assert status_of(await last.ask("GET", "/health/ready", X_Call_Class=None)) == 200
@@ -425,8 +426,8 @@
         slow = await App.connect(sidecar.address)
         whole = partners.request("POST", "/pay", b"hello")
         slow.writer.write(whole[:-1])
-        for _ in range(20):
-            await App.connect(sidecar.address)
+        crowd = [await App.connect(sidecar.address) for _ in range(20)]
+        await until(lambda: len(sidecar.inbound._connections) == 1 + len(crowd))
         slow.writer.write(whole[-1:])
         assert (await slow.answer()).body == b"done"
 
