Hold half of all while two processes of a sidecar live, and bound the bytes of messages

Two processes may hold together what one may, which nothing kept: in a crowd each would go up to its own 155 of 192 descriptors. Each looks for the other every quarter of a second by two locks.

Bodies are charged to a budget of a quarter of the memory; without room a request gets 503, unsent.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -25,6 +25,7 @@
 STILL_LISTEN_S = 0.5
 LONGEST_MS, ANSWERED_MS = 3000.0, 550.0
 POLL_S = 0.02
+LOOK_S = 0.25  # for another process of this sidecar, which takes longer to start
 LAST_BYTES_S = 0.3
 # A process that replaces another says yes within 6 s; the module asks discovery within 2.5 s.
 FIRST_LIST_S = 4.0
@@ -38,6 +39,8 @@
         self._loop = loop
         clock = self._clock = Clock(loop)
         self.life = Lifecycle()
+        self._shared = False
+        self._look: asyncio.TimerHandle | None = None
         self.seat = Seat(os.environ.get("TMPDIR")) if told.inherited is not None else None
         self.door = Door(loop, self.life)
         self.driver = Driver(loop, clock, told)
@@ -53,13 +56,25 @@
         await self.peers.listen(self._loop)
         self.driver.connect(self.pool, self.discovery, self.peers)
         self.discovery.start()
-        if self.seat is not None and not self.seat.take():
+        if self._share():
             log("another process of this sidecar serves: waiting for the list before taking clients")
             await self.discovery.first_answer(FIRST_LIST_S)
         address = self.inbound.listen(self._told.listen, self._told.inherited)
         self.life.serve()
         return address
 
+    def _share(self) -> bool:
+        """Hold half of all while another process of this sidecar lives; whether one does."""
+        shared = self.seat is not None and self.seat.shared()
+        if shared != self._shared:
+            self._shared = shared
+            part = 0.5 if shared else 1.0
+            self.pool.share(part)
+            self.inbound.share(part)
+        if self.seat is not None:
+            self._look = self._loop.call_later(LOOK_S, self._share)
+        return shared
+
     def reload(self, environment: Mapping[str, str]) -> None:
         """The configuration file was replaced: it is taken whole, or not at all.
 
@@ -83,6 +98,7 @@
     async def drain(self) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
         self.life.stop()
+        log("stopping: finishing what was taken")
         longest = max(profile.deadline for profile in self._told.settings.profiles)
         self.driver.stopping(self._clock.now() + min(longest, LONGEST_MS) + ANSWERED_MS)
         if self._told.inherited is not None:
@@ -100,11 +116,14 @@
 
     def close(self) -> None:
         """Close what is left."""
+        log(f"closing, with {self.driver.held or 'nothing'} still open")
         self.door.close()
         self.inbound.close()
         self.pool.close()
         self.discovery.close()
         self.peers.close()
+        if self._look is not None:
+            self._look.cancel()
         if self.seat is not None:
             self.seat.leave()
 
--- a/fordtrestle/body.py
+++ b/fordtrestle/body.py
@@ -6,6 +6,26 @@
 from typing import Protocol
 
 HELD_MOST = 64 * 1024  # so much is held, and can be sent again
+FLOW_MOST = 2 * HELD_MOST  # so much of a large message is here at a time: what is held, and one read
+
+
+class Budget:
+    """The bytes of messages that this process may hold at a time."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.used = 0
+
+    def take(self, size: int) -> bool:
+        """Ask for room; whether there is so much."""
+        if self.used + size > self.most:
+            return False
+        self.used += size
+        return True
+
+    def give(self, size: int) -> None:
+        """Room that is free again."""
+        self.used -= size
 
 
 class Source(Protocol):
--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -18,7 +18,7 @@
 DOOR_CALLERS = 8  # operators at the door at once; where there is a door, their descriptors are kept free
 OPTIONAL = frozenset(("AimStretch", "PassesDeadline", "WarmKeys"))  # the keys that may come and go
 # What a running process can't change: it is tied to sockets, to servers known or to its place.
-FIXED = ("name", "listen", "operator", "descriptors", "peer_listen", "peers", "peers_all")
+FIXED = ("name", "listen", "operator", "limits", "peer_listen", "peers", "peers_all")
 FIXED_SETTINGS = (
     "me",
     "balancers",
@@ -74,6 +74,19 @@
     addresses: dict[str, Address]
 
 
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What this sidecar may hold, in one process or, while one replaces another, in two."""
+
+    descriptors: int
+    reserved: int  # of them, in each process: for what is no client's and no server's connection
+    memory: int  # bytes
+
+    def connections(self, part: float) -> int:
+        """The descriptors for connections in a process that has this part of all."""
+        return max(4, int(self.descriptors * part) - self.reserved)
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that this sidecar knows before its first event."""
@@ -84,7 +97,7 @@
     operator: Address | None  # where operators call
     discovery: Address
     seed: int
-    descriptors: int  # for connections
+    limits: Limits
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -131,7 +144,7 @@
         operator=parse_address(operator) if operator else None,
         discovery=parse_address(environment.get("NODE_DISCOVERY") or raw["discovery"]),
         seed=stable_number(str(raw.get("seed", ""))),
-        descriptors=_descriptors(raw, RESERVED + (DOOR_CALLERS + 1 if operator else 0)),
+        limits=_limits(raw.get("limits") or {}, RESERVED + (DOOR_CALLERS + 1 if operator else 0)),
         peer_listen=parse_address(raw["peer_listen"]) if raw.get("peer_listen") else None,
         peers=tuple(parse_address(peer) for peer in raw.get("peers") or ()),
         peers_all=parse_address(raw["peers_all"]) if raw.get("peers_all") else None,
@@ -220,11 +233,12 @@
     return int(text)
 
 
-def _descriptors(raw: Mapping[str, Any], reserved: int) -> int:
-    """Those for connections: what is granted, less what else needs one."""
+def _limits(raw: Mapping[str, Any], reserved: int) -> Limits:
+    """What is granted, by the configuration and by the system."""
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    given = int((raw.get("limits") or {}).get("sockets", 1024))
-    return max(4, (given if allowed < 0 else min(given, allowed)) - reserved)
+    given = int(raw.get("sockets", 1024))
+    memory = int(_amount(raw.get("memory_mb", 64.0)) * 2**20)
+    return Limits(given if allowed < 0 else min(given, allowed), reserved, memory)
 
 
 def _names(settings: Mapping[str, Any]) -> Names:
--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -234,6 +234,11 @@
         """Whether nothing taken is unanswered."""
         return self._open == 0 and self._flowing == 0
 
+    @property
+    def held(self) -> int:
+        """How many requests have no whole answer."""
+        return self._open + self._flowing
+
     @property
     def bands(self) -> set[int]:
         """The classes of the requests held."""
--- a/fordtrestle/handover.py
+++ b/fordtrestle/handover.py
@@ -1,4 +1,4 @@
-"""Two processes of one sidecar: a lock in the folder they share tells each of the other."""
+"""Two processes of one sidecar: locks in the folder they share tell each of the other."""
 
 from __future__ import annotations
 
@@ -7,18 +7,19 @@
 
 from fordtrestle.driver import log
 
-LOCK = "fordtrestle.lock"
+SERVES, COMES = "fordtrestle.lock", "fordtrestle.next"
 
 
-class Seat:
-    """Held by the process that serves; free as soon as that one ends, however it does."""
+class Lock:
+    """A file's lock; the system frees it when its holder ends, however that is."""
 
-    def __init__(self, folder: str | None) -> None:
-        self._path = os.path.join(folder or "/tmp", LOCK)
+    def __init__(self, path: str) -> None:
+        self._path = path
         self._file: int | None = None
+        self.held = False
 
     def take(self) -> bool:
-        """Take it; whether it was free. Where it can't be told, this process is held to be alone."""
+        """Whether it is held from now on. Where that can't be told, this process is taken to be alone."""
         try:
             if self._file is None:
                 self._file = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
@@ -26,11 +27,39 @@
         except BlockingIOError:
             return False
         except OSError as error:
-            log(f"handover: {self._path}: {error.strerror}")
+            if not self.held:
+                log(f"handover: {self._path}: {error.strerror}")
+        self.held = True
         return True
 
     def leave(self) -> None:
-        """Give it up at the end."""
+        """Free it."""
+        self.held = False
         if self._file is not None:
             os.close(self._file)
             self._file = None
+
+
+class Seat:
+    """The place of the process that serves, and that of the one which is to replace it."""
+
+    def __init__(self, folder: str | None) -> None:
+        self._serves = Lock(os.path.join(folder or "/tmp", SERVES))
+        self._comes = Lock(os.path.join(folder or "/tmp", COMES))
+
+    def shared(self) -> bool:
+        """Whether another process of this sidecar lives. Looks again each time it is asked."""
+        if not self._serves.held:
+            if not self._serves.take():
+                self._comes.take()
+                return True
+            self._comes.leave()
+        free = self._comes.take()
+        if free:
+            self._comes.leave()
+        return not free
+
+    def leave(self) -> None:
+        """Give the place up at the end."""
+        self._serves.leave()
+        self._comes.leave()
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -11,8 +11,8 @@
 import httptools
 
 from fordtrestle import framing
-from fordtrestle.body import HELD_MOST, Body
-from fordtrestle.config import RESERVED, Address, Config, Names, RequestClass, stable_number
+from fordtrestle.body import FLOW_MOST, HELD_MOST, Body, Budget
+from fordtrestle.config import Address, Config, Names, RequestClass, stable_number
 from fordtrestle.driver import Answer, Clock, Flow, Request
 from fordtrestle.lifecycle import Lifecycle
 from fordtrestle.listener import Listener, bound, inherited
@@ -26,6 +26,7 @@
 # from this part of the third on, answers end their connections, and what is quiet is closed.
 CROWDED = 0.75
 QUIET_MS = 1000.0  # a true sender's pieces come faster
+MEMORY_SHARE = 0.25  # of all memory, for the bytes of messages
 HARD_SHARE = 0.47  # past this whatever carries no request is closed, or else the new connection
 PIPELINED_MOST = 16
 # A peer that sends no whole request is owed an error or a close within 3 s of connecting; half a
@@ -84,6 +85,7 @@
         self.passing: Passing | None = None  # in place of a whole answer
         self.body: Body | None = None  # in place of a whole body
         self.old = False  # HTTP/1.0: knows no chunks
+        self.room = Room()
         self.band = self.tenant = 0
         self.key: int | None = None
         self.work: float | None = None
@@ -150,6 +152,7 @@
         """The final answer: a server's, of which more is to come."""
         if self.answer is None and self.passing is None:
             self.passing = Passing(self, answer, flow)
+            self.connection.flows(self)
             self.connection.flush()
 
     def more(self, data: bytes) -> None:
@@ -228,6 +231,24 @@
         return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+class Room:
+    """What one message takes of the budget."""
+
+    def __init__(self) -> None:
+        self.size = 0
+
+    def take(self, budget: Budget, size: int) -> bool:
+        """Ask for more of it."""
+        taken = budget.take(size)
+        self.size += size * taken
+        return taken
+
+    def give(self, budget: Budget) -> None:
+        """Nothing of the message is held any more."""
+        budget.give(self.size)
+        self.size = 0
+
+
 class Message:
     """A request as it is parsed."""
 
@@ -238,6 +259,7 @@
         self.body = bytearray()
         self.size = 0  # as it came, with its framing
         self.body_size = 0
+        self.room = Room()
         self.exchange: Exchange | None = None  # of a large one, which is served as it comes
         self.head_done = False
         self.told = False  # to send its body
@@ -433,6 +455,11 @@
             if not self._full:
                 self._transport.resume_reading()
 
+    def flows(self, exchange: Exchange) -> None:
+        """An answer that is passed on takes its room, at the cost of requests that come later."""
+        self._inbound.budget.used += FLOW_MOST
+        exchange.room.size += FLOW_MOST
+
     def write(self, data: bytes) -> None:
         """A part of an answer."""
         if not self._lost:
@@ -451,7 +478,10 @@
         self._inbound.closed(self)
         waiting = list(self._waiting)
         self._waiting.clear()
+        if self._message is not None:
+            self._message.room.give(self._inbound.budget)
         for exchange in waiting:
+            exchange.room.give(self._inbound.budget)
             if exchange.request is not None:
                 self._inbound.taker.client_gone(exchange.request)
 
@@ -503,14 +533,19 @@
             assert message.exchange.body is not None
             message.exchange.body.feed(data)
             return
+        large = len(message.body) + len(data) > HELD_MOST
+        size = FLOW_MOST - message.room.size if large else len(data)
+        if not message.room.take(self._inbound.budget, size):
+            raise BadRequest(503, "no memory for the body")
         message.body += data
-        if len(message.body) > HELD_MOST:
+        if large:
             self._begin_large(message)
 
     def _begin_large(self, message: Message) -> None:
         """A request that is too large to be held: what there is of it goes to a server now."""
         exchange = message.exchange = Exchange(self, keep_alive=True)
         exchange.old = self._parser.get_http_version() == "1.0"
+        exchange.room = message.room
         length = message.text("content-length")
         exchange.body = Body(self, bytes(message.body), int(length) if length is not None else None)
         exchange.body.on_gone = lambda: self._inbound.body_gone(exchange)
@@ -538,6 +573,7 @@
             return
         exchange = Exchange(self, self._parser.should_keep_alive())
         exchange.old = self._parser.get_http_version() == "1.0"
+        exchange.room = message.room
         self._waiting.append(exchange)
         if len(self._waiting) > PIPELINED_MOST:
             exchange.keep_alive = False
@@ -571,6 +607,7 @@
                 status, headers, body = exchange.answer
                 self._transport.write(framing.answer(status, headers, body, last))
             self._waiting.popleft()
+            exchange.room.give(self._inbound.budget)
             if last:
                 self._linger()
                 return
@@ -594,6 +631,8 @@
         """Answer what can't be read on from; requests before it are answered first."""
         message, self._message = self._message, None
         self._deaf = True
+        if message is not None:
+            message.room.give(self._inbound.budget)
         if message is not None and message.exchange is not None:
             self._cut_off(message.exchange, status)
             return
@@ -689,10 +728,9 @@
         self._names = config.names
         self._before: Names | None = None  # what clients may still name, for a while
         self._forget_before: asyncio.TimerHandle | None = None
-        third = (config.descriptors + RESERVED) * THIRD
-        self._soft = max(1, int(min(config.descriptors * SHARE, third)))
-        self._crowded = max(1, int(self._soft * CROWDED))
-        self._hard = max(2, int(config.descriptors * HARD_SHARE))
+        self._limits = config.limits
+        self.budget = Budget(0)
+        self.share(1.0)
         self._connections: dict[Connection, None] = {}
         self._listener: Listener | None = None
 
@@ -702,6 +740,15 @@
         self._listener = Listener(self.loop, sock, lambda: Connection(self))
         return self._listener.address
 
+    def share(self, part: float) -> None:
+        """Hold no more than what a process with this part of all memory and descriptors may."""
+        connections = self._limits.connections(part)
+        third = self._limits.descriptors * part * THIRD
+        self._soft = max(1, int(min(connections * SHARE, third)))
+        self._crowded = max(1, int(self._soft * CROWDED))
+        self._hard = max(2, int(connections * HARD_SHARE))
+        self.budget.most = int(self._limits.memory * part * MEMORY_SHARE)
+
     def reload(self, names: Names) -> None:
         """Other classes. Clients learn of them later: what they knew is served for a while."""
         if self._forget_before is not None:
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -294,7 +294,8 @@
         settings = config.settings
         self._fields = settings.report_fields if settings.report_how != "off" else ()
         self._probe_target = b"/stats" if self._fields else b"/health/live"
-        self._most = max(1, int(config.descriptors * POOL_SHARE))
+        self._limits = config.limits
+        self.share(1.0)
         self._servers: dict[str, Server] = {}
         self._connections: set[Connection] = set()
         self._opening: set[asyncio.Task[None]] = set()
@@ -306,6 +307,10 @@
         self._idle_most = config.settings.idle_close * IDLE_SHARE
         self._grace = max(0.0, config.drain_grace - GRACE_MARGIN_MS)
 
+    def share(self, part: float) -> None:
+        """Hold no more than what a process with this part of all descriptors may."""
+        self._most = max(1, int(self._limits.connections(part) * POOL_SHARE))
+
     # --- what the driver asks for --------------------------------------------
 
     def send(self, server: str, call: Call, expires: float, watcher: Watcher) -> Exchange:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -438,6 +438,50 @@
         assert b"chunked" not in head and data == LARGE
 
 
+# --- memory --------------------------------------------------------------------------
+
+
+@loopback
+async def test_bodies_hold_no_more_than_the_budget():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream, raw={"limits": {"sockets": 1024, "memory_mb": 1}}) as sidecar:
+        budget = sidecar.inbound.budget
+        assert budget.most == 2**18
+        apps = [await App.connect(sidecar.address) for _ in range(5)]
+        whole = partners.request("POST", "/pay", b"x" * 60_000)
+        for app in apps[:4]:
+            app.writer.write(whole[:-1])
+        await until(lambda: budget.used > 4 * 50_000)
+        for refused in (whole, partners.request("POST", "/pay", LARGE)):
+            app = await App.connect(sidecar.address)
+            app.writer.write(refused)
+            assert (await app.answer()).start.split(" ")[1] == "503"
+        for app in apps[:4]:
+            app.writer.write(whole[-1:])
+            assert (await app.answer()).body == b"done"
+        assert budget.used == 0
+        apps[4].writer.write(whole[:-1])
+        await until(lambda: budget.used)
+        apps[4].close()
+        await until(lambda: not budget.used)
+        assert len(upstream.seen) == 4
+
+
+@loopback
+async def test_a_large_message_takes_its_room_only_while_it_is_here():
+    upstream = await Server([LENGTH % len(LARGE) + LARGE]).start()
+    async with running(upstream) as sidecar:
+        seen = []
+        took = sidecar.driver.attempt_begun
+        sidecar.driver.attempt_begun = lambda *args: (took(*args), seen.append(sidecar.inbound.budget.used))[
+            0
+        ]
+        app = await App.connect(sidecar.address)
+        app.send("POST", "/pay", LARGE)
+        assert await answer_of(app) == (200, LARGE)
+        assert seen == [2 * body.FLOW_MOST] and sidecar.inbound.budget.used == 0
+
+
 # --- all forms of HTTP/1.1 ---------------------------------------------------------------
 
 
