Where a limit falls, close what is quiet at once and no new connection

Ruled out by a log line for each: no descriptor was missing and no true sender was chosen; all that gave way rested after an answer.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -728,10 +728,10 @@
         self._names = config.names
         self._before: Names | None = None  # what clients may still name, for a while
         self._forget_before: asyncio.TimerHandle | None = None
+        self._connections: dict[Connection, None] = {}
         self._limits = config.limits
         self.budget = Budget(0)
         self.share(1.0)
-        self._connections: dict[Connection, None] = {}
         self._listener: Listener | None = None
 
     def listen(self, address: Address, descriptor: int | None = None) -> Address:
@@ -748,6 +748,8 @@
         self._crowded = max(1, int(self._soft * CROWDED))
         self._hard = max(2, int(connections * HARD_SHARE))
         self.budget.most = int(self._limits.memory * part * MEMORY_SHARE)
+        # Where the limit has fallen below what is here, each new connection would be one too many.
+        self._make_room(max(0, len(self._connections) - self._crowded))
 
     def reload(self, names: Names) -> None:
         """Other classes. Clients learn of them later: what they knew is served for a while."""
@@ -829,21 +831,21 @@
         """A new connection; in a crowd one that makes no progress gives way to it."""
         connection.quiet_since = self.clock.now()
         if len(self._connections) >= self._crowded:
-            self._make_room()
+            self._make_room(1)
         self._connections[connection] = None
         if len(self._connections) > self._hard:
             connection.abort()
 
-    def _make_room(self) -> None:
+    def _make_room(self, most: int) -> None:
         """Close by least progress: what rests after its answer, then what never sent a byte, then what
         stopped within a request, each the longest quiet first. Short of the limit it has some time."""
         until = self.clock.now() - (QUIET_MS if len(self._connections) < self._hard else 0.0)
         free = [c for c in self._connections if not c.busy and (c.resting or c.quiet_since <= until)]
         for connection in sorted(free, key=lambda c: (not c.resting, c.begun, c.quiet_since)):
-            if not connection.readable:
+            if most and not connection.readable:
                 connection.abort()
                 del self._connections[connection]
-                return
+                most -= 1
 
     def _requests_held(self) -> int:
         return sum(connection.busy for connection in self._connections)
--- a/tests/test_sidecar_requests.py
+++ b/tests/test_sidecar_requests.py
@@ -418,6 +418,20 @@
         busy.close()
 
 
+@loopback
+async def test_a_limit_that_falls_meets_what_is_here_and_no_new_connection():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream, raw={"limits": {"sockets": 256}}) as sidecar:
+        apps = [await App.connect(sidecar.address) for _ in range(60)]
+        for app in apps:
+            assert "connection" not in (await app.ask("GET", "/health/ready", X_Call_Class=None)).headers
+        sidecar.inbound.share(0.5)
+        assert len(sidecar.inbound._connections) <= sidecar.inbound._crowded < 60
+        new = await App.connect(sidecar.address)
+        assert (await new.ask()).body == b"done"
+        assert await apps[0].answer() is None
+
+
 @loopback
 async def test_a_request_in_slow_pieces_stays_while_there_is_room():
     upstream = await Upstream([OK]).start()
