Read on after a large body whose end a server was slow to take

Found by reading: where the last part of a body filled the way to its server, the client's connection was paused, and Body.resume did nothing once the body was complete, so that no later request on that connection was read. Also: a server that takes no more of a body's end is given up like one that stops before, and the locks of two processes carry the sidecar's name, for a folder that several share.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -41,7 +41,7 @@
         self.life = Lifecycle()
         self._shared = False
         self._look: asyncio.TimerHandle | None = None
-        self.seat = Seat(os.environ.get("TMPDIR")) if told.inherited is not None else None
+        self.seat = Seat(os.environ.get("TMPDIR"), told.name) if told.inherited is not None else None
         self.door = Door(loop, self.life)
         self.driver = Driver(loop, clock, told)
         self.pool = Pool(loop, clock, told)
--- a/fordtrestle/body.py
+++ b/fordtrestle/body.py
@@ -86,6 +86,7 @@
     def end(self) -> None:
         """The last part has come."""
         self.complete = True
+        self._source.resume()  # what comes next is another request
         if self._writer is not None:
             self._finish(self._writer)
 
--- a/fordtrestle/handover.py
+++ b/fordtrestle/handover.py
@@ -5,9 +5,10 @@
 import fcntl
 import os
 
+from fordtrestle.config import stable_number
 from fordtrestle.driver import log
 
-SERVES, COMES = "fordtrestle.lock", "fordtrestle.next"
+SERVES, COMES = "lock", "next"
 
 
 class Lock:
@@ -43,9 +44,11 @@
 class Seat:
     """The place of the process that serves, and that of the one which is to replace it."""
 
-    def __init__(self, folder: str | None) -> None:
-        self._serves = Lock(os.path.join(folder or "/tmp", SERVES))
-        self._comes = Lock(os.path.join(folder or "/tmp", COMES))
+    def __init__(self, folder: str | None, name: str) -> None:
+        # Where the folder is everybody's, another sidecar's processes are no concern of this one's.
+        path = os.path.join(folder or "/tmp", f"fordtrestle-{stable_number(name):x}.")
+        self._serves = Lock(path + SERVES)
+        self._comes = Lock(path + COMES)
 
     def shared(self) -> bool:
         """Whether another process of this sidecar lives. Looks again each time it is asked."""
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -185,8 +185,8 @@
 
     def pause_writing(self) -> None:
         """The server takes no more for now."""
-        if self._body is not None:
-            self._body.pause()
+        if self._exchange is not None and self._exchange.body is not None:
+            self._exchange.body.pause()
             self._stalled = self._pool.loop.call_later(STALLED_S, self._break)
 
     def resume_writing(self) -> None:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -217,6 +217,32 @@
     assert not made.gone
 
 
+def test_the_next_request_is_read_though_the_server_is_slow_to_the_end_of_this_one():
+    class Source:
+        reading = True
+
+        def pause(self):
+            self.reading = False
+
+        def resume(self):
+            self.reading = True
+
+    class Full:
+        def more(self, data):
+            made.pause()
+
+        def whole(self):
+            pass
+
+    source = Source()
+    made = body.Body(source, b"first", 11)
+    made.attach(Full())
+    made.feed(b"second")
+    assert not source.reading
+    made.end()
+    assert source.reading
+
+
 # --- answers ------------------------------------------------------------------------
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -64,7 +64,7 @@
         ("body.py", set()),
         ("driver.py", {BODY, CONFIG, MODEL, MODULE}),
         ("lifecycle.py", set()),
-        ("handover.py", {DRIVER}),
+        ("handover.py", {CONFIG, DRIVER}),
         ("listener.py", {CONFIG}),
         ("admin.py", {CONFIG, DRIVER, LIFECYCLE, LISTENER}),
         ("inbound.py", {BODY, CONFIG, DRIVER, FRAMING, LIFECYCLE, LISTENER}),
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -157,21 +157,24 @@
 
 
 def test_two_processes_know_of_each_other(tmp_path):
-    old, new = Seat(str(tmp_path)), Seat(str(tmp_path))
+    old, new = Seat(str(tmp_path), "n0"), Seat(str(tmp_path), "n0")
     assert not old.shared()
     assert new.shared() and old.shared()
     assert new.shared() and old.shared()
     old.leave()
     assert not new.shared()
-    third = Seat(str(tmp_path))
+    third = Seat(str(tmp_path), "n0")
     assert third.shared() and new.shared()
     third.leave()  # it did not come to serve
     assert not new.shared()
+    other = Seat(str(tmp_path), "n1")
+    assert not other.shared() and not new.shared()
+    other.leave()
     new.leave()
 
 
 def test_a_folder_that_can_not_be_written_stops_no_start(tmp_path, capsys):
-    assert not Seat(str(tmp_path / "missing")).shared()
+    assert not Seat(str(tmp_path / "missing"), "n0").shared()
     assert "handover" in capsys.readouterr().err
 
 
@@ -204,8 +207,10 @@
     listening.close()
 
 
-def test_the_lock_file_holds_nothing(tmp_path):
-    (tmp_path / "fordtrestle.lock").write_text(json.dumps({"version": 99})[:-3])
-    seat = Seat(str(tmp_path))
+def test_what_a_lock_file_holds_is_nobodys_concern(tmp_path):
+    Seat(str(tmp_path), "n0").shared()
+    for path in tmp_path.iterdir():
+        path.write_text(json.dumps({"version": 99})[:-3])
+    seat = Seat(str(tmp_path), "n0")
     assert not seat.shared()
     seat.leave()
