--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -208,7 +208,9 @@
 
 
 def test_what_a_lock_file_holds_is_nobodys_concern(tmp_path):
-    Seat(str(tmp_path), "n0").shared()
+    old = Seat(str(tmp_path), "n0")
+    old.shared()
+    old.leave()
     for path in tmp_path.iterdir():
         path.write_text(json.dumps({"version": 99})[:-3])
     seat = Seat(str(tmp_path), "n0")
