Let a slow reader have the end of its answer, and close idle connections where a limit falls

Found by reading. A connection whose client had sent more than was read was aborted a second after the last answer was written to its buffer, with what was still in it (Connection._linger). Pool.share lowered the limit on connections to servers and closed none of those above it.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -664,7 +664,14 @@
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._half_sent = self._inbound.loop.call_later(LINGER_S, self._transport.abort)
+        self._half_sent = self._inbound.loop.call_later(LINGER_S, self._let_go)
+
+    def _let_go(self) -> None:
+        """The client has had its time, unless it is still reading a long answer."""
+        if self._transport.get_write_buffer_size() > 0:
+            self._half_sent = self._inbound.loop.call_later(LINGER_S, self._let_go)
+        else:
+            self._transport.abort()
 
     def _bound_unfinished(self, count: int) -> None:
         """Guards against half-sent requests: their size and their time are bounded."""
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -295,10 +295,10 @@
         self._fields = settings.report_fields if settings.report_how != "off" else ()
         self._probe_target = b"/stats" if self._fields else b"/health/live"
         self._limits = config.limits
-        self.share(1.0)
         self._servers: dict[str, Server] = {}
         self._connections: set[Connection] = set()
         self._opening: set[asyncio.Task[None]] = set()
+        self.share(1.0)
         self._sweeping = False
 
     def reload(self, config: Config) -> None:
@@ -310,6 +310,8 @@
     def share(self, part: float) -> None:
         """Hold no more than what a process with this part of all descriptors may."""
         self._most = max(1, int(self._limits.connections(part) * POOL_SHARE))
+        while len(self._connections) > self._most and self._close_oldest():
+            pass
 
     # --- what the driver asks for --------------------------------------------
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -382,6 +382,23 @@
         assert len(data) == 40 * len(LARGE)
 
 
+@loopback
+async def test_a_slow_reader_is_given_the_end_though_it_has_sent_more(monkeypatch):
+    monkeypatch.setattr(inbound, "LINGER_S", 0.05)
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        await until(lambda: sidecar.inbound._connections)
+        (connection,) = sidecar.inbound._connections
+        connection.write(10 * LARGE)  # past what the sockets hold
+        app.send()
+        await until(lambda: connection.readable)
+        connection._linger()
+        await asyncio.sleep(0.2)
+        async with asyncio.timeout(PATIENCE_S):
+            assert len(await app.reader.read()) == 10 * len(LARGE)
+        await until(lambda: sidecar.inbound.empty)
+
+
 @loopback
 async def test_a_client_that_reads_nothing_is_let_go(monkeypatch):
     monkeypatch.setattr(inbound, "UNREAD_S", 0.1)
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -340,6 +340,20 @@
         assert module.outcomes()[-1] == (0, Outcome.CONNECT_FAILED, False)
 
 
+@loopback
+async def test_a_pool_whose_limit_falls_closes_what_is_idle():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream, raw={"limits": {"sockets": 64}}) as sidecar:
+        apps = [await App.connect(sidecar.address) for _ in range(12)]
+        for app in apps:
+            app.send()
+        for app in apps:
+            await app.answer()
+        held = len(sidecar.pool._connections)
+        sidecar.pool.share(0.5)
+        assert len(sidecar.pool._connections) == min(held, sidecar.pool._most) < held
+
+
 # --- drains -----------------------------------------------------------------------
 
 
