--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -27,7 +27,7 @@
 
 LATE_ACCEPT = 0.5  # an answer past its aim shows a service that is falling behind
 DUE_STRAIN = 0.5  # an attempt past its aim counts half at most, and half if it ends unanswered
-SHARE_GAIN = 8.0  # times the share of attempts past their aim, or turned away
+DUE_SHARE = 8.0  # times the share of attempts past their aim
 AIM_ROUNDING_MS = 1.0  # sums are rounded: an attempt that ends at its aim is looked at before that
 STOOD_STILL_MS = 100.0  # a timer later than this shows a stall of one's own; a tick is far less
 
@@ -696,7 +696,7 @@
             return
         if now - attempt.sent - request.profile.objective > STOOD_STILL_MS:
             return  # this sidecar stood still itself: its gap tells nothing of the servers
-        self._shed.strain(now, min(DUE_STRAIN, SHARE_GAIN * self._part(now)))
+        self._shed.strain(now, min(DUE_STRAIN, DUE_SHARE * self._part(now)))
         if self._slowness < SLOW and attempt.server.answered_at < attempt.sent:
             attempt.blamed = True
             self._blame(now, attempt.server, True)
@@ -706,9 +706,9 @@
         if status in (OK, FULL) and "inflight" in self._set.report_fields and server.seen_at == now:
             # A server that turns work away while it holds little is at fault itself.
             crowd = min(1.0, max(0.0, (server.seen_load - CROWD) / CROWD_SPAN))
-            return crowd * min(1.0, SHARE_GAIN * self._part(now)) if status == FULL else crowd * self._part(now)
+            return crowd if status == FULL else crowd * self._part(now)
         if status != TIMEOUT:
-            return min(1.0, SHARE_GAIN * self._part(now)) if status == FULL else 0.0
+            return 1.0 if status == FULL else 0.0
         # Guards against shedding for lost answers; it is late where a crowd drops work unseen.
         return DUE_STRAIN * min(1.0, max(0.0, (self._slowness - SLOW) / SLOW_SPAN))
 
