At the end, wait anew for each request that is read late

The last 0.3 s of Sidecar.drain looked at connections only: a request read in them from a connection that was not idle when the others were closed was cut off with it. What is unread counts as unfinished now.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -106,13 +106,15 @@
         await asyncio.sleep(STILL_LISTEN_S)
         self.inbound.stop_listening()
         self.inbound.close_idle()
-        while not self.driver.idle or self.inbound.unfinished:
-            await asyncio.sleep(POLL_S)
-            self.inbound.close_idle()
-        until = self._loop.time() + LAST_BYTES_S
-        while not self.inbound.empty and self._loop.time() < until:
+        # A request may be read at any time from what is not closed yet: it starts the wait anew.
+        quiet_since = self._loop.time()
+        while not (self.inbound.empty and self.driver.idle):
             await asyncio.sleep(POLL_S)
             self.inbound.close_idle()
+            if not self.driver.idle or self.inbound.unfinished:
+                quiet_since = self._loop.time()
+            elif self._loop.time() - quiet_since >= LAST_BYTES_S:
+                return
 
     def close(self) -> None:
         """Close what is left."""
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -381,9 +381,11 @@
     @property
     def unfinished(self) -> bool:
         """Whether a request is still coming here, or the rest of an answer still going."""
-        coming = self._message is not None and not self._deaf
+        if self._transport.get_write_buffer_size() > 0:
+            return True
         silent = self._inbound.clock.now() - self._read_at
-        return (coming and silent < STILL_COMING_MS) or self._transport.get_write_buffer_size() > 0
+        coming = self._message is not None and silent < STILL_COMING_MS
+        return not self._deaf and (coming or self.readable)
 
     def close(self) -> None:
         """Close it, between requests."""
--- a/tests/test_sidecar_requests.py
+++ b/tests/test_sidecar_requests.py
@@ -497,6 +497,32 @@
         await stopping
 
 
+@loopback
+async def test_a_stop_ends_no_connection_under_a_request_that_was_read_late(monkeypatch):
+    monkeypatch.setattr("fordtrestle.__main__.LAST_BYTES_S", 0.2)
+    monkeypatch.setattr(inbound, "STILL_COMING_MS", 0.0)
+    release = asyncio.Event()
+
+    async def wait(reader, writer):
+        await release.wait()
+        return OK
+
+    upstream = await Upstream([wait]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        whole = partners.request()
+        app.writer.write(whole[:50])
+        stopping = asyncio.create_task(sidecar.drain())
+        await until(lambda: sidecar.inbound.closing)
+        app.writer.write(whole[50:])
+        await until(lambda: upstream.seen)
+        await asyncio.sleep(0.5)
+        assert not stopping.done()
+        release.set()
+        assert (await app.answer()).body == b"done"
+        await stopping
+
+
 @loopback
 async def test_what_comes_late_at_the_end_is_answered_before_the_process_is_killed():
     upstream = await Upstream([hang]).start()
