Let a rejection without a report raise the shed level no more

Balancer._strain took a rejection without a report for a whole one, though by the design it counts only as far as its report shows requests held: a server that drains or has just started tells none.

--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -373,3 +373,20 @@
                 made.outcome(now + spent, number, 0, status, spent, not late, {"inflight": 1.0})
         levels.append(made._shed.level(now))
     assert 0.0 < levels[1] < 0.45 and levels[1] == pytest.approx(levels[0], rel=0.3)
+
+
+@pytest.mark.parametrize(
+    ("how", "report", "strained"),
+    [
+        ("inline", {"inflight": 9.0}, True),  # it holds a crowd
+        ("inline", {"inflight": 1.0}, False),  # it is at fault itself
+        ("inline", None, False),  # it drains, or has just started: nothing shows a crowd
+        ("off", None, True),  # nothing else could ever show one
+    ],
+)
+def test_a_rejection_strains_the_service_as_far_as_its_report_shows_a_crowd(how, report, strained):
+    made = balancer("safe", Report={"How": how, "Fields": ["inflight"]})
+    made.request(0.0, arrival(1))
+    made.outcome(5.0, 1, 0, Outcome.FULL, 5.0, True, report)
+    assert (made._shed.level(5.0) > 0.0) == strained
+    assert made._throttle.requests == 1 and made._throttle.accepts == 0.0
