--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -703,6 +703,8 @@
 
     def _strain(self, server: Server, status: int, now: float) -> float:
         """How far an outcome speaks of a crowd, 0 to 1; reports count by their mean, not their sum."""
+        if status == FULL and self._reports and server.seen_at != now:
+            return 0.0  # no report is no sign of a crowd: the throttle counts it all the same
         if status in (OK, FULL) and "inflight" in self._set.report_fields and server.seen_at == now:
             # A server that turns work away while it holds little is at fault itself.
             crowd = min(1.0, max(0.0, (server.seen_load - CROWD) / CROWD_SPAN))
