Count rejections without a report by their share, not as nothing

Where servers start and few sends are known, they are a sign of a crowd, though a weak one: a sidecar with 20 requests a second takes nearly all of one, one with 250 a sixteenth.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -27,7 +27,7 @@
 
 LATE_ACCEPT = 0.5  # an answer past its aim shows a service that is falling behind
 DUE_STRAIN = 0.5  # an attempt past its aim counts half at most, and half if it ends unanswered
-DUE_SHARE = 8.0  # times the share of attempts past their aim
+SHARE_GAIN = 8.0  # times the share of attempts past their aim, or turned away without a report
 AIM_ROUNDING_MS = 1.0  # sums are rounded: an attempt that ends at its aim is looked at before that
 STOOD_STILL_MS = 100.0  # a timer later than this shows a stall of one's own; a tick is far less
 
@@ -696,7 +696,7 @@
             return
         if now - attempt.sent - request.profile.objective > STOOD_STILL_MS:
             return  # this sidecar stood still itself: its gap tells nothing of the servers
-        self._shed.strain(now, min(DUE_STRAIN, DUE_SHARE * self._part(now)))
+        self._shed.strain(now, min(DUE_STRAIN, SHARE_GAIN * self._part(now)))
         if self._slowness < SLOW and attempt.server.answered_at < attempt.sent:
             attempt.blamed = True
             self._blame(now, attempt.server, True)
@@ -704,7 +704,8 @@
     def _strain(self, server: Server, status: int, now: float) -> float:
         """How far an outcome speaks of a crowd, 0 to 1; reports count by their mean, not their sum."""
         if status == FULL and self._reports and server.seen_at != now:
-            return 0.0  # no report is no sign of a crowd: the throttle counts it all the same
+            # No report is a weak sign of a crowd: a few of many sends may meet servers that drain or start.
+            return min(1.0, SHARE_GAIN * self._part(now))
         if status in (OK, FULL) and "inflight" in self._set.report_fields and server.seen_at == now:
             # A server that turns work away while it holds little is at fault itself.
             crowd = min(1.0, max(0.0, (server.seen_load - CROWD) / CROWD_SPAN))
