Make room for brassfall, and start real processes of the tests in one place

Need: the list service is a package of its own above the sidecar, and its tests start many processes.

--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,7 +10,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGE = ROOT / "poppypulley"
-OURS = ("poppypulley", "fordtrestle")
+OURS = ("poppypulley", "fordtrestle", "brassfall")
 
 
 def imported(name: str, package: Path = PACKAGE) -> set[str]:
@@ -81,3 +81,30 @@
     tree = ast.parse((ROOT / "fordtrestle" / "driver.py").read_text())
     met = {alias.name for node in ast.walk(tree) if isinstance(node, ast.Import) for alias in node.names}
     assert not met & {"socket", "select", "ssl", "httptools"}
+
+
+HOUSE = ROOT / "brassfall"
+# Each may import what stands before it, and the decision module; nothing else of ours.
+FLOORS = ("brassfall.settings", "brassfall.logs", "brassfall.table", "brassfall.registry", "brassfall.cli")
+
+
+def floor(module: str) -> int:
+    """How far up a module of the house stands."""
+    return next(i for i, name in enumerate(FLOORS) if f"{module}.".startswith(f"{name}."))
+
+
+def test_imports_run_down_in_the_house():
+    for path in HOUSE.rglob("*.py"):
+        own = ".".join(path.relative_to(ROOT).with_suffix("").parts)
+        if own in ("brassfall.__init__", "brassfall.__main__"):
+            continue
+        met = imported(path.name, path.parent)
+        assert not {m for m in met if m.startswith("fordtrestle")}, own
+        house = {m for m in met if m.startswith("brassfall")}
+        assert all(floor(module) <= floor(own) for module in house), (own, house)
+
+
+def test_nothing_of_a_sidecar_imports_the_house():
+    for package in (PACKAGE, ROOT / "fordtrestle"):
+        for path in package.glob("*.py"):
+            assert not [m for m in imported(path.name, package) if m.startswith("brassfall")], path
--- a/tests/test_operation_process.py
+++ b/tests/test_operation_process.py
@@ -11,8 +11,7 @@
 from fordtrestle.config import Address
 from tests import loopback as partners
 from tests.loopback import OK, PATIENCE_S, App, Upstream, loopback, until
-from tests.test_sidecar_process import Process, free_port
-from tests.test_upgrade import Load, yes
+from tests.processes import Load, Process, free_port, yes
 
 LARGE = 32 * 1000 * 1000
 PART = b"x" * 65_536
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -16,7 +16,7 @@
 from poppypulley.model import Arrival, Fail, Outcome, Refuse, Send
 from tests.helpers import balancer, of_type, raw_settings
 from tests.loopback import OK, SETTINGS, App, Registry, Upstream, listed, loopback, running, told, until
-from tests.test_sidecar_process import Process
+from tests.processes import Process
 
 
 def raw(**settings):
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -4,37 +4,13 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
-import subprocess
-import sys
-from pathlib import Path
 
 import pytest
 
-from fordtrestle.config import Address
 from tests.loopback import SETTINGS, App, Registry, Upstream, entry, hang, listed, loopback, until
-
-ROOT = Path(__file__).resolve().parent.parent
-
-
-def environment(tmp_path, **changes):
-    """A configuration file, and the environment that names it."""
-    raw = {
-        "name": "n0",
-        "listen": "127.0.0.1:0",
-        "discovery": "127.0.0.1:9",
-        "seed": "1",
-        "limits": {"sockets": 1024},
-        "known": listed(1),
-        "settings": SETTINGS,
-        **changes,
-    }
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps({name: value for name, value in raw.items() if value is not None}))
-    kept = {name: value for name, value in os.environ.items() if not name.startswith("NODE_")}
-    return {**kept, "NODE_CONFIG": str(path)}
+from tests.processes import Process, environment, start_fails
 
 
 @pytest.mark.parametrize(
@@ -50,78 +26,22 @@
     ],
 )
 def test_a_bad_configuration_is_one_line_and_an_exit_code(tmp_path, changes, message):
-    done = subprocess.run(
-        [sys.executable, "-m", "fordtrestle"],
-        env=environment(tmp_path, **changes),
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=60,
-    )
-    assert done.returncode != 0
-    assert len(done.stderr.splitlines()) == 1
-    assert message in done.stderr
+    assert message in start_fails(environment(tmp_path, **changes))[1]
 
 
 def test_no_configuration_at_all_is_one_line_too(tmp_path):
     for path in ("", str(tmp_path / "missing.json")):
         env = {**environment(tmp_path), "NODE_CONFIG": path}
-        done = subprocess.run(
-            [sys.executable, "-m", "fordtrestle"],
-            env=env,
-            cwd=ROOT,
-            capture_output=True,
-            text=True,
-            timeout=60,
-        )
-        assert (done.returncode, len(done.stderr.splitlines())) == (2, 1)
+        assert start_fails(env)[0] == 2
 
 
 @pytest.mark.parametrize("value", ["four", "-1", "0x4", "987", "0", "bound"])
 def test_a_descriptor_that_is_no_listening_socket_is_one_line_too(tmp_path, value):
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
-        done = subprocess.run(
-            [sys.executable, "-m", "fordtrestle"],
-            env=environment(tmp_path)
-            | {"NODE_INHERITED_FD": str(sock.fileno()) if value == "bound" else value},
-            pass_fds=[sock.fileno()],
-            stdin=subprocess.DEVNULL,
-            cwd=ROOT,
-            capture_output=True,
-            text=True,
-            timeout=60,
-        )
-    assert done.returncode != 0
-    assert len(done.stderr.splitlines()) == 1
-    assert "NODE_INHERITED_FD" in done.stderr
-
-
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
-class Process:
-    """The real program in a process of its own."""
-
-    @classmethod
-    async def start(cls, tmp_path, *upstreams, limit="", **changes):
-        made = cls()
-        made.address = Address("127.0.0.1", free_port())
-        known = listed(1, *(entry(f"s{i}", upstream.address) for i, upstream in enumerate(upstreams)))
-        env = environment(tmp_path, known=known, listen=f"{made.address.host}:{made.address.port}", **changes)
-        made.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", f'{limit} exec "$0" -m fordtrestle', sys.executable, env=env, cwd=ROOT
-        )
-        while True:
-            try:
-                made.app = await App.connect(made.address)
-                return made
-            except ConnectionError:
-                assert made.process.returncode is None
-                await asyncio.sleep(0.01)
+        number = str(sock.fileno()) if value == "bound" else value
+        env = environment(tmp_path) | {"NODE_INHERITED_FD": number}
+        assert "NODE_INHERITED_FD" in start_fails(env, pass_fds=[sock.fileno()])[1]
 
 
 @loopback
@@ -160,8 +80,7 @@
 @loopback
 async def test_at_sighup_it_asks_where_the_file_says_and_survives_a_bad_one(tmp_path, monkeypatch):
     old, new = await Registry().start(), await Registry().start()
-    monkeypatch.setattr(sys.modules[__name__], "environment", with_discovery(old.address))
-    made = await Process.start(tmp_path)
+    made = await Process.start(tmp_path, variables={"NODE_DISCOVERY": old.address}, discovery=old.address)
     await until(lambda: old.watches)
     path = tmp_path / "config.json"
     right = json.loads(path.read_text()) | {"discovery": new.address}
@@ -177,11 +96,6 @@
     new.stop()
 
 
-def with_discovery(address, made=environment):
-    """An environment that also names discovery, as the platform's does."""
-    return lambda path, **changes: {**made(path, discovery=address, **changes), "NODE_DISCOVERY": address}
-
-
 @loopback
 async def test_it_survives_running_out_of_descriptors(tmp_path):
     upstream = await Upstream([hang]).start()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -7,99 +7,12 @@
 import os
 import signal
 import socket
-import sys
 
 from fordtrestle import config
 from fordtrestle.__main__ import Sidecar
-from fordtrestle.config import Address
 from fordtrestle.handover import Seat
-from tests.loopback import OK, PATIENCE_S, SETTINGS, App, Registry, Upstream, entry, listed, loopback, until
-from tests.test_sidecar_process import ROOT, environment
-
-
-class Platform:
-    """Holds the clients' listening socket, and starts processes that inherit it."""
-
-    def __init__(self, tmp_path, **changes):
-        self.socket = socket.create_server(("127.0.0.1", 0), backlog=512)
-        self.address = Address(*self.socket.getsockname())
-        self._tmp_path, self._changes = tmp_path, changes
-        self.processes = []
-
-    async def start(self):
-        """A process, and where its door is."""
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            door = Address(*free.getsockname())
-        env = environment(
-            self._tmp_path,
-            listen=f"{self.address.host}:{self.address.port}",
-            operator=f"{door.host}:{door.port}",
-            **self._changes,
-        )
-        number = str(self.socket.fileno())
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "fordtrestle",
-            env={**env, "NODE_INHERITED_FD": number, "TMPDIR": str(self._tmp_path)},
-            pass_fds=[self.socket.fileno()],
-            cwd=ROOT,
-            stderr=asyncio.subprocess.PIPE,
-        )
-        self.processes.append(process)
-        return process, door
-
-    def end(self):
-        self.socket.close()
-        for process in self.processes:
-            if process.returncode is None:
-                process.kill()
-
-
-async def ping(door):
-    """What a door says, or None where none is open yet."""
-    try:
-        reader, writer = await asyncio.open_connection(*door)
-    except ConnectionError:
-        return None
-    writer.write(b"PING\n")
-    answer = await reader.read()
-    writer.close()
-    return answer
-
-
-async def yes(door):
-    async with asyncio.timeout(PATIENCE_S):
-        while not (await ping(door) or b"").startswith(b"done"):
-            await asyncio.sleep(0.02)
-
-
-class Load:
-    """Clients that keep connections, and open one anew where an answer was the last."""
-
-    def __init__(self, address):
-        self._address = address
-        self.answered, self.wrong, self.crossed = 0, [], 0
-        self.going = True
-
-    async def client(self):
-        app = None
-        while self.going:
-            app = app or await App.connect(self._address)
-            answer = await app.ask()
-            if answer is None:  # closed as the request crossed: it is sent once more
-                self.crossed += 1
-                app = None
-                continue
-            self.answered += 1
-            if answer.body != b"done":
-                self.wrong.append(answer)
-            if answer.headers.get("connection") == "close":
-                app.close()
-                app = None
-            await asyncio.sleep(0.003)
-        if app is not None:
-            app.close()
+from tests.loopback import OK, SETTINGS, Registry, Upstream, entry, listed, loopback, until
+from tests.processes import Load, Platform, ping, yes
 
 
 @loopback
