--- /dev/null
+++ b/brassfall/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m brassfall`."""
+
+from brassfall.cli import main
+
+main()
--- /dev/null
+++ b/brassfall/logs.py
@@ -0,0 +1,31 @@
+"""Structured logs: one JSON object a line, on standard error."""
+
+from __future__ import annotations
+
+import sys
+
+import msgspec
+import structlog
+
+
+def set_up() -> None:
+    """Write logs from now on; times are of the wall clock, for people."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(
+                serializer=lambda event, **_: msgspec.json.encode(event).decode()
+            ),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+def logger(part: str) -> structlog.typing.FilteringBoundLogger:
+    """The log of one part of the program."""
+    made: structlog.typing.FilteringBoundLogger = structlog.get_logger(part=part)
+    return made
--- /dev/null
+++ b/brassfall/registry/entries.py
@@ -0,0 +1,182 @@
+"""Instances as the wire has them: what may be registered, and how it is told. Pure code."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Iterable
+from typing import Any, Literal
+
+import msgspec
+
+from brassfall.settings import LeaseSettings, address
+from brassfall.table.core import Change, Delete, Patch, Put, Row
+
+INSTANCES = "instances"
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+TEXT = re.compile(r"[\x20-\x7e]{0,128}")
+WHOLE_MOST = 2**53  # beyond it JSON readers round
+
+
+class Refused(ValueError):
+    """A call that asks for something senseless; its text says what, and why."""
+
+
+class Registration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of `PUT /registry/instances/NAME`."""
+
+    address: str
+    name: str | None = None
+    zone: str = ""
+    type: str = ""
+    group: int = 0
+    status: Literal["active", "leaving"] = "active"
+    weight: float = 1.0
+    since_ms: int = 0
+    ttl_ms: int | None = None  # 0: for ever, until it leaves
+
+
+class Alteration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of `PATCH`."""
+
+    status: Literal["active", "leaving"] | None = None
+    weight: float | None = None
+    since_ms: int | None = None  # only if this incarnation holds the name
+
+
+class Holder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of `renew` and `DELETE`, which may be empty."""
+
+    since_ms: int | None = None
+
+
+class Endpoint(msgspec.Struct, frozen=True):
+    """One entry of a list, in PROTOCOL's form."""
+
+    name: str
+    address: str
+    zone: str
+    type: str
+    group: int
+    status: str
+    weight: float
+    since_ms: int
+
+
+def name(text: str) -> str:
+    """A name of an instance, a table or a key; `Refused` if it is none."""
+    if not NAME.fullmatch(text):
+        raise Refused(f"name {text[:140]!r}: 1 to 128 letters, digits, '.', '_', ':' or '-' are wanted")
+    return text
+
+
+def registration(key: str, body: bytes, leases: LeaseSettings) -> tuple[Registration, int]:
+    """What is to be registered, and its time to live in ms; `Refused` names what is wrong."""
+    try:
+        asked = msgspec.json.decode(body, type=Registration)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise Refused(str(error)) from error
+    if asked.name not in (None, key):
+        raise Refused(f"name: the path says {key!r}, the entry says {str(asked.name)[:140]!r}")
+    try:
+        address(asked.address)
+    except ValueError as error:
+        raise Refused(f"address: {error}") from error
+    for field in ("address", "zone", "type"):
+        if not TEXT.fullmatch(getattr(asked, field)):
+            raise Refused(f"{field}: up to 128 printable characters are wanted")
+    _weight(asked.weight)
+    _whole("since_ms", asked.since_ms)
+    _whole("group", asked.group)
+    return asked, ttl(asked.ttl_ms, leases)
+
+
+def ttl(asked: int | None, leases: LeaseSettings) -> int:
+    """A time to live in ms: the one asked for, or the usual one; `Refused` out of bounds."""
+    if asked is None:
+        return leases.default_ms
+    if asked != 0 and not leases.least_ms <= asked <= leases.most_ms:
+        raise Refused(f"ttl_ms: {asked} is not between {leases.least_ms} and {leases.most_ms}")
+    return asked
+
+
+def register(key: str, asked: Registration, ttl_ms: int, if_match: int | None, request_id: str) -> Put:
+    """The command for a registration: of two processes with one name the newer start holds it."""
+    entry = Endpoint(
+        key, asked.address, asked.zone, asked.type, asked.group, asked.status, asked.weight, asked.since_ms
+    )
+    return Put(
+        table=INSTANCES,
+        key=key,
+        value=msgspec.structs.asdict(entry),
+        lease_ms=ttl_ms,
+        fence=asked.since_ms,
+        owner=asked.address,
+        if_match=if_match,
+        request_id=request_id,
+        quiet=True,
+    )
+
+
+def alter(key: str, body: bytes, if_match: int | None, request_id: str) -> Patch:
+    """The command for a change of status or weight; `Refused` names what is wrong."""
+    try:
+        asked = msgspec.json.decode(body, type=Alteration)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise Refused(str(error)) from error
+    changes: dict[str, Any] = {}
+    if asked.status is not None:
+        changes["status"] = asked.status
+    if asked.weight is not None:
+        changes["weight"] = _weight(asked.weight)
+    if not changes:
+        raise Refused("neither status nor weight is named")
+    return Patch(
+        table=INSTANCES,
+        key=key,
+        changes=changes,
+        fence=asked.since_ms,
+        if_match=if_match,
+        request_id=request_id,
+    )
+
+
+def holder(body: bytes) -> int | None:
+    """The incarnation that a call names, if it names one; `Refused` if the body is malformed."""
+    if not body:
+        return None
+    try:
+        return msgspec.json.decode(body, type=Holder).since_ms
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise Refused(str(error)) from error
+
+
+def leave(key: str, fence: int | None, if_match: int | None, request_id: str) -> Delete:
+    """The command for an instance that leaves."""
+    return Delete(table=INSTANCES, key=key, fence=fence, if_match=if_match, request_id=request_id)
+
+
+def guarded(table: str, row: Row) -> bool:
+    """Whether the silence of a row's holder may be a fault of the network: those that leave go silent."""
+    return table == INSTANCES and row.value["status"] == "active"
+
+
+def endpoints(rows: Iterable[Row]) -> list[Any]:
+    """Entries of a whole list."""
+    return [row.value for row in rows]
+
+
+def changed(changes: Iterable[Change]) -> list[Any]:
+    """Entries of a watch's line; what is gone has `left`."""
+    return [{**change.row.value, "status": "left"} if change.gone else change.row.value for change in changes]
+
+
+def _weight(weight: float) -> float:
+    if not (math.isfinite(weight) and 0.0 < weight <= 1e6):
+        raise Refused(f"weight: {weight} is not above 0 and up to 1e6")
+    return weight
+
+
+def _whole(field: str, value: int) -> None:
+    if not 0 <= value < WHOLE_MOST:
+        raise Refused(f"{field}: {value} is not between 0 and 2^53")
--- /dev/null
+++ b/brassfall/registry/metrics.py
@@ -0,0 +1,86 @@
+"""What the list service tells Prometheus. The hot path counts in plain numbers, read at each scrape."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+if TYPE_CHECKING:
+    from brassfall.registry.server import Service
+
+SECONDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+
+
+class Metrics:
+    """The metrics of one service."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+        self._calls: Counter[tuple[str, int]] = Counter()
+        self._seconds = Histogram(
+            "brassfall_write_seconds",
+            "Time from a write's arrival to its answer",
+            registry=self._registry,
+            buckets=SECONDS,
+        )
+        self.changes = 0
+
+    def called(self, method: str, status: int, seconds: float) -> None:
+        """A call was answered."""
+        self._calls[method, status] += 1
+        if method != "GET":
+            self._seconds.observe(seconds)
+
+    def text(self) -> bytes:
+        """All of them, in Prometheus text form."""
+        return generate_latest(self._registry)
+
+    def collect(self) -> Iterable[Metric]:
+        """Called at each scrape."""
+        calls = CounterMetricFamily("brassfall_calls", "Calls answered", labels=["method", "status"])
+        for (method, status), number in self._calls.items():
+            calls.add_metric([method, str(status)], number)
+        yield calls
+        service, store = self._service, self._service.store
+        channels = service.channels.values()
+        gauges = {
+            "index": ("The newest index", store.table.index),
+            "rows": ("Rows in all tables", sum(map(store.table.count, store.table.names))),
+            "suspects": ("Instances kept though their leases are over", len(store.suspects("instances"))),
+            "watches": ("Open watches", sum(channel.count for channel in channels)),
+            "watches_behind": ("Watches that read too slowly", sum(channel.behind for channel in channels)),
+            "connections": ("Open connections", len(service.callers)),
+            "writes_waiting": ("Writes that wait for the disk", store.waiting),
+            "disk_failing": ("1 while commits fail", float(bool(store.figures.disk))),
+            "gathering": ("1 while a lost list is being gathered", float(service.gathering)),
+        }
+        for name, (text, value) in gauges.items():
+            yield GaugeMetricFamily(f"brassfall_{name}", text, value)
+        figures = store.figures
+        counters = {
+            "changes": ("Changes told", self.changes),
+            "writes": ("Records put on the disk", figures.writes),
+            "commits": ("Syncs of the disk", figures.commits),
+            "commit_seconds": ("Time spent in them", figures.commit_s),
+            "commit_failures": ("Commits that failed", figures.failures),
+            "snapshots": ("Snapshots stored", figures.snapshots),
+            "expired": ("Leases that ended", figures.expired),
+            "suspected": ("Leases whose end was doubted", figures.suspected),
+            "lists_built": ("Whole lists encoded", sum(c.figures.lists_built for c in channels)),
+            "lines_built": ("Lines of watches encoded", sum(c.figures.lines_built for c in channels)),
+            "lines_sent": ("Lines written to watches", sum(c.figures.lines_sent for c in channels)),
+            "watches_merged": ("Slow watches told all at once", sum(c.figures.merged for c in channels)),
+            "watches_cut": ("Slow watches cut off", sum(c.figures.cut for c in channels)),
+            "turned_away": ("Calls told to come again", service.turned_away),
+            "connections_refused": ("Connections without a place", service.callers.refused),
+            "connections_idled": ("Connections closed for idling", service.callers.idled),
+            "malformed": ("Calls that were no HTTP", service.callers.malformed),
+        }
+        for name, (text, value) in counters.items():
+            yield CounterMetricFamily(f"brassfall_{name}", text, value)
--- /dev/null
+++ b/brassfall/settings.py
@@ -0,0 +1,125 @@
+"""Configuration files: TOML to immutable typed values. Every error names file, key and reason."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """A file that can't be used; its text is one line with file, key and reason."""
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What callers may take up."""
+
+    body_bytes: int = 65_536
+    connections: int = 8192
+    watches: int = 6000
+    caller_share: float = 0.5  # of connections and of watches, for callers from one address
+    caller_calls_per_s: float = 2000.0  # from one address; 0 is without limit
+    joins_per_s: float = 1000.0  # whole lists and new watches, from all together
+    watch_bytes: int = 262_144  # unread by a slow watcher, before its changes are merged
+    watch_stuck_ms: int = 10_000  # how long it may read nothing, before it is cut off
+    idle_ms: int = 15_000  # a connection without a call
+    queue: int = 4096  # writes that wait for the disk
+    rows: int = 100_000  # of all tables
+
+
+class GuardSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """When many leases that end are held to be a fault of the network."""
+
+    share: float = 0.25
+    least: int = 2
+    window_ms: int = 10_000
+    keep_ms: int = 60_000
+
+
+class LeaseSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Times to live that may be asked for."""
+
+    default_ms: int = 6000
+    least_ms: int = 500
+    most_ms: int = 600_000
+    restart_grace_ms: int = 5000  # the least that each lease lasts after a start
+    gather_ms: int = 3000  # after a start with an empty disk, where callers know of an earlier life
+
+
+class Cluster(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who the replicas are."""
+
+    name: str
+    members: dict[str, str]
+
+
+class RegistrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One list service."""
+
+    listen: str
+    data: str
+    ring: int = 8192
+    batch: int = 1024  # writes that share one sync
+    limits: Limits = Limits()
+    guard: GuardSettings = GuardSettings()
+    leases: LeaseSettings = LeaseSettings()
+    cluster: Cluster | None = None
+
+
+class File(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A configuration file."""
+
+    registry: RegistrySettings
+
+
+def address(text: str) -> tuple[str, int]:
+    """`HOST:PORT` as a pair; `ValueError` if it is none."""
+    host, found, port = text.rpartition(":")
+    if not found or not host or not (port.isascii() and port.isdigit()) or int(port) > 65_535:
+        raise ValueError(f"{text!r} is no HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+def load(path: Path) -> RegistrySettings:
+    """Read a file; `SettingsError` says what is wrong with it, and where."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    try:
+        return check(msgspec.convert(raw, File, strict=True).registry)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def check(settings: RegistrySettings) -> RegistrySettings:
+    """The same settings, if their values make sense; `ValueError` names the first that does not."""
+    address(settings.listen)
+    if not settings.data:
+        raise ValueError("registry.data: no folder is named")
+    if settings.cluster is not None:
+        raise ValueError("registry.cluster: this version runs one list service, without replicas")
+    for part in ("limits", "guard", "leases"):
+        _positive(f"registry.{part}.", getattr(settings, part), zero=("caller_calls_per_s", "gather_ms"))
+    _positive("registry.", settings)
+    for name, share in (
+        ("limits.caller_share", settings.limits.caller_share),
+        ("guard.share", settings.guard.share),
+    ):
+        if share > 1.0:
+            raise ValueError(f"registry.{name}: {share} is more than all, 1.0")
+    leases = settings.leases
+    if not leases.least_ms <= leases.default_ms <= leases.most_ms:
+        raise ValueError("registry.leases: least_ms, default_ms and most_ms are not in this order")
+    return settings
+
+
+def _positive(at: str, part: Any, zero: tuple[str, ...] = ()) -> None:
+    for name in part.__struct_fields__:
+        value = getattr(part, name)
+        if isinstance(value, int | float) and not (0 < value < 1e12 or (name in zero and value == 0)):
+            raise ValueError(f"{at}{name}: {value} is out of range")
--- /dev/null
+++ b/brassfall/table/__init__.py
@@ -0,0 +1,1 @@
+"""A versioned table: the core, its leases and its durable log."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -86,6 +86,7 @@
 HOUSE = ROOT / "brassfall"
 # Each may import what stands before it, and the decision module; nothing else of ours.
 FLOORS = ("brassfall.settings", "brassfall.logs", "brassfall.table", "brassfall.registry", "brassfall.cli")
+PURE = ("table/core.py", "table/leases.py", "registry/entries.py", "registry/limits.py")
 
 
 def floor(module: str) -> int:
@@ -108,3 +109,11 @@
     for package in (PACKAGE, ROOT / "fordtrestle"):
         for path in package.glob("*.py"):
             assert not [m for m in imported(path.name, package) if m.startswith("brassfall")], path
+
+
+@pytest.mark.parametrize("name", PURE)
+def test_the_cores_have_no_clock_socket_file_or_chance_of_their_own(name):
+    tree = ast.parse((HOUSE / name).read_text())
+    met = {alias.name for node in ast.walk(tree) if isinstance(node, ast.Import) for alias in node.names}
+    met |= {node.module or "" for node in ast.walk(tree) if isinstance(node, ast.ImportFrom)}
+    assert not met & {"time", "random", "socket", "os", "asyncio", "sqlite3", "pathlib", "aiohttp", "secrets"}
