Let a sidecar ride on the list service: failover, back-off, the age of its list; servers register

Need: sidecars held one address of discovery, retried all at once, and nobody knew how old a list was. Change: with the key fleet a sidecar names several addresses and keeps the one that works, follows Retry-After, spreads its returns, keeps its last good list where an empty, an older or a partly malformed one comes, and knows an upper bound on its age from its own clock (the k-th empty line is sent no sooner than 2k s after the call); LIST at the operators' door tells it. Servers register through a pure membership and a small client. Result: a real service, 6 servers, 4 sidecars and 12 clients through kill, stop of 8 s, lost disk, cut-off, a third of the servers cut off, a server killed and one drained: no request lost, none of the unrepeatable class run twice, over 95% served.

--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import sys
+from collections.abc import Coroutine
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
+import msgspec
 import typer
 
 from brassfall import logs, settings
@@ -14,6 +17,11 @@
 registry = typer.Typer(no_args_is_help=True, help="The list service and its callers.")
 app.add_typer(registry, name="registry")
 
+lab = typer.Typer(no_args_is_help=True, help="Models of what the project serves.")
+app.add_typer(lab, name="lab")
+
+At = Annotated[str, typer.Option(help="HOST:PORT of the list service.")]
+Json = Annotated[bool, typer.Option("--json", help="JSON instead of text.")]
 Config = Annotated[Path, typer.Option(help="A TOML file.")]
 
 
@@ -45,6 +53,127 @@
         raise typer.Exit(runner.run(server.serve(told)))
 
 
+def _run(work: Coroutine[Any, Any, Any]) -> Any:
+    """Do it; what fails is one line and status 1, wrong usage is 2."""
+    from brassfall.registry.client import CallError
+
+    try:
+        return asyncio.run(work)
+    except CallError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from None
+    except KeyboardInterrupt:
+        raise typer.Exit(130) from None
+    except BrokenPipeError:
+        sys.stderr.close()  # whoever read this has gone; there is nobody to tell
+        raise typer.Exit(0) from None
+
+
+def _at(text: str) -> str:
+    try:
+        settings.address(text)
+    except ValueError as error:
+        typer.echo(f"--at: {error}", err=True)
+        raise typer.Exit(2) from None
+    return text
+
+
+def _name(text: str) -> str:
+    from brassfall.registry import entries
+
+    try:
+        return entries.name(text)
+    except entries.Refused as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from None
+
+
+ROW = "{name:<24} {status:<8} {address:<22} {zone:<8} {type:<8} {weight:>6g} {since_ms}"
+
+
+@registry.command("list")
+def list_(at: At, json: Json = False) -> None:
+    """The instances that are listed now."""
+    from brassfall.registry import client
+
+    told = _run(client.call(_at(at), "GET", "/registry/instances"))
+    if json:
+        typer.echo(msgspec.json.encode(told).decode())
+        return
+    typer.echo(f"index {told['index']}, {len(told['endpoints'])} instances")
+    for row in told["endpoints"]:
+        typer.echo(ROW.format_map(row))
+
+
+@registry.command()
+def watch(at: At, from_: Annotated[int, typer.Option("--from")] = 0, json: Json = False) -> None:
+    """Each change of the list as it is told, until Ctrl-C or the end of the watch."""
+    from brassfall.registry import client
+
+    async def told() -> None:
+        async for line in client.watch(_at(at), "/registry/instances", from_):
+            if line and json:
+                typer.echo(line.decode())
+            elif line:
+                news = msgspec.json.decode(line)
+                typer.echo(f"index {news['index']}, {'whole list' if news['snapshot'] else 'changes'}")
+                for row in news["endpoints"]:
+                    typer.echo("  " + ROW.format_map(row))
+
+    _run(told())
+
+
+@registry.command()
+def register(
+    at: At,
+    name: str,
+    address: str,
+    zone: str = "",
+    type: str = "",
+    group: int = 0,
+    weight: float = 1.0,
+    since_ms: int = 0,
+    ttl_ms: Annotated[int, typer.Option(help="0: until it is taken out.")] = 0,
+    json: Json = False,
+) -> None:
+    """Put one instance into the list, by hand; without --ttl-ms it stays until `leave`."""
+    from brassfall.registry import client
+
+    body = {"address": address, "zone": zone, "type": type, "group": group, "weight": weight}
+    body |= {"since_ms": since_ms, "ttl_ms": ttl_ms}
+    told = _run(client.call(_at(at), "PUT", f"/registry/instances/{_name(name)}", body))
+    typer.echo(msgspec.json.encode(told).decode() if json else f"{name}: registered, index {told['index']}")
+
+
+@registry.command()
+def leave(at: At, name: str, json: Json = False) -> None:
+    """Take one instance out of the list; every watch is told that it has left."""
+    from brassfall.registry import client
+
+    told = _run(client.call(_at(at), "DELETE", f"/registry/instances/{_name(name)}"))
+    typer.echo(msgspec.json.encode(told).decode() if json else f"{name}: left, index {told['index']}")
+
+
+@lab.command("server")
+def server_(
+    name: str,
+    registry: Annotated[str, typer.Option(help="HOST:PORT of the list service, or several with commas.")],
+    listen: str = "127.0.0.1:0",
+    zone: str = "",
+    ttl_ms: int = 6000,
+    work_ms: float = 5.0,
+    ledger: Annotated[Path | None, typer.Option(help="Where each call is written down.")] = None,
+) -> None:
+    """One small real server that registers itself, until SIGTERM."""
+    from brassfall.lab import transcriber
+
+    logs.set_up()
+    addresses = [_at(text) for text in registry.split(",")]
+    _at(listen)
+    told = transcriber.run(_name(name), listen, addresses, zone, ttl_ms, work_ms, ledger)
+    raise typer.Exit(_run(told))
+
+
 def main() -> None:
     """The entry point."""
     app()
--- /dev/null
+++ b/brassfall/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Models of what the project serves, and experiments on them."""
--- /dev/null
+++ b/brassfall/registry/client.py
@@ -0,0 +1,158 @@
+"""The callers' side of the list service: a server's membership, and one-off calls."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from brassfall.logs import logger
+from brassfall.registry.membership import Call, Membership, Place
+
+CALL_S = 2.0
+SILENT_S = 4.5  # a watch brings an empty line every 2 s
+
+log = logger("member")
+
+
+class CallError(Exception):
+    """A call failed; its text is one line."""
+
+
+class Member:
+    """Keeps one server registered for as long as it runs."""
+
+    def __init__(self, addresses: Sequence[str], entry: dict[str, Any], ttl_ms: int = 6000) -> None:
+        self._addresses = addresses
+        self.state = Membership(entry, ttl_ms, len(addresses))
+        self._rng = random.Random()
+        self._wake = asyncio.Event()
+        self._changed = asyncio.Condition()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Register, and renew from now on."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def settled(self) -> Place:
+        """Wait until the service has been told all that was wished; how it stands then."""
+        async with self._changed:
+            await self._changed.wait_for(lambda: self.state.settled)
+        return self.state.place
+
+    async def over(self) -> str:
+        """Wait until another process has the name, or the service refuses; why."""
+        async with self._changed:
+            await self._changed.wait_for(lambda: self.state.over)
+        return self.state.reason or self.state.place.value
+
+    async def wish(self, status: str, limit_s: float) -> bool:
+        """Be `leaving`, or have `left`; whether the service knows within the limit."""
+        self.state.wish(_now(), status)
+        self._wake.set()
+        try:
+            async with asyncio.timeout(limit_s):
+                await self.settled()
+        except TimeoutError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Renew no more: the lease runs out."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_S)) as session:
+            while not self.state.over:
+                await self._sleep()
+                if self.state.due > _now():
+                    continue
+                before = self.state.place
+                await self._call(session, self.state.call(_now()))
+                if self.state.place is not before:
+                    log.info("place", place=self.state.place.value, reason=self.state.reason)
+                async with self._changed:
+                    self._changed.notify_all()
+
+    async def _sleep(self) -> None:
+        self._wake.clear()
+        left = (self.state.due - _now()) / 1000.0
+        if left > 0.0:
+            try:
+                async with asyncio.timeout(left):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+
+    async def _call(self, session: aiohttp.ClientSession, call: Call) -> None:
+        chance = self._rng.random()
+        url = f"http://{self._addresses[call.address]}{call.path}"
+        try:
+            async with session.request(call.method, url, json=call.body) as answer:
+                body = await answer.read()
+                retry = _seconds(answer.headers.get("Retry-After"))
+                reason = "" if answer.status == 200 else _reason(body)
+                self.state.ended(_now(), answer.status, chance, retry, reason)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self.state.ended(_now(), 0, chance)
+
+
+async def call(address: str, method: str, path: str, body: Any = None) -> Any:
+    """One call and its JSON; `CallError` tells what the service said, or that there is none."""
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_S)) as session,
+            session.request(method, f"http://{address}{path}", json=body) as answer,
+        ):
+            data = await answer.read()
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise CallError(f"{address}: {str(error) or 'no answer'}") from error
+    if answer.status != 200:
+        raise CallError(f"{address}: {answer.status}, {_reason(data)}")
+    try:
+        return msgspec.json.decode(data)
+    except msgspec.MsgspecError as error:
+        raise CallError(f"{address}: what came is no JSON") from error
+
+
+async def watch(address: str, path: str, index: int = 0) -> AsyncIterator[bytes]:
+    """The lines of one watch, the empty ones included, until it ends; `CallError` if there is none."""
+    limit = aiohttp.ClientTimeout(total=None, connect=CALL_S, sock_read=SILENT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=limit, read_bufsize=2**22) as session,
+            session.get(f"http://{address}{path}?watch=1&from={index}") as answer,
+        ):
+            if answer.status != 200:
+                raise CallError(f"{address}: {answer.status}, {_reason(await answer.read())}")
+            async for line in answer.content:
+                yield line.strip()
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise CallError(f"{address}: {str(error) or 'the watch fell silent'}") from error
+
+
+def _now() -> float:
+    return time.monotonic() * 1000.0
+
+
+def _seconds(text: str | None) -> float:
+    try:
+        return min(max(float(text or 0.0), 0.0), 60.0)
+    except ValueError:
+        return 0.0
+
+
+def _reason(body: bytes) -> str:
+    try:
+        said = msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        said = None
+    return (
+        str(said["reason"]) if isinstance(said, dict) and "reason" in said else body[:200].decode("latin-1")
+    )
--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -46,6 +46,8 @@
         self.driver = Driver(loop, clock, told)
         self.pool = Pool(loop, clock, told)
         self.discovery = Discovery(loop, told, self.driver.server_list)
+        if told.registry:
+            self.door.add("LIST", lambda: self.discovery.state)
         self.inbound = Inbound(loop, clock, told, self.driver, self.life)
         self.peers = Peers(told, self.driver.peer_message)
 
@@ -92,7 +94,7 @@
         self.driver.reload(news.config, news.kept)
         self.pool.reload(news.config)
         self.inbound.reload(news.config.names)
-        self.discovery.move(news.config.discovery)
+        self.discovery.move(news.config.discovery, news.config.registry)
         log(f"reload: done, classes {', '.join(news.config.names.classes)}")
 
     async def drain(self) -> None:
--- a/fordtrestle/admin.py
+++ b/fordtrestle/admin.py
@@ -24,12 +24,16 @@
         self._life = life
         self._callers: dict[Caller, None] = {}  # oldest first
         self._listener: Listener | None = None
-        self._calls: dict[str, Callable[[], None]] = {
+        self._calls: dict[str, Callable[[], str | None]] = {
             "PING": self._ping,
             "LAMEDUCK": life.drain,
             "REJOIN": life.rejoin,
         }
 
+    def add(self, name: str, call: Callable[[], str]) -> None:
+        """One more call, which answers for itself."""
+        self._calls[name] = call
+
     def listen(self, address: Address) -> None:
         """Take calls from now on."""
         sock = bound(address, DOOR_CALLERS * 4)
@@ -54,9 +58,11 @@
         if call is None:
             return "error no such call, but " + ", ".join(self._calls)
         try:
-            call()
+            said = call()
         except Impossible as error:
             return f"error {error}"
+        if said is not None:
+            return f"done {said}"
         if name != "PING":
             log(f"operator: {name}, now {self._life.state.value}")
         return f"done {self._life.state.value}"
--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -96,6 +96,7 @@
     inherited: int | None  # the descriptor of the listening socket, where the platform holds it
     operator: Address | None  # where operators call
     discovery: Address
+    registry: tuple[Address, ...]  # with the key `fleet`: the addresses of the list service, else none
     seed: int
     limits: Limits
     peer_listen: Address | None
@@ -137,12 +138,16 @@
     settings, names = raw["settings"], _names(raw["settings"])
     limits, rules = settings.get("PolicyLimits") or {}, settings.get("Rules") or {}
     operator = environment.get("NODE_OPERATOR") or raw.get("operator")
+    registry = _fleet(raw["fleet"]) if raw.get("fleet") is not None else ()
     return Config(
         name=environment.get("NODE_NAME") or str(raw["name"]),
         listen=parse_address(environment.get("NODE_LISTEN") or raw["listen"]),
         inherited=_descriptor(environment.get("NODE_INHERITED_FD")),
         operator=parse_address(operator) if operator else None,
-        discovery=parse_address(environment.get("NODE_DISCOVERY") or raw["discovery"]),
+        discovery=registry[0]
+        if registry
+        else parse_address(environment.get("NODE_DISCOVERY") or raw["discovery"]),
+        registry=registry,
         seed=stable_number(str(raw.get("seed", ""))),
         limits=_limits(raw.get("limits") or {}, RESERVED + (DOOR_CALLERS + 1 if operator else 0)),
         peer_listen=parse_address(raw["peer_listen"]) if raw.get("peer_listen") else None,
@@ -190,10 +195,14 @@
     differ = [name for name in FIXED_SETTINGS if getattr(told.settings, name) != fixed[name]]
     differ += [name for name in FIXED if getattr(told, name) != getattr(running, name)]
     names = replace(running.names, classes=classes)
+    if bool(told.registry) != bool(running.registry):
+        differ.append("fleet")
+        told = replace(told, registry=running.registry, discovery=running.discovery)
     differ += [n for n in ("tenants", "zones", "kinds") if getattr(told.names, n) != getattr(names, n)]
     config = replace(
         running,
         discovery=told.discovery,
+        registry=told.registry,
         settings=replace(
             told.settings, profiles=tuple(profiles[slot] for slot in range(len(profiles))), **fixed
         ),
@@ -225,6 +234,19 @@
     return placed, kept
 
 
+def _fleet(raw: Any) -> tuple[Address, ...]:
+    """The addresses of the list service, from the object `fleet`."""
+    if not isinstance(raw, Mapping):
+        raise ValueError("fleet: expected an object")
+    unknown = sorted(raw.keys() - {"registry", "sharing"})
+    if unknown:
+        raise ValueError(f"fleet.{unknown[0]}: not known")
+    addresses = raw["registry"]
+    if not isinstance(addresses, list) or not addresses:
+        raise ValueError("fleet.registry: expected a list of addresses")
+    return tuple(parse_address(text) for text in addresses)
+
+
 def _descriptor(text: str | None) -> int | None:
     if not text:
         return None
@@ -270,17 +292,29 @@
     return Address(host.strip("[]"), int(port))
 
 
-def parse_list(raw: Any, names: Names) -> ServerList:
-    """Read discovery's form of a list; `ValueError`, `KeyError` or `TypeError` if it is none."""
+def parse_list(raw: Any, names: Names, bad: dict[str, str] | None = None) -> ServerList:
+    """Read discovery's form of a list; `ValueError`, `KeyError` or `TypeError` if it is none.
+
+    Entries that are none are left out where `bad` is given, and named there, each with its reason."""
     entries, addresses = [], {}
     for row in raw["endpoints"]:
-        entry = _listing(row, names)
+        try:
+            entry = _listing(row, names)
+            if row.get("address"):
+                addresses[entry.server] = parse_address(row["address"])
+        except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
+            if bad is None:
+                raise
+            bad[_name_of(row)] = repr(error)
+            continue
         entries.append(entry)
-        if row.get("address"):
-            addresses[entry.server] = parse_address(row["address"])
     return ServerList(int(raw["index"]), bool(raw.get("snapshot")), entries, addresses)
 
 
+def _name_of(row: Any) -> str:
+    return str(row.get("name", "")) if isinstance(row, Mapping) else ""
+
+
 def _listing(row: Mapping[str, Any], names: Names) -> model.Listing:
     state = row.get("status", "active")
     if state not in STATES:
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import random
 from collections.abc import Callable
 
@@ -12,6 +13,7 @@
 
 from fordtrestle.config import Address, Config, ServerList, parse_list
 from fordtrestle.driver import log
+from fordtrestle.fleet import Age, Doubt, Held, Sources
 
 PATH = "/registry/instances"
 # An empty line comes every 2 s: a connection that misses two of them is broken.
@@ -19,15 +21,29 @@
 FETCH_S = 5.0
 LINE_MOST = 4 * 1024 * 1024
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 2.0
+HELD = "X-Held-Index"  # tells our own list service which version an asker of the whole list has
+LOOK_S = 1.0  # at the age of the list
 
 News = Callable[[str, ServerList | None], None]
 
 
+class Doubted(ValueError):
+    """A list that can't be right; the first of its kind is worth a line in the log."""
+
+    def __init__(self, why: str, first: bool) -> None:
+        super().__init__(f"{why}: the list held is kept")
+        self.first = first
+
+
 class Channel(asyncio.Protocol):
     """One connection to discovery: its answer is cut into lines as it comes."""
 
     def __init__(self, request: bytes, on_line: Callable[[bytes], None]) -> None:
         self._request = request
+        self._empties = 0
+        self._told = False  # whether a line with something in it has come
+        self.retry_after = 0.0
+        self.age: Age | None = None
         self._on_line = on_line
         self._parser = httptools.HttpResponseParser(self)
         self._buffer = bytearray()
@@ -43,6 +59,7 @@
         """Ask."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.asked_at = self._loop.time()
         transport.write(self._request)
 
     def data_received(self, data: bytes) -> None:
@@ -51,7 +68,9 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            log(f"discovery: {error.__context__ or error}")
+            cause = error.__context__ or error
+            if not isinstance(cause, Doubted) or cause.first:
+                log(f"discovery: {cause}")
             self.close()
 
     def eof_received(self) -> bool:
@@ -73,6 +92,13 @@
 
     # --- called by the parser -----------------------------------------------
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser."""
+        if name.lower() == b"retry-after":
+            with contextlib.suppress(ValueError):
+                wait = float(value)
+                self.retry_after = wait if 0.0 < wait < math.inf else 0.0
+
     def on_headers_complete(self) -> None:
         """Called by the parser."""
         self._status = self._parser.get_status_code()
@@ -97,8 +123,15 @@
         self._done()
 
     def _take(self, line: bytearray) -> None:
-        if line.strip() and not self.broken.done():
+        if self.broken.done():
+            return
+        if line.strip():
             self._on_line(bytes(line))
+            self._told = True
+        else:
+            self._empties += 1
+        if self.age is not None and self._told:
+            self.age.confirmed(self.asked_at, self._loop.time(), self._empties)
 
 
 class Discovery:
@@ -111,12 +144,21 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, news: News) -> None:
         self._loop = loop
         self._address = config.discovery
+        self._listed = config.registry
         self._names = config.names
         self._pushed = config.settings.discovery == "automatic"
         self._news = news
-        self._version = config.known.version
+        # Who holds no server need not wait for what it would have to lose.
+        empty = bool(config.registry) and not config.known.entries
+        self._version = 0 if empty else config.known.version
         self._known = config.known
         self._rng = random.Random(config.seed)
+        self._sources = Sources(config.registry, self._rng) if config.registry else None
+        self._held = Held(config.known) if config.registry else None
+        self._doubt = Doubt()
+        self._age = Age()
+        self._retry_after = 0.0
+        self._looking: asyncio.TimerHandle | None = None
         self._watching: asyncio.Task[None] | None = None
         self._first = asyncio.Event()
         self._fetches: set[asyncio.Task[None]] = set()
@@ -126,6 +168,26 @@
         self._news("remembered", self._known)
         if self._pushed:
             self._watching = self._loop.create_task(self._keep_watch())
+        if self._sources is not None:
+            self._look()
+
+    @property
+    def state(self) -> str:
+        """The list held, for operators: version, an upper bound on its age, servers, and where from."""
+        age = self._age.bound(self._loop.time())
+        told = "unknown" if age is None else f"{age * 1000.0:.0f}"
+        host, port = self._where
+        return f"version={self._version} age_ms={told} servers={len(self._held or ())} at={host}:{port}"
+
+    @property
+    def _where(self) -> Address:
+        return self._address if self._sources is None else self._sources.current
+
+    def _look(self) -> None:
+        """Say it when the list grows too old, and when it is fresh again."""
+        if said := self._age.passed(self._loop.time()):
+            log(f"discovery: {said}, {self.state}")
+        self._looking = self._loop.call_later(LOOK_S, self._look)
 
     async def first_answer(self, limit: float) -> None:
         """Wait until discovery has told something of its own, or the limit is over."""
@@ -140,14 +202,16 @@
             self._watching.cancel()
         self._watching = self._loop.create_task(self._watch_once()) if on else None
 
-    def move(self, address: Address) -> None:
+    def move(self, address: Address, listed: tuple[Address, ...] = ()) -> None:
         """Discovery has another address: what it says goes on from the version held, told there.
 
         At once and also where no watch is open: the news counts as told 4 s after the move, and the
         module may be waiting for longer before it asks again."""
-        if address == self._address:
+        if (address, listed) == (self._address, self._listed):
             return
-        self._address = address
+        self._address, self._listed = address, listed
+        if listed:
+            self._sources = Sources(listed, self._rng)
         if self._watching is not None:
             self._watching.cancel()
         self._watching = self._loop.create_task(self._keep_watch() if self._pushed else self._watch_once())
@@ -160,6 +224,8 @@
 
     def close(self) -> None:
         """Stop asking."""
+        if self._looking is not None:
+            self._looking.cancel()
         for task in (*self._fetches, *([self._watching] if self._watching else [])):
             task.cancel()
 
@@ -172,11 +238,18 @@
                     wait = BACKOFF_S
             except Exception as error:  # a dead watch would go on sending to servers that drain
                 log(f"discovery: {error!r}")
+            if self._sources is not None:
+                await asyncio.sleep(self._sources.failed(self._retry_after))
+                continue
             await asyncio.sleep(wait * (0.5 + self._rng.random()))
             wait = min(2.0 * wait, BACKOFF_MOST_S)
 
     async def _watch_once(self) -> None:
         await self._watch()
+        if self._sources is not None:
+            wait = self._sources.failed(self._retry_after)
+            # The module has a time of its own until it asks again; it begins once that may be.
+            await asyncio.sleep(wait if self._retry_after else 0.0)
         self._watching = None
         self._news("refused", None)
 
@@ -185,6 +258,8 @@
         channel = await self._open(f"{PATH}?watch=1&from={self._version}", self._changed, SILENT_S)
         if channel is None:
             return False
+        if self._sources is not None:
+            channel.age = self._age
         try:
             # Guards against a machine that is cut off: its connections stay open and silent.
             while (left := channel.heard_at + SILENT_S - self._loop.time()) > 0.0:
@@ -193,6 +268,7 @@
                     break
         finally:
             channel.close()
+            self._retry_after = channel.retry_after
         return channel.heard
 
     async def _fetch(self) -> None:
@@ -206,31 +282,53 @@
         try:
             if channel is None or not channel.complete:
                 raise ValueError("the call failed")
-            news = parse_list(json.loads(b"\n".join(got)), self._names)
-            if news.version < self._version:
+            news = self._parse(b"\n".join(got))
+            if self._held is None and news.version < self._version:
                 raise ValueError("the list is older than the one held")
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             log(f"discovery: {error}")
+            if self._sources is not None:
+                self._sources.failed(channel.retry_after if channel is not None else 0.0)
             self._news("refused", None)
             return
+        self._age.confirmed(channel.asked_at, channel.heard_at, 0)
         self._tell("all", news)
 
     async def _open(self, target: str, on_line: Callable[[bytes], None], limit: float) -> Channel | None:
-        host = f"{self._address.host}:{self._address.port}"
-        request = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+        address = self._where
+        more = f"{HELD}: {self._version}\r\n" if self._sources is not None else ""
+        request = f"GET {target} HTTP/1.1\r\nHost: {address.host}:{address.port}\r\n{more}\r\n".encode()
+        self._retry_after = 0.0
         try:
             async with asyncio.timeout(limit):
                 _, channel = await self._loop.create_connection(
-                    lambda: Channel(request, on_line), self._address.host, self._address.port
+                    lambda: Channel(request, on_line), address.host, address.port
                 )
         except OSError:
             return None
         return channel
 
+    def _parse(self, line: bytes) -> ServerList:
+        """One list; `ValueError` or its like where it is none, or, in a fleet, where it is not believed."""
+        if self._held is None:
+            return parse_list(json.loads(line), self._names)
+        bad: dict[str, str] = {}
+        news = parse_list(json.loads(line), self._names, bad)
+        first = self._doubt.new
+        why = self._doubt.of(news, self._version, len(self._held), self._loop.time())
+        if why is not None:
+            raise Doubted(why, first)
+        if bad:
+            log(f"discovery: entries kept as they were: {bad}")
+            news = self._held.mended(news, bad)
+        return news
+
     def _changed(self, line: bytes) -> None:
         """One line of a watch; `ValueError` ends it, and the next one brings the whole list."""
         try:
-            news = parse_list(json.loads(line), self._names)
+            news = self._parse(line)
+        except Doubted:
+            raise
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             self._version = 0
             raise ValueError(f"not a list: {error}") from error
@@ -243,5 +341,8 @@
 
     def _tell(self, form: str, news: ServerList) -> None:
         self._version = news.version
+        if self._sources is not None and self._held is not None:
+            self._sources.worked()
+            self._held.take(news)
         self._first.set()
         self._news(form, news)
--- /dev/null
+++ b/fordtrestle/fleet.py
@@ -0,0 +1,141 @@
+"""How a sidecar rides on a list service of several addresses: where to ask, when, and what to believe.
+
+No socket and no clock of its own: times are handed in, in seconds of one monotonic clock. Used where
+the configuration has the key `fleet`, and only there.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+
+from fordtrestle.config import Address, ServerList
+from poppypulley.model import Listing
+
+FIRST_WAIT_S, WAIT_MOST_S = 0.25, 1.0
+RETRY_MOST_S = 30.0
+# The k-th empty line of a watch is sent no sooner than so many seconds times k after the call.
+BEAT_S = 2.0
+CLOCKS_DIFFER = 0.99  # by less than this, in their rate
+DOUBT_S = 30.0  # how long a list that can't be right is held off
+AGES_S = (5.0, 30.0, 300.0)  # each is logged when the list grows older
+
+
+class Sources:
+    """The addresses of the list service. One that works is kept; after a failure the next is asked."""
+
+    def __init__(self, addresses: Sequence[Address], rng: random.Random) -> None:
+        self._addresses = addresses
+        self._rng = rng
+        self._at = rng.randrange(len(addresses))  # a fleet spreads over all of them
+        self._failures = 0
+
+    @property
+    def current(self) -> Address:
+        """Where to ask."""
+        return self._addresses[self._at]
+
+    def failed(self, retry_after: float = 0.0) -> float:
+        """A call was turned away, or its watch is over; how long to wait before the next.
+
+        Who is told when to come again stays there: the others have a herd of their own. All waits are
+        spread, since every sidecar loses its watch in the same moment."""
+        chance = self._rng.random()
+        if retry_after:
+            return min(retry_after, RETRY_MOST_S) * (1.0 + 0.25 * chance)
+        self._at = (self._at + 1) % len(self._addresses)
+        rounds = self._failures // len(self._addresses)
+        self._failures += 1
+        return min(FIRST_WAIT_S * 2.0**rounds, WAIT_MOST_S) * (0.2 + 1.3 * chance)
+
+    def worked(self) -> None:
+        """A list, or a part of one, has come from there."""
+        self._failures = 0
+
+
+class Age:
+    """An upper bound on the age of the list held: how long ago it can last have been the newest."""
+
+    def __init__(self) -> None:
+        self._confirmed: float | None = None
+        self._passed = 0
+
+    def confirmed(self, asked: float, heard: float, empties: int) -> None:
+        """A list came, or an empty line: the service had nothing newer when it sent that.
+
+        It was sent after the call, and the k-th empty line k beats after it; that is known whatever
+        the way back took, and nothing later is."""
+        sent = min(heard, asked + BEAT_S * CLOCKS_DIFFER * empties)
+        self._confirmed = sent if self._confirmed is None else max(self._confirmed, sent)
+
+    def bound(self, now: float) -> float | None:
+        """Seconds, or None where nothing was told since the start."""
+        return None if self._confirmed is None else now - self._confirmed
+
+    def passed(self, now: float) -> str | None:
+        """What to log: that a bound has been passed, or that the list is fresh again."""
+        age = self.bound(now)
+        passed = sum(age > limit for limit in AGES_S) if age is not None else 0
+        before, self._passed = self._passed, passed
+        if passed > before:
+            return f"the list is older than {AGES_S[passed - 1]:g} s"
+        return "the list is fresh again" if before and not passed else None
+
+
+class Doubt:
+    """Holds off a whole list that can't be right, for as long as that may be a fault."""
+
+    def __init__(self) -> None:
+        self._since: float | None = None
+
+    def of(self, news: ServerList, version: int, held: int, now: float) -> str | None:
+        """Why this list is not believed yet; None where it is, or where it has come for too long."""
+        why = None
+        if news.whole and held and not news.entries:
+            why = f"a list without servers, where {held} are known"
+        elif news.whole and news.version < version:
+            why = f"version {news.version}, where {version} is held"
+        if why is None:
+            self._since = None
+            return None
+        if self._since is None:
+            self._since = now
+        return why if now - self._since < DOUBT_S else None
+
+    @property
+    def new(self) -> bool:
+        """Whether there is no doubt yet: the first is worth a line."""
+        return self._since is None
+
+
+class Held:
+    """The last good entry of each server."""
+
+    def __init__(self, known: ServerList) -> None:
+        self._entries: dict[str, tuple[Listing, Address | None]] = {}
+        self.take(known)
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def take(self, news: ServerList) -> None:
+        """What is believed from now on."""
+        if news.whole:
+            self._entries.clear()
+        for entry in news.entries:
+            if entry.state == "left":
+                self._entries.pop(entry.server, None)
+            else:
+                self._entries[entry.server] = (entry, news.addresses.get(entry.server))
+
+    def mended(self, news: ServerList, bad: Mapping[str, str]) -> ServerList:
+        """A list in which entries that could not be read are as they were last."""
+        entries, addresses = list(news.entries), dict(news.addresses)
+        for name in bad:
+            if name not in self._entries:
+                continue
+            entry, address = self._entries[name]
+            entries.append(entry)
+            if address is not None:
+                addresses[name] = address
+        return ServerList(news.version, news.whole, entries, addresses)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -49,14 +49,20 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Load-Report: inflight=1,queue=0\r\n\r\ndone"
 
 
-def loopback(test):
+def bounded(limit_s):
     """Run an async test in a loop of its own, for a bounded time."""
 
-    @functools.wraps(test)
-    def run(*args, **kwargs):
-        asyncio.run(asyncio.wait_for(test(*args, **kwargs), 2 * PATIENCE_S))
+    def wrap(test):
+        @functools.wraps(test)
+        def run(*args, **kwargs):
+            asyncio.run(asyncio.wait_for(test(*args, **kwargs), limit_s))
 
-    return run
+        return run
+
+    return wrap
+
+
+loopback = bounded(2 * PATIENCE_S)
 
 
 async def until(condition):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -5,13 +5,15 @@
 import asyncio
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
 from pathlib import Path
 
+from brassfall.registry import client
 from fordtrestle.config import Address
-from tests.loopback import PATIENCE_S, SETTINGS, App, entry, listed
+from tests.loopback import PATIENCE_S, SETTINGS, App, entry, listed, until
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -162,3 +164,277 @@
             await asyncio.sleep(0.003)
         if app is not None:
             app.close()
+
+
+# --- a fleet: list service, servers, sidecars, and a way to cut them off from each other ----------
+
+
+class Logged:
+    """A process of `brassfall`, whose log is read as it comes."""
+
+    def __init__(self, *words):
+        self._words = words
+        self.lines, self.process, self._reading = [], None, None
+
+    async def start(self, limit=""):
+        """Start, and wait until it is ready; where it listens."""
+        self.lines = []
+        self.process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", f'{limit} exec "$0" -m brassfall "$@"', sys.executable, *self._words,
+            cwd=ROOT, stderr=asyncio.subprocess.PIPE, limit=2**20,
+        )  # fmt: skip
+        self._reading = asyncio.create_task(self._read())
+        ready = await self.event("ready")
+        self.listen = ready["listen"]
+        return self.listen
+
+    async def _read(self):
+        async for line in self.process.stderr:
+            self.lines.append(json.loads(line) if line.startswith(b"{") else {"event": "?", "text": line})
+
+    async def event(self, name, **wanted):
+        """Wait for a line of the log."""
+        found = []
+
+        def there():
+            found[:] = [
+                line for line in self.lines
+                if line["event"] == name and all(line.get(k) == v for k, v in wanted.items())
+            ]  # fmt: skip
+            assert found or self.process.returncode is None, self.lines
+            return found
+
+        await until(there)
+        return found[-1]
+
+    def send(self, number):
+        self.process.send_signal(number)
+
+    async def end(self, number=signal.SIGTERM):
+        """Stop it; its exit status."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.send_signal(number)
+        return await self.process.wait()
+
+
+class Service(Logged):
+    """The list service, on one port for all its lives."""
+
+    def __init__(self, tmp_path, **changes):
+        self.data = tmp_path / "registry"
+        self.config = tmp_path / "registry.toml"
+        self.port = free_port()
+        self.write(**changes)
+        super().__init__("registry", "serve", "--config", str(self.config))
+
+    def write(self, **changes):
+        rows = [f'[registry]\nlisten = "127.0.0.1:{self.port}"\ndata = "{self.data}"']
+        rows += [
+            f"[registry.{part}]\n" + "\n".join(f"{key} = {value}" for key, value in values.items())
+            for part, values in changes.items()
+        ]
+        self.config.write_text("\n".join(rows) + "\n")
+
+
+class Proxy:
+    """A way between two that can be cut: what is on it then is neither passed on nor refused."""
+
+    def __init__(self, target):
+        self.target = target
+        self._open = asyncio.Event()
+        self._open.set()
+        self._writers = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await self._open.wait()
+            host, port = self.target.split(":")
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            self._writers.add(far_writer)
+            await asyncio.gather(self._pass(reader, far_writer), self._pass(far_reader, writer))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def _pass(self, reader, writer):
+        try:
+            while data := await reader.read(65_536):
+                await self._open.wait()
+                writer.write(data)
+        except OSError:
+            pass
+        writer.transport.abort()
+
+    def cut(self):
+        self._open.clear()
+
+    def mend(self):
+        self._open.set()
+
+    def stop(self):
+        self._open.set()
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+
+async def ask_door(door, line):
+    """One line to a sidecar's door, and its answer."""
+    reader, writer = await asyncio.open_connection(*door)
+    writer.write(line)
+    async with asyncio.timeout(PATIENCE_S):
+        answer = await reader.read()
+    writer.close()
+    return answer.decode().strip()
+
+
+class Callers:
+    """Clients of one sidecar: every request has an id, and every answer is written down."""
+
+    CLASSES = (("GET", "look"), ("POST", "book"), ("POST", "pay"))
+
+    def __init__(self, address, number):
+        self._address, self._number = address, number
+        self.answers, self.lost, self.going = {}, [], True
+
+    async def client(self, which):
+        app, count = None, 0
+        while self.going:
+            app = app or await App.connect(self._address)
+            method, name = self.CLASSES[count % 3]
+            count += 1
+            call_id = f"{self._number:04x}{which:04x}{count:08x}"
+            headers = {"X_Call_Id": call_id, "Idempotency_Key": f"k{call_id}" if name == "book" else None}
+            answer = await app.ask(
+                method, f"/{name}/{call_id}", b"hello" if method == "POST" else b"", **headers
+            )
+            if answer is None:
+                self.lost.append(call_id)
+                app = None
+                continue
+            self.answers[call_id] = int(answer.start.split(" ")[1])
+            if answer.headers.get("connection") == "close":
+                app.close()
+                app = None
+            await asyncio.sleep(0.01)
+        if app is not None:
+            app.close()
+
+
+class Fleet:
+    """One list service, servers that register themselves, sidecars, clients that send throughout."""
+
+    def __init__(self, tmp_path, servers=6, sidecars=4, ttl_ms=3000, **changes):
+        self.tmp_path, self._ttl_ms = tmp_path, ttl_ms
+        self.service = Service(tmp_path, **changes)
+        self._counts = servers, sidecars
+        self.over_at = None  # when the fault was over, where that is before its test says so
+        self.servers, self.sidecars, self.doors, self.callers = {}, [], [], []
+
+    async def __aenter__(self):
+        servers, sidecars = self._counts
+        await self.service.start()
+        self.near = await Proxy(self.service.listen).start()  # between sidecars and the service
+        self.far = await Proxy(self.service.listen).start()  # between a third of the servers and it
+        await asyncio.gather(
+            *(self.add_server(f"s{i}", self.far.address if i % 3 == 0 else None) for i in range(servers))
+        )
+        for number in range(sidecars):
+            await self.add_sidecar(number)
+        await self.agree(servers)
+        for number, made in enumerate(self.sidecars):
+            load = Callers(made.address, number)
+            self.callers.append((load, [asyncio.create_task(load.client(i)) for i in range(3)]))
+        return self
+
+    async def add_server(self, name, registry=None):
+        ledger = self.tmp_path / f"ledger-{name}"
+        made = Logged(
+            "lab", "server", name, "--registry", registry or self.service.listen, "--ttl-ms",
+            str(self._ttl_ms), "--ledger", str(ledger),
+        )  # fmt: skip
+        self.servers[name] = made
+        await made.start()
+        await made.event("place", place="registered")
+
+    async def add_sidecar(self, number):
+        folder = self.tmp_path / f"n{number}"
+        folder.mkdir()
+        door = Address("127.0.0.1", free_port())
+        made = await Process.start(
+            folder,
+            name=f"n{number}",
+            operator=f"{door.host}:{door.port}",
+            fleet={"registry": [self.near.address]},
+            seed=str(number),
+        )
+        self.sidecars.append(made)
+        self.doors.append(door)
+
+    async def lists(self):
+        """What each sidecar holds: version, age and number of servers."""
+        answers = await asyncio.gather(*(ask_door(door, b"LIST\n") for door in self.doors))
+        return [dict(part.split("=") for part in answer.split(" ")[1:]) for answer in answers]
+
+    async def agree(self, count):
+        """Wait until every sidecar holds the list that the service tells, and knows so; in how long."""
+        loop = asyncio.get_running_loop()
+        begun, self.over_at = self.over_at or loop.time(), None
+        async with asyncio.timeout(2 * PATIENCE_S):
+            while not await self._agree(count):
+                await asyncio.sleep(0.05)
+        return loop.time() - begun
+
+    async def _agree(self, count):
+        try:
+            told = await client.call(self.service.listen, "GET", "/registry/instances")
+        except client.CallError:
+            return False
+        held = await self.lists()
+        versions = {row["version"] for row in held} | {str(told["index"])}
+        counts = {int(row["servers"]) for row in held} | {len(told["endpoints"]), count}
+        fresh = all(row["age_ms"] != "unknown" and int(row["age_ms"]) < 4500 for row in held)
+        return fresh and len(versions) == len(counts) == 1
+
+    async def more(self, requests=40):
+        """Wait until every sidecar has answered so many more requests with a server's answer."""
+        before = [sum(status == 200 for status in load.answers.values()) for load, _ in self.callers]
+        for (load, _), had in zip(self.callers, before, strict=True):
+            await until(
+                lambda load=load, had=had: sum(s == 200 for s in load.answers.values()) >= had + requests
+            )
+
+    def ran(self):
+        """Every call that a server took, by the servers' own books."""
+        rows = []
+        for path in self.tmp_path.glob("ledger-*"):
+            rows += [json.loads(line) for line in path.read_bytes().splitlines()]
+        return rows
+
+    async def quiet(self):
+        """Let the clients finish what they have out."""
+        for load, tasks in self.callers:
+            load.going = False
+            await asyncio.gather(*tasks)
+
+    async def __aexit__(self, *error):
+        for _, tasks in self.callers:
+            for task in tasks:
+                task.cancel()
+        for made in (*self.servers.values(), self.service):
+            if made.process is not None:
+                await made.end(signal.SIGKILL)
+        for made in self.sidecars:
+            if made.process.returncode is None:
+                made.process.kill()
+            await made.process.wait()
+        self.near.stop()
+        self.far.stop()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -69,7 +69,8 @@
         ("admin.py", {CONFIG, DRIVER, LIFECYCLE, LISTENER}),
         ("inbound.py", {BODY, CONFIG, DRIVER, FRAMING, LIFECYCLE, LISTENER}),
         ("outbound.py", {BODY, CONFIG, DRIVER, FRAMING, MODEL}),
-        ("discovery.py", {CONFIG, DRIVER}),
+        ("fleet.py", {CONFIG, MODEL}),
+        ("discovery.py", {CONFIG, DRIVER, "fordtrestle.fleet"}),
         ("peers.py", {CONFIG, DRIVER}),
     ],
 )
@@ -85,8 +86,21 @@
 
 HOUSE = ROOT / "brassfall"
 # Each may import what stands before it, and the decision module; nothing else of ours.
-FLOORS = ("brassfall.settings", "brassfall.logs", "brassfall.table", "brassfall.registry", "brassfall.cli")
-PURE = ("table/core.py", "table/leases.py", "registry/entries.py", "registry/limits.py")
+FLOORS = (
+    "brassfall.settings",
+    "brassfall.logs",
+    "brassfall.table",
+    "brassfall.registry",
+    "brassfall.lab",
+    "brassfall.cli",
+)
+PURE = (
+    "table/core.py",
+    "table/leases.py",
+    "registry/entries.py",
+    "registry/limits.py",
+    "registry/membership.py",
+)
 
 
 def floor(module: str) -> int:
--- /dev/null
+++ b/tests/test_registry_fleet.py
@@ -0,0 +1,104 @@
+"""A fleet of real processes: what it keeps while the list service, the network and servers fail."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import signal
+from collections import Counter
+
+import pytest
+
+from tests.loopback import bounded
+from tests.processes import Fleet
+
+# After each fault the lists agree within so many seconds; stated in docs/registry.md as 5, and
+# not asserted as sharply, since these machines are shared.
+AGREE_S = 12.0
+
+
+async def restarted(fleet):
+    fleet.service.send(signal.SIGKILL)
+    await fleet.service.process.wait()
+    await fleet.more()  # the sidecars go on with the list they hold
+    await fleet.service.start()
+    return 6
+
+
+async def stopped(fleet):
+    fleet.service.send(signal.SIGSTOP)
+    await asyncio.sleep(8.0)
+    await fleet.more()
+    assert {row["servers"] for row in await fleet.lists()} == {"6"}
+    assert min(int(row["age_ms"]) for row in await fleet.lists()) > 5000
+    fleet.service.send(signal.SIGCONT)
+    return 6
+
+
+async def disk_lost(fleet):
+    before = int((await fleet.lists())[0]["version"])
+    fleet.service.send(signal.SIGKILL)
+    await fleet.service.process.wait()
+    shutil.rmtree(fleet.service.data)
+    await fleet.service.start()
+    fleet.over_at = asyncio.get_running_loop().time()
+    while any(int(row["version"]) <= before for row in await fleet.lists()):
+        assert {row["servers"] for row in await fleet.lists()} == {"6"}  # never emptied meanwhile
+        await asyncio.sleep(0.02)
+    assert "gathering" in {line["event"] for line in fleet.service.lines}
+    return 6
+
+
+async def cut_off(fleet):
+    fleet.near.cut()
+    await asyncio.sleep(5.5)
+    await fleet.more()
+    assert {row["servers"] for row in await fleet.lists()} == {"6"}
+    assert min(int(row["age_ms"]) for row in await fleet.lists()) > 4000
+    fleet.near.mend()
+    return 6
+
+
+async def a_third_cut_off(fleet):
+    fleet.far.cut()
+    suspect = await fleet.service.event("suspect")
+    assert set(suspect["keys"]) <= {"s0", "s3"}
+    await fleet.more()
+    fleet.far.mend()
+    return 6
+
+
+async def server_killed(fleet):
+    await fleet.servers["s1"].end(signal.SIGKILL)
+    await fleet.service.event("expired", key="s1")
+    return 5
+
+
+async def server_drained(fleet):
+    assert await fleet.servers["s2"].end(signal.SIGTERM) == 0
+    return 5
+
+
+@pytest.mark.parametrize(
+    "fault", [restarted, stopped, disk_lost, cut_off, a_third_cut_off, server_killed, server_drained]
+)
+@bounded(150.0)
+async def test_a_fleet_rides_through(fault, tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        await fleet.more(5)
+        left = await fault(fleet)
+        took = await fleet.agree(left)
+        print(f"{fault.__name__}: lists agree after {took:.2f} s")
+        assert took < AGREE_S
+        await fleet.more()
+        await fleet.quiet()
+        ran = fleet.ran()
+        runs = Counter((row["class"], row["id"]) for row in ran if row["ran"])
+        assert [call for call, times in runs.items() if call[0] == "pay" and times > 1] == []
+        assert max(times for call, times in runs.items()) <= 3  # `MaxAttempts`
+        # Sends that begin later than the rule allows; what is on its way by then may still arrive.
+        assert [row for row in ran if (row["since_leaving_s"] or 0.0) > 0.6] == []
+        for load, _ in fleet.callers:
+            assert load.lost == []
+            answers = Counter(load.answers.values())
+            assert answers[200] > 0.95 * answers.total(), answers
