Test the list service as a process; bound what the kernel holds for a watch, and its backlog

Need: the hard cases of the list service have to be seen on real processes. Change: 30 kills amid writes, a full disk, two holders of one name, a herd of 2,000 watchers, 33 bad calls, junk, 10,000 idle connections, a slow reader. Result: no acknowledged write lost over 30 kills, no index twice; one whole list built for 2,000 watchers of one version.

--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -29,6 +29,7 @@
 from brassfall.table.log import Log, LogError
 from brassfall.table.store import Options, Store, Unavailable
 
+BACKLOG = 4096  # a fleet connects at once
 BODY_S = 5.0  # for a body to arrive
 HELD = "X-Held-Index"  # a caller of the whole list says here which one it holds
 ANSWERED = {Status.DONE: 200, Status.MISSING: 404, Status.CONFLICT: 409, Status.STALE: 412}
@@ -77,7 +78,9 @@
     async def start(self) -> str:
         """Load the table and take calls; where. `LogError` or `OSError` if that can't be done."""
         _raise_descriptors()
-        sock = socket.create_server(address(self.settings.listen), backlog=4096)
+        sock = socket.create_server(address(self.settings.listen), backlog=BACKLOG)
+        # Else the kernel holds megabytes for each slow reader, unseen by the bound on its watch.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.settings.limits.watch_bytes // 2)
         try:
             await self.store.start()
         except BaseException:
@@ -104,6 +107,7 @@
                 read_bufsize=16_384,
             ),
             sock=sock,
+            backlog=BACKLOG,
         )
         self._beating = loop.create_task(self._beat())
         host, port = sock.getsockname()[:2]
--- /dev/null
+++ b/tests/test_registry_service.py
@@ -0,0 +1,404 @@
+"""The list service as a process: killed, starved of disk, crowded, and told nonsense."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import resource
+import signal
+import socket
+
+import aiohttp
+import pytest
+
+from brassfall import settings
+from brassfall.registry import client
+from brassfall.registry.client import Member
+from brassfall.registry.membership import Place
+from tests.loopback import bounded, until
+from tests.processes import Service
+
+ENTRY = {"address": "127.0.0.1:7001", "zone": "a", "type": "m2", "group": 3, "weight": 1.0}
+
+
+def running(**changes):
+    """A test of a service that was started, and is killed at the end."""
+
+    def wrap(test):
+        @bounded(120.0)
+        async def run(tmp_path):
+            service = Service(tmp_path, **changes)
+            await service.start()
+            try:
+                async with aiohttp.ClientSession() as session:
+                    await test(service, session)
+            finally:
+                await service.end(signal.SIGKILL)
+
+        run.__name__ = test.__name__
+        return run
+
+    return wrap
+
+
+async def call(session, service, method, path, body=None, **headers):
+    """Status, JSON and headers of one call."""
+    headers = {name.replace("_", "-"): value for name, value in headers.items()}
+    data = body if isinstance(body, bytes | None) else json.dumps(body)
+    async with session.request(
+        method, f"http://{service.listen}{path}", data=data, headers=headers
+    ) as answer:
+        return answer.status, json.loads(await answer.read()), answer.headers
+
+
+async def figures(session, service):
+    """The metrics, by name."""
+    async with session.get(f"http://{service.listen}/metrics") as answer:
+        rows = (line.rsplit(" ", 1) for line in (await answer.text()).splitlines() if line[0] != "#")
+        return {name: float(value) for name, value in rows}
+
+
+class Writers:
+    """Writers that each count up a row of their own, and remember what was acknowledged."""
+
+    def __init__(self, service, count, size=10):
+        self.service, self.count, self.size = service, count, size
+        self.acked, self.indexes, self.failed = {}, [], 0
+
+    async def write(self, session, which):
+        key, value = f"k{which}", self.acked.get(f"k{which}", 0)
+        while True:
+            value += 1
+            body = {"n": value, "x": "x" * self.size}
+            try:
+                status, told, _ = await call(session, self.service, "PUT", f"/tables/t/{key}", body)
+            except aiohttp.ClientError:
+                return
+            if status == 200:
+                self.acked[key] = value
+                self.indexes.append(told["index"])
+            else:
+                assert status == 503 and told["reason"]
+                self.failed += 1
+                value -= 1
+                await asyncio.sleep(0.01)
+
+    def start(self, session):
+        return [asyncio.create_task(self.write(session, which)) for which in range(self.count)]
+
+    async def check(self, session):
+        """After a restart: every acknowledged write is there, and no index came twice or went back."""
+        _, told, _ = await call(session, self.service, "GET", "/tables/t")
+        held = {row["key"]: row["value"]["n"] for row in told["rows"]}
+        assert all(held[key] >= value for key, value in self.acked.items())
+        assert len(set(self.indexes)) == len(self.indexes)
+        assert told["index"] > max(self.indexes, default=0)
+
+
+@bounded(150.0)
+async def test_thirty_kills_amid_writes_lose_nothing_acknowledged(tmp_path):
+    service = Service(tmp_path, limits={"caller_calls_per_s": 0})
+    writers, rng = Writers(service, 16), random.Random(5)
+    for _ in range(30):
+        await service.start()
+        async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+            await writers.check(session)
+            tasks = writers.start(session)
+            enough = len(writers.indexes) + rng.randint(1, 400)
+            await until(lambda enough=enough: len(writers.indexes) >= enough)
+            await service.end(signal.SIGKILL)
+            await asyncio.gather(*tasks)
+    await service.start()
+    async with aiohttp.ClientSession() as session:
+        await writers.check(session)
+    await service.end(signal.SIGKILL)
+
+
+@bounded(60.0)
+async def test_a_full_disk_refuses_writes_and_loses_none(tmp_path):
+    service = Service(tmp_path, limits={"caller_calls_per_s": 0})
+    await service.start(limit="ulimit -f 2000;")  # blocks of 512 bytes, for each file
+    writers = Writers(service, 4, size=30_000)
+    async with aiohttp.ClientSession() as session:
+        status, _, _ = await call(session, service, "PUT", "/registry/instances/s1", {**ENTRY, "ttl_ms": 0})
+        tasks = writers.start(session)
+        await until(lambda: writers.failed > 20)
+        for task in tasks:
+            task.cancel()
+        status, told, _ = await call(session, service, "GET", "/registry/instances")
+        assert (status, [row["name"] for row in told["endpoints"]]) == (200, ["s1"])  # reads go on
+        await service.event("disk")
+        await service.end(signal.SIGKILL)
+        await service.start()
+        await writers.check(session)
+        status, _, _ = await call(session, service, "PUT", "/tables/t/after", 1)
+        assert status == 200
+        status, told, _ = await call(session, service, "GET", "/registry/instances")
+        assert [row["name"] for row in told["endpoints"]] == ["s1"]
+    await service.end(signal.SIGKILL)
+
+
+@running()
+async def test_of_two_processes_with_one_name_the_newer_holds_it(service, session):
+    entry = {**ENTRY, "name": "s1", "since_ms": 100}
+    old = Member([service.listen], entry, 600)
+    new = Member([service.listen], {**entry, "since_ms": 200, "address": "127.0.0.1:7002"}, 600)
+    old.start()
+    assert await old.settled() is Place.HELD
+    new.start()
+    assert await new.settled() is Place.HELD
+    assert "newer" in await old.over()
+    assert old.state.place is Place.LOST  # it calls no more
+    body = {**ENTRY, "since_ms": 100}
+    assert (await call(session, service, "PUT", "/registry/instances/s1", body))[0] == 409
+    renew = "/registry/instances/s1/renew"
+    assert (await call(session, service, "POST", renew, {"since_ms": 100}))[0] == 409
+    assert (await call(session, service, "DELETE", "/registry/instances/s1", {"since_ms": 100}))[0] == 409
+    assert (await call(session, service, "POST", renew, {"since_ms": 200}))[0] == 200
+    _, told, _ = await call(session, service, "GET", "/registry/instances")
+    assert [row["address"] for row in told["endpoints"]] == ["127.0.0.1:7002"]
+    assert await new.wish("left", 5.0)
+    assert (await call(session, service, "POST", renew, {"since_ms": 200}))[0] == 404
+    old.close()
+    new.close()
+
+
+@running()
+async def test_conditions_ids_and_leases_of_a_table(service, session):
+    row = "/tables/duty/one"
+    _, first, _ = await call(session, service, "PUT", row, {"who": "a"}, If_Match="0", X_Request_Id="r1")
+    again = await call(session, service, "PUT", row, {"who": "b"}, If_Match="0", X_Request_Id="r1")
+    assert again[:2] == (200, first)  # the first answer, and nothing written
+    status, told, _ = await call(session, service, "PUT", row, {"who": "b"}, If_Match="0")
+    assert (status, told["error"]) == (412, "precondition failed")
+    assert (await call(session, service, "GET", row))[1]["value"] == {"who": "a"}
+    version = first["index"]
+    status, leased, _ = await call(
+        session, service, "PUT", row, {"who": "c"}, If_Match=str(version), X_Lease="600"
+    )
+    assert status == 200 and leased["index"] > version
+    seen = []
+    async for line in client.watch(service.listen, "/tables/duty"):
+        seen += [(r["key"], r["value"]) for r in json.loads(line or b'{"rows":[]}')["rows"]]
+        if seen[-1] == ("one", None):
+            break  # the lease has ended, and the watch was told
+    assert seen == [("one", {"who": "c"}), ("one", None)]
+
+
+# --- a herd ---------------------------------------------------------------------------------------
+
+
+async def watch_until_told(listen, index, waits):
+    """One watcher that comes back when it is told to; its reader, once its first line has come."""
+    host, port = listen.split(":")
+    while True:
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /registry/instances?watch=1&from=%d HTTP/1.1\r\nHost: x\r\n\r\n" % index)
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        if " 200 " in head.splitlines()[0]:
+            await reader.readuntil(b"\n")  # the length of the first part
+            line = await reader.readuntil(b"}\n")
+            return reader, writer, line
+        assert " 503 " in head.splitlines()[0]
+        waits.append(float(head.split("retry-after: ")[1].split("\r")[0]))
+        writer.close()
+        await asyncio.sleep(waits[-1])
+
+
+@running(limits={"caller_share": 1.0, "caller_calls_per_s": 0})
+async def test_a_herd_of_2000_watchers_gets_in_and_no_list_is_built_twice(service, session):
+    for number in range(50):
+        await call(session, service, "PUT", f"/registry/instances/s{number}", {**ENTRY, "ttl_ms": 0})
+    before = await figures(session, service)
+    waits = []
+    herd = [asyncio.create_task(watch_until_told(service.listen, 0, waits)) for _ in range(2000)]
+    versions = 0
+    while not all(task.done() for task in herd):
+        versions += 1
+        weight = {"weight": 1.0 + versions / 1000.0}
+        assert (await call(session, service, "PATCH", "/registry/instances/s1", weight))[0] == 200
+        await asyncio.sleep(0.02)
+    watching = await asyncio.gather(*herd)
+    after = await figures(session, service)
+    assert after["brassfall_watches"] == 2000
+    assert 0 < after["brassfall_lists_built_total"] - before["brassfall_lists_built_total"] <= versions + 1
+    assert waits and len(set(waits)) > len(waits) / 10  # they come back spread out, and not at once
+    assert max(waits) - min(waits) > 0.5
+    await call(session, service, "DELETE", "/registry/instances/s7")
+    for reader, writer, _ in watching:
+        assert b'"left"' in await reader.readuntil(b'"left"')
+        writer.close()
+
+
+# --- bad callers ----------------------------------------------------------------------------------
+
+BAD = [
+    ("PUT", "/registry/instances/a%2Fb", ENTRY, 400, "name"),
+    ("PUT", "/registry/instances/a%00b", ENTRY, 400, "name"),
+    ("PUT", "/registry/instances/" + "a" * 129, ENTRY, 400, "name"),
+    ("PUT", "/registry/instances/a", {**ENTRY, "name": "b"}, 400, "name"),
+    ("PUT", "/registry/instances/a", {**ENTRY, "colour": 1}, 400, "colour"),
+    ("PUT", "/registry/instances/a", {**ENTRY, "address": "here"}, 400, "address"),
+    ("PUT", "/registry/instances/a", {**ENTRY, "zone": "x\ny"}, 400, "zone"),
+    ("PUT", "/registry/instances/a", {**ENTRY, "status": "left"}, 400, "status"),
+    ("PUT", "/registry/instances/a", {**ENTRY, "weight": -1}, 400, "weight"),
+    ("PUT", "/registry/instances/a", {**ENTRY, "ttl_ms": 1}, 400, "ttl_ms"),
+    ("PUT", "/registry/instances/a", {**ENTRY, "since_ms": -5}, 400, "since_ms"),
+    ("PUT", "/registry/instances/a", {**ENTRY, "since_ms": 1e30}, 400, "since_ms"),
+    ("PUT", "/registry/instances/a", b'{"address":"127.0.0.1:1","weight":NaN}', 400, "JSON"),
+    ("PUT", "/registry/instances/a", b'{"address":"127.0.0.1:1","weight":1e999}', 400, "weight"),
+    ("PUT", "/registry/instances/a", b"\xff\xfe", 400, ""),
+    ("PUT", "/registry/instances/a", b"[" * 50_000, 400, ""),
+    ("PUT", "/registry/instances/a", b"x" * 10_000_000, 413, "larger"),
+    ("PATCH", "/registry/instances/s1", {}, 400, "neither"),
+    ("PATCH", "/registry/instances/s1", {"weight": 0}, 400, "weight"),
+    ("PATCH", "/registry/instances/none", {"weight": 2}, 404, "none"),
+    ("DELETE", "/registry/instances/none", None, 404, "none"),
+    ("POST", "/registry/instances/none/renew", {}, 404, "none"),
+    ("POST", "/registry/instances/s1/renew", {"since_ms": "x"}, 400, "since_ms"),
+    ("PUT", "/tables/instances/s1", 1, 400, "/registry"),
+    ("PUT", "/tables/t/k", b"{", 400, "JSON"),
+    ("PUT", "/tables/t/k", b"", 400, "JSON"),
+    ("GET", "/tables/t/none", None, 404, "none"),
+    ("GET", "/registry/instances?watch=1&from=-1", None, 400, "from"),
+    ("GET", "/registry/instances?watch=1&from=1e3", None, 400, "from"),
+    ("GET", "/registry/instances?watch=1&from=" + "9" * 40, None, 400, "from"),
+    ("GET", "/nothing", None, 404, ""),
+    ("POST", "/registry/instances", None, 405, ""),
+    ("GET", "/" + "a" * 5000, None, 400, ""),
+]  # fmt: skip
+
+
+@running(limits={"idle_ms": 2000})
+async def test_bad_calls_get_a_4xx_that_says_why_and_cost_others_nothing(service, session):
+    assert (await call(session, service, "PUT", "/registry/instances/s1", {**ENTRY, "ttl_ms": 0}))[0] == 200
+    reader, kept, _ = await watch_until_told(service.listen, 0, [])
+    for method, path, body, status, reason in BAD:
+        try:
+            got, told, _ = await call(session, service, method, path, body)
+        except aiohttp.ClientError:
+            assert status == 413, path  # cut off amid a body that nobody will read
+            continue
+        assert (got, reason in told["reason"]) == (status, True), (path, told)
+    host, port = service.listen.split(":")
+    for junk in (b"\x16\x03\x01\x02\x00\x01\x00", b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 5000 + b"\r\n"):
+        far, writer = await asyncio.open_connection(host, int(port))
+        writer.write(junk)
+        assert (await far.read()).split(b" ")[1] == b"400"
+        writer.close()
+    dribble, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET / HTTP/1.1\r\nX: ")  # and never an end
+    assert await dribble.read() == b""  # cut off
+    writer.close()
+    assert not [line for line in service.lines if line["event"] in ("fault", "?")]
+    await call(session, service, "DELETE", "/registry/instances/s1")
+    await reader.readuntil(b'"left"')  # the watch from before has lived through it all
+    kept.close()
+
+
+@running()
+async def test_ten_thousand_idle_connections_cost_nobody_a_watch_or_a_call(service, session):
+    resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
+    member = Member([service.listen], {**ENTRY, "name": "s1", "since_ms": 1}, 2000)
+    member.start()
+    await member.settled()
+    reader, kept, _ = await watch_until_told(service.listen, 0, [])
+    host, port = service.listen.split(":")
+    crowd = []
+    for number in range(10_000):
+        crowd.append(socket.create_connection((host, int(port))))
+        if number % 1000 == 0:
+            assert (await call(session, service, "GET", "/registry/instances"))[0] == 200
+    status, told, _ = await call(session, service, "GET", "/status")
+    assert status == 200 and told["connections"] <= 4096  # the share of one address
+    assert told["instances"] == {"active": 1} and told["watches"]["instances"] == 1
+    assert member.state.place is Place.HELD
+    for sock in crowd:
+        sock.close()
+    await call(session, service, "DELETE", "/registry/instances/s1")
+    await reader.readuntil(b'"left"')
+    kept.close()
+    member.close()
+
+
+@running(limits={"watch_bytes": 65536, "watch_stuck_ms": 1000, "caller_calls_per_s": 0})
+async def test_a_slow_reader_delays_nobody_is_merged_and_then_cut_off(service, session):
+    host, port = service.listen.split(":")
+    quick, kept, _ = await watch_until_told(service.listen, 0, [])
+    heard = []
+
+    async def read_on():
+        while data := await quick.read(65_536):
+            heard.append(data)
+
+    reading = asyncio.create_task(read_on())
+    slow = socket.socket()
+    slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    slow.connect((host, int(port)))
+    slow.send(b"GET /registry/instances?watch=1&from=0 HTTP/1.1\r\nHost: x\r\n\r\n")
+
+    async def write(rounds):
+        for number in range(rounds):
+            wide = {**ENTRY, "zone": f"{number:0128d}", "ttl_ms": 0}
+            await asyncio.gather(
+                *(call(session, service, "PUT", f"/registry/instances/s{i}", wide) for i in range(40))
+            )
+            if (await figures(session, service))["brassfall_watches_behind"]:
+                return
+
+    await write(2000)
+    last = {"zone": "the end", **{k: ENTRY[k] for k in ("address",)}, "ttl_ms": 0}
+    await call(session, service, "PUT", "/registry/instances/s1", last)
+    # At once, though the other reads nothing.
+    await until(lambda: b'"the end"' in b"".join(heard[-2:]))
+    # The slow one reads on: it gets what it missed in one line.
+    slow.settimeout(10)
+
+    def read_all():
+        got = b""
+        while b'"the end"' not in got[-4000:]:
+            got += slow.recv(65_536)
+        return got
+
+    await asyncio.to_thread(read_all)
+    assert (await figures(session, service))["brassfall_watches_merged_total"] == 1
+    await write(2000)  # and it reads nothing more: it is cut off
+    async with asyncio.timeout(20.0):
+        while not (await figures(session, service))["brassfall_watches_cut_total"]:
+            await asyncio.sleep(0.1)
+    assert not reading.done()  # and the quick one has its watch as before
+    reading.cancel()
+    kept.close()
+    slow.close()
+
+
+# --- configuration ----------------------------------------------------------------------------------
+
+GOOD = '[registry]\nlisten = "127.0.0.1:0"\ndata = "d"\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "wrong"),
+    [
+        ("", "registry"),
+        ("[registry]\n", "listen"),
+        (GOOD + "colour = 1\n", "colour"),
+        (GOOD.replace("127.0.0.1:0", "here"), "here"),
+        (GOOD + 'batch = "many"\n', "batch"),
+        (GOOD + "[registry.limits]\nwatches = 0\n", "registry.limits.watches"),
+        (GOOD + "[registry.limits]\ncaller_share = 2.0\n", "caller_share"),
+        (GOOD + "[registry.leases]\nleast_ms = 9000\n", "least_ms"),
+        (GOOD + "[registry.guard]\nshare = nan\n", "registry.guard.share"),
+        (GOOD + '[registry.cluster]\nname = "a"\nmembers = {}\n', "cluster"),
+        ("= 1", "line 1"),
+    ],
+)
+def test_a_bad_file_is_named_with_key_and_reason(tmp_path, text, wrong):
+    path = tmp_path / "c.toml"
+    path.write_text(text)
+    with pytest.raises(settings.SettingsError, match=wrong) as caught:
+        settings.load(path)
+    assert str(caught.value).startswith(str(path)) and "\n" not in str(caught.value)
+    path.write_text(GOOD)
+    assert settings.load(path).limits.watches == 6000
