Play the list service and its callers under simulated time, and mend what 2,000 seeds found

Need: the cores were tested apart; what goes wrong between them shows only in their play together. Change: a simulation of members and service with downs, lost disks, stalls, cuts, lost answers, drains, kills and a newer process for a name, 2,000 seeds. It found four faults, each mended with its cause: a newer holder whose row was lost with the disk got 409 from the older one's row and gave up (now 404, and it writes anew); a stall just after a lost answer dropped a living server (no lease ends for 5 s after a stall); a call's patience of 2 s left one try in a lease of 3 s (now a quarter of the lease); two lives within one second of a lost disk could share an index (the floor now counts milliseconds).

--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -40,6 +40,18 @@
     typer.echo(f"{file}: good")
 
 
+@app.command()
+def demo() -> None:
+    """Start a small fleet on loopback, send through it while parts fail, and end it again."""
+    from brassfall.lab import demo as demo_
+
+    try:
+        _run(demo_.run(typer.echo))
+    except (demo_.DemoError, TimeoutError) as error:
+        typer.echo(f"demo: {str(error) or 'something did not start in time'}", err=True)
+        raise typer.Exit(1) from None
+
+
 @registry.command()
 def serve(config: Config) -> None:
     """Run one list service, until SIGTERM."""
@@ -154,6 +166,14 @@
     typer.echo(msgspec.json.encode(told).decode() if json else f"{name}: left, index {told['index']}")
 
 
+@registry.command()
+def bench(rounds: int = 3, seconds: float = 3.0) -> None:
+    """Measure one list service on this machine; a table in Markdown, in about a minute a round."""
+    from brassfall.registry import bench as bench_
+
+    typer.echo(_run(bench_.run(rounds, seconds, lambda text: typer.echo(text, err=True))))
+
+
 @lab.command("server")
 def server_(
     name: str,
--- /dev/null
+++ b/brassfall/lab/demo.py
@@ -0,0 +1,185 @@
+"""`brassfall demo`: a small fleet on loopback, and what it does when parts of it fail.
+
+A list service, three servers that register themselves, one sidecar by the command that the platform
+runs, and a client. Every process is ended at the end, by its id, also on Ctrl-C.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import tomllib
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+
+import aiohttp
+
+from brassfall.registry import client
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+READY_S = 20.0
+SETTINGS = {
+    "Profiles": [{"Name": "look", "Semantics": "pure", "Objective": 500.0, "Deadline": 2000.0}],
+    "PolicyLimits": {"MaxAttempts": 3, "MayCancel": True, "ConnectTimeout": 250.0},
+    "Rules": {"StopSendingWithin": 500.0},
+    "Discovery": "automatic",
+}
+
+
+class DemoError(Exception):
+    """The demonstration failed; its text is one line."""
+
+
+class Demo:
+    """The processes of one demonstration."""
+
+    def __init__(self, folder: Path, say: Callable[[str], None]) -> None:
+        self._folder = folder
+        self._say = say
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._logs: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Start all, send, break things, send again; `DemoError` if something is not as it should be."""
+        try:
+            await self._play()
+        finally:
+            await self._end()
+
+    async def _play(self) -> None:
+        say = self._say
+        port = _free_port()
+        config = self._folder / "registry.toml"
+        config.write_text(f'[registry]\nlisten = "127.0.0.1:{port}"\ndata = "{self._folder / "data"}"\n')
+        service = f"127.0.0.1:{port}"
+        say(f"list service on {service}")
+        await self._brassfall("service", "registry", "serve", "--config", str(config))
+        for name in ("s1", "s2", "s3"):
+            words = ("lab", "server", name, "--registry", service, "--ttl-ms", "2000")
+            listen = await self._brassfall(name, *words)
+            say(f"server {name} on {listen}")
+        await self._listed(service, 3)
+        address = await self._sidecar(service)
+        say(f"sidecar on {address}")
+        await self._send(address, 60, "all three up")
+        say("the list service is killed: the sidecar goes on with the list that it holds")
+        await self._kill("service")
+        await self._send(address, 60, "no list service")
+        await self._brassfall("service", "registry", "serve", "--config", str(config))
+        await self._listed(service, 3)
+        say("the list service is back, with every server; now s3 drains")
+        self._processes["s3"].send_signal(signal.SIGTERM)
+        if await self._processes["s3"].wait():
+            raise DemoError("s3 did not drain")
+        await self._listed(service, 2)
+        served = await self._send(address, 60, "s3 has left")
+        if "s3" in served:
+            raise DemoError("s3 was sent to after it had left")
+        say("it works")
+
+    async def _send(self, address: str, count: int, when: str) -> Counter[str]:
+        served: Counter[str] = Counter()
+        async with aiohttp.ClientSession() as session:
+            for number in range(count):
+                headers = {"X-Call-Id": f"{number:016x}", "X-Call-Class": "look", "X-Budget": "2000m"}
+                async with session.get(f"http://{address}/look/{number}", headers=headers) as answer:
+                    body = (await answer.read()).decode()
+                served[body.split(" ")[0] if answer.status == 200 else f"status {answer.status}"] += 1
+        told = ", ".join(f"{name} {times}" for name, times in sorted(served.items()))
+        self._say(f"  {when}: {count} requests, answered by {told}")
+        if any(name.startswith("status") for name in served):
+            raise DemoError("a request was not served")
+        return served
+
+    async def _listed(self, service: str, count: int) -> None:
+        """Wait until so many servers are listed and active."""
+        try:
+            async with asyncio.timeout(READY_S):
+                async for line in client.watch(service, "/registry/instances"):
+                    if line:
+                        told = await client.call(service, "GET", "/registry/instances")
+                        if sum(row["status"] == "active" for row in told["endpoints"]) == count:
+                            return
+        except TimeoutError:
+            raise DemoError(f"{count} servers were not listed within {READY_S:g} s") from None
+
+    async def _brassfall(self, name: str, *words: str) -> str:
+        """Start a process of this program and wait until it is ready; where it listens."""
+        process = self._processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "brassfall", *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE
+        )
+        assert process.stderr is not None
+        async with asyncio.timeout(READY_S):
+            async for line in process.stderr:
+                told = json.loads(line) if line.startswith(b"{") else {}
+                if told.get("event") == "ready":
+                    self._logs.append(asyncio.create_task(_drop(process.stderr)))
+                    return str(told["listen"])
+        raise DemoError(f"{name} did not start")
+
+    async def _sidecar(self, service: str) -> str:
+        """Start a sidecar as the platform does; where it listens, once it is ready."""
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        address = f"127.0.0.1:{_free_port()}"
+        config = self._folder / "sidecar.json"
+        known = {"index": 0, "snapshot": True, "endpoints": []}
+        told = {"name": "n1", "listen": address, "seed": "1", "known": known, "settings": SETTINGS}
+        config.write_text(json.dumps({**told, "fleet": {"registry": [service]}}))
+        kept = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
+        log = (self._folder / "sidecar.log").open("wb")
+        self._processes["sidecar"] = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", run, cwd=ROOT, env={**kept, "NODE_CONFIG": str(config)}, stderr=log
+        )
+        log.close()
+        async with asyncio.timeout(READY_S), aiohttp.ClientSession() as session:
+            while not await _serves(session, address):
+                if self._processes["sidecar"].returncode is not None:
+                    raise DemoError((self._folder / "sidecar.log").read_text().strip()[-300:])
+                await asyncio.sleep(0.05)
+        return address
+
+    async def _kill(self, name: str) -> None:
+        self._processes[name].kill()
+        await self._processes[name].wait()
+
+    async def _end(self) -> None:
+        for process in self._processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for task in self._logs:
+            task.cancel()
+
+
+async def _serves(session: aiohttp.ClientSession, address: str) -> bool:
+    """Whether a request is answered by a server: the list has come, and sending works."""
+    headers = {"X-Call-Id": "ffffffffffffffff", "X-Call-Class": "look", "X-Budget": "2000m"}
+    try:
+        async with session.get(f"http://{address}/look/first", headers=headers) as answer:
+            return answer.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+async def _drop(stream: asyncio.StreamReader) -> None:
+    while await stream.read(65_536):
+        pass
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+async def run(say: Callable[[str], None]) -> None:
+    """The demonstration, in a folder of its own that is removed at the end."""
+    with tempfile.TemporaryDirectory(prefix="brassfall-demo-") as folder:
+        await Demo(Path(folder), say).run()
--- a/brassfall/registry/client.py
+++ b/brassfall/registry/client.py
@@ -68,7 +68,8 @@
             self._task.cancel()
 
     async def _run(self) -> None:
-        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_S)) as session:
+        limit = aiohttp.ClientTimeout(total=self.state.patience_ms / 1000.0)
+        async with aiohttp.ClientSession(timeout=limit) as session:
             while not self.state.over:
                 await self._sleep()
                 if self.state.due > _now():
--- a/brassfall/registry/membership.py
+++ b/brassfall/registry/membership.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 FIRST_WAIT_MS, WAIT_MOST_MS = 100.0, 1000.0
+PATIENCE_MOST_MS = 2000.0
 
 
 class Place(Enum):
@@ -62,6 +63,11 @@
         """Whether the service has been told all that was wished."""
         return self.over or (self.place is Place.HELD and self._told == self._status)
 
+    @property
+    def patience_ms(self) -> float:
+        """How long to wait for an answer: so that two calls may come to nothing within one lease."""
+        return min(PATIENCE_MOST_MS, self.ttl_ms / 4.0)
+
     def wish(self, now: float, status: str) -> None:
         """The server wants to be `leaving`, or to have `left`; it is told at once."""
         self._status = status
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import socket
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -29,6 +30,7 @@
 from brassfall.table.log import Log, LogError
 from brassfall.table.store import Options, Store, Unavailable
 
+SWITCH_S = 0.0002
 BACKLOG = 4096  # a fleet connects at once
 BODY_S = 5.0  # for a body to arrive
 HELD = "X-Held-Index"  # a caller of the whole list says here which one it holds
@@ -504,6 +506,9 @@
 
 async def serve(settings: RegistrySettings) -> int:
     """Run until SIGTERM or SIGINT; the exit status."""
+    # The thread of the log asks for the interpreter several times in each commit, and would wait 5 ms
+    # for it each time while calls come in.
+    sys.setswitchinterval(SWITCH_S)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
--- a/brassfall/table/core.py
+++ b/brassfall/table/core.py
@@ -377,6 +377,9 @@
     if row is None and not isinstance(command, Put):
         return Result(Status.MISSING, 0, f"{command.key} is not there")
     if row is not None and command.fence is not None:
+        if command.fence > row.fence and not isinstance(command, Put):
+            # What a newer holder wrote is gone, with a disk: it has to write anew, and will be let.
+            return Result(Status.MISSING, 0, f"{command.key} belongs to an older holder, {row.fence}")
         wrong = _out_of_turn(command, row)
         if wrong:
             return Result(Status.CONFLICT, version, wrong)
@@ -392,8 +395,6 @@
     """Why the holder that a command names may not change a row."""
     if command.fence is not None and command.fence < row.fence:
         return f"{command.key} belongs to a newer holder, {row.fence}"
-    if isinstance(command, Put):
-        if command.fence == row.fence and command.owner != row.owner:
-            return f"{command.key} belongs to another holder with the same start, {row.owner}"
-        return ""
-    return "" if command.fence == row.fence else f"{command.key} belongs to an older holder, {row.fence}"
+    if isinstance(command, Put) and command.fence == row.fence and command.owner != row.owner:
+        return f"{command.key} belongs to another holder with the same start, {row.owner}"
+    return ""
--- a/brassfall/table/leases.py
+++ b/brassfall/table/leases.py
@@ -1,7 +1,8 @@
 """Leases by time to live, and the guard against taking a cut network for a mass death. Pure code.
 
 Time here is time served: it goes on by at most `STEP_MOST_MS` from one call to the next, so that
-a process that was stopped, or a machine that slept, finds all leases as long as it left them.
+a process that was stopped, or a machine that slept, finds all leases as long as it left them. Holders
+that waited for an answer meanwhile have to try again first: no lease ends for a while after a stall.
 """
 
 from __future__ import annotations
@@ -11,6 +12,8 @@
 from dataclasses import dataclass, field
 
 STEP_MOST_MS = 500.0
+STALL_MS = 1000.0  # a longer step is a stall
+MERCY_MS = 5000.0  # after one: a call that waits in vain, a pause, and a second one
 # A holder renews at a third of its time to live: two thirds without a word is a renewal missed.
 SILENT_PART = 2.0 / 3.0
 
@@ -55,6 +58,7 @@
         self._serial = 0
         self._recent: deque[float] = deque()  # when guarded ones expired
         self._served = 0.0
+        self._mercy = 0.0  # until then no lease ends
         self._seen: float | None = None
 
     def __len__(self) -> int:
@@ -128,8 +132,8 @@
             lease = self._leases.get(key)
             if lease is None or lease.serial != serial:
                 continue
-            if lease.ends > served:
-                self._place(key, lease, lease.ends)
+            if lease.ends > served or self._mercy > served:
+                self._place(key, lease, max(lease.ends, self._mercy))
             else:
                 due.append(key)
         return due
@@ -153,6 +157,8 @@
 
     def _time(self, now: float) -> float:
         if self._seen is not None:
+            if now - self._seen > STALL_MS:
+                self._mercy = self._served + STEP_MOST_MS + MERCY_MS
             self._served += min(max(0.0, now - self._seen), STEP_MOST_MS)
         self._seen = now if self._seen is None else max(now, self._seen)
         return self._served
--- a/brassfall/table/store.py
+++ b/brassfall/table/store.py
@@ -61,8 +61,8 @@
 
 def unix_floor(unix_s: float) -> int:
     """The least index of a life that begins at a time: above whatever an earlier life can have told,
-    if that made fewer than 2^20 changes a second; below 2^53 for some two hundred years."""
-    return int(unix_s) << 20
+    if that made fewer than 1,024 changes a millisecond; below 2^53 for some two hundred years."""
+    return int(unix_s * 1000.0) << 10
 
 
 class Store:
@@ -137,9 +137,11 @@
         row = self.table.get(table, key)
         if row is None:
             return Result(Status.MISSING, 0, f"{key} is not there")
-        if fence is not None and fence != row.fence:
-            whose = "a newer" if fence < row.fence else "an older"
-            return Result(Status.CONFLICT, row.version, f"{key} belongs to {whose} holder, {row.fence}")
+        if fence is not None and fence > row.fence:
+            # What that holder wrote is gone, with a disk: it has to write anew, and will be let.
+            return Result(Status.MISSING, 0, f"{key} belongs to an older holder, {row.fence}")
+        if fence is not None and fence < row.fence:
+            return Result(Status.CONFLICT, row.version, f"{key} belongs to a newer holder, {row.fence}")
         place = (table, key)
         self._heard[place] = self.now()
         if row.lease_ms and not self._of(table).renew(self.now(), key):
--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -302,6 +302,8 @@
             entry = _listing(row, names)
             if row.get("address"):
                 addresses[entry.server] = parse_address(row["address"])
+            elif bad is not None and entry.state != "left":
+                raise ValueError("no address")
         except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
             if bad is None:
                 raise
--- /dev/null
+++ b/tests/test_registry_simulated.py
@@ -0,0 +1,238 @@
+"""The cores of the list service and its callers, under simulated time: many seeds, drawn faults."""
+
+from __future__ import annotations
+
+import heapq
+import json
+import random
+from itertools import count
+
+import pytest
+
+from brassfall import settings
+from brassfall.registry import entries
+from brassfall.registry.entries import INSTANCES, Refused
+from brassfall.registry.membership import Membership, Place
+from brassfall.table.core import Delete, Status, Table
+from brassfall.table.leases import Guard, Leases
+from brassfall.table.store import unix_floor
+
+TTL = 3000
+GRACE = 5000.0
+KEEP = 20_000.0
+STATUS = {Status.DONE: 200, Status.MISSING: 404, Status.CONFLICT: 409, Status.STALE: 412}
+WANTS = settings.LeaseSettings()
+
+
+class Service:
+    """The cores as the process puts them together, its disk a list of records."""
+
+    def __init__(self):
+        self.disk, self.clock, self.told = [], 1_000.0, []
+        self.up = self.stalled = False
+
+    def start(self, now, lost=False):
+        if lost:
+            self.disk = []
+        self.table = Table()
+        self.table.absorb(self.disk)
+        self.write([self.table.life(unix_floor(self.clock + now / 1000.0), 0)])
+        self.leases = Leases(Guard(keep_ms=KEEP))
+        for row in self.table.rows(INSTANCES):
+            self.leases.grant(now, row.key, row.lease_ms, entries.guarded(INSTANCES, row), GRACE)
+        self.up = True
+
+    def write(self, records):
+        self.disk += records
+        self.table.absorb(records)
+        self.told.append(self.table.index)
+
+    def run(self, command):
+        stage = self.table.stage(0)
+        result = stage.run(command)
+        if stage.records:
+            self.write(stage.records)
+        return result
+
+    def look(self, now):
+        expired = self.leases.look(now).expired
+        for key in expired:
+            self.run(Delete(table=INSTANCES, key=key))
+        return expired
+
+    def call(self, now, call):
+        """Carry out one call of a member; its status."""
+        key, body = call.path.split("/")[3], json.dumps(call.body).encode()
+        if call.method == "POST":
+            row = self.table.get(INSTANCES, key)
+            if row is None:
+                return 404
+            if row.fence != call.body["since_ms"]:
+                return 409 if row.fence > call.body["since_ms"] else 404
+            self.leases.renew(now, key)
+            return 200
+        try:
+            command = (
+                entries.register(key, *entries.registration(key, body, WANTS), None, "")
+                if call.method == "PUT"
+                else entries.alter(key, body, None, "")
+                if call.method == "PATCH"
+                else entries.leave(key, entries.holder(body), None, "")
+            )
+        except Refused:
+            return 400
+        result = self.run(command)
+        row = self.table.get(INSTANCES, key)
+        if row is None:
+            self.leases.drop(key)
+        elif result.done:
+            self.leases.grant(now, key, row.lease_ms, entries.guarded(INSTANCES, row))
+        return STATUS[result.status]
+
+
+class World:
+    """Members, the service, and what is drawn to go wrong between them."""
+
+    def __init__(self, seed):
+        self.rng, self.now, self.order = random.Random(seed), 0.0, count()
+        self.events, self.service = [], Service()
+        self.members, self.dead, self.cut = {}, set(), set()
+        self.wrong, self.disturbed_at = [], {}
+        self.service.start(0.0)
+        for number in range(self.rng.randint(3, 14)):
+            self.join(f"s{number}", 0)
+        self.at(0.0, self.beat)
+
+    def at(self, when, what, *args):
+        heapq.heappush(self.events, (when, next(self.order), what, args))
+
+    def run(self, until):
+        while self.events and self.events[0][0] <= until:
+            self.now, _, what, args = heapq.heappop(self.events)
+            what(*args)
+
+    def join(self, name, since):
+        entry = {"name": name, "address": f"127.0.0.1:{7000 + since}", "since_ms": since}
+        self.members[name, since] = member = Membership(entry, TTL)
+        self.at(self.now + self.rng.random() * 200.0, self.speak, name, since)
+        return member
+
+    def beat(self):
+        if self.service.up and not self.service.stalled:
+            for key in self.service.look(self.now):
+                # Whoever lives and could speak for longer than a lease may not be dropped.
+                quiet = self.now - self.disturbed_at.get(key, 0.0)
+                if key not in self.dead and key not in self.cut and quiet > TTL + 2000.0:
+                    self.wrong.append((self.now, key))
+        self.at(self.now + 100.0, self.beat)
+
+    def speak(self, name, since):
+        member = self.members[name, since]
+        if (name, since) in self.dead or member.over:
+            return
+        if member.due > self.now:
+            self.at(member.due, self.speak, name, since)
+            return
+        call, way = member.call(self.now), self.rng.uniform(1.0, 40.0)
+        self.at(self.now + way, self.arrive, name, since, call, way)
+
+    def arrive(self, name, since, call, way):
+        reachable = name not in self.cut and self.service.up and not self.service.stalled
+        status = self.service.call(self.now, call) if reachable else 0
+        lost = status and self.rng.random() < 0.02  # the answer, after the call was carried out
+        wait = way if status and not lost else self.members[name, since].patience_ms
+        self.at(self.now + wait, self.answered, name, since, 0 if lost else status)
+
+    def answered(self, name, since, status):
+        if (name, since) not in self.dead:
+            self.members[name, since].ended(self.now, status, self.rng.random())
+            self.speak(name, since)
+
+    # --- faults: each is over by the time it names ---------------------------------------------
+
+    def service_down(self, until, lost):
+        self.service.up = False
+        self.at(until, self.service_up, lost)
+
+    def service_up(self, lost):
+        self.service.start(self.now, lost)
+
+    def stall(self, until):
+        self.service.stalled = True
+        self.at(until, self.go_on)
+
+    def go_on(self):
+        self.service.stalled = False
+
+    def cut_off(self, until, names):
+        self.cut |= names
+        self.at(until, self.mend, names)
+
+    def mend(self, names):
+        self.cut -= names
+        for name in names:
+            self.disturbed_at[name] = self.now
+
+    def kill(self, name, since):
+        self.dead |= {name, (name, since)}
+
+    def replace(self, name, since):
+        """A newer process takes the name, while the older one may live on."""
+        self.join(name, since)
+
+    def drain(self, name, since):
+        member = self.members[name, since]
+        member.wish(self.now, "leaving")
+        self.at(self.now + 600.0, member.wish, self.now + 600.0, "left")
+        self.at(self.now + 600.0, self.speak, name, since)
+        self.dead.add(name)  # it may leave the list from now on
+
+
+def play(seed):
+    """One drawn world: its service, and what was wrong."""
+    world = World(seed)
+    rng = world.rng
+    names = [name for name, _ in world.members]
+    rng.shuffle(names)
+    gone, renewed = names[:1], names[1:2]
+    world.run(5000.0)
+    for _ in range(rng.randint(1, 3)):
+        begin = rng.uniform(6000.0, 20_000.0)
+        until = begin + rng.choice((500.0, 4000.0, 15_000.0))
+        fault = rng.randrange(4)
+        if fault == 0:
+            world.at(begin, world.service_down, until, rng.random() < 0.4)
+        elif fault == 1:
+            world.at(begin, world.stall, until)
+        else:
+            part = set(rng.sample(names, max(1, len(names) // rng.randint(1, 4))))
+            world.at(begin, world.cut_off, until, part)
+    world.at(rng.uniform(6000.0, 25_000.0), world.drain if rng.random() < 0.5 else world.kill, gone[0], 0)
+    if rng.random() < 0.5:
+        world.at(rng.uniform(6000.0, 25_000.0), world.replace, renewed[0], 5)
+    # The last fault is over at 35 s; a suspect is kept for 20 s past its lease.
+    world.run(35_000.0)
+    world.run(35_000.0 + KEEP + TTL + GRACE + 2000.0)
+    return world, set(gone), renewed[0] if (renewed[0], 5) in world.members else None
+
+
+@pytest.mark.parametrize("part", range(4))
+def test_after_any_drawn_faults_the_list_is_true_again(part):
+    doubted = lives = 0
+    for seed in range(part * 500, part * 500 + 500):
+        world, gone, renewed = play(seed)
+        service = world.service
+        listed = {row.key: row.fence for row in service.table.rows(INSTANCES)}
+        alive = {name for name, _ in world.members} - gone
+        assert set(listed) == alive, seed
+        assert world.wrong == [], seed  # nobody was dropped who lived and could speak
+        assert service.told == sorted(service.told), seed
+        assert len({record.index for record in service.disk if record.kind in ("put", "delete")}) == sum(
+            record.kind in ("put", "delete") for record in service.disk
+        ), seed
+        if renewed is not None:
+            assert listed[renewed] == 5, seed
+            assert world.members[renewed, 0].place is Place.LOST, seed
+        lives += service.told[-1] > service.told[0] + 2**20
+        doubted += bool(world.cut or world.disturbed_at)
+    assert lives > 50 and doubted > 50  # the faults were there
--- a/tests/test_sidecar_lists.py
+++ b/tests/test_sidecar_lists.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
+import random
 import socket
 
 import pytest
 
-from fordtrestle import config, discovery
+from fordtrestle import config, discovery, fleet
 from poppypulley.model import Fetch, Tell, Watch
-from tests.loopback import Registry, Scripted, entry, listed, loopback, running, until
+from tests.loopback import Registry, Scripted, Upstream, entry, listed, loopback, running, told, until
 
 
 def told_of(module):
@@ -175,3 +176,138 @@
         assert await loop.run_in_executor(None, everyone.recv, 999) == b"all"
     for sock in (peer, stranger, everyone):
         sock.close()
+
+
+# --- with the key `fleet` --------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("line", "held", "said"),
+    [
+        (b'{"index":50,"snapshot":true,"endpoints":[', ["s0", "s1"], "not a list"),  # half a line
+        (b"\x00\xff\n", ["s0", "s1"], "not a list"),
+        (b'{"index":50,"snapshot":true,"endpoints":[]}\n', ["s0", "s1"], "a list without servers"),
+        (json.dumps(listed(7, entry("s9"))).encode() + b"\n", ["s0", "s1"], "version 7"),
+        (b'{"index":50,"endpoints":[' + b" " * 5_000_000, ["s0", "s1"], "too long"),
+        (  # one bad entry among good ones: it stays as it was, and the others are taken
+            json.dumps(listed(50, entry("s0", status="asleep"), entry("s2"))).encode() + b"\n",
+            ["s0", "s2"],
+            "asleep",
+        ),
+        (json.dumps(listed(50, entry("s2"), {"name": "s3"}, 7)).encode() + b"\n", ["s2"], "kept as"),
+    ],
+)
+@loopback
+async def test_a_fleet_keeps_its_last_good_list_and_says_so_once(line, held, said, monkeypatch, capsys):
+    monkeypatch.setattr(fleet, "FIRST_WAIT_S", 0.01)
+    registry = await Registry().start()
+    module = Scripted()
+    known = listed(41, entry("s0"), entry("s1"))
+    raw = {"known": known, "fleet": {"registry": [registry.address]}}
+    async with running(balancer=module, registry=registry, raw=raw) as sidecar:
+        for again in range(1, 3):
+            await until(lambda again=again: len(registry.watches) >= again)
+            registry.write(line)
+            registry.watches[-1].write(b"0\r\n\r\n")  # the end of the answer
+            registry.watches[-1].close()
+        await until(lambda: len(registry.watches) >= 3)
+        assert sorted(sidecar.discovery._held._entries) == held
+        assert sorted(sidecar.pool._servers) == sorted(held)
+        lines = [text for text in capsys.readouterr().err.splitlines() if said in text]
+        assert len(lines) == (1 if "without" in said or "version" in said else 2), lines
+        registry.tell(60, entry("s5"), snapshot=True)  # and the service goes on
+        await until(lambda: sorted(sidecar.pool._servers) == ["s5"])
+
+
+@loopback
+async def test_a_fleet_fails_over_and_stays_and_comes_back_when_told(monkeypatch):
+    monkeypatch.setattr(fleet, "FIRST_WAIT_S", 0.01)
+    turned_away = 0
+
+    async def turn_away(reader, writer):
+        nonlocal turned_away
+        turned_away += 1
+        return b"HTTP/1.1 503 No\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n"
+
+    full = await Upstream([turn_away]).start()
+    good = await Registry().start()
+    module = Scripted()
+    addresses = {"registry": ["127.0.0.1:9", good.address]}
+    async with running(balancer=module, registry=good, raw={"fleet": addresses}) as sidecar:
+        for number in range(1, 4):  # the watch breaks, and each time the working one is found again
+            await until(lambda number=number: len(good.watches) >= number)
+            good.tell(50 + number, entry("s0"))
+            await until(lambda number=number: f"version={50 + number}" in sidecar.discovery.state)
+            assert good.address in sidecar.discovery.state
+            good.watches[-1].close()
+        sidecar.discovery.move(config.parse_address(full.address), (config.parse_address(full.address),))
+        await until(lambda: turned_away > 2)
+        assert sorted(sidecar.pool._servers) == ["s0"]
+
+
+def test_where_to_ask_is_spread_and_waits_grow():
+    addresses = [config.Address("127.0.0.1", port) for port in (1, 2, 3)]
+    made = [fleet.Sources(addresses, random.Random(seed)) for seed in range(300)]
+    starts = [source.current.port for source in made]
+    assert min(starts.count(port) for port in (1, 2, 3)) > 70
+    first = [source.failed() for source in made]
+    assert len(set(first)) == 300 and min(first) < 0.1 and max(first) > 0.3
+    for source, port in zip(made, starts, strict=True):
+        assert source.current.port == port % 3 + 1
+    one = made[0]
+    waits = [one.failed() for _ in range(30)]
+    assert max(waits) <= 1.5 * fleet.WAIT_MOST_S and max(waits) > 0.5
+    told = [source.failed(4.0) for source in made]
+    assert min(told) >= 4.0 and max(told) <= 5.0 and len(set(told)) > 200
+    at = one.current
+    one.failed(4.0)
+    assert one.current == at  # who was told when to come back stays
+    one.worked()
+    assert one.failed() <= 1.5 * fleet.FIRST_WAIT_S
+
+
+@pytest.mark.parametrize(
+    ("heard", "now", "bound"),
+    [
+        ([], 9.0, None),
+        ([(0.5, 0)], 1.0, 1.0),  # asked at 0: the list may be as old as that
+        ([(0.5, 0), (2.5, 1)], 3.0, 3.0 - 1.98),
+        ([(0.5, 0), (2.5, 1), (9.0, 2)], 9.0, 9.0 - 3.96),  # late on its way: its age counts from its sending
+        ([(0.5, 9)], 1.0, 0.5),  # never younger than heard
+    ],
+)
+def test_the_age_of_a_list_is_never_told_too_low(heard, now, bound):
+    age = fleet.Age()
+    for at, empties in heard:
+        age.confirmed(0.0, at, empties)
+    assert age.bound(now) == (None if bound is None else pytest.approx(bound))
+
+
+def test_the_age_of_a_list_is_logged_as_it_passes_bounds_and_not_again():
+    age = fleet.Age()
+    age.confirmed(0.0, 0.1, 0)
+    said = [text for now in range(0, 400) if (text := age.passed(float(now)))]
+    age.confirmed(400.0, 400.1, 0)
+    assert [*said, age.passed(401.0)] == [
+        "the list is older than 5 s",
+        "the list is older than 30 s",
+        "the list is older than 300 s",
+        "the list is fresh again",
+    ]
+
+
+def test_a_list_that_cannot_be_right_is_believed_in_the_end():
+    doubt, empty = fleet.Doubt(), config.ServerList(50, True, [], {})
+    assert "without servers" in doubt.of(empty, 41, 3, 0.0)
+    assert doubt.of(empty, 41, 3, fleet.DOUBT_S - 1.0)
+    assert doubt.of(empty, 41, 3, fleet.DOUBT_S) is None
+    assert doubt.of(empty, 41, 0, 0.0) is None  # nothing is lost by it
+    assert "version 50" in doubt.of(empty, 60, 0, 0.0)
+
+
+@pytest.mark.parametrize(
+    "value", [{}, {"registry": []}, {"registry": "127.0.0.1:1"}, {"registry": ["x"]}, [], {"colour": 1}]
+)
+def test_a_fleet_that_is_none_stops_the_start(value):
+    with pytest.raises((ValueError, KeyError)):
+        told(raw={"fleet": value})
