Let the fleet's tests see each drain step, the end of a slow watch and the life of a key

Change: a drained server's watch must tell leaving and then left; a watch that is cut off must be gone; a keyed request may repeat only within its key's life; who drains is let go while others are suspect. A bench that is interrupted ends its loads.

--- a/brassfall/registry/bench.py
+++ b/brassfall/registry/bench.py
@@ -134,7 +134,12 @@
             *map(str, words),
             stdout=asyncio.subprocess.PIPE,
         )
-        out, _ = await process.communicate()
+        try:
+            out, _ = await process.communicate()
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         if process.returncode:
             raise RuntimeError(f"the load {kind} failed")
         return json.loads(out)
--- a/tests/test_registry_fleet.py
+++ b/tests/test_registry_fleet.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import shutil
 import signal
 from collections import Counter
 
 import pytest
 
-from tests.loopback import bounded
+from brassfall.registry import client
+from tests.loopback import bounded, until
 from tests.processes import Fleet
 
 # After each fault the lists agree within so many seconds; stated in docs/registry.md as 5, and
@@ -63,9 +65,11 @@
     fleet.far.cut()
     suspect = await fleet.service.event("suspect")
     assert set(suspect["keys"]) <= {"s0", "s3"}
+    assert await fleet.servers["s1"].end(signal.SIGTERM) == 0  # who leaves is let go all the same
+    assert await fleet.agree(5) < AGREE_S
     await fleet.more()
     fleet.far.mend()
-    return 6
+    return 5
 
 
 async def server_killed(fleet):
@@ -75,7 +79,20 @@
 
 
 async def server_drained(fleet):
+    seen = []
+
+    async def look():
+        async for line in client.watch(fleet.service.listen, "/registry/instances"):
+            rows = json.loads(line)["endpoints"] if line else ()
+            seen.extend(row["status"] for row in rows if row["name"] == "s2")
+            if seen[-1] == "left":
+                return
+
+    looking = asyncio.create_task(look())
+    await until(lambda: seen == ["active"])
     assert await fleet.servers["s2"].end(signal.SIGTERM) == 0
+    await looking
+    assert seen == ["active", "leaving", "left"]
     return 5
 
 
@@ -96,6 +113,12 @@
         runs = Counter((row["class"], row["id"]) for row in ran if row["ran"])
         assert [call for call, times in runs.items() if call[0] == "pay" and times > 1] == []
         assert max(times for call, times in runs.items()) <= 3  # `MaxAttempts`
+        keyed = {}
+        for row in ran:
+            if row["class"] == "book":
+                first, last = keyed.get(row["key"], (row["at"], row["at"]))
+                keyed[row["key"]] = (min(first, row["at"]), max(last, row["at"]))
+        assert len(keyed) > 50 and max(last - first for first, last in keyed.values()) < 1.2  # `KeyTtl`
         # Sends that begin later than the rule allows; what is on its way by then may still arrive.
         assert [row for row in ran if (row["since_leaving_s"] or 0.0) > 0.6] == []
         for load, _ in fleet.callers:
--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -367,6 +367,9 @@
     async with asyncio.timeout(20.0):
         while not (await figures(session, service))["brassfall_watches_cut_total"]:
             await asyncio.sleep(0.1)
+    async with asyncio.timeout(20.0):
+        while (await figures(session, service))["brassfall_watches"] != 1:
+            await asyncio.sleep(0.1)
     assert not reading.done()  # and the quick one has its watch as before
     reading.cancel()
     kept.close()
