--- a/tests/processes.py
+++ b/tests/processes.py
@@ -293,7 +293,7 @@
     async with asyncio.timeout(PATIENCE_S):
         answer = await reader.read()
     writer.close()
-    return answer.decode().strip()
+    return answer
 
 
 class Callers:
@@ -382,7 +382,7 @@
     async def lists(self):
         """What each sidecar holds: version, age and number of servers."""
         answers = await asyncio.gather(*(ask_door(door, b"LIST\n") for door in self.doors))
-        return [dict(part.split("=") for part in answer.split(" ")[1:]) for answer in answers]
+        return [dict(part.split("=") for part in answer.decode().split()[1:]) for answer in answers]
 
     async def agree(self, count):
         """Wait until every sidecar holds the list that the service tells, and knows so; in how long."""
--- a/tests/test_operation_process.py
+++ b/tests/test_operation_process.py
@@ -10,22 +10,13 @@
 
 from fordtrestle.config import Address
 from tests import loopback as partners
-from tests.loopback import OK, PATIENCE_S, App, Upstream, loopback, until
-from tests.processes import Load, Process, free_port, yes
+from tests.loopback import OK, App, Upstream, loopback, until
+from tests.processes import Load, Process, ask_door, free_port, yes
 
 LARGE = 32 * 1000 * 1000
 PART = b"x" * 65_536
 
 
-async def call(door, line):
-    reader, writer = await asyncio.open_connection(*door)
-    writer.write(line)
-    async with asyncio.timeout(PATIENCE_S):
-        answer = await reader.read()
-    writer.close()
-    return answer
-
-
 async def health(address):
     app = await App.connect(address)
     answer = await app.ask("GET", "/health/ready", X_Call_Class=None)
@@ -47,7 +38,7 @@
         await until(lambda: load.answered > answered + 50)
 
     await more()
-    assert await call(door, b"LAMEDUCK\n") == b"done lame duck\n"
+    assert await ask_door(door, b"LAMEDUCK\n") == b"done lame duck\n"
     assert await health(made.address) == "503"
     await more()  # what still comes is served
     path = tmp_path / "config.json"
@@ -57,7 +48,7 @@
         path.write_text(text)
         made.process.send_signal(signal.SIGHUP)
         await more()
-    assert await call(door, b"REJOIN\n") == b"done serving\n"
+    assert await ask_door(door, b"REJOIN\n") == b"done serving\n"
     assert await health(made.address) == "200"
     app = await App.connect(made.address)
     assert (await app.ask("GET", "/view")).body == b"done"
@@ -159,7 +150,7 @@
             slow.writer.write(whole[60 + number // 10 : 61 + number // 10])
     slow.writer.write(whole[100:])
     assert (await slow.answer()).body == b"done"
-    assert await call(door, b"PING\n") == b"done serving\n"
+    assert await ask_door(door, b"PING\n") == b"done serving\n"
     assert await health(made.address) == "200"
     made.process.terminate()
     assert await made.process.wait() == 0
