Bound the tables of the list service, and let an empty line follow all that was told

Need: read over once more: lists and watches of tables that nobody wrote left a channel behind for each name, the number of tables had no bound, and an empty line could be written between a change and its telling, which made the age bound a loop's turn too low. Change: channels of unwritten tables go with their last watch; limits.tables (256); the beat tells what is due first. Result: a new test (20 unwritten tables, then 5 tables where 3 may be) failed before and passes; all of the service's pass.

--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -279,6 +279,9 @@
         store = self.store.table
         if store.get(table, key) is None and sum(map(store.count, store.names)) >= self.settings.limits.rows:
             raise Unavailable(f"all {self.settings.limits.rows} rows are taken", 10.0)
+        names = store.names
+        if table not in names and len(names) >= self.settings.limits.tables:
+            raise Unavailable(f"all {self.settings.limits.tables} tables are taken", 10.0)
 
     # --- instances --------------------------------------------------------------
 
@@ -299,7 +302,14 @@
         wait = self._door.wait(time.monotonic(), self._rng.random())
         if wait:
             return self._turn_away("too many ask for the whole list at once", wait)
-        return answer(self.channel(table).whole())
+        whole = answer(self.channel(table).whole())
+        self._forget(table)
+        return whole
+
+    def _forget(self, table: str) -> None:
+        """Whoever asks for tables that nobody has written leaves nothing behind."""
+        if not self.channel(table).count and table not in self.store.table.names:
+            del self.channels[table]
 
     def _turn_away(self, reason: str, wait: float) -> web.Response:
         self.turned_away += 1
@@ -398,11 +408,12 @@
         if why:
             return self._turn_away(why, 5.0 + 5.0 * self._rng.random())
         try:
-            return await self._tell(request, self.channel(table), index)
+            return await self._tell(request, table, index)
         finally:
             self.watching.give(connection.caller)
+            self._forget(table)
 
-    async def _tell(self, request: web.Request, channel: Channel, index: int) -> web.StreamResponse:
+    async def _tell(self, request: web.Request, table: str, index: int) -> web.StreamResponse:
         """Keep a watch until it ends. Its lines are written past aiohttp's stream, to all watches alike."""
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         response.enable_chunked_encoding()
@@ -416,6 +427,7 @@
         ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         if transport is None:
             return response
+        channel = self.channel(table)
         if not held:
             transport.write(chunk(channel.first(index)[1:]))
         watch = channel.add(transport, index if held else channel.last, held, ended)
--- a/brassfall/registry/watches.py
+++ b/brassfall/registry/watches.py
@@ -201,6 +201,10 @@
 
     def beat(self) -> None:
         """One part of the beat: an empty line for a twentieth of the watches, and a look at the slow ones."""
+        if self._flush is not None:
+            # An empty line says that all before it was told.
+            self._flush.cancel()
+            self._tell()
         self._beats += 1
         for watch in self._slots[self._beats % SLOTS]:
             if watch.new:
--- a/brassfall/settings.py
+++ b/brassfall/settings.py
@@ -27,6 +27,7 @@
     idle_ms: int = 15_000  # a connection without a call
     queue: int = 4096  # writes that wait for the disk
     rows: int = 100_000  # of all tables
+    tables: int = 256
 
 
 class GuardSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/brassfall/table/core.py
+++ b/brassfall/table/core.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from itertools import islice
@@ -181,7 +181,7 @@
         return len(self._rows.get(table, ()))
 
     @property
-    def names(self) -> Iterable[str]:
+    def names(self) -> Collection[str]:
         """The tables that have been written to."""
         return self._rows.keys()
 
--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -186,6 +186,17 @@
     assert seen == [("one", {"who": "c"}), ("one", None)]
 
 
+@running(limits={"tables": 3})
+async def test_tables_that_nobody_writes_leave_nothing_behind_and_the_others_are_bounded(service, session):
+    for number in range(20):
+        assert (await call(session, service, "GET", f"/tables/none{number}"))[1]["rows"] == []
+    statuses = [(await call(session, service, "PUT", f"/tables/t{n}/k", 1))[0] for n in range(5)]
+    assert statuses == [200, 200, 200, 503, 503]
+    assert (await call(session, service, "PUT", "/tables/t0/other", 1))[0] == 200
+    _, told, _ = await call(session, service, "GET", "/status")
+    assert set(told["watches"]) <= {"t0", "t1", "t2"}
+
+
 # --- a herd ---------------------------------------------------------------------------------------
 
 
