Read what a call says in a module of its own

Change: path, headers and answers are read and made in registry/calls.py; nothing else is different.

--- /dev/null
+++ b/brassfall/registry/calls.py
@@ -0,0 +1,47 @@
+"""What a call says in its path and headers, and how it is answered."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from brassfall.registry import entries
+from brassfall.registry.entries import INSTANCES, Refused
+
+
+def answer(body: bytes, status: int = 200) -> web.Response:
+    """JSON that is encoded already."""
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+def place(request: web.Request) -> tuple[str, str]:
+    """The table and key that the path names; `Refused` if they are none."""
+    return entries.name(request.match_info["table"]), entries.name(request.match_info["key"])
+
+
+def own_place(request: web.Request) -> tuple[str, str]:
+    """The same, for a write: instances have a path of their own."""
+    table, key = place(request)
+    if table == INSTANCES:
+        raise Refused("instances are written under /registry/instances")
+    return table, key
+
+
+def number(text: str, field: str) -> int:
+    """A whole number; `Refused` names the field."""
+    if not (text.isascii() and text.isdigit() and len(text) <= 16):
+        raise Refused(f"{field}: {text[:40]!r} is no whole number from 0 up")
+    return int(text)
+
+
+def match(request: web.Request) -> int | None:
+    """The version that `If-Match` names, if any."""
+    text = request.headers.get("If-Match")
+    return None if text is None else number(text.strip('"'), "If-Match")
+
+
+def request_id(request: web.Request) -> str:
+    """`X-Request-Id`, or an empty text."""
+    text = request.headers.get("X-Request-Id", "")
+    if len(text) > 128 or not text.isprintable():
+        raise Refused("X-Request-Id: up to 128 printable characters are wanted")
+    return text
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -18,8 +18,9 @@
 from aiohttp import web
 
 from brassfall.logs import logger
-from brassfall.registry import entries
+from brassfall.registry import calls, entries
 from brassfall.registry.callers import HEAD_BYTES, QUIET, Callers, Connection, error
+from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES, Refused
 from brassfall.registry.limits import Door, Rates, Shares
 from brassfall.registry.metrics import Metrics
@@ -41,11 +42,6 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-def answer(body: bytes, status: int = 200) -> web.Response:
-    """JSON that is encoded already."""
-    return web.Response(body=body, status=status, content_type="application/json")
-
-
 class Service:
     """One list service within a running loop."""
 
@@ -288,7 +284,7 @@
     async def _instances(self, request: web.Request) -> web.StreamResponse:
         if request.query.get("watch", "0") not in ("0", ""):
             return await self._watch(request, INSTANCES)
-        held = _number(request.headers.get(HELD, "0"), HELD)
+        held = calls.number(request.headers.get(HELD, "0"), HELD)
         if held and self.store.table.since(INSTANCES, held) is None:
             self._earlier_life()
         return self._list(INSTANCES)
@@ -325,7 +321,9 @@
         key = entries.name(request.match_info["name"])
         asked, ttl = entries.registration(key, await self._body(request), self.settings.leases)
         self._room(INSTANCES, key)
-        return await self._run(entries.register(key, asked, ttl, _match(request), _request_id(request)))
+        return await self._run(
+            entries.register(key, asked, ttl, calls.match(request), calls.request_id(request))
+        )
 
     async def _renew(self, request: web.Request) -> web.Response:
         key = entries.name(request.match_info["name"])
@@ -338,13 +336,13 @@
     async def _alter(self, request: web.Request) -> web.Response:
         key = entries.name(request.match_info["name"])
         return await self._run(
-            entries.alter(key, await self._body(request), _match(request), _request_id(request))
+            entries.alter(key, await self._body(request), calls.match(request), calls.request_id(request))
         )
 
     async def _leave(self, request: web.Request) -> web.Response:
         key = entries.name(request.match_info["name"])
         fence = entries.holder(await self._body(request))
-        return await self._run(entries.leave(key, fence, _match(request), _request_id(request)))
+        return await self._run(entries.leave(key, fence, calls.match(request), calls.request_id(request)))
 
     # --- other tables -------------------------------------------------------------
 
@@ -355,41 +353,41 @@
         return self._list(table)
 
     async def _get(self, request: web.Request) -> web.Response:
-        table, key = _place(request)
+        table, key = calls.place(request)
         row = self.store.table.get(table, key)
         if row is None:
             return error(404, f"{key} is not there")
         return answer(_encode(self._row(table, row)))
 
     async def _put(self, request: web.Request) -> web.Response:
-        table, key = _own_place(request)
+        table, key = calls.own_place(request)
         try:
             value = msgspec.json.decode(await self._body(request))
         except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as wrong:
             raise Refused(f"the value is no JSON: {wrong}") from wrong
         self._room(table, key)
         lease = request.headers.get("X-Lease")
-        ttl = entries.ttl(_number(lease, "X-Lease"), self.settings.leases) if lease is not None else 0
+        ttl = entries.ttl(calls.number(lease, "X-Lease"), self.settings.leases) if lease is not None else 0
         return await self._run(
             Put(
                 table=table,
                 key=key,
                 value=value,
                 lease_ms=ttl,
-                if_match=_match(request),
-                request_id=_request_id(request),
+                if_match=calls.match(request),
+                request_id=calls.request_id(request),
             )
         )
 
     async def _delete(self, request: web.Request) -> web.Response:
-        table, key = _own_place(request)
+        table, key = calls.own_place(request)
         return await self._run(
-            Delete(table=table, key=key, if_match=_match(request), request_id=_request_id(request))
+            Delete(table=table, key=key, if_match=calls.match(request), request_id=calls.request_id(request))
         )
 
     async def _renew_row(self, request: web.Request) -> web.Response:
-        table, key = _own_place(request)
-        version = _match(request)
+        table, key = calls.own_place(request)
+        version = calls.match(request)
         row = self.store.table.get(table, key)
         if row is not None and version is not None and row.version != version:
             return error(412, f"{key} has version {row.version}, not version {version}")
@@ -398,7 +396,7 @@
     # --- watches --------------------------------------------------------------------
 
     async def _watch(self, request: web.Request, table: str) -> web.StreamResponse:
-        index = _number(request.query.get("from", "0"), "from")
+        index = calls.number(request.query.get("from", "0"), "from")
         connection = request.protocol
         assert isinstance(connection, Connection)
         wait = self._door.wait(time.monotonic(), self._rng.random())
@@ -480,35 +478,6 @@
         }
 
 
-def _place(request: web.Request) -> tuple[str, str]:
-    return entries.name(request.match_info["table"]), entries.name(request.match_info["key"])
-
-
-def _own_place(request: web.Request) -> tuple[str, str]:
-    table, key = _place(request)
-    if table == INSTANCES:
-        raise Refused("instances are written under /registry/instances")
-    return table, key
-
-
-def _number(text: str, field: str) -> int:
-    if not (text.isascii() and text.isdigit() and len(text) <= 16):
-        raise Refused(f"{field}: {text[:40]!r} is no whole number from 0 up")
-    return int(text)
-
-
-def _match(request: web.Request) -> int | None:
-    text = request.headers.get("If-Match")
-    return None if text is None else _number(text.strip('"'), "If-Match")
-
-
-def _request_id(request: web.Request) -> str:
-    text = request.headers.get("X-Request-Id", "")
-    if len(text) > 128 or not text.isprintable():
-        raise Refused("X-Request-Id: up to 128 printable characters are wanted")
-    return text
-
-
 def _raise_descriptors() -> None:
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft != hard:
