--- a/tests/test_registry_fleet.py
+++ b/tests/test_registry_fleet.py
@@ -65,6 +65,8 @@
     fleet.far.cut()
     suspect = await fleet.service.event("suspect")
     assert set(suspect["keys"]) <= {"s0", "s3"}
+    told = await client.call(fleet.service.listen, "GET", "/status")
+    assert told["suspects"] and set(told["suspects"]) <= {"s0", "s3"}
     assert await fleet.servers["s1"].end(signal.SIGTERM) == 0  # who leaves is let go all the same
     assert await fleet.agree(5) < AGREE_S
     await fleet.more()
--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -186,6 +186,20 @@
     assert seen == [("one", {"who": "c"}), ("one", None)]
 
 
+@running(limits={"caller_calls_per_s": 2})
+async def test_a_caller_that_calls_too_often_is_told_when_to_come_back(service, session):
+    calls = [await call(session, service, "GET", "/health/live") for _ in range(40)]
+    refused = [(told, headers) for status, told, headers in calls if status == 429]
+    # A second's worth comes through at once, and what comes due meanwhile.
+    assert [status for status, _, _ in calls[:2]] == [200, 200] and len(refused) >= 10
+    told, headers = refused[0]
+    assert told["error"] == "too many calls" and 0.0 < float(headers["Retry-After"]) <= 0.5
+    url = f"http://{service.listen}/health/live"
+    other = aiohttp.TCPConnector(local_addr=("127.0.0.2", 0))
+    async with aiohttp.ClientSession(connector=other) as far, far.get(url) as answer:
+        assert answer.status == 200  # another caller has a rate of its own
+
+
 @running(limits={"tables": 3})
 async def test_tables_that_nobody_writes_leave_nothing_behind_and_the_others_are_bounded(service, session):
     for number in range(20):
