End every process that a test of the list service started, also where it fails

Need: tests that failed amid their start or their faults left eight processes behind on this machine. Change: processes of the fleet's fixture are context managers; a fleet whose start fails ends what it had started.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -210,6 +210,13 @@
     def send(self, number):
         self.process.send_signal(number)
 
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        if self.process is not None:
+            await self.end(signal.SIGKILL)
+
     async def end(self, number=signal.SIGTERM):
         """Stop it; its exit status."""
         if self.process.returncode is None:
@@ -336,10 +343,18 @@
         self.tmp_path, self._ttl_ms = tmp_path, ttl_ms
         self.service = Service(tmp_path, **changes)
         self._counts = servers, sidecars
+        self.near = self.far = None
         self.over_at = None  # when the fault was over, where that is before its test says so
         self.servers, self.sidecars, self.doors, self.callers = {}, [], [], []
 
     async def __aenter__(self):
+        try:
+            return await self._start()
+        except BaseException:
+            await self.__aexit__()  # what was started ends with a start that failed, too
+            raise
+
+    async def _start(self):
         servers, sidecars = self._counts
         await self.service.start()
         self.near = await Proxy(self.service.listen).start()  # between sidecars and the service
@@ -430,11 +445,11 @@
             for task in tasks:
                 task.cancel()
         for made in (*self.servers.values(), self.service):
-            if made.process is not None:
-                await made.end(signal.SIGKILL)
+            await made.__aexit__()
         for made in self.sidecars:
             if made.process.returncode is None:
                 made.process.kill()
             await made.process.wait()
-        self.near.stop()
-        self.far.stop()
+        for proxy in (self.near, self.far):
+            if proxy is not None:
+                proxy.stop()
--- a/tests/test_registry_command.py
+++ b/tests/test_registry_command.py
@@ -26,8 +26,12 @@
 
 @bounded(90.0)
 async def test_what_is_registered_by_hand_is_listed_and_leaves(tmp_path):
-    service = Service(tmp_path)
-    await service.start()
+    async with Service(tmp_path) as service:
+        await service.start()
+        await by_hand(service)
+
+
+async def by_hand(service):
     at = ("--at", service.listen)
     assert brassfall("registry", "register", *at, "s1", "127.0.0.1:7001", "--zone", "a")[0] == 0
     status, out, _ = brassfall("registry", "list", *at, "--json")
--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -28,13 +28,9 @@
     def wrap(test):
         @bounded(120.0)
         async def run(tmp_path):
-            service = Service(tmp_path, **changes)
-            await service.start()
-            try:
-                async with aiohttp.ClientSession() as session:
-                    await test(service, session)
-            finally:
-                await service.end(signal.SIGKILL)
+            async with Service(tmp_path, **changes) as service, aiohttp.ClientSession() as session:
+                await service.start()
+                await test(service, session)
 
         run.__name__ = test.__name__
         return run
@@ -98,45 +94,46 @@
 
 @bounded(150.0)
 async def test_thirty_kills_amid_writes_lose_nothing_acknowledged(tmp_path):
-    service = Service(tmp_path, limits={"caller_calls_per_s": 0})
-    writers, rng = Writers(service, 16), random.Random(5)
-    for _ in range(30):
+    async with Service(tmp_path, limits={"caller_calls_per_s": 0}) as service:
+        writers, rng = Writers(service, 16), random.Random(5)
+        for _ in range(30):
+            await service.start()
+            async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+                await writers.check(session)
+                tasks = writers.start(session)
+                enough = len(writers.indexes) + rng.randint(1, 400)
+                await until(lambda enough=enough: len(writers.indexes) >= enough)
+                await service.end(signal.SIGKILL)
+                await asyncio.gather(*tasks)
         await service.start()
-        async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        async with aiohttp.ClientSession() as session:
             await writers.check(session)
-            tasks = writers.start(session)
-            enough = len(writers.indexes) + rng.randint(1, 400)
-            await until(lambda enough=enough: len(writers.indexes) >= enough)
-            await service.end(signal.SIGKILL)
-            await asyncio.gather(*tasks)
-    await service.start()
-    async with aiohttp.ClientSession() as session:
-        await writers.check(session)
-    await service.end(signal.SIGKILL)
 
 
 @bounded(60.0)
 async def test_a_full_disk_refuses_writes_and_loses_none(tmp_path):
-    service = Service(tmp_path, limits={"caller_calls_per_s": 0})
-    await service.start(limit="ulimit -f 2000;")  # blocks of 512 bytes, for each file
-    writers = Writers(service, 4, size=30_000)
-    async with aiohttp.ClientSession() as session:
-        status, _, _ = await call(session, service, "PUT", "/registry/instances/s1", {**ENTRY, "ttl_ms": 0})
-        tasks = writers.start(session)
-        await until(lambda: writers.failed > 20)
-        for task in tasks:
-            task.cancel()
-        status, told, _ = await call(session, service, "GET", "/registry/instances")
-        assert (status, [row["name"] for row in told["endpoints"]]) == (200, ["s1"])  # reads go on
-        await service.event("disk")
+    async with Service(tmp_path, limits={"caller_calls_per_s": 0}) as service:
+        await service.start(limit="ulimit -f 2000;")  # blocks of 512 bytes, for each file
+        writers = Writers(service, 4, size=30_000)
+        async with aiohttp.ClientSession() as session:
+            status, _, _ = await call(
+                session, service, "PUT", "/registry/instances/s1", {**ENTRY, "ttl_ms": 0}
+            )
+            tasks = writers.start(session)
+            await until(lambda: writers.failed > 20)
+            for task in tasks:
+                task.cancel()
+            status, told, _ = await call(session, service, "GET", "/registry/instances")
+            assert (status, [row["name"] for row in told["endpoints"]]) == (200, ["s1"])  # reads go on
+            await service.event("disk")
+            await service.end(signal.SIGKILL)
+            await service.start()
+            await writers.check(session)
+            status, _, _ = await call(session, service, "PUT", "/tables/t/after", 1)
+            assert status == 200
+            status, told, _ = await call(session, service, "GET", "/registry/instances")
+            assert [row["name"] for row in told["endpoints"]] == ["s1"]
         await service.end(signal.SIGKILL)
-        await service.start()
-        await writers.check(session)
-        status, _, _ = await call(session, service, "PUT", "/tables/t/after", 1)
-        assert status == 200
-        status, told, _ = await call(session, service, "GET", "/registry/instances")
-        assert [row["name"] for row in told["endpoints"]] == ["s1"]
-    await service.end(signal.SIGKILL)
 
 
 @running()
