--- a/brassfall/registry/bench.py
+++ b/brassfall/registry/bench.py
@@ -10,7 +10,6 @@
 import contextlib
 import json
 import os
-import random
 import resource
 import shutil
 import signal
@@ -332,7 +331,6 @@
 def main(words: Sequence[str]) -> None:
     """One load, in a process of its own: what it measured goes to standard output as JSON."""
     kind, listen, *rest = words
-    random.seed(0)
     if kind == "write":
         told: Any = asyncio.run(write_load(listen, int(rest[0]), float(rest[1]), int(rest[2])))
     else:
