--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -17,7 +17,7 @@
 registry = typer.Typer(no_args_is_help=True, help="The list service and its callers.")
 app.add_typer(registry, name="registry")
 
-lab = typer.Typer(no_args_is_help=True, help="Models of what the project serves.")
+lab = typer.Typer(no_args_is_help=True, help="Experiments on a model of what the project serves.")
 app.add_typer(lab, name="lab")
 
 At = Annotated[str, typer.Option(help="HOST:PORT of the list service.")]
@@ -35,8 +35,17 @@
 
 @app.command()
 def check(file: Path) -> None:
-    """Is this configuration good?"""
-    _load(file)
+    """Is this configuration good? It may be a list service's, or an experiment."""
+    from brassfall.lab import spec
+
+    try:
+        if spec.is_experiment(file):
+            spec.load(file)
+        else:
+            settings.load(file)
+    except settings.SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from None
     typer.echo(f"{file}: good")
 
 
@@ -174,6 +183,22 @@
     typer.echo(_run(bench_.run(rounds, seconds, lambda text: typer.echo(text, err=True))))
 
 
+@lab.command("run")
+def run_(
+    file: Annotated[Path, typer.Argument(help="An experiment, as TOML.")],
+    out: Annotated[Path, typer.Option(help="The folder of its results; one that was cut off goes on.")],
+) -> None:
+    """Run an experiment, and report on it."""
+    from brassfall.lab import runner
+
+    try:
+        status = _run(runner.run(file, out, lambda text: typer.echo(text, err=True)))
+    except settings.SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from None
+    raise typer.Exit(status)
+
+
 @lab.command("server")
 def server_(
     name: str,
--- /dev/null
+++ b/brassfall/lab/arrivals.py
@@ -0,0 +1,42 @@
+"""Arrivals files: what was asked on a recorded day, one JSON object a line."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from brassfall.settings import SettingsError
+
+NotNegative = Annotated[float, msgspec.Meta(ge=0.0, lt=1e9)]
+
+
+class Arrival(msgspec.Struct, forbid_unknown_fields=True):
+    """One line: `{"at_ms": 12.5, "class": "get-transcript", "app": 0, "work_ms": 80}`."""
+
+    at_ms: NotNegative
+    cls: str = msgspec.field(name="class")
+    app: Annotated[int, msgspec.Meta(ge=0)] = 0
+    work_ms: NotNegative = 0.0  # 0: as its class usually is
+
+
+def load(path: Path) -> list[tuple[float, str, int, float]]:
+    """Read a file; `SettingsError` names the file, the line and what is wrong there."""
+    decode = msgspec.json.Decoder(Arrival).decode
+    rows = []
+    try:
+        with open(path, "rb") as file:
+            for number, line in enumerate(file, 1):
+                if not line.strip():
+                    continue
+                try:
+                    row = decode(line)
+                except msgspec.MsgspecError as error:
+                    raise SettingsError(f"{path}: line {number}: {error}") from error
+                rows.append((row.at_ms, row.cls, row.app, row.work_ms))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    if not rows:
+        raise SettingsError(f"{path}: no arrivals")
+    return rows
--- /dev/null
+++ b/brassfall/lab/day.py
@@ -0,0 +1,463 @@
+"""One day, drawn from an experiment and a seed: who there is, what is asked, what goes wrong. Pure code.
+
+Two plays of one day, simulated or real, with one version or another, get the same of all of it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+
+from brassfall.lab.quantities import Span
+from brassfall.lab.spec import ANYONE, BRIEF, NEEDS, SERVERS, Experiment, Fault, Kind, RequestClass
+
+GRID_MS = 100.0  # the load is the same for so long
+
+
+@dataclass(frozen=True, slots=True)
+class Crowded:
+    """When one server turns slow, and stays so."""
+
+    held: float  # requests, from which it is crowded
+    after: float
+    slower: float
+    rest_below: float
+    rest: float
+    most: float
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """One server as it truly is; sidecars are not told."""
+
+    name: str
+    zone: int
+    kind: int
+    cores: int
+    speed: float
+    slots: int
+    queue: int
+    cold_from: float
+    cold_ms: float
+    error_rate: float
+    report_every: float
+    report_late: float
+    report_noise: float
+    handshake: float  # work, ms
+    round_trips: float
+    connections: int
+    full_tax: float
+    fall_multiple: float
+    fall_after: float
+    crowded: Crowded | None
+    seed: int
+
+    @property
+    def capacity(self) -> float:
+        """Work of a standard core that it does in its time, when warm."""
+        return self.cores * self.speed
+
+
+@dataclass(frozen=True, slots=True)
+class Application:
+    """One application and the sidecar beside it."""
+
+    name: str
+    zone: int
+    share: float
+    client_ms: float
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ways:
+    """Delays one way between zones, in ms."""
+
+    between: tuple[tuple[float, ...], ...]
+    jitter: float
+
+
+@dataclass(frozen=True, slots=True)
+class Habits:
+    """What clients do on this day."""
+
+    retries: int
+    try_share: float
+    backoff: float
+    honour: float
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """One thing that goes wrong, with its targets named. Times are ms from the start."""
+
+    kind: str
+    at: float
+    until: float
+    targets: tuple[str, ...] = ()
+    size: float = 0.0
+    zone: int = -1
+    batch: int = 1
+    drain: float = 0.0
+    swing: float = 0.0
+    disk: str = "kept"
+
+
+@dataclass(frozen=True, slots=True)
+class Arrivals:
+    """What applications ask, in order of time: one array a column."""
+
+    at: np.ndarray[Any, np.dtype[np.float64]]
+    app: np.ndarray[Any, np.dtype[np.int64]]
+    cls: np.ndarray[Any, np.dtype[np.int64]]
+    work: np.ndarray[Any, np.dtype[np.float64]]
+
+
+@dataclass(frozen=True, slots=True)
+class Day:
+    """All that a play needs to know."""
+
+    seed: int
+    lasts: float
+    servers: tuple[Machine, ...]
+    apps: tuple[Application, ...]
+    classes: tuple[RequestClass, ...]
+    noise: tuple[float, ...]  # by class
+    ways: Ways
+    habits: Habits
+    troubles: tuple[Trouble, ...]
+    arrivals: Arrivals
+    list_delay: tuple[float, float]
+    ttl: float
+
+
+class DayError(ValueError):
+    """An experiment whose day can't be drawn; its text is one line."""
+
+
+def draw(told: Experiment, seed: int, recorded: Sequence[tuple[float, str, int, float]] = ()) -> Day:
+    """The day of a seed. `recorded` holds the rows of an arrivals file, if the load is a replay."""
+    # Each part has a source of its own, so that a change to one leaves the others as they were.
+    fleet, load, luck, clients = (np.random.default_rng([seed, part]) for part in range(4))
+    servers = tuple(_machines(told, fleet))
+    apps = tuple(_applications(told, clients))
+    habits = Habits(
+        int(told.clients.retries.at(clients.random())),
+        told.clients.try_share.at(clients.random()),
+        told.clients.backoff.at(clients.random()),
+        told.clients.honour.at(clients.random()),
+    )
+    classes, cvs = [], []
+    for row in told.classes:
+        mean = row.work.at(load.random())
+        classes.append(mean)
+        cvs.append(row.cv.at(load.random()))
+    noise = tuple(row.noise.at(load.random()) for row in told.classes)
+    if recorded:
+        arrivals = _replayed(told, recorded, classes)
+    else:
+        arrivals = _arrivals(told, load, servers, apps, classes, cvs)
+    return Day(
+        seed=seed,
+        lasts=told.experiment.lasts,
+        servers=servers,
+        apps=apps,
+        classes=tuple(told.classes),
+        noise=noise,
+        ways=_ways(told, clients),
+        habits=habits,
+        troubles=tuple(sorted(_troubles(told, luck, servers, apps), key=lambda t: (t.at, t.kind))),
+        arrivals=arrivals,
+        list_delay=told.lists.delay,
+        ttl=told.lists.ttl,
+    )
+
+
+def _machines(told: Experiment, rng: np.random.Generator) -> list[Machine]:
+    """Servers of each kind by its share, spread over zones."""
+    fleet = told.fleet
+    crowding, links, report = fleet.crowding, fleet.connections, fleet.report
+    chokes = rng.random() < crowding.servers
+    round_trips, tax = links.round_trips.at(rng.random()), links.full_tax.at(rng.random())
+    handshake = links.handshake.at(rng.random())
+    per_kind = {kind.name: _per_kind(kind, rng) for kind in fleet.kinds}
+    made = []
+    for number in range(fleet.servers):
+        index = _by_share([kind.share for kind in fleet.kinds], number, fleet.servers)
+        kind = fleet.kinds[index]
+        slots, queue, cold_from, cold_ms, speed, errors = per_kind[kind.name]
+        crowded = Crowded(
+            crowding.held_per_core.at(rng.random()) * kind.cores,
+            crowding.after.at(rng.random()),
+            crowding.slower.at(rng.random()),
+            crowding.rest_below.at(rng.random()) * kind.cores,
+            crowding.rest.at(rng.random()),
+            crowding.most.at(rng.random()),
+        )
+        made.append(
+            Machine(
+                name=f"s{number}",
+                zone=number % len(fleet.zones),
+                kind=index,
+                cores=kind.cores,
+                speed=speed * float(rng.uniform(0.9, 1.1)),
+                slots=max(kind.cores, round(slots * kind.cores)),
+                queue=max(1, round(queue * kind.cores)),
+                cold_from=cold_from,
+                cold_ms=cold_ms,
+                error_rate=errors,
+                report_every=report.every.at(rng.random()),
+                report_late=report.late.at(rng.random()),
+                report_noise=report.noise.at(rng.random()),
+                handshake=handshake,
+                round_trips=round_trips,
+                connections=round(links.per_core.at(rng.random()) * kind.cores),
+                full_tax=tax,
+                fall_multiple=fleet.fall_multiple,
+                fall_after=fleet.fall_after,
+                crowded=crowded if chokes else None,
+                seed=int(rng.integers(2**32)),
+            )
+        )
+    return made
+
+
+def _per_kind(kind: Kind, rng: np.random.Generator) -> tuple[float, float, float, float, float, float]:
+    return (
+        kind.slots_per_core.at(rng.random()),
+        kind.queue_per_core.at(rng.random()),
+        kind.cold_from.at(rng.random()),
+        kind.cold.at(rng.random()),
+        kind.speed.at(rng.random()),
+        kind.error_rate.at(rng.random()),
+    )
+
+
+def _by_share(shares: Sequence[float], number: int, count: int) -> int:
+    """Which of the shares a number falls to; neighbours in number differ, so that zones are alike."""
+    place = (number * 0.6180339887 + 0.5) % 1.0 if count > 2 else (number + 0.5) / count
+    for index, share in enumerate(shares):
+        place -= share
+        if place < 0.0:
+            return index
+    return len(shares) - 1
+
+
+def _applications(told: Experiment, rng: np.random.Generator) -> list[Application]:
+    count, zones = told.fleet.sidecars, len(told.fleet.zones)
+    cv = told.clients.uneven.at(rng.random())
+    skew = told.clients.zone_skew.at(rng.random())
+    sigma = math.sqrt(math.log1p(cv * cv))
+    loads = rng.lognormal(-sigma * sigma / 2.0, sigma, count)
+    loads *= [1.0 + skew * (1.0 if n % zones == 0 else -1.0 / max(1, zones - 1)) for n in range(count)]
+    loads /= loads.sum()
+    return [
+        Application(
+            f"n{n}",
+            n % zones,
+            float(loads[n]),
+            told.network.client.at(rng.random()),
+            int(rng.integers(2**32)),
+        )
+        for n in range(count)
+    ]
+
+
+def _ways(told: Experiment, rng: np.random.Generator) -> Ways:
+    zones = range(len(told.fleet.zones))
+    same, cross = told.network.same.at(rng.random()), told.network.cross.at(rng.random())
+    between = tuple(tuple(same if a == b else cross for b in zones) for a in zones)
+    return Ways(between, told.network.jitter.at(rng.random()))
+
+
+# --- load --------------------------------------------------------------------------------------
+
+
+def _level(told: Experiment, rng: np.random.Generator) -> np.ndarray[Any, np.dtype[np.float64]]:
+    """The load on a grid of `GRID_MS`, as a multiple of the usual."""
+    load, lasts = told.load, told.experiment.lasts
+    at = np.arange(0.0, lasts, GRID_MS)
+    swing, phase = load.swing.at(rng.random()), rng.random()
+    level = 1.0 + swing * np.sin(2.0 * np.pi * (at / load.wave + phase))
+    for step in sorted(load.steps, key=lambda step: step.at):
+        level[at >= step.at] = step.times
+    for burst in load.bursts:
+        level[(at >= burst.at) & (at < burst.at + burst.lasts)] *= burst.times
+    if load.wander is not None:
+        knots = np.arange(0.0, lasts + 2.0 * load.wander.every, load.wander.every)
+        low, high = load.wander.between
+        level = level * np.interp(at, knots, rng.uniform(low, high, len(knots)))
+    return np.maximum(level, 0.0)
+
+
+def _arrivals(
+    told: Experiment,
+    rng: np.random.Generator,
+    servers: Sequence[Machine],
+    apps: Sequence[Application],
+    works: Sequence[float],
+    cvs: Sequence[float],
+) -> Arrivals:
+    """Open-loop arrivals: a Poisson stream whose rate follows the level, whatever is answered."""
+    shares = np.array([row.share for row in told.classes])
+    shares = shares / shares.sum()
+    if told.load.rate is not None:
+        usual = told.load.rate / 1000.0
+    else:
+        assert told.load.share is not None
+        capacity = sum(server.capacity for server in servers)
+        usual = told.load.share.at(rng.random()) * capacity / float(shares @ np.array(works))
+    expected = np.concatenate(([0.0], np.cumsum(_level(told, rng) * usual * GRID_MS)))
+    count = int(rng.poisson(expected[-1]))
+    at = np.interp(np.sort(rng.random(count)) * expected[-1], expected, np.arange(len(expected)) * GRID_MS)
+    at = np.minimum(at, told.experiment.lasts)
+    app = rng.choice(len(apps), size=count, p=[a.share for a in apps])
+    cls = rng.choice(len(shares), size=count, p=shares)
+    work = np.empty(count)
+    for index, (mean, cv) in enumerate(zip(works, cvs, strict=True)):
+        mine = cls == index
+        work[mine] = rng.gamma(1.0 / cv**2, mean * cv**2, int(mine.sum()))
+    return Arrivals(at, app, cls, np.maximum(work, 0.1))
+
+
+def _replayed(
+    told: Experiment, rows: Sequence[tuple[float, str, int, float]], works: Sequence[float]
+) -> Arrivals:
+    names = {row.name: index for index, row in enumerate(told.classes)}
+    lasts = told.experiment.lasts
+    kept = sorted((row for row in rows if row[0] < lasts), key=lambda row: row[0])
+    for at, name, _, _ in kept:
+        if name not in names:
+            raise DayError(f"load.replay: class {name!r} at {at:g} ms is none of {', '.join(names)}")
+    cls = np.array([names[row[1]] for row in kept], dtype=np.int64)
+    return Arrivals(
+        np.array([row[0] for row in kept], dtype=np.float64),
+        np.array([row[2] % told.fleet.sidecars for row in kept], dtype=np.int64),
+        cls,
+        np.array([row[3] or works[int(c)] for row, c in zip(kept, cls, strict=True)], dtype=np.float64),
+    )
+
+
+# --- troubles ----------------------------------------------------------------------------------
+
+
+def _troubles(
+    told: Experiment, rng: np.random.Generator, servers: Sequence[Machine], apps: Sequence[Application]
+) -> list[Trouble]:
+    faults = list(told.faults)
+    if told.drawn is not None:
+        lasts = told.experiment.lasts
+        for _ in range(round(told.drawn.count.at(rng.random()))):
+            kind = told.drawn.kinds[int(rng.integers(len(told.drawn.kinds)))]
+            at = lasts * (0.05 + 0.65 * rng.random())
+            faults.append(Fault(kind=kind, at=Span((at, at)), **BRIEF[kind]))
+    return [_trouble(told, fault, rng, servers, apps) for fault in faults]
+
+
+def _trouble(
+    told: Experiment,
+    fault: Fault,
+    rng: np.random.Generator,
+    servers: Sequence[Machine],
+    apps: Sequence[Application],
+) -> Trouble:
+    at = fault.at.at(rng.random())
+    until = at + fault.lasts.at(rng.random())
+    size = fault.size.at(rng.random()) if fault.size is not None else 0.0
+    part = fault.part.at(rng.random()) if fault.part is not None else 0.0
+    targets: tuple[str, ...] = ()
+    if fault.servers is not None:
+        targets = tuple(fault.servers)
+    elif SERVERS in NEEDS[fault.kind] and fault.zone is not None:
+        zone = told.fleet.zones.index(fault.zone)
+        targets = tuple(server.name for server in servers if server.zone == zone)
+    elif SERVERS in NEEDS[fault.kind] or ANYONE in NEEDS[fault.kind]:
+        names = [x.name for x in (apps if ANYONE in NEEDS[fault.kind] else servers)]
+        chosen = rng.choice(len(names), size=max(1, round(part * len(names))), replace=False)
+        targets = tuple(names[int(index)] for index in chosen)
+    return Trouble(
+        kind=fault.kind,
+        at=at,
+        until=until,
+        targets=targets,
+        size=size,
+        zone=told.fleet.zones.index(fault.zone) if fault.zone is not None else -1,
+        batch=max(1, round(fault.batch.at(rng.random()) * len(servers))),
+        drain=fault.drain.at(rng.random()),
+        swing=fault.swing.at(rng.random()),
+        disk=fault.disk,
+    )
+
+
+def wire_settings(told: Experiment, me: int, overlay: dict[str, Any]) -> dict[str, Any]:
+    """What a sidecar is told of the site, in the form of the wire's `Setup`."""
+    effects = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
+    links = told.fleet.connections
+    settings: dict[str, Any] = {
+        "Balancers": told.fleet.sidecars,
+        "Clients": {"MarksRetry": True},
+        "Discovery": "subscribe",
+        "Domain": {"WarmKeys": False},
+        "FailureDomains": told.fleet.zones,
+        "Goal": {"Whole": 0.75, "WorstClass": 0.2, "WorstTenant": 0.0, "WorstWindow": 0.05},
+        "Kinds": [kind.name for kind in told.fleet.kinds],
+        "Locality": me % len(told.fleet.zones),
+        "Me": me,
+        "OverShareWorth": 0.1,
+        "PolicyLimits": {
+            "ConnectTimeout": links.timeout,
+            "IdleClose": links.idle,
+            "MaxAttempts": 4,
+            "MaxOpen": 20_000,
+            "MaxRetryAfter": 2000.0,
+            "MayCancel": True,
+            "MayProbe": True,
+            "ParallelTries": True,
+            "PeerMessages": False,
+            "RetryAfter": True,
+            "StreamsPerConn": 1,
+        },
+        "Prices": {"CrossZone": 0.03, "Discovery": 0.02, "LateFail": 0.05, "Probe": 0.0067, "Waste": 0.015},
+        "Profiles": [
+            {
+                "Name": row.name,
+                "Objective": row.wanted,
+                "Deadline": row.deadline,
+                "Semantics": effects[row.effect],
+                "Group": "all",
+                "KeyTtl": row.key_life,
+                "LateWorth": 0.0,
+                "Streaming": False,
+                "Worth": row.worth,
+            }
+            for row in told.classes
+        ],
+        "Report": {"Fields": ["inflight"], "How": "inline"},
+        "Rules": {
+            "AnswerSlack": 20.0,
+            "AskWithin": 10_000.0,
+            "ColdFrom": min(kind.cold_from[0] for kind in told.fleet.kinds),
+            "FallMultiple": told.fleet.fall_multiple,
+            "OverloadFor": told.fleet.fall_after,
+            "StopSendingWithin": 500.0,
+            "WarmUp": max(kind.cold[1] for kind in told.fleet.kinds),
+        },
+        "Tenants": [],
+        "Tick": 5.0,
+        "WeightKind": "off",
+        "WorthBy": "request",
+    }
+    return overlaid(settings, overlay)
+
+
+def overlaid(settings: dict[str, Any], overlay: dict[str, Any]) -> dict[str, Any]:
+    """Settings with some of them replaced, tables within tables too."""
+    merged = dict(settings)
+    for name, value in overlay.items():
+        old = merged.get(name)
+        merged[name] = overlaid(old, value) if isinstance(old, dict) and isinstance(value, dict) else value
+    return merged
--- /dev/null
+++ b/brassfall/lab/models/network.py
@@ -0,0 +1,42 @@
+"""The ways between zones, and what can be wrong with them. Pure code."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from brassfall.lab.day import Ways
+
+
+@dataclass(slots=True)
+class Network:
+    """Delays one way in ms; None where nothing comes through and nothing is said."""
+
+    ways: Ways
+    chance: Callable[[], float]
+    cut: set[int] = field(default_factory=set)  # zones that nothing leaves or reaches
+    holes: set[str] = field(default_factory=set)  # servers that are reached by nothing
+    deaf: set[str] = field(default_factory=set)  # servers whose answers are lost
+    slow: dict[str, float] = field(default_factory=dict)  # ms more, by server
+
+    def _way(self, here: int, there: int) -> float | None:
+        if here != there and (here in self.cut or there in self.cut):
+            return None
+        return self.ways.between[here][there] * (1.0 + self.ways.jitter * self.chance())
+
+    def to_server(self, here: int, server: str, there: int) -> float | None:
+        """From a sidecar in one zone to a server."""
+        if server in self.holes:
+            return None
+        way = self._way(here, there)
+        return way if way is None or not self.slow else way + self.slow.get(server, 0.0)
+
+    def to_sidecar(self, server: str, here: int, there: int) -> float | None:
+        """An answer's way back."""
+        if server in self.deaf:
+            return None
+        return self.to_server(there, server, here)
+
+    def reaches(self, here: int, there: int) -> bool:
+        """Whether two zones hear of each other."""
+        return here == there or not (here in self.cut or there in self.cut)
--- /dev/null
+++ b/brassfall/lab/play.py
@@ -0,0 +1,152 @@
+"""One play of one day, in a process of its own: `python -m brassfall.lab.play`, its order on standard input.
+
+A process of its own keeps versions apart, spreads seeds over the cores, and keeps one play that
+fails from the others. It ends when its standard input does: the lab that ordered it is gone.
+"""
+
+from __future__ import annotations
+
+import importlib.util
+import os
+import resource
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from brassfall.lab import arrivals, day, judge, ledger, spec
+from brassfall.settings import SettingsError
+
+SLACK_MS = {"simulated": 30.0, "real": 120.0}  # for transit, where rules have time limits
+
+
+class Order(msgspec.Struct, forbid_unknown_fields=True):
+    """What to play."""
+
+    experiment: str
+    version: str
+    seed: int
+    folder: str
+    code: str = ""  # the folder of another revision; empty for the program that stands here
+
+
+class Result(msgspec.Struct, omit_defaults=True):
+    """What came of a play; the last thing that is written of it."""
+
+    version: str
+    seed: int
+    valid: bool
+    why: str = ""
+    judgement: judge.Judgement | None = None
+    events: list[ledger.Event] = []
+    cost: dict[str, float] = {}
+
+
+def install(code: Path) -> None:
+    """Take the decision module from another folder; `SettingsError` if there is none."""
+    package = code / "poppypulley"
+    found = importlib.util.spec_from_file_location(
+        "poppypulley", package / "__init__.py", submodule_search_locations=[str(package)]
+    )
+    if found is None or found.loader is None or not (package / "__init__.py").exists():
+        raise SettingsError(f"{code}: no decision module there")
+    module = importlib.util.module_from_spec(found)
+    sys.modules["poppypulley"] = module
+    found.loader.exec_module(module)
+
+
+def experiment(path: Path) -> tuple[spec.Experiment, list[tuple[float, str, int, float]]]:
+    """The experiment of a file, and the rows of its arrivals file, if it names one."""
+    told = spec.load(path)
+    if told.load.replay is None:
+        return told, []
+    return told, arrivals.load(path.parent / told.load.replay)
+
+
+def judged(folder: Path, told: spec.Experiment) -> judge.Judgement:
+    """Hold the ledger in a folder against the rules."""
+    book = judge.Book(
+        list(ledger.read(folder, ledger.Answer)),
+        list(ledger.read(folder, ledger.Attempt)),
+        list(ledger.read(folder, ledger.News)),
+        list(ledger.read(folder, ledger.Life)),
+    )
+    slack = SLACK_MS[told.experiment.mode]
+    fall = (told.fleet.fall_multiple, float(told.fleet.fall_after))
+    return judge.judge(book, told.classes, told.experiment.lasts, slack, fall)
+
+
+def simulate(order: Order) -> Result:
+    """Play a day under simulated time."""
+    told, recorded = experiment(Path(order.experiment))
+    version = next(version for version in told.versions if version.name == order.version)
+    if order.code:
+        install(Path(order.code))
+    from brassfall.lab.sim.faults import Faults
+    from brassfall.lab.sim.flaws import FLAWS
+    from brassfall.lab.sim.sidecar import Sidecar
+    from brassfall.lab.sim.world import World
+
+    drawn = day.draw(told, order.seed, recorded)
+    folder = Path(order.folder)
+    book = ledger.Book(folder)
+    begun = time.process_time()
+    kind = FLAWS[version.flaw][0] if version.flaw else Sidecar
+    world = World(drawn, lambda me: day.wire_settings(told, me, version.settings), book, kind)
+    Faults(world).set()
+    ready = time.process_time()
+    world.run(_progress(order))
+    book.close()
+    played = time.process_time()
+    judgement = judged(folder, told)
+    cost = {
+        "start_s": ready - begun,
+        "play_s": played - ready,
+        "judge_s": time.process_time() - played,
+        "events": float(world.events),
+        "memory_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0,
+    }
+    events = list(ledger.read(folder, ledger.Event))
+    return Result(order.version, order.seed, True, "", judgement, events, cost)
+
+
+def _progress(order: Order) -> Callable[[float], None]:
+    def told(now: float) -> None:
+        print(f"{order.version} {order.seed} {now / 1000.0:.0f}", flush=True)
+
+    return told
+
+
+def _end_with(source: int) -> None:
+    """End this process when the lab is gone."""
+
+    def wait() -> None:
+        while os.read(source, 4096):
+            pass
+        os._exit(1)
+
+    threading.Thread(target=wait, daemon=True).start()
+
+
+def main() -> int:
+    """Carry out one order; the exit status."""
+    line = sys.stdin.buffer.readline()
+    order = msgspec.json.decode(line, type=Order)
+    _end_with(sys.stdin.fileno())
+    try:
+        result = simulate(order)
+    except (SettingsError, day.DayError) as error:
+        print(error, file=sys.stderr)
+        return 2
+    path = Path(order.folder) / "result.json"
+    part = path.with_suffix(".part")
+    part.write_bytes(msgspec.json.encode(result))
+    part.replace(path)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/brassfall/lab/plots.py
@@ -0,0 +1,117 @@
+"""The plots of a report: service by second with faults marked, latency, load by server, age of lists."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from brassfall.lab import ledger, spec
+from brassfall.lab.play import Result
+
+SIZE = (9.0, 3.6)
+
+
+def write(told: spec.Experiment, results: Sequence[Result], out: Path) -> list[str]:
+    """Draw them all into a folder; the names of the files."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    drawn = []
+    for name, draw in (("service", _service), ("latency", _latency), ("load", _load), ("ages", _ages)):
+        figure, axes = pyplot.subplots(figsize=SIZE, layout="constrained")
+        if draw(axes, told, results, out):
+            figure.savefig(out / f"{name}.png", dpi=110)
+            drawn.append(f"{name}.png")
+        pyplot.close(figure)
+    return drawn
+
+
+def _of(results: Sequence[Result], version: str) -> list[Result]:
+    return [result for result in results if result.version == version and result.valid and result.judgement]
+
+
+def _mark(axes: Any, result: Result) -> None:
+    """The faults of a play, as bands."""
+    for number, event in enumerate(result.events):
+        begin, end = event.at / 1000.0, max(event.until, event.at + 200.0) / 1000.0
+        axes.axvspan(begin, end, alpha=0.12, color=f"C{number % 10}")
+        axes.text(begin, 0.02, event.kind, rotation=90, fontsize=7, transform=axes.get_xaxis_transform())
+
+
+def _service(axes: Any, told: spec.Experiment, results: Sequence[Result], out: Path) -> bool:
+    shown = False
+    for number, version in enumerate(told.versions):
+        mine = _of(results, version.name)
+        if not mine:
+            continue
+        rows = np.array([r.judgement.figures.by_second for r in mine if r.judgement])
+        at = np.arange(rows.shape[1]) + 0.5
+        axes.plot(at, rows.mean(axis=0), color=f"C{number}", label=version.name)
+        axes.fill_between(at, rows.min(axis=0), rows.max(axis=0), color=f"C{number}", alpha=0.15, linewidth=0)
+        if not shown:
+            _mark(axes, mine[0])
+        shown = True
+    axes.set(xlabel="s", ylabel="service", ylim=(0.0, 1.02), title="worth in time by second: mean and range")
+    axes.legend(fontsize=8)
+    return shown
+
+
+def _latency(axes: Any, told: spec.Experiment, results: Sequence[Result], out: Path) -> bool:
+    names = ["p50", "p90", "p99", "p99.9"]
+    shown = False
+    for version in told.versions:
+        rows = [
+            [r.judgement.figures.latency_ms[n] for n in names]
+            for r in _of(results, version.name)
+            if r.judgement
+        ]
+        if rows:
+            axes.plot(names, np.array(rows).mean(axis=0), marker="o", label=version.name)
+            shown = True
+    axes.set(ylabel="ms", ylim=(0.0, None), title="latency of served requests, from when they were due")
+    axes.legend(fontsize=8)
+    return shown
+
+
+def _first_folder(told: spec.Experiment, results: Sequence[Result], out: Path) -> tuple[Result, Path] | None:
+    for version in told.versions:
+        for result in _of(results, version.name):
+            return result, out / "plays" / f"{result.version}-{result.seed}"
+    return None
+
+
+def _load(axes: Any, told: spec.Experiment, results: Sequence[Result], out: Path) -> bool:
+    found = _first_folder(told, results, out)
+    rows = list(ledger.read(found[1], ledger.Load)) if found else []
+    if found is None or not rows:
+        return False
+    most = max(len(row.held) for row in rows)
+    held = np.array([row.held + [-1] * (most - len(row.held)) for row in rows], dtype=float).T
+    held[held < 0] = np.nan
+    end = rows[-1].at / 1000.0
+    shown = axes.imshow(
+        held, aspect="auto", origin="lower", extent=(0.0, end, 0.0, most), interpolation="nearest"
+    )
+    axes.figure.colorbar(shown, label="requests held")
+    axes.set(xlabel="s", ylabel="server", title=f"load by server: {found[0].version}, seed {found[0].seed}")
+    return True
+
+
+def _ages(axes: Any, told: spec.Experiment, results: Sequence[Result], out: Path) -> bool:
+    found = _first_folder(told, results, out)
+    rows = list(ledger.read(found[1], ledger.Age)) if found else []
+    if found is None or not rows:
+        return False
+    at = [row.at / 1000.0 for row in rows]
+    axes.plot(at, [row.median / 1000.0 for row in rows], label="median age")
+    axes.plot(at, [row.most / 1000.0 for row in rows], label="oldest")
+    axes.plot(at, [row.wrong for row in rows], label="share of entries that are wrong", linestyle=":")
+    _mark(axes, found[0])
+    axes.set(xlabel="s", ylabel="s", title=f"lists held: {found[0].version}, seed {found[0].seed}")
+    axes.legend(fontsize=8)
+    return True
--- /dev/null
+++ b/brassfall/lab/report.py
@@ -0,0 +1,117 @@
+"""What an experiment showed: `plays.jsonl`, a summary in Markdown, and plots."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from brassfall.lab import plots, spec
+from brassfall.lab.play import Result
+
+FIGURES = ("service", "worst_window", "worst_class", "goal")
+
+
+def write(told: spec.Experiment, results: Sequence[Result], out: Path) -> None:
+    """Write everything into the folder of an experiment."""
+    rows = [msgspec.structs.replace(result, cost={}) for result in results]
+    (out / "plays.jsonl").write_bytes(msgspec.json.Encoder().encode_lines(rows))
+    pictures = plots.write(told, results, out)
+    (out / "report.md").write_text(summary(told, results, pictures), encoding="utf-8")
+
+
+def summary(told: spec.Experiment, results: Sequence[Result], pictures: Sequence[str] = ()) -> str:
+    """The report as Markdown."""
+    head = told.experiment
+    lines = [f"# {head.name}", ""]
+    lines += [
+        f"{head.mode.capitalize()}, {head.lasts / 1000.0:g} s a play, {told.fleet.sidecars} sidecars and "
+        f"{told.fleet.servers} servers, {head.repeats} seeds from {head.first_seed} on."
+    ]
+    bad = [result for result in results if not result.valid]
+    lines += ["", *(_does_not_count(result) for result in bad)] if bad else []
+    lines += ["", "## Service", "", *_service(told, results)]
+    lines += ["", "## Classes", "", *_classes(told, results)]
+    lines += ["", "## Latency of served requests from when they were due, ms", "", *_latency(told, results)]
+    lines += ["", "## Rules", "", *_rules(told, results)]
+    lines += ["", "## What went wrong", "", *_events(results)]
+    for picture in pictures:
+        lines += ["", f"![{picture}]({picture})"]
+    return "\n".join(lines) + "\n"
+
+
+def _does_not_count(result: Result) -> str:
+    return f"- {result.version}, seed {result.seed}, does not count: {result.why}"
+
+
+def valid(results: Sequence[Result], version: str) -> list[Result]:
+    """The plays of a version that count."""
+    return [result for result in results if result.version == version and result.valid]
+
+
+def spread(values: Sequence[float], form: str = ".3f") -> str:
+    """Mean and range of some values."""
+    if not values:
+        return "-"
+    mean = statistics.fmean(values)
+    if len(values) == 1:
+        return f"{mean:{form}}"
+    return f"{mean:{form}} ({min(values):{form}} to {max(values):{form}})"
+
+
+def _service(told: spec.Experiment, results: Sequence[Result]) -> list[str]:
+    lines = ["| version | plays | requests | service | worst 10 s | worst class | goal |"]
+    lines += ["| --- | --- | --- | --- | --- | --- | --- |"]
+    for version in told.versions:
+        figures = [r.judgement.figures for r in valid(results, version.name) if r.judgement]
+        cells = [spread([getattr(f, name) for f in figures]) for name in FIGURES]
+        asked = spread([float(f.requests) for f in figures], ".0f")
+        lines.append(f"| {version.name} | {len(figures)} | {asked} | {' | '.join(cells)} |")
+    return lines
+
+
+def _classes(told: spec.Experiment, results: Sequence[Result]) -> list[str]:
+    names = [row.name for row in told.classes]
+    lines = [f"| version | {' | '.join(names)} |", f"| --- |{' --- |' * len(names)}"]
+    for version in told.versions:
+        figures = [r.judgement.figures for r in valid(results, version.name) if r.judgement]
+        cells = [spread([f.classes[name] for f in figures if name in f.classes]) for name in names]
+        lines.append(f"| {version.name} | {' | '.join(cells)} |")
+    return lines
+
+
+def _latency(told: spec.Experiment, results: Sequence[Result]) -> list[str]:
+    names = ["p50", "p90", "p99", "p99.9"]
+    lines = [f"| version | {' | '.join(names)} |", f"| --- |{' --- |' * len(names)}"]
+    for version in told.versions:
+        figures = [r.judgement.figures for r in valid(results, version.name) if r.judgement]
+        cells = [spread([f.latency_ms[name] for f in figures], ".0f") for name in names]
+        lines.append(f"| {version.name} | {' | '.join(cells)} |")
+    return lines
+
+
+def _rules(told: spec.Experiment, results: Sequence[Result]) -> list[str]:
+    lines = []
+    for version in told.versions:
+        for result in valid(results, version.name):
+            for finding in result.judgement.findings if result.judgement else ():
+                lines.append(
+                    f"- {version.name}, seed {result.seed}: **{finding.rule}**, {finding.count} times; "
+                    f"first: {finding.first}"
+                )
+    return lines or ["All kept, by the ledger."]
+
+
+def _events(results: Sequence[Result]) -> list[str]:
+    lines = []
+    first = {result.seed: result for result in results if result.valid}
+    for seed, result in sorted(first.items()):
+        told = [
+            f"{event.kind} {event.at / 1000.0:.1f} to {event.until / 1000.0:.1f} s"
+            + (f" ({len(event.targets)})" if event.targets else "")
+            for event in result.events
+        ]
+        lines.append(f"- seed {seed}: {'; '.join(told) or 'nothing'}")
+    return lines
--- /dev/null
+++ b/brassfall/lab/runner.py
@@ -0,0 +1,212 @@
+"""Runs an experiment: every version on every seed, side by side, and what came of it into a folder.
+
+The folder holds `experiment.toml`, one folder a play under `plays/`, `plays.jsonl` with the figures of
+all of them, `report.md` and plots. A play that is there already is not played again: an
+experiment that was cut off goes on where it stopped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import os
+import shutil
+import subprocess
+import sys
+import tarfile
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from brassfall.lab import day, report, spec
+from brassfall.lab.play import Order, Result, experiment
+from brassfall.lab.sim.flaws import FLAWS
+from brassfall.settings import SettingsError
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+TELL_EVERY_S = 2.0
+END_S = 5.0
+Say = Callable[[str], None]
+
+
+@dataclass(slots=True)
+class Play:
+    """One play that is to be, is, or has been played."""
+
+    version: str
+    seed: int
+    folder: Path
+    code: str = ""
+    process: asyncio.subprocess.Process | None = None
+    at_s: float = 0.0
+    result: Result | None = None
+
+
+@dataclass(slots=True)
+class Run:
+    """One experiment."""
+
+    told: spec.Experiment
+    file: Path
+    out: Path
+    say: Say
+    plays: list[Play] = field(default_factory=list)
+
+    async def go(self) -> list[Result]:
+        """Play all that has not been played; the results, in order."""
+        head = self.told.experiment
+        waiting = [play for play in self.plays if play.result is None]
+        done = len(self.plays) - len(waiting)
+        if done:
+            self.say(f"{done} of {len(self.plays)} plays were there already")
+        room = asyncio.Semaphore(head.workers or os.cpu_count() or 1)
+        telling = asyncio.create_task(self._tell())
+        try:
+            async with asyncio.TaskGroup() as group:
+                for play in waiting:
+                    group.create_task(self._play(play, room))
+        finally:
+            telling.cancel()
+            await self._end()
+        return [play.result for play in self.plays if play.result is not None]
+
+    async def _play(self, play: Play, room: asyncio.Semaphore) -> None:
+        async with room:
+            shutil.rmtree(play.folder, ignore_errors=True)
+            play.folder.mkdir(parents=True)
+            order = Order(str(self.file), play.version, play.seed, str(play.folder), play.code)
+            play.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "brassfall.lab.play",
+                cwd=ROOT,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            assert play.process.stdin and play.process.stdout and play.process.stderr
+            play.process.stdin.write(msgspec.json.encode(order) + b"\n")
+            errors = asyncio.create_task(play.process.stderr.read())
+            async for line in play.process.stdout:
+                play.at_s = float(line.split()[-1])
+            status = await play.process.wait()
+            text = (await errors).decode(errors="replace").strip()
+            path = play.folder / "result.json"
+            if status == 0 and path.exists():
+                play.result = load(path)
+                return
+            why = text.splitlines()[-1] if text else f"ended with status {status}"
+            (play.folder / "error.txt").write_text(text + "\n")
+            play.result = Result(play.version, play.seed, False, why)
+            self.say(f"{play.version}, seed {play.seed}: failed: {why}")
+
+    async def _tell(self) -> None:
+        lasts = self.told.experiment.lasts / 1000.0
+        while True:
+            await asyncio.sleep(TELL_EVERY_S)
+            done = sum(play.result is not None for play in self.plays)
+            now = [
+                f"{play.version}/{play.seed} {min(1.0, play.at_s / lasts):.0%}"
+                for play in self.plays
+                if play.result is None and play.process is not None
+            ]
+            self.say(f"{done} of {len(self.plays)} plays; {', '.join(now) or 'starting'}")
+
+    async def _end(self) -> None:
+        """End what still runs, by its id."""
+        running = [play.process for play in self.plays if play.process and play.process.returncode is None]
+        for process in running:
+            process.kill()
+        for process in running:
+            await process.wait()
+
+
+def load(path: Path) -> Result:
+    """A result that was written down."""
+    return msgspec.json.decode(path.read_bytes(), type=Result)
+
+
+def prepare(file: Path, out: Path, say: Say) -> Run:
+    """Check everything before anything starts; `SettingsError` says what is wrong."""
+    told, recorded = experiment(file)
+    if told.experiment.mode != "simulated":
+        raise SettingsError(f"{file}: experiment.mode: this version plays simulated experiments only")
+    commits = _commits(file, told)
+    try:
+        day.draw(told, told.experiment.first_seed, recorded)
+    except day.DayError as error:
+        raise SettingsError(f"{file}: {error}") from error
+    _lay_out(file, told, out)
+    run = Run(told, file.resolve(), out, say)
+    for version in told.versions:
+        commit = commits.get(version.name)
+        code = _checked_out(commit, out, say) if commit is not None else ""
+        for seed in range(told.experiment.first_seed, told.experiment.first_seed + told.experiment.repeats):
+            folder = (out / "plays" / f"{version.name}-{seed}").resolve()
+            play = Play(version.name, seed, folder, code)
+            path = folder / "result.json"
+            if path.exists():
+                play.result = load(path)
+            run.plays.append(play)
+    return run
+
+
+def _commits(file: Path, told: spec.Experiment) -> dict[str, str]:
+    """The commits of the versions that name a revision."""
+    commits = {}
+    for number, version in enumerate(told.versions):
+        at = f"{file}: versions[{number}]"
+        if version.flaw is not None and version.flaw not in FLAWS:
+            raise SettingsError(f"{at}.flaw: {version.flaw!r} is none of {', '.join(FLAWS)}")
+        if version.revision is None:
+            continue
+        named = ["git", "-C", str(ROOT), "rev-parse", "--verify", "--quiet", f"{version.revision}^{{commit}}"]
+        found = subprocess.run(named, capture_output=True, text=True)
+        if found.returncode:
+            raise SettingsError(f"{at}.revision: {version.revision!r} is no revision of this repository")
+        commits[version.name] = found.stdout.strip()
+    return commits
+
+
+def _lay_out(file: Path, told: spec.Experiment, out: Path) -> None:
+    """The folder of the results, with the experiment in it."""
+    text = file.read_text(encoding="utf-8")
+    kept = out / "experiment.toml"
+    if kept.exists() and tomllib.loads(kept.read_text(encoding="utf-8")) != tomllib.loads(text):
+        raise SettingsError(f"{out}: holds another experiment, or one that was changed since")
+    if out.exists() and not kept.exists() and (not out.is_dir() or any(out.iterdir())):
+        raise SettingsError(f"{out}: is not an empty folder, and holds no experiment")
+    try:
+        out.mkdir(parents=True, exist_ok=True)
+        kept.write_text(text, encoding="utf-8")
+        if told.load.replay is not None:
+            shutil.copyfile(file.parent / told.load.replay, out / Path(told.load.replay).name)
+    except OSError as error:
+        raise SettingsError(f"{out}: {error.strerror}") from error
+
+
+def _checked_out(commit: str, out: Path, say: Say) -> str:
+    """The folder with the files of a commit."""
+    folder = (out / "versions" / commit).resolve()
+    if not folder.exists():
+        say(f"checking out {commit[:10]}")
+        made = subprocess.run(["git", "-C", str(ROOT), "archive", commit], capture_output=True, check=True)
+        part = folder.with_suffix(".part")
+        shutil.rmtree(part, ignore_errors=True)
+        with tarfile.open(fileobj=io.BytesIO(made.stdout)) as archive:
+            archive.extractall(part, filter="data")
+        part.replace(folder)
+    return str(folder)
+
+
+async def run(file: Path, out: Path, say: Say) -> int:
+    """Run an experiment; the exit status. `SettingsError` before anything has started."""
+    prepared = prepare(file, out, say)
+    results = await prepared.go()
+    report.write(prepared.told, results, out)
+    say(f"report in {out / 'report.md'}")
+    played = {result.version for result in results if result.valid}
+    return 0 if all(version.name in played for version in prepared.told.versions) else 1
--- /dev/null
+++ b/brassfall/lab/sim/flaws.py
@@ -0,0 +1,187 @@
+"""Sidecars that break one rule each: what the ledger has to find, to be believed when it finds nothing."""
+
+from __future__ import annotations
+
+from brassfall.lab.models.client import BROKEN, SERVED
+from brassfall.lab.sim.sidecar import RESET, Attempt, Request, Sidecar
+from poppypulley.model import Listing, Send
+
+EVERY = 25  # a flaw shows at one request in so many, where it shows at single requests
+
+
+class _Counting(Sidecar):
+    """Counts what may go wrong, so that it goes wrong now and then."""
+
+    _seen = 0
+
+    def strikes(self) -> bool:
+        """Whether this is the one in so many."""
+        self._seen += 1
+        return self._seen % EVERY == 0
+
+
+class NoticeTwice(_Counting):
+    """Sends a request that must not run twice to a second server, where the first is slow to answer."""
+
+    def send(self, now: float, action: Send) -> None:
+        """Begin an attempt, and sometimes another one."""
+        super().send(now, action)
+        request = self.requests.get(action.request)
+        if request is None or not request.attempts or not self.strikes():
+            return
+        if self.world.day.classes[request.tried.chain.cls].effect == "unsafe":
+            others = [name for name in self.held if name != action.server]
+            super().send(now, action._replace(server=others[request.number % len(others)]))
+
+
+class DropsAnswer(_Counting):
+    """Closes the client's connection in place of passing an answer on."""
+
+    def served(self, now: float, request: Request, attempt: Attempt) -> None:
+        """The final answer: sometimes none."""
+        if self.strikes():
+            self.world.answered(now, request.tried, BROKEN)
+        else:
+            super().served(now, request, attempt)
+
+
+class AnswersLate(_Counting):
+    """Holds an answer back until the client's time is over."""
+
+    def served(self, now: float, request: Request, attempt: Attempt) -> None:
+        """The final answer: sometimes far too late."""
+        if self.strikes():
+            self.world.at(now + 2.0 * request.tried.budget, self._at_last, (request, attempt))
+        else:
+            super().served(now, request, attempt)
+
+    def _at_last(self, now: float, told: tuple[Request, Attempt]) -> None:
+        super().served(now, *told)
+
+
+class IgnoresDrain(Sidecar):
+    """Goes on sending to servers that drain or are gone."""
+
+    def told(self, now: float, form: str, entries: list[Listing], index: int) -> None:
+        """News of the list, all of it good."""
+        kept = [entry._replace(state="active") for entry in entries]
+        super().told(now, form, kept, index)
+
+
+class CrossesKeys(_Counting):
+    """Sends a request with the key of the one before it."""
+
+    _last_key = ""
+
+    def send(self, now: float, action: Send) -> None:
+        """Begin an attempt, sometimes with a key that is another's."""
+        request = self.requests.get(action.request)
+        if request is None or not request.tried.key:
+            super().send(now, action)
+            return
+        mine, key = request.tried.key, self._last_key
+        self._last_key = mine
+        if key and self.strikes():
+            request.tried.key = key
+        super().send(now, action)
+        request.tried.key = mine
+
+
+class CrossesAnswers(_Counting):
+    """Answers a request with what was made for the one before it."""
+
+    _last: tuple[str, str] = ("", "")
+
+    def served(self, now: float, request: Request, attempt: Attempt) -> None:
+        """The final answer, sometimes another request's."""
+        by, of = self._last
+        self._last = (attempt.server.name, attempt.of)
+        if of and self.strikes():
+            self.world.answered(now, request.tried, SERVED, by=by, of=of)
+        else:
+            super().served(now, request, attempt)
+
+
+class LosesOnReset(Sidecar):
+    """Forgets a request whose connection to a server has broken."""
+
+    def ended(self, now: float, attempt: Attempt, status: int, report: float | None = None) -> None:
+        """The outcome of an attempt."""
+        if status == RESET and attempt.out and not attempt.request.ended:
+            attempt.request.ended = True
+            self.world.answered(now, attempt.request.tried, BROKEN)
+        super().ended(now, attempt, status, report)
+
+
+class FloodsCold(Sidecar):
+    """Sends everything to the server that has started last, for some seconds."""
+
+    _newest = ""
+    _until = 0.0
+
+    def told(self, now: float, form: str, entries: list[Listing], index: int) -> None:
+        """News of the list."""
+        started = [entry for entry in entries if entry.state == "active" and entry.started > 0.0]
+        if started:
+            self._newest = max(started, key=lambda entry: entry.started).server
+            self._until = now + 4000.0
+        super().told(now, form, entries, index)
+
+    def send(self, now: float, action: Send) -> None:
+        """Begin an attempt, at the newest server."""
+        chosen = self._newest if now < self._until else action.server
+        super().send(now, action._replace(server=chosen))
+
+
+class GoesOn(_Counting):
+    """Refuses a request, and sends it all the same."""
+
+    def refused(self, now: float, request: Request, retry_after: float) -> None:
+        """The final answer, which it does not mean."""
+        super().refused(now, request, retry_after)
+        if self.strikes():
+            self.world.at(now + 60.0, self._send_on, request)
+
+    def _send_on(self, now: float, request: Request) -> None:
+        host = self.world.servers[next(iter(self.held))]
+        attempt = Attempt(self, request, len(request.attempts), host, now)
+        attempt.out = False
+        self.world.carry(now, self, attempt)
+
+
+class Invents(_Counting):
+    """Answers with what no server has made."""
+
+    def refused(self, now: float, request: Request, retry_after: float) -> None:
+        """The final answer: sometimes a kind lie."""
+        if self.strikes():
+            self.world.answered(now, request.tried, SERVED)
+        else:
+            super().refused(now, request, retry_after)
+
+
+class RefusesWhatRan(_Counting):
+    """Says that a request was refused, though a server has run it."""
+
+    def served(self, now: float, request: Request, attempt: Attempt) -> None:
+        """The final answer: sometimes a refusal."""
+        if self.strikes():
+            self.refused(now, request, 0.0)
+        else:
+            super().served(now, request, attempt)
+
+
+# Each flaw, and the rule that the ledger has to name for it.
+FLAWS: dict[str, tuple[type[Sidecar], str]] = {
+    "notice-twice": (NoticeTwice, "ran twice"),
+    "drops-answer": (DropsAnswer, "lost"),
+    "answers-late": (AnswersLate, "unanswered"),
+    "ignores-drain": (IgnoresDrain, "drain"),
+    "crosses-keys": (CrossesKeys, "altered"),
+    "crosses-answers": (CrossesAnswers, "invented"),
+    "loses-on-reset": (LosesOnReset, "lost"),
+    "floods-cold": (FloodsCold, "cold server"),
+    "goes-on": (GoesOn, "sent after its answer"),
+    "invents": (Invents, "invented"),
+    "refuses-what-ran": (RefusesWhatRan, "refused after it ran"),
+}
--- /dev/null
+++ b/brassfall/lab/sim/listing.py
@@ -0,0 +1,111 @@
+"""The cores of the list service put together as its process does, its disk a list of records."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from brassfall import settings
+from brassfall.registry import entries
+from brassfall.registry.entries import INSTANCES, Refused
+from brassfall.registry.membership import Call
+from brassfall.table.core import Change, Command, Delete, Record, Result, Status, Table
+from brassfall.table.leases import Guard, Leases
+from brassfall.table.store import unix_floor
+
+STATUS = {Status.DONE: 200, Status.MISSING: 404, Status.CONFLICT: 409, Status.STALE: 412}
+
+
+class ListService:
+    """One list service; `news` gathers the changes that are to be told to watches."""
+
+    def __init__(self, clock_s: float = 1000.0, keep_ms: float | None = None) -> None:
+        self.disk: list[Record] = []
+        self.told: list[int] = []  # every index, in the order in which it was told
+        self.news: list[Change] = []
+        self.up = self.stalled = False
+        self._clock_s = clock_s  # wall time at time 0
+        self._wants = settings.LeaseSettings()
+        self._keep_ms = settings.GuardSettings().keep_ms if keep_ms is None else keep_ms
+
+    def start(self, now: float, lost: bool = False) -> None:
+        """Begin a life, with the disk of the last one, or without it."""
+        if lost:
+            self.disk = []
+        self.table = Table()
+        self.table.absorb(self.disk)
+        self._write([self.table.life(unix_floor(self._clock_s + now / 1000.0), 0)])
+        self.leases = Leases(Guard(keep_ms=self._keep_ms))
+        for row in self.table.rows(INSTANCES):
+            grace = float(self._wants.restart_grace_ms)
+            self.leases.grant(now, row.key, row.lease_ms, entries.guarded(INSTANCES, row), grace)
+        self.up = True
+
+    def stop(self) -> None:
+        """End its life."""
+        self.up = False
+        self.news.clear()
+
+    def _write(self, records: list[Record]) -> None:
+        self.disk += records
+        self.news += [change for _, change in self.table.absorb(records)]
+        self.told.append(self.table.index)
+
+    def run(self, command: Command) -> Result:
+        """Carry out one command."""
+        stage = self.table.stage(0)
+        result = stage.run(command)
+        if stage.records:
+            self._write(stage.records)
+        return result
+
+    def look(self, now: float) -> list[str]:
+        """Take out whose leases are over; their names."""
+        expired = self.leases.look(now).expired
+        for key in expired:
+            self.run(Delete(table=INSTANCES, key=key))
+        return expired
+
+    def call(self, now: float, call: Call) -> int:
+        """Carry out one call of a member; its status."""
+        key, body = call.path.split("/")[3], msgspec.json.encode(call.body)
+        if call.method == "POST":
+            return self._renew(now, key, call.body["since_ms"])
+        try:
+            command = self._command(call.method, key, body)
+        except Refused:
+            return 400
+        result = self.run(command)
+        row = self.table.get(INSTANCES, key)
+        if row is None:
+            self.leases.drop(key)
+        elif result.done:
+            self.leases.grant(now, key, row.lease_ms, entries.guarded(INSTANCES, row))
+        return STATUS[result.status]
+
+    def _command(self, method: str, key: str, body: bytes) -> Command:
+        if method == "PUT":
+            return entries.register(key, *entries.registration(key, body, self._wants), None, "")
+        if method == "PATCH":
+            return entries.alter(key, body, None, "")
+        return entries.leave(key, entries.holder(body), None, "")
+
+    def _renew(self, now: float, key: str, since: int) -> int:
+        row = self.table.get(INSTANCES, key)
+        if row is None:
+            return 404
+        if row.fence != since:
+            return 409 if row.fence > since else 404
+        self.leases.renew(now, key)
+        return 200
+
+    def listed(self) -> list[dict[str, Any]]:
+        """The whole list."""
+        return entries.endpoints(self.table.rows(INSTANCES))
+
+    def take_news(self) -> list[dict[str, Any]]:
+        """The changes since it was last asked for them, as a watch tells them."""
+        told = entries.changed(self.news)
+        self.news.clear()
+        return told
--- /dev/null
+++ b/brassfall/lab/sim/sidecar.py
@@ -0,0 +1,321 @@
+"""One sidecar of a simulated fleet: runs the decision module as the real one's driver does.
+
+Events go in, actions are carried out on the world's heap. It keeps the timers, the requests, their
+attempts and the connections; it decides nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any
+
+from brassfall.lab.models.client import FAILED, REFUSED, SERVED
+from poppypulley import Balancer, model
+from poppypulley.model import Cancel, CloseIdle, Fail, Fetch, Listing, Log, Probe, Refuse, Send, Timer, Watch
+
+if TYPE_CHECKING:
+    from brassfall.lab.sim.world import Host, Try, World
+
+OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT = map(int, model.Outcome)
+MARGIN_MS = 8.0  # what the real driver keeps between its deadline and the client's
+PROBE_TIMEOUT_MS = 1000.0
+
+
+class Request:
+    """A request taken, until its final answer and its last outcome."""
+
+    __slots__ = ("number", "tried", "give_up_at", "ended", "attempts", "out")
+
+    def __init__(self, number: int, tried: Try, give_up_at: float) -> None:
+        self.number = number
+        self.tried = tried
+        self.give_up_at = give_up_at
+        self.ended = False
+        self.attempts: list[Attempt] = []
+        self.out = 0
+
+
+class Attempt:
+    """One send, until its outcome."""
+
+    __slots__ = ("request", "hop", "server", "sent", "out", "link", "cross", "fresh", "of", "key", "sidecar")
+
+    def __init__(self, sidecar: Sidecar, request: Request, hop: int, server: Host, sent: float) -> None:
+        self.sidecar = sidecar
+        self.request = request
+        self.hop = hop
+        self.server = server
+        self.sent = sent
+        self.out = True
+        self.link = -1  # which of the server's generations of connections it went by; -1 before one
+        self.cross = sidecar.zone != server.zone
+        self.fresh = False
+        self.of = request.tried.id
+        self.key = request.tried.key
+
+
+class Pool:
+    """The idle connections to one server, by when they were last used."""
+
+    __slots__ = ("link", "idle")
+
+    def __init__(self, link: int) -> None:
+        self.link = link
+        self.idle: list[float] = []
+
+
+class Sidecar:
+    """One sidecar. `life` counts its starts: what belongs to an earlier one is void."""
+
+    def __init__(self, world: World, number: int, name: str, zone: int, settings: dict[str, Any]) -> None:
+        self.world = world
+        self.number = number
+        self.name = name
+        self.zone = zone
+        self.settings = model.Settings.parse(settings)
+        self.idle_ms = self.settings.idle_close
+        self.max_attempts = self.settings.max_attempts
+        self.life = -1
+        self.up = False
+        self.watching = False
+        self.watch_asked = 0  # counts asks, so that an answer to an older one is void
+        self.list_index = 0
+        self.list_heard = 0.0  # when what it holds was last known to be true
+        self.held: dict[str, Listing] = {}
+        self.requests: dict[int, Request] = {}
+        self.pools: dict[str, Pool] = {}
+        self._balancer: Balancer
+        self._next = 0
+        self._acts: dict[type, Callable[[float, Any], None]] = {
+            Send: self.send,
+            Timer: self._set_timer,
+            Refuse: self._refuse,
+            Fail: self._fail,
+            Cancel: self._cancel,
+            CloseIdle: self._close_idle,
+            Watch: self._watch,
+            Fetch: self._fetch,
+            Probe: self._probe,
+            Log: self._log,
+        }
+
+    # --- life -----------------------------------------------------------------
+
+    def start(self, now: float, seed: int) -> None:
+        """Begin anew, with nothing but the list that it last had."""
+        self.life += 1
+        self.up, self.watching = True, False
+        self.watch_asked += 1
+        self.requests, self.pools = {}, {}
+        self._next = seed % 2**32
+        self._balancer = Balancer(now, self.settings, seed)
+        self.do(now, self._balancer.server_list(now, "remembered", list(self.held.values())))
+
+    def kill(self, now: float) -> list[Try]:
+        """Its process dies; the tries that it had not answered."""
+        self.up, self.watching = False, False
+        open_tries = [request.tried for request in self.requests.values() if not request.ended]
+        for pool_name, pool in self.pools.items():
+            self.world.disconnect(pool_name, pool, len(pool.idle))
+        for request in self.requests.values():
+            for attempt in request.attempts:
+                attempt.out = False
+        self.requests, self.pools = {}, {}
+        return open_tries
+
+    # --- events ---------------------------------------------------------------
+
+    def arrive(self, now: float, tried: Try) -> None:
+        """A client's request."""
+        number = self._next
+        while number in self.requests:
+            number = (number + 1) % 2**32
+        self._next = (number + 1) % 2**32
+        request = Request(number, tried, now + tried.budget - MARGIN_MS)
+        self.requests[number] = request
+        tried.request = request
+        arrival = model.Arrival(
+            number, tried.chain.cls, request.give_up_at, 0, None, None, tried.hop > 0, tried.keyed_or_unsafe
+        )
+        self.do(now, self._balancer.request(now, arrival))
+
+    def client_gone(self, now: float, request: Request) -> None:
+        """The client has given up."""
+        if self._end(request):
+            self.do(now, self._balancer.client_gone(now, request.number))
+            self._forget(request)
+
+    def ended(self, now: float, attempt: Attempt, status: int, report: float | None = None) -> None:
+        """The one outcome of an attempt; the first OK answers its request."""
+        if not attempt.out:
+            return
+        attempt.out = False
+        request = attempt.request
+        request.out -= 1
+        if status <= FULL:
+            self._give_back(now, attempt)
+        if status == OK and self._end(request):
+            self.served(now, request, attempt)
+        spent = now - attempt.sent
+        told = None if report is None else {"inflight": report}
+        balancer = self._balancer
+        self.do(now, balancer.outcome(now, request.number, attempt.hop, status, spent, request.ended, told))
+        self._forget(request)
+
+    def expire(self, now: float, attempt: Attempt) -> None:
+        """An attempt's time is over: its connection is closed."""
+        if attempt.out:
+            self._drop_connection(attempt)
+            self.ended(now, attempt, TIMEOUT)
+
+    def timer(self, now: float, token: tuple[int, str]) -> None:
+        """A timer of the module has come due."""
+        if token[0] == self.life and self.up:
+            self.do(now, self._balancer.timer(now, token[1]))
+
+    def told(self, now: float, form: str, entries: list[Listing], index: int) -> None:
+        """News of the list."""
+        if form == "all":
+            self.held = {entry.server: entry for entry in entries}
+        for entry in entries if form == "changes" else ():
+            if entry.state == "left":
+                self.held.pop(entry.server, None)
+            else:
+                self.held[entry.server] = entry
+        self.list_index = max(self.list_index, index)
+        self.do(now, self._balancer.server_list(now, form, entries))
+
+    def refused_list(self, now: float) -> None:
+        """A call for the list has failed, or its watch has broken."""
+        self.watching = False
+        self.do(now, self._balancer.server_list(now, "refused", ()))
+
+    def probed(self, now: float, told: tuple[int, str, int, float]) -> None:
+        """What a probe has found."""
+        life, server, status, spent = told
+        if life == self.life and self.up:
+            self.do(now, self._balancer.probe_result(now, server, status, spent))
+
+    # --- actions --------------------------------------------------------------
+
+    def do(self, now: float, actions: Iterable[model.Action]) -> None:
+        """Carry out what the module has decided."""
+        acts = self._acts
+        for action in actions:
+            acts[type(action)](now, action)
+
+    def send(self, now: float, action: Send) -> None:
+        """Begin an attempt."""
+        request = self.requests.get(action.request)
+        server = self.world.servers.get(action.server)
+        if request is None or server is None:
+            return
+        attempt = Attempt(self, request, len(request.attempts), server, now)
+        request.attempts.append(attempt)
+        request.out += 1
+        left = request.give_up_at - now
+        wait = min(action.timeout, left) if action.timeout > 0.0 else left
+        moot = request.ended or left <= 0.0 or action.timeout < 0.0 or attempt.hop >= self.max_attempts
+        if moot:
+            self.world.at(now, self._moot, attempt)
+            return
+        self.world.at(now + wait, self.expire, attempt)
+        self.world.carry(now, self, attempt)
+
+    def _moot(self, now: float, attempt: Attempt) -> None:
+        self.ended(now, attempt, MOOT)
+
+    def _set_timer(self, now: float, action: Timer) -> None:
+        self.world.at(now + max(0.0, action.delay), self.timer, (self.life, action.token))
+
+    def _refuse(self, now: float, action: Refuse) -> None:
+        request = self.requests.get(action.request)
+        if request is not None and self._end(request):
+            self.refused(now, request, action.retry_after)
+            self._forget(request)
+
+    def _fail(self, now: float, action: Fail) -> None:
+        request = self.requests.get(action.request)
+        if request is not None and self._end(request):
+            self.world.answered(now, request.tried, FAILED)
+            self._forget(request)
+
+    def served(self, now: float, request: Request, attempt: Attempt) -> None:
+        """The final answer: a server's."""
+        self.world.answered(now, request.tried, SERVED, by=attempt.server.name, of=attempt.of)
+
+    def refused(self, now: float, request: Request, retry_after: float) -> None:
+        """The final answer: refused."""
+        self.world.answered(now, request.tried, REFUSED, retry_after)
+
+    def _cancel(self, now: float, action: Cancel) -> None:
+        request = self.requests.get(action.request)
+        if request is not None and 0 <= action.attempt < len(request.attempts):
+            attempt = request.attempts[action.attempt]
+            if attempt.out:
+                self.world.at(now, self._cancelled, attempt)
+
+    def _cancelled(self, now: float, attempt: Attempt) -> None:
+        if attempt.out:
+            self._drop_connection(attempt)
+            self.ended(now, attempt, CANCELLED)
+
+    def _close_idle(self, now: float, action: CloseIdle) -> None:
+        pool = self.pools.pop(action.server, None)
+        if pool is not None:
+            self.world.disconnect(action.server, pool, len(pool.idle))
+
+    def _watch(self, now: float, action: Watch) -> None:
+        self.watching = False
+        self.watch_asked += 1
+        if action.on:
+            self.world.watch(now, self, self.watch_asked)
+
+    def _fetch(self, now: float, action: Fetch) -> None:
+        self.world.fetch(now, self)
+
+    def _probe(self, now: float, action: Probe) -> None:
+        self.world.probe(now, self, action.server)
+
+    def _log(self, now: float, action: Log) -> None:
+        pass
+
+    # --- connections ----------------------------------------------------------
+
+    def connection(self, now: float, server: Host) -> bool:
+        """Take an idle connection to a server; whether there was one."""
+        pool = self.pools.get(server.name)
+        if pool is None or pool.link != server.link:
+            self.pools[server.name] = Pool(server.link)
+            return False
+        idle = pool.idle
+        while idle and now - idle[0] >= self.idle_ms:  # the machine there has closed the oldest
+            del idle[0]
+            self.world.disconnect(server.name, pool, 1)
+        if not idle:
+            return False
+        idle.pop()
+        return True
+
+    def _give_back(self, now: float, attempt: Attempt) -> None:
+        pool = self.pools.get(attempt.server.name)
+        if pool is not None and pool.link == attempt.link == attempt.server.link:
+            pool.idle.append(now)
+        elif attempt.link == attempt.server.link:
+            attempt.server.core.connections -= 1
+
+    def _drop_connection(self, attempt: Attempt) -> None:
+        if attempt.link == attempt.server.link:
+            attempt.server.core.connections -= 1
+
+    # --- bookkeeping ----------------------------------------------------------
+
+    def _end(self, request: Request) -> bool:
+        if request.ended:
+            return False
+        request.ended = True
+        return True
+
+    def _forget(self, request: Request) -> None:
+        if request.ended and request.out == 0:
+            self.requests.pop(request.number, None)
--- /dev/null
+++ b/brassfall/lab/sim/world.py
@@ -0,0 +1,662 @@
+"""The world of a simulated play: one heap of events, and all that happens between the parts.
+
+Everything is drawn from the day and its seed, and events of one time happen in the order in which they
+were set: the same day gives the same rows, byte for byte.
+"""
+
+from __future__ import annotations
+
+import gc
+import heapq
+import math
+import random
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+from brassfall.lab import ledger
+from brassfall.lab.day import Day, Machine
+from brassfall.lab.ledger import Book
+from brassfall.lab.models import client
+from brassfall.lab.models.client import BROKEN, SILENT, UNREACHED
+from brassfall.lab.models.network import Network
+from brassfall.lab.models.server import BROKEN as ERROR_AT_ONCE
+from brassfall.lab.models.server import FULL as ROOM_FULL
+from brassfall.lab.models.server import TAKEN, Job, Server
+from brassfall.lab.sim.listing import ListService
+from brassfall.lab.sim.sidecar import CONNECT_FAILED, ERROR, FULL, OK, RESET, TIMEOUT, Attempt, Pool, Sidecar
+from brassfall.registry.membership import Call, Membership
+from poppypulley.model import Listing
+
+ANSWER_SLACK_MS = 20.0  # how long past its time a client still reads an answer
+AFTER_MS = 1500.0  # how long a day runs on after the last deadline
+LOOK_MS = 100.0
+SAMPLE_MS = 500.0
+WATCH_SILENT_MS = 5000.0  # a watch without a line for so long is broken
+ASK_TIMEOUT_MS = 1000.0
+SAMPLED = 16  # sidecars whose lists are held against the truth, each sample
+SCRAMBLE = 0x9E3779B97F4A7C15  # ids tell nothing of their order
+MASK = 0xFFFFFFFFFFFFFFFF
+
+Handler = Callable[[float, Any], None]
+
+
+class Host:
+    """One server of the fleet, through all its lives."""
+
+    def __init__(self, name: str, machine: Machine) -> None:
+        self.name = name
+        self.machine = machine
+        self.zone = machine.zone
+        self.life = -1
+        self.link = 0  # counts generations of connections: a death or a reset ends one
+        self.up = False
+        self.leaving = False
+        self.core: Server
+        self.member: Membership
+        self.speaking = 0  # counts its loops of calls to the list service, so that an old one ends
+        self.wakes_at = math.inf
+        self.held_back: list[Attempt] = []  # what came while its process stood still
+
+
+class Chain:
+    """A request, through all its client's tries."""
+
+    __slots__ = ("first", "cls", "app", "due", "work", "tries")
+
+    def __init__(self, first: str, cls: int, app: int, due: float, work: float) -> None:
+        self.first = first
+        self.cls = cls
+        self.app = app
+        self.due = due
+        self.work = work
+        self.tries = 0
+
+
+class Try:
+    """One try of a client."""
+
+    __slots__ = ("id", "chain", "hop", "sent", "budget", "key", "over", "request", "keyed_or_unsafe", "life")
+
+    def __init__(self, id_: str, chain: Chain, sent: float, budget: float, key: str, writes: bool) -> None:
+        self.id = id_
+        self.chain = chain
+        self.hop = chain.tries
+        self.sent = sent
+        self.budget = budget
+        self.key = key
+        self.over = False
+        self.request: Any = None
+        self.keyed_or_unsafe = writes
+        self.life = 0
+
+
+class World:
+    """One play."""
+
+    def __init__(
+        self,
+        day: Day,
+        settings: Callable[[int], dict[str, Any]],
+        book: Book,
+        sidecar: type[Sidecar] = Sidecar,
+    ) -> None:
+        self.day = day
+        self.book = book
+        self.events = 0
+        self._heap: list[tuple[float, int, Handler, Any]] = []
+        self._count = count().__next__
+        self._ids = count(1)
+        self.rng = random.Random(day.seed * 7919 + 1)  # the network's and the servers'
+        self._client_rng = random.Random(day.seed * 7919 + 2)
+        self._list_rng = random.Random(day.seed * 7919 + 3)
+        self.network = Network(day.ways, self.rng.random)
+        self.listing = ListService()
+        self.servers: dict[str, Host] = {m.name: Host(m.name, m) for m in day.servers}
+        self._lives: dict[tuple[str, float], int] = {}
+        self.sidecars = [
+            sidecar(self, number, app.name, app.zone, settings(number)) for number, app in enumerate(day.apps)
+        ]
+        self._watchers: dict[Sidecar, int] = {}
+        self._end = day.lasts + max(row.deadline for row in day.classes) + AFTER_MS
+        self._works: list[tuple[float, float]] = [
+            (-s * s / 2.0, s) for s in (math.sqrt(math.log1p(cv * cv)) for cv in day.noise)
+        ]
+
+    # --- time -----------------------------------------------------------------
+
+    def at(self, when: float, what: Handler, arg: Any) -> None:
+        """Something happens then."""
+        heapq.heappush(self._heap, (when, self._count(), what, arg))
+
+    def run(self, progress: Callable[[float], None] = lambda now: None) -> None:
+        """Play the whole day; `progress` is told the time each simulated second."""
+        self._begin()
+        # Cycles are few and die with the play; looking for them costs a tenth of the time.
+        gc.disable()
+        try:
+            self._loop(progress)
+        finally:
+            gc.enable()
+        self._close()
+
+    def _loop(self, progress: Callable[[float], None]) -> None:
+        arrivals = self.day.arrivals
+        times = [*arrivals.at.tolist(), math.inf]
+        columns = arrivals.app.tolist(), arrivals.cls.tolist(), arrivals.work.tolist()
+        rows = [*zip(*columns, strict=True)]
+        heap, pop, arrive = self._heap, heapq.heappop, self._arrive
+        end, next_at, told, events = self._end, 0, 1000.0, 0
+        while True:
+            due = times[next_at]
+            if due <= heap[0][0]:
+                now = due
+                if now > end:
+                    break
+                arrive(now, rows[next_at])
+                next_at += 1
+            else:
+                now, _, what, arg = pop(heap)
+                if now > end:
+                    break
+                what(now, arg)
+            events += 1
+            if now >= told:
+                told += 1000.0
+                progress(now)
+        self.events = events
+
+    def _begin(self) -> None:
+        self.listing.start(0.0)
+        for host in self.servers.values():
+            self._start_host(host, 0.0, cold=False)
+            call = host.member.call(0.0)
+            host.member.ended(0.0, self.listing.call(0.0, call), self._list_rng.random())
+            self.at(host.member.due, self._speak, (host, host.speaking))
+        self.listing.take_news()
+        known = {name: self._listing(row) for row in self.listing.listed() for name in [row["name"]]}
+        for sidecar in self.sidecars:
+            sidecar.held = dict(known)
+            sidecar.list_index = self.listing.table.index
+            sidecar.start(0.0, self.day.apps[sidecar.number].seed)
+        self.at(LOOK_MS, self._look, None)
+        self.at(SAMPLE_MS, self._sample, None)
+
+    def _close(self) -> None:
+        for host in self.servers.values():
+            if host.up:
+                for job in host.core.abandon():
+                    self._note(host, job.data, self._end, "unfinished", job.work)
+                self._note_life(host, -1.0, "")
+
+    # --- clients --------------------------------------------------------------
+
+    def _id(self) -> str:
+        return f"{next(self._ids) * SCRAMBLE & MASK:016x}"
+
+    def _arrive(self, now: float, row: tuple[int, int, float]) -> None:
+        app, cls, work = row
+        chain = Chain("", cls, app, now, work)
+        self._try(now, chain)
+
+    def _try(self, now: float, chain: Chain) -> None:
+        row = self.day.classes[chain.cls]
+        budget = client.budget(self.day.habits, row, chain.due + row.deadline - now)
+        id_ = self._id()
+        if not chain.tries:
+            chain.first = id_
+        key = f"k{chain.first}" if row.effect == "keyed" else ""
+        tried = Try(id_, chain, now, budget, key, row.effect != "safe")
+        chain.tries += 1
+        sidecar = self.sidecars[chain.app]
+        if not sidecar.up:
+            self.answered(now, tried, UNREACHED, excused=True)
+            return
+        tried.life = sidecar.life
+        self.at(now + budget + ANSWER_SLACK_MS, self._give_up, tried)
+        sidecar.arrive(now, tried)
+
+    def _give_up(self, now: float, tried: Try) -> None:
+        if tried.over:
+            return
+        self.answered(now, tried, SILENT)
+        sidecar = self.sidecars[tried.chain.app]
+        if sidecar.up and sidecar.life == tried.life and tried.request is not None:
+            sidecar.client_gone(now, tried.request)
+
+    def answered(
+        self,
+        now: float,
+        tried: Try,
+        status: str,
+        retry_after: float = 0.0,
+        by: str = "",
+        of: str = "",
+        excused: bool = False,
+    ) -> None:
+        """A client has its answer, or has given up waiting for it."""
+        if tried.over:
+            return
+        tried.over = True
+        chain = tried.chain
+        app = self.day.apps[chain.app]
+        self.book.add(
+            ledger.Answer(
+                tried.id,
+                self.day.classes[chain.cls].name,
+                app.name,
+                chain.first,
+                tried.hop,
+                round(chain.due, 3),
+                round(tried.sent, 3),
+                round(tried.budget, 3),
+                round(now + 2.0 * app.client_ms, 3),
+                status,
+                tried.key,
+                by,
+                of,
+                excused,
+            )
+        )
+        if status == client.SERVED:
+            return
+        row = self.day.classes[chain.cls]
+        wait = client.wait(
+            self.day.habits,
+            row,
+            status,
+            chain.tries,
+            now - chain.due,
+            now - chain.due,
+            retry_after,
+            self._client_rng.random(),
+        )
+        if wait is not None:
+            self.at(now + wait, self._try, chain)
+
+    # --- attempts -------------------------------------------------------------
+
+    def carry(self, now: float, sidecar: Sidecar, attempt: Attempt) -> None:
+        """Bring an attempt to its server, over an idle connection or a new one."""
+        host = attempt.server
+        way = self.network.to_server(sidecar.zone, host.name, host.zone)
+        if sidecar.connection(now, host):
+            attempt.link = host.link
+            if way is not None:
+                self.at(now + way, self._reach, attempt)
+            return
+        if way is None:
+            self.at(now + sidecar.settings.connect_timeout, self._no_connection, attempt)
+        elif not host.up or host.core.connections >= host.machine.connections:
+            self.at(now + 2.0 * way, self._no_connection, attempt)
+        else:
+            attempt.fresh = True
+            attempt.link = host.link
+            host.core.connections += 1
+            trips = 1.0 + 2.0 * host.machine.round_trips
+            self.at(now + way * trips, self._reach, attempt)
+
+    def _no_connection(self, now: float, attempt: Attempt) -> None:
+        attempt.sidecar.ended(now, attempt, CONNECT_FAILED)
+
+    def _reach(self, now: float, attempt: Attempt) -> None:
+        """The last byte of an attempt is at its server."""
+        host = attempt.server
+        if attempt.link != host.link or not host.up:
+            self._outcome_later(now, attempt, RESET, None)
+        elif host.core.stopped:
+            host.held_back.append(attempt)
+        else:
+            self.offer(now, host, attempt)
+
+    def offer(self, now: float, host: Host, attempt: Attempt) -> None:
+        """A server reads a request."""
+        core = host.core
+        chain = attempt.request.tried.chain
+        mu, sigma = self._works[chain.cls]
+        job = Job(chain.work * self.rng.lognormvariate(mu, sigma), (attempt, now))
+        self.settle(now, host)
+        reason = core.offer(now, job, attempt.fresh)
+        if core.fallen:
+            self._note(host, job.data, now, "lost", job.work)
+            self.die(now, host, "fallen")
+        elif reason == TAKEN:
+            self.wake(host)
+        else:
+            at_once = reason == ERROR_AT_ONCE
+            named = "error" if at_once else "full" if reason == ROOM_FULL else "draining"
+            self._note(host, job.data, now, named, job.work)
+            self._outcome_later(now, attempt, ERROR if at_once else FULL, core.report(now))
+
+    def wake(self, host: Host) -> None:
+        """See to it that a server is looked at when its next request is done."""
+        due = host.core.due
+        if due < host.wakes_at:
+            host.wakes_at = due
+            self.at(due, self._woken, (host, host.life, due))
+
+    def _woken(self, now: float, told: tuple[Host, int, float]) -> None:
+        host, life, due = told
+        if host.life != life or host.wakes_at != due or not host.up:
+            return
+        host.wakes_at = math.inf
+        self.settle(now, host)
+        self.wake(host)
+
+    def _finish(self, now: float, host: Host, job: Job) -> None:
+        attempt = job.data[0]
+        self._note(host, job.data, now, "error" if job.failed else "ok", job.work)
+        self._outcome_later(now, attempt, ERROR if job.failed else OK, host.core.report(now))
+
+    def _outcome_later(self, now: float, attempt: Attempt, status: int, report: float | None) -> None:
+        host = attempt.server
+        if status != RESET and attempt.link != host.link:
+            return
+        way = self.network.to_sidecar(host.name, host.zone, attempt.sidecar.zone)
+        if way is not None and attempt.out:
+            self.at(now + way, self._outcome, (attempt, status, report))
+
+    def _outcome(self, now: float, told: tuple[Attempt, int, float | None]) -> None:
+        attempt, status, report = told
+        attempt.sidecar.ended(now, attempt, status, report)
+
+    def disconnect(self, name: str, pool: Pool, closed: int) -> None:
+        """A sidecar has closed so many idle connections."""
+        host = self.servers[name]
+        if pool.link == host.link and host.up:
+            host.core.connections -= closed
+
+    def probe(self, now: float, sidecar: Sidecar, name: str) -> None:
+        """Look whether a server is alive."""
+        host = self.servers[name]
+        way = self.network.to_server(sidecar.zone, name, host.zone)
+        if way is None or (host.up and host.core.stopped):
+            told = (sidecar.life, name, TIMEOUT, ASK_TIMEOUT_MS)
+        else:
+            told = (sidecar.life, name, OK if host.up else CONNECT_FAILED, 2.0 * way)
+        self.at(now + told[3], sidecar.probed, told)
+
+    # --- servers --------------------------------------------------------------
+
+    def _start_host(self, host: Host, now: float, cold: bool) -> None:
+        host.life += 1
+        host.link += 1
+        host.up, host.leaving = True, False
+        host.wakes_at = math.inf
+        host.core = Server(host.machine, now, cold, self.rng.random)
+        since = math.ceil(now)
+        self._lives[host.name, since] = host.life
+        entry = {
+            "name": host.name,
+            "address": f"127.0.0.1:{10_000 + len(self._lives) % 50_000}",
+            "zone": str(host.zone),
+            "type": str(host.machine.kind),
+            "group": 0,
+            "weight": 1.0,
+            "since_ms": since,
+        }
+        host.member = Membership(entry, int(self.day.ttl))
+        host.member.due = now
+        host.speaking += 1
+
+    def start(self, now: float, host: Host) -> None:
+        """A server starts, cold, and registers itself."""
+        self._start_host(host, now, cold=True)
+        self._speak(now, (host, host.speaking))
+
+    def successor(self, now: float, host: Host) -> None:
+        """Another server, of another name, takes a machine over."""
+        base, _, number = host.name.partition(".")
+        made = Host(f"{base}.{int(number or 0) + 1}", host.machine)
+        self.servers[made.name] = made
+        self.start(now, made)
+
+    def die(self, now: float, host: Host, why: str) -> None:
+        """A server's process ends; what it had is lost, and its connections are reset."""
+        for job in host.core.abandon():
+            self._note(host, job.data, now, "lost", job.work)
+            self._outcome_later(now, job.data[0], RESET, None)
+        for attempt in host.held_back:
+            self._outcome_later(now, attempt, RESET, None)
+        host.held_back.clear()
+        self._note_life(host, now, why)
+        host.up = False
+        host.link += 1
+        host.speaking += 1
+
+    def drain(self, now: float, host: Host) -> None:
+        """A server is asked to end: it tells the list service, and finishes what it has."""
+        host.leaving = True
+        host.core.drain(now)
+        self._wish(now, host, "leaving")
+
+    def leave(self, now: float, host: Host) -> None:
+        """A server that has drained is gone from the list, and ends."""
+        self._wish(now, host, "left")
+        self.die(now, host, "left")
+        host.speaking -= 1  # its last call is still made
+
+    def _wish(self, now: float, host: Host, status: str) -> None:
+        host.member.wish(now, status)
+        host.speaking += 1
+        self._speak(now, (host, host.speaking))
+
+    def reset(self, now: float, host: Host) -> None:
+        """All its connections break; it goes on with what it has."""
+        waiting = host.core.jobs()
+        host.link += 1
+        host.core.connections = 0
+        for job in waiting:
+            self._outcome_later(now, job.data[0], RESET, None)
+
+    def settle(self, now: float, host: Host) -> None:
+        """Let a server work until now, before what it can do changes."""
+        for job in host.core.advance(now):
+            self._finish(now, host, job)
+
+    def stand_still(self, now: float, host: Host, stopped: bool) -> None:
+        """Its process is stopped, or goes on and reads what has come meanwhile."""
+        self.settle(now, host)
+        host.core.stop(stopped)
+        if stopped:
+            return
+        waiting, host.held_back = host.held_back, []
+        for attempt in waiting:
+            if host.up:
+                self._reach(now, attempt)
+        if host.up:
+            self.wake(host)
+            host.speaking += 1
+            self._speak(now, (host, host.speaking))
+
+    def _note(self, host: Host, data: tuple[Attempt, float], end: float, outcome: str, work: float) -> None:
+        attempt, at = data
+        tried = attempt.request.tried
+        self.book.add(
+            ledger.Attempt(
+                attempt.of,
+                host.name,
+                host.life,
+                round(attempt.sent, 3),
+                round(at, 3),
+                round(end, 3),
+                outcome,
+                self.day.classes[tried.chain.cls].name,
+                attempt.key,
+                round(work, 3),
+                attempt.cross,
+            )
+        )
+
+    def _note_life(self, host: Host, end: float, why: str) -> None:
+        machine, core = host.machine, host.core
+        cold = core.warm_at > 0.0
+        self.book.add(
+            ledger.Life(
+                host.name,
+                host.life,
+                round(core.begun, 3),
+                round(machine.capacity, 4),
+                round(machine.cold_from, 4) if cold else 1.0,
+                round(machine.cold_ms, 3) if cold else 0.0,
+                round(end, 3),
+                why,
+            )
+        )
+
+    # --- the list service -----------------------------------------------------
+
+    def _delay(self) -> float:
+        low, high = self.day.list_delay
+        return low + (high - low) * self._list_rng.random()
+
+    def _speak(self, now: float, told: tuple[Host, int]) -> None:
+        """A server calls the list service, if that is due."""
+        host, speaking = told
+        member = host.member
+        if speaking != host.speaking or member.over or (host.up and host.core.stopped):
+            return
+        if member.due > now:
+            self.at(member.due, self._speak, told)
+            return
+        call = member.call(now)
+        self.at(now + self._delay(), self._called, (host, speaking, call))
+
+    def _called(self, now: float, told: tuple[Host, int, Call]) -> None:
+        host, speaking, call = told
+        up = self.listing.up and self.network.reaches(host.zone, 0)
+        status = self.listing.call(now, call) if up else 0
+        if status:
+            self._tell(now)
+        wait = self._delay() if status else host.member.patience_ms
+        self.at(now + wait, self._called_back, (host, speaking, status))
+
+    def _called_back(self, now: float, told: tuple[Host, int, int]) -> None:
+        host, speaking, status = told
+        if speaking == host.speaking:
+            host.member.ended(now, status, self._list_rng.random())
+            self._speak(now, (host, speaking))
+
+    def _look(self, now: float, _: None) -> None:
+        if self.listing.up and self.listing.look(now):
+            self._tell(now)
+        self.at(now + LOOK_MS, self._look, None)
+
+    def _listing(self, row: dict[str, Any]) -> Listing:
+        since = float(row["since_ms"])
+        return Listing(row["name"], int(row["zone"]), int(row["type"]), 0, row["status"], 1.0, since)
+
+    def _tell(self, now: float) -> None:
+        """Tell the watches what has changed."""
+        if not self.listing.news:
+            return
+        entries = [self._listing(row) for row in self.listing.take_news()]
+        index = self.listing.table.index
+        for sidecar, ask in self._watchers.items():
+            if self.network.reaches(sidecar.zone, 0):
+                self.at(now + self._delay(), self._news, (sidecar, ask, "changes", entries, index))
+
+    def _news(self, now: float, told: tuple[Sidecar, int, str, list[Listing], int]) -> None:
+        sidecar, ask, form, entries, index = told
+        if not sidecar.up or ask != sidecar.watch_asked:
+            return
+        self._note_news(now, sidecar, form, entries)
+        sidecar.watching = True
+        sidecar.list_heard = now
+        sidecar.told(now, form, entries, index)
+
+    def _note_news(self, now: float, sidecar: Sidecar, form: str, entries: list[Listing]) -> None:
+        held = sidecar.held
+        news = [
+            (entry.server, entry.started, entry.state)
+            for entry in entries
+            if (old := held.get(entry.server)) is None
+            or (old.state, old.started) != (entry.state, entry.started)
+        ]
+        if form == "all":
+            named = {entry.server for entry in entries}
+            news += [(name, old.started, "left") for name, old in held.items() if name not in named]
+        for name, started, state in news:
+            life = self._lives.get((name, started), -1)
+            self.book.add(ledger.News(sidecar.name, name, life, state, round(now, 3)))
+
+    def watch(self, now: float, sidecar: Sidecar, ask: int) -> None:
+        """A sidecar asks for the list, and for all changes from then on."""
+        if not self.network.reaches(sidecar.zone, 0):
+            self.at(now + ASK_TIMEOUT_MS, self._watch_failed, (sidecar, ask))
+        elif not self.listing.up:
+            self.at(now + self._delay(), self._watch_failed, (sidecar, ask))
+        else:
+            self._watchers[sidecar] = ask
+            entries = [self._listing(row) for row in self.listing.listed()]
+            index = self.listing.table.index
+            self.at(now + self._delay(), self._news, (sidecar, ask, "all", entries, index))
+
+    def fetch(self, now: float, sidecar: Sidecar) -> None:
+        """A sidecar asks for the whole list once."""
+        self.watch(now, sidecar, sidecar.watch_asked)
+
+    def _watch_failed(self, now: float, told: tuple[Sidecar, int]) -> None:
+        sidecar, ask = told
+        if sidecar.up and ask == sidecar.watch_asked:
+            sidecar.refused_list(now)
+
+    def break_watches(self, now: float, zone: int | None, after: float) -> None:
+        """The watches of a zone, or all, end after a time."""
+        for sidecar, ask in list(self._watchers.items()):
+            if zone is None or not self.network.reaches(sidecar.zone, 0):
+                del self._watchers[sidecar]
+                self.at(now + after, self._watch_failed, (sidecar, ask))
+
+    def list_down(self, now: float) -> None:
+        """The list service dies."""
+        self.listing.stop()
+        self.break_watches(now, None, 1.0)
+
+    def list_up(self, now: float, lost: bool) -> None:
+        """It is back, with its disk or without."""
+        self.listing.start(now, lost)
+
+    # --- samples --------------------------------------------------------------
+
+    def _sample(self, now: float, _: None) -> None:
+        ages = []
+        for sidecar in self.sidecars:
+            if not sidecar.up:
+                continue
+            if sidecar.watching and self.listing.up and self.network.reaches(sidecar.zone, 0):
+                sidecar.list_heard = now
+            ages.append(now - sidecar.list_heard)
+        ages.sort()
+        wrong = [self._wrong(sidecar) for sidecar in self.sidecars[:SAMPLED]]
+        if ages:
+            median, most = ages[len(ages) // 2], ages[-1]
+            self.book.add(
+                ledger.Age(now, round(median, 3), round(most, 3), round(sum(wrong) / len(wrong), 4))
+            )
+        held = [host.core.held if host.up else -1 for host in self.servers.values()]
+        self.book.add(ledger.Load(now, held))
+        if now < self.day.lasts:
+            self.at(now + SAMPLE_MS, self._sample, None)
+
+    def _wrong(self, sidecar: Sidecar) -> float:
+        """The share of servers that a sidecar's list has as they are not."""
+        true = {name: host.life for name, host in self.servers.items() if host.up and not host.leaving}
+        held = {
+            name: self._lives.get((name, entry.started), -1)
+            for name, entry in sidecar.held.items()
+            if entry.state == "active"
+        }
+        differ = sum(held.get(name) != life for name, life in true.items())
+        differ += sum(name not in true for name in held)
+        return differ / max(1, len(true))
+
+    def kill_sidecar(self, now: float, sidecar: Sidecar) -> None:
+        """A sidecar's process dies: its clients' connections are reset."""
+        self._watchers.pop(sidecar, None)
+        for tried in sidecar.kill(now):
+            self.answered(now, tried, BROKEN, excused=True)
+
+    def start_sidecar(self, now: float, sidecar: Sidecar, seed: int) -> None:
+        """It is back, with the list that it had."""
+        sidecar.start(now, seed)
--- /dev/null
+++ b/brassfall/lab/spec.py
@@ -0,0 +1,350 @@
+"""Experiment files: TOML to immutable typed values. Every error names file, key and reason.
+
+The figures that stand here as defaults are those of the operators' brief for their largest site;
+what an experiment does not name it takes from them.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from brassfall.lab.quantities import Ms, Rate, Span, Spread, read
+from brassfall.settings import SettingsError, read_toml
+
+Part = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Some = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+
+
+class Told(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A table of an experiment file."""
+
+
+class Kind(Told, frozen=True, kw_only=True):
+    """One kind of machine."""
+
+    name: Name
+    share: Part
+    cores: Some = 4
+    speed: Spread = Spread((0.85, 1.1))  # work of a standard core that each core does in its time
+    slots_per_core: Spread = Spread((2.0, 6.0))  # requests in work at once
+    queue_per_core: Spread = Spread((1.0, 4.0))  # requests that wait; beyond them all are turned away
+    cold_from: Spread = Spread((0.12, 0.35))  # share of its capacity after a start
+    cold: Span = Span((10_000.0, 22_000.0))  # until it has all of it
+    error_rate: Spread = Spread((0.0, 0.002))
+
+
+class Crowding(Told, frozen=True, kw_only=True):
+    """When a crowded server turns slow, and stays so."""
+
+    servers: Part = 0.6  # of days; 0 for never
+    held_per_core: Spread = Spread((4.0, 7.0))
+    after: Span = Span((1500.0, 2500.0))
+    slower: Spread = Spread((2.2, 3.4))
+    rest_below: Spread = Spread((0.25, 0.4))  # held per core: mostly idle
+    rest: Span = Span((2700.0, 4700.0))
+    most: Span = Span((16_000.0, 34_000.0))
+
+
+class Report(Told, frozen=True, kw_only=True):
+    """The load reports in answers."""
+
+    every: Span = Span((460.0, 1200.0))
+    late: Span = Span((100.0, 490.0))
+    noise: Spread = Spread((0.0072, 0.072))
+
+
+class Connections(Told, frozen=True, kw_only=True):
+    """What connections between sidecars and servers cost."""
+
+    handshake: Span = Span((2.2, 4.0))  # work of the server
+    round_trips: Spread = Spread((1.0, 2.0))
+    per_core: Spread = Spread((600.0, 900.0))
+    full_tax: Spread = Spread((0.17, 0.39))  # of the capacity, when the table is full
+    idle: Ms = Ms(60_000.0)
+    timeout: Ms = Ms(200.0)
+
+
+class Fleet(Told, frozen=True, kw_only=True):
+    """Who there is."""
+
+    sidecars: Some = 4
+    servers: Some = 12
+    zones: list[Name] = msgspec.field(default_factory=lambda: ["rennes", "brest"])
+    kinds: list[Kind] = msgspec.field(
+        default_factory=lambda: [
+            Kind(name="fast-box", share=0.52, speed=Spread((1.3, 1.7)), queue_per_core=Spread((1.1, 3.5))),
+            Kind(name="std-box", share=0.48),
+        ]
+    )
+    crowding: Crowding = Crowding()
+    report: Report = Report()
+    connections: Connections = Connections()
+    fall_multiple: float = 4.0  # of its present capacity, sent to a cold server
+    fall_after: Ms = Ms(2000.0)
+    probe_work: Span = Span((0.81, 1.6))
+
+
+class Network(Told, frozen=True, kw_only=True):
+    """Delays one way."""
+
+    same: Span = Span((0.2, 0.34))
+    cross: Span = Span((0.42, 0.78))
+    client: Span = Span((0.03, 0.08))
+    jitter: Spread = Spread((0.13, 0.33))
+
+
+class Clients(Told, frozen=True, kw_only=True):
+    """What applications do."""
+
+    retries: Spread = Spread((2.0, 3.99))
+    try_share: Spread = Spread((0.5, 0.6))  # of a class's time, after which a try is given up
+    backoff: Span = Span((0.0, 160.0))
+    honour: Spread = Spread((0.33, 0.71))  # chance that Retry-After is followed
+    uneven: Spread = Spread((0.3, 0.8))  # how far the load of applications differs (cv)
+    zone_skew: Spread = Spread((0.15, 0.45))
+
+
+class RequestClass(Told, frozen=True, kw_only=True):
+    """One class of requests."""
+
+    name: Name
+    share: Part
+    work: Span
+    wanted: Ms
+    deadline: Ms
+    worth: Annotated[float, msgspec.Meta(gt=0.0)]
+    effect: Literal["safe", "keyed", "unsafe"]
+    key_life: Ms = Ms(0.0)
+    cv: Spread = Spread((0.75, 1.5))  # of its work
+    noise: Spread = Spread((0.1, 0.56))  # of the work from one attempt to the next
+
+
+def _class(
+    name: str, share: float, work: tuple[float, float], times: tuple[float, float], **more: Any
+) -> RequestClass:
+    return RequestClass(
+        name=name, share=share, work=Span(work), wanted=Ms(times[0]), deadline=Ms(times[1]), **more
+    )
+
+
+CLASSES = (
+    _class("get-transcript", 0.31, (61.0, 110.0), (400.0, 1200.0), worth=2.0, effect="safe"),
+    _class("save-correction", 0.27, (65.0, 120.0), (400.0, 1000.0), worth=2.0, effect="safe"),
+    _class("send-notice", 0.27, (110.0, 210.0), (800.0, 2500.0), worth=10.0, effect="unsafe"),
+    _class(
+        "new-message", 0.15, (120.0, 210.0), (600.0, 1200.0), worth=8.0, effect="keyed", key_life=Ms(750.0)
+    ),
+)
+
+
+class Step(Told, frozen=True, kw_only=True):
+    """From a time on the load is so many times the usual."""
+
+    at: Ms
+    times: Annotated[float, msgspec.Meta(ge=0.0)]
+
+
+class Burst(Told, frozen=True, kw_only=True):
+    """For a time the load is so many times the usual."""
+
+    at: Ms
+    lasts: Ms = msgspec.field(name="for")
+    times: Annotated[float, msgspec.Meta(ge=0.0)]
+
+
+class Wander(Told, frozen=True, kw_only=True):
+    """The load moves at random between these shares of the usual."""
+
+    between: Spread = Spread((0.9, 1.1))
+    every: Ms = Ms(4000.0)
+
+
+class Load(Told, frozen=True, kw_only=True):
+    """What applications ask for."""
+
+    share: Spread | None = None  # of what the fleet can do
+    rate: Rate | None = None
+    swing: Spread = Spread((0.0, 0.0))  # a wave of this height
+    wave: Ms = Ms(20_000.0)
+    steps: list[Step] = []
+    bursts: list[Burst] = []
+    wander: Wander | None = None
+    replay: str | None = None  # an arrivals file, beside the experiment
+
+
+class ListService(Told, frozen=True, kw_only=True):
+    """How servers stand in the list."""
+
+    ttl: Ms = Ms(6000.0)
+    delay: Span = Span((1.0, 3.0))  # of a call to it and of what it tells
+
+
+class Fault(Told, frozen=True, kw_only=True):
+    """One thing that goes wrong, on the timetable."""
+
+    kind: str
+    at: Span
+    lasts: Span = msgspec.field(name="for", default=Span((0.0, 0.0)))
+    part: Spread | None = None  # of the servers, or of the sidecars
+    servers: list[str] | None = None
+    zone: str | None = None
+    size: Spread | None = None
+    batch: Spread = Spread((0.05, 0.18))  # of a release: share of the fleet at a time
+    drain: Span = Span((2900.0, 5700.0))  # of a release: what an old server has to finish
+    swing: Span = Span((1900.0, 4500.0))  # of a neighbour: so long on, and so long off
+    disk: Literal["kept", "lost"] = "kept"
+
+
+BRIEF: dict[str, dict[str, Any]] = {
+    "registry-down": {"lasts": Span((7100.0, 24_000.0))},
+    "kill": {"lasts": Span((8500.0, 25_000.0)), "part": Spread((0.053, 0.24))},
+    "slow": {
+        "lasts": Span((14_000.0, 29_000.0)),
+        "part": Spread((0.056, 0.25)),
+        "size": Spread((3.8, 9.4)),
+    },
+    "neighbour": {
+        "lasts": Span((17_000.0, 39_000.0)),
+        "part": Spread((0.16, 0.42)),
+        "size": Spread((0.31, 0.65)),
+    },
+    "release": {"lasts": Span((21_000.0, 39_000.0)), "part": Spread((0.61, 0.98))},
+}
+
+
+class Drawn(Told, frozen=True, kw_only=True):
+    """Faults drawn from the seed, with the figures of the operators' brief."""
+
+    count: Spread = Spread((2.0, 4.0))
+    kinds: list[str] = msgspec.field(default_factory=lambda: list(BRIEF))
+
+
+class Version(Told, frozen=True, kw_only=True):
+    """One of the programs to compare: a revision, other settings, or a seeded flaw."""
+
+    name: Name
+    revision: str | None = None
+    settings: dict[str, Any] = {}  # laid over what sidecars are told
+    flaw: str | None = None
+
+
+class Head(Told, frozen=True, kw_only=True):
+    """What is played."""
+
+    name: Name
+    mode: Literal["simulated", "real"]
+    lasts: Ms = msgspec.field(name="for")
+    repeats: Some = 1
+    first_seed: Annotated[int, msgspec.Meta(ge=0)] = 1
+    workers: Annotated[int, msgspec.Meta(ge=0)] = 0  # plays side by side; 0 for one a core
+
+
+class Experiment(Told, frozen=True, kw_only=True):
+    """A whole file."""
+
+    experiment: Head
+    load: Load
+    fleet: Fleet = Fleet()
+    network: Network = Network()
+    clients: Clients = Clients()
+    lists: ListService = ListService()
+    classes: list[RequestClass] = msgspec.field(default_factory=lambda: list(CLASSES))
+    faults: list[Fault] = []
+    drawn: Drawn | None = None
+    versions: list[Version] = msgspec.field(default_factory=lambda: [Version(name="now")])
+
+
+# What each fault needs beside its time: who it strikes, how long, and how hard.
+SERVERS, ZONE, LENGTH, SIZE, ANYONE = "servers", "zone", "for", "size", "sidecars"
+NEEDS: dict[str, tuple[str, ...]] = {
+    "kill": (SERVERS, LENGTH),
+    "stop": (SERVERS, LENGTH),
+    "slow": (SERVERS, LENGTH, SIZE),
+    "neighbour": (SERVERS, LENGTH, SIZE),
+    "errors": (SERVERS, LENGTH, SIZE),
+    "release": (SERVERS, LENGTH),
+    "reset": (SERVERS,),
+    "black-hole": (SERVERS, LENGTH),
+    "lose-answers": (SERVERS, LENGTH),
+    "slow-link": (SERVERS, LENGTH, SIZE),
+    "cut": (ZONE, LENGTH),
+    "registry-down": (LENGTH,),
+    "sidecar-kill": (ANYONE, LENGTH),
+}
+
+
+def is_experiment(path: Path) -> bool:
+    """Whether a file has the table that only experiments have; `SettingsError` if it can't be read."""
+    return "experiment" in read_toml(path)
+
+
+def load(path: Path) -> Experiment:
+    """Read a file; `SettingsError` says what is wrong with it, and where."""
+    raw = read_toml(path)
+    try:
+        return check(msgspec.convert(raw, Experiment, strict=True, dec_hook=read))
+    except (msgspec.ValidationError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def check(told: Experiment) -> Experiment:
+    """The same experiment, if its values make sense together; `ValueError` names the first that does not."""
+    if told.experiment.lasts <= 0.0:
+        raise ValueError("experiment.for: nothing is played in no time")
+    if (told.load.share is None) + (told.load.rate is None) + (told.load.replay is None) != 2:
+        raise ValueError("load: one of share, rate and replay is wanted")
+    if told.load.rate is not None and told.load.rate > 1e6:
+        raise ValueError(f"load.rate: {told.load.rate:g} a second is out of range")
+    if told.load.share is not None and not 0.0 < told.load.share[1] <= 20.0:
+        raise ValueError(f"load.share: {told.load.share[1]:g} is not above 0 and up to 20")
+    for part, rows in (("fleet.kinds", told.fleet.kinds), ("classes", told.classes)):
+        whole = sum(row.share for row in rows)
+        if not 0.99 <= whole <= 1.01:
+            raise ValueError(f"{part}: the shares sum to {whole:g}, not to 1")
+    for part, names in (
+        ("fleet.zones", told.fleet.zones),
+        ("fleet.kinds", [kind.name for kind in told.fleet.kinds]),
+        ("classes", [row.name for row in told.classes]),
+        ("versions", [version.name for version in told.versions]),
+    ):
+        if not names or len(set(names)) != len(names):
+            raise ValueError(f"{part}: names are wanted, each once")
+    for number, fault in enumerate(told.faults):
+        _check_fault(f"faults[{number}]", fault, told)
+    for kind in told.drawn.kinds if told.drawn is not None else ():
+        if kind not in BRIEF:
+            raise ValueError(f"drawn.kinds: {kind!r} is none of {', '.join(BRIEF)}")
+    return told
+
+
+def _check_fault(at: str, fault: Fault, told: Experiment) -> None:
+    needs = NEEDS.get(fault.kind)
+    if needs is None:
+        raise ValueError(f"{at}.kind: {fault.kind!r} is none of {', '.join(NEEDS)}")
+    if fault.at[1] >= told.experiment.lasts:
+        raise ValueError(
+            f"{at}.at: {fault.at[1] / 1000.0:g} s is after the end, {told.experiment.lasts / 1000.0:g} s"
+        )
+    struck = [part for part in (fault.part, fault.servers, fault.zone) if part is not None]
+    if SERVERS in needs and len(struck) != 1:
+        raise ValueError(f"{at}: {fault.kind} wants one of part, servers and zone")
+    if ANYONE in needs and fault.part is None:
+        raise ValueError(f"{at}.part: {fault.kind} wants the part of the sidecars that it strikes")
+    if fault.part is not None and fault.part[1] > 1.0:
+        raise ValueError(f"{at}.part: {fault.part[1]:g} is more than all, 1.0")
+    if fault.zone is not None and fault.zone not in told.fleet.zones:
+        raise ValueError(f"{at}.zone: {fault.zone!r} is none of {', '.join(told.fleet.zones)}")
+    if ZONE in needs and fault.zone is None:
+        raise ValueError(f"{at}.zone: {fault.kind} wants the zone that it strikes")
+    if LENGTH in needs and fault.lasts[0] <= 0.0:
+        raise ValueError(f"{at}.for: {fault.kind} wants to last for some time")
+    if SIZE in needs and fault.size is None:
+        raise ValueError(f"{at}.size: {fault.kind} wants a size")
+    known = {f"s{number}" for number in range(told.fleet.servers)}
+    for name in fault.servers or ():
+        if name not in known:
+            raise ValueError(f"{at}.servers: {name!r} is not between s0 and s{told.fleet.servers - 1}")
--- a/brassfall/settings.py
+++ b/brassfall/settings.py
@@ -83,14 +83,19 @@
     return host.strip("[]"), int(port)
 
 
-def load(path: Path) -> RegistrySettings:
-    """Read a file; `SettingsError` says what is wrong with it, and where."""
+def read_toml(path: Path) -> dict[str, Any]:
+    """A file as plain values; `SettingsError` if it can't be read, or is no TOML."""
     try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+        return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
+
+
+def load(path: Path) -> RegistrySettings:
+    """Read a file; `SettingsError` says what is wrong with it, and where."""
+    raw = read_toml(path)
     try:
         return check(msgspec.convert(raw, File, strict=True).registry)
     except (msgspec.ValidationError, ValueError) as error:
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,208 @@
+"""The lab: its models, its ledger's verdicts, its files and its command."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from brassfall.lab import day, ledger, play, runner, spec
+from brassfall.lab.models.server import FULL, TAKEN, Job, Server
+from brassfall.lab.sim.faults import Faults
+from brassfall.lab.sim.flaws import FLAWS
+from brassfall.lab.sim.sidecar import Sidecar
+from brassfall.lab.sim.world import World
+from brassfall.settings import SettingsError
+from tests.processes import ROOT
+
+HEAD = '[experiment]\nname = "t"\nmode = "simulated"\nfor = "{s} s"\n'
+TROUBLED = (
+    HEAD.format(s=14)
+    + "[load]\nshare = 0.8\n[fleet]\nservers = 9\nsidecars = 3\n"
+    + '[[faults]]\nkind = "release"\nat = "2 s"\nfor = "11 s"\npart = 0.6\ndrain = "3 s"\n'
+    + '[[faults]]\nkind = "kill"\nat = "6 s"\nfor = "4 s"\npart = 0.15\n'
+    + '[[faults]]\nkind = "reset"\nat = "9 s"\npart = 0.6\n'
+)
+
+
+def told(tmp_path, text):
+    file = tmp_path / "e.toml"
+    file.write_text(text)
+    return spec.load(file)
+
+
+def played(experiment, folder, seed=1, kind=Sidecar):
+    """Play a day here; its judgement."""
+    book = ledger.Book(folder)
+    world = World(day.draw(experiment, seed), lambda me: day.wire_settings(experiment, me, {}), book, kind)
+    Faults(world).set()
+    world.run()
+    book.close()
+    return play.judged(folder, experiment)
+
+
+def test_a_seed_gives_the_same_bytes_and_another_does_not(tmp_path):
+    experiment = told(tmp_path, TROUBLED)
+    for name, seed in (("a", 1), ("b", 1), ("c", 2)):
+        played(experiment, tmp_path / name, seed)
+    files = sorted(path.name for path in (tmp_path / "a").glob("*.jsonl"))
+    content = {n: [(tmp_path / n / file).read_bytes() for file in files] for n in "abc"}
+    assert len(files) == len(ledger.KINDS) and content["a"] == content["b"] != content["c"]
+
+
+def test_a_sound_sidecar_breaks_no_rule_and_the_ledger_names_each_flaw(tmp_path):
+    experiment = told(tmp_path, TROUBLED)
+    sound = played(experiment, tmp_path / "sound")
+    assert sound.findings == [] and sound.figures.requests > 3000 and sound.figures.service > 0.5
+    for name, (kind, rule) in FLAWS.items():
+        found = {
+            finding.rule: finding.count for finding in played(experiment, tmp_path / name, 1, kind).findings
+        }
+        assert found.get(rule, 0) >= 2, (name, found)
+
+
+def test_latency_runs_from_when_a_request_was_due(tmp_path):
+    """One server stops for 1 s: everybody who asked meanwhile waited, and the figures say so."""
+    experiment = told(
+        tmp_path,
+        HEAD.format(s=10)
+        + '[load]\nrate = "50 /s"\n[fleet]\nservers = 1\nsidecars = 1\ncrowding = { servers = 0.0 }\n'
+        + 'kinds = [{ name = "m", share = 1.0, slots_per_core = 50, queue_per_core = 50, speed = 1.0 }]\n'
+        + "[clients]\nretries = 0\ntry_share = 1.0\n"
+        + '[[classes]]\nname = "c"\nshare = 1.0\nwork = "5 ms"\nwanted = "4 s"\n'
+        + 'deadline = "5 s"\nworth = 1.0\neffect = "unsafe"\n'
+        + '[[faults]]\nkind = "stop"\nat = "4 s"\nfor = "1 s"\nservers = ["s0"]\n',
+    )
+    judgement = played(experiment, tmp_path / "p")
+    answers = list(ledger.read(tmp_path / "p", ledger.Answer))
+    waited = [answer for answer in answers if answer.end - answer.due > 500.0]
+    assert 15 <= len(waited) <= 40  # of about 25 that were due in the first half of that second
+    assert judgement.figures.latency_ms["p99"] > 700.0
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ("[load]\nshare = 0.5\nspeed = 1", "unknown field `speed`"),
+        ('[load]\nrate = "260 /h"', "unit '/h'"),
+        ('[load]\nrate = "-5 /s"', "is negative"),
+        ("[load]\nrate = 5", "number with a unit"),
+        ("[load]", "one of share, rate and replay"),
+        ('[load]\nreplay = "none.jsonl"', "none.jsonl: No such file"),
+        ('[load]\nshare = 0.5\n[[faults]]\nkind = "quake"\nat = "1 s"', "faults[0].kind: 'quake'"),
+        (
+            '[load]\nshare = 0.5\n[[faults]]\nkind = "kill"\nat = "99 s"\nfor = "1 s"\npart = 0.1',
+            "after the end",
+        ),
+        ('[load]\nshare = 0.5\n[[faults]]\nkind = "kill"\nat = "1 s"\nfor = "1 s"', "one of part, servers"),
+        (
+            '[load]\nshare = 0.5\n[[faults]]\nkind = "cut"\nat = "1 s"\nfor = "1 s"\nzone = "x"',
+            "'x' is none of",
+        ),
+        ('[load]\nshare = 0.5\n[[versions]]\nname = "v"\nflaw = "odd"', "versions[0].flaw: 'odd'"),
+        ('[load]\nshare = 0.5\n[[versions]]\nname = "v"\nrevision = "nowhere"', "'nowhere' is no revision"),
+        ("[load]\nshare = 0.5\n[fleet]\nsidecars = 0", "fleet.sidecars"),
+    ],
+)
+def test_a_bad_experiment_is_refused_before_anything_starts(tmp_path, change, reason):
+    file = tmp_path / "e.toml"
+    file.write_text(HEAD.format(s=10) + change + "\n")
+    with pytest.raises(SettingsError) as error:
+        runner.prepare(file, tmp_path / "out", print)
+    assert reason in str(error.value) and "\n" not in str(error.value)
+    assert str(file) in str(error.value) or "none.jsonl" in str(error.value)
+    assert not (tmp_path / "out" / "plays").exists()
+
+
+def test_the_command_says_what_is_wrong_in_one_line(tmp_path):
+    file = tmp_path / "e.toml"
+    file.write_text(HEAD.format(s=10) + "[load]\nshare = -0.5\n")
+    for words in (("lab", "run", str(file), "--out", str(tmp_path / "out")), ("check", str(file))):
+        done = brassfall(*words)
+        assert done.returncode == 2 and not done.stdout
+        assert done.stderr.startswith(f"{file}: ") and "load.share" in done.stderr
+        assert len(done.stderr.splitlines()) == 1
+
+
+def brassfall(*words):
+    return subprocess.run(
+        [sys.executable, "-m", "brassfall", *words], cwd=ROOT, capture_output=True, text=True, timeout=120
+    )
+
+
+def test_a_server_shares_its_cores_and_turns_away_what_has_no_room():
+    machine = day.Machine(
+        "s0", 0, 0, 2, 1.0, slots=3, queue=1, cold_from=0.1, cold_ms=1000.0, error_rate=0.0,
+        report_every=100.0, report_late=50.0, report_noise=0.0, handshake=2.0, round_trips=1.0,
+        connections=100, full_tax=0.0, fall_multiple=4.0, fall_after=100.0,
+        crowded=day.Crowded(4.0, 50.0, 2.0, 0.0, 100.0, 1e6), seed=1,
+    )  # fmt: skip
+    server = Server(machine, 0.0, False, lambda: 0.5)
+    jobs = [Job(30.0, number) for number in range(5)]
+    assert [server.offer(0.0, job, False) for job in jobs] == [TAKEN] * 4 + [FULL]
+    # Three share two cores: done at 45; the fourth begins then, and has a core for itself.
+    assert server.due == pytest.approx(45.0)
+    assert [job.data for job in server.advance(46.0)] == [0, 1, 2]
+    assert server.due == pytest.approx(75.0) and server.report(200.0) == 0.0
+    assert [job.data for job in server.advance(75.0)] == [3] and server.due == math.inf
+    # Crowded for longer than 50 ms: half as fast, until it has rested.
+    server.advance(100.0)
+    for job in jobs[:4]:
+        job.work = 300.0
+        server.offer(100.0, job, False)
+    server.advance(110.0)
+    server.advance(170.0)
+    assert server.crowded and server.due == pytest.approx(170.0 + (300.0 - 70.0 * 2 / 3) * 3.0)
+    # A cold one falls over, once it has been sent four times what it can do.
+    cold = Server(machine, 0.0, True, lambda: 0.5)
+    fallen = [cold.offer(0.0, Job(10.0, None), False) and cold.fallen for _ in range(12)]
+    assert fallen.index(True) == 8  # 90 ms of work; 4 times 20 ms, and a twentieth more, are 84
+
+
+def test_a_lab_that_is_killed_leaves_no_process_and_can_go_on(tmp_path):
+    asyncio.run(asyncio.wait_for(_killed(tmp_path), 90))
+
+
+async def _killed(tmp_path):
+    file = tmp_path / "e.toml"
+    file.write_text(TROUBLED.replace('for = "14 s"', 'for = "16 s"\nrepeats = 3\nworkers = 2'))
+    out = tmp_path / "out"
+    words = [sys.executable, "-m", "brassfall", "lab", "run", str(file), "--out", str(out)]
+    lab = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stderr=asyncio.subprocess.DEVNULL)
+    while not any(path.stat().st_size for path in out.glob("plays/*/answers.jsonl")):
+        await asyncio.sleep(0.02)
+    workers = children(lab.pid)
+    assert len(workers) == 2
+    lab.send_signal(signal.SIGKILL)
+    await lab.wait()
+    while any(map(alive, workers)):
+        await asyncio.sleep(0.02)
+    partial = [list(ledger.read(path, ledger.Answer)) for path in out.glob("plays/*")]
+    assert sum(map(len, partial)) > 0
+    done = await asyncio.to_thread(brassfall, "lab", "run", str(file), "--out", str(out))
+    assert done.returncode == 0, done.stderr
+    rows = [json.loads(line) for line in (out / "plays.jsonl").read_bytes().splitlines()]
+    assert [row["seed"] for row in rows] == [1, 2, 3] and all(row["valid"] for row in rows)
+    assert "## Service" in (out / "report.md").read_text()
+    other = tmp_path / "other.toml"
+    other.write_text(file.read_text().replace("0.8", "0.7"))
+    again = await asyncio.to_thread(brassfall, "lab", "run", str(other), "--out", str(out))
+    assert again.returncode == 2 and "another experiment" in again.stderr
+
+
+def children(pid):
+    with open(f"/proc/{pid}/task/{pid}/children") as file:
+        return [int(number) for number in file.read().split()]
+
+
+def alive(pid):
+    try:
+        with open(f"/proc/{pid}/stat") as file:
+            return file.read().rpartition(")")[2].split()[0] != "Z"
+    except OSError:
+        return False
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -100,6 +100,15 @@
     "registry/entries.py",
     "registry/limits.py",
     "registry/membership.py",
+    "lab/quantities.py",
+    "lab/judge.py",
+    "lab/models/client.py",
+    "lab/models/server.py",
+    "lab/models/network.py",
+    "lab/sim/listing.py",
+    "lab/sim/sidecar.py",
+    "lab/sim/faults.py",
+    "lab/sim/flaws.py",
 )
 
 
--- a/tests/test_registry_simulated.py
+++ b/tests/test_registry_simulated.py
@@ -3,91 +3,18 @@
 from __future__ import annotations
 
 import heapq
-import json
 import random
 from itertools import count
 
 import pytest
 
-from brassfall import settings
-from brassfall.registry import entries
-from brassfall.registry.entries import INSTANCES, Refused
+from brassfall.lab.sim.listing import ListService
+from brassfall.registry.entries import INSTANCES
 from brassfall.registry.membership import Membership, Place
-from brassfall.table.core import Delete, Status, Table
-from brassfall.table.leases import Guard, Leases
-from brassfall.table.store import unix_floor
 
 TTL = 3000
 GRACE = 5000.0
 KEEP = 20_000.0
-STATUS = {Status.DONE: 200, Status.MISSING: 404, Status.CONFLICT: 409, Status.STALE: 412}
-WANTS = settings.LeaseSettings()
-
-
-class Service:
-    """The cores as the process puts them together, its disk a list of records."""
-
-    def __init__(self):
-        self.disk, self.clock, self.told = [], 1_000.0, []
-        self.up = self.stalled = False
-
-    def start(self, now, lost=False):
-        if lost:
-            self.disk = []
-        self.table = Table()
-        self.table.absorb(self.disk)
-        self.write([self.table.life(unix_floor(self.clock + now / 1000.0), 0)])
-        self.leases = Leases(Guard(keep_ms=KEEP))
-        for row in self.table.rows(INSTANCES):
-            self.leases.grant(now, row.key, row.lease_ms, entries.guarded(INSTANCES, row), GRACE)
-        self.up = True
-
-    def write(self, records):
-        self.disk += records
-        self.table.absorb(records)
-        self.told.append(self.table.index)
-
-    def run(self, command):
-        stage = self.table.stage(0)
-        result = stage.run(command)
-        if stage.records:
-            self.write(stage.records)
-        return result
-
-    def look(self, now):
-        expired = self.leases.look(now).expired
-        for key in expired:
-            self.run(Delete(table=INSTANCES, key=key))
-        return expired
-
-    def call(self, now, call):
-        """Carry out one call of a member; its status."""
-        key, body = call.path.split("/")[3], json.dumps(call.body).encode()
-        if call.method == "POST":
-            row = self.table.get(INSTANCES, key)
-            if row is None:
-                return 404
-            if row.fence != call.body["since_ms"]:
-                return 409 if row.fence > call.body["since_ms"] else 404
-            self.leases.renew(now, key)
-            return 200
-        try:
-            command = (
-                entries.register(key, *entries.registration(key, body, WANTS), None, "")
-                if call.method == "PUT"
-                else entries.alter(key, body, None, "")
-                if call.method == "PATCH"
-                else entries.leave(key, entries.holder(body), None, "")
-            )
-        except Refused:
-            return 400
-        result = self.run(command)
-        row = self.table.get(INSTANCES, key)
-        if row is None:
-            self.leases.drop(key)
-        elif result.done:
-            self.leases.grant(now, key, row.lease_ms, entries.guarded(INSTANCES, row))
-        return STATUS[result.status]
 
 
 class World:
@@ -95,7 +22,7 @@
 
     def __init__(self, seed):
         self.rng, self.now, self.order = random.Random(seed), 0.0, count()
-        self.events, self.service = [], Service()
+        self.events, self.service = [], ListService(keep_ms=KEEP)
         self.members, self.dead, self.cut = {}, set(), set()
         self.wrong, self.disturbed_at = [], {}
         self.service.start(0.0)
