--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -199,6 +199,22 @@
     raise typer.Exit(status)
 
 
+@lab.command("compare")
+def compare_(
+    folders: Annotated[list[Path], typer.Argument(help="Folders of results, of the same days.")],
+    json: Json = False,
+) -> None:
+    """Set versions against each other, paired by seed; what is beyond noise."""
+    from brassfall.lab import compare
+
+    try:
+        made = compare.compare(folders)
+    except settings.SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from None
+    typer.echo(msgspec.json.encode(made).decode() if json else compare.table(made))
+
+
 @lab.command("server")
 def server_(
     name: str,
--- a/brassfall/lab/day.py
+++ b/brassfall/lab/day.py
@@ -163,7 +163,7 @@
         arrivals = _arrivals(told, load, servers, apps, classes, cvs)
     return Day(
         seed=seed,
-        lasts=told.experiment.lasts,
+        lasts=float(told.experiment.lasts),
         servers=servers,
         apps=apps,
         classes=tuple(told.classes),
@@ -173,7 +173,7 @@
         troubles=tuple(sorted(_troubles(told, luck, servers, apps), key=lambda t: (t.at, t.kind))),
         arrivals=arrivals,
         list_delay=told.lists.delay,
-        ttl=told.lists.ttl,
+        ttl=float(told.lists.ttl),
     )
 
 
@@ -218,7 +218,7 @@
                 connections=round(links.per_core.at(rng.random()) * kind.cores),
                 full_tax=tax,
                 fall_multiple=fleet.fall_multiple,
-                fall_after=fleet.fall_after,
+                fall_after=float(fleet.fall_after),
                 crowded=crowded if chokes else None,
                 seed=int(rng.integers(2**32)),
             )
--- a/brassfall/lab/ledger.py
+++ b/brassfall/lab/ledger.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from pathlib import Path
 from typing import IO, TypeVar
 
@@ -123,11 +123,14 @@
 class Book:
     """Writes the rows of one play into a folder."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self, folder: Path, buffered: bool = True, kinds: Collection[type[Row]] = tuple(KINDS.values())
+    ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
+        self._most = FLUSH_ROWS if buffered else 1
         self._files: dict[type, IO[bytes]] = {
-            kind: open(folder / f"{name}.jsonl", "wb")  # noqa: SIM115 (closed by `close`)
-            for name, kind in KINDS.items()
+            kind: open(folder / f"{NAMES[kind]}.jsonl", "wb")  # noqa: SIM115 (closed by `close`)
+            for kind in kinds
         }
         self._rows: dict[type, list[Row]] = {kind: [] for kind in self._files}
         self._encode = msgspec.json.Encoder().encode_lines
@@ -137,7 +140,7 @@
         kind = type(row)
         rows = self._rows[kind]
         rows.append(row)
-        if len(rows) >= FLUSH_ROWS:
+        if len(rows) >= self._most:
             self._flush(kind)
 
     def _flush(self, kind: type) -> None:
--- a/brassfall/lab/play.py
+++ b/brassfall/lab/play.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import importlib.util
 import os
 import resource
+import signal
 import sys
 import threading
 import time
@@ -113,6 +115,32 @@
     return Result(order.version, order.seed, True, "", judgement, events, cost)
 
 
+def perform(order: Order) -> Result:
+    """Play a day with real processes."""
+    from brassfall.lab.real.conductor import conduct
+    from brassfall.lab.real.troupe import ROOT, PlayError
+
+    told, recorded = experiment(Path(order.experiment))
+    version = next(version for version in told.versions if version.name == order.version)
+    drawn = day.draw(told, order.seed, recorded)
+    folder = Path(order.folder)
+    code = Path(order.code) if order.code else ROOT
+
+    async def work() -> tuple[str, list[str], dict[str, float], list[ledger.Event]]:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await conduct(told, version, drawn, folder, code, order.experiment, _progress(order))
+
+    try:
+        why, crashes, cost, events = asyncio.run(work())
+    except PlayError as error:
+        raise SettingsError(str(error)) from error
+    judgement = judged(folder, told)
+    judgement.findings += [judge.Finding("crashed", 1, crash) for crash in crashes]
+    return Result(order.version, order.seed, not why, why, judgement, events, cost)
+
+
 def _progress(order: Order) -> Callable[[float], None]:
     def told(now: float) -> None:
         print(f"{order.version} {order.seed} {now / 1000.0:.0f}", flush=True)
@@ -137,10 +165,13 @@
     order = msgspec.json.decode(line, type=Order)
     _end_with(sys.stdin.fileno())
     try:
-        result = simulate(order)
+        real = spec.load(Path(order.experiment)).experiment.mode == "real"
+        result = perform(order) if real else simulate(order)
     except (SettingsError, day.DayError) as error:
         print(error, file=sys.stderr)
         return 2
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        return 130
     path = Path(order.folder) / "result.json"
     part = path.with_suffix(".part")
     part.write_bytes(msgspec.json.encode(result))
--- a/brassfall/lab/plots.py
+++ b/brassfall/lab/plots.py
@@ -57,7 +57,8 @@
             _mark(axes, mine[0])
         shown = True
     axes.set(xlabel="s", ylabel="service", ylim=(0.0, 1.02), title="worth in time by second: mean and range")
-    axes.legend(fontsize=8)
+    if shown:
+        axes.legend(fontsize=8)
     return shown
 
 
@@ -74,7 +75,8 @@
             axes.plot(names, np.array(rows).mean(axis=0), marker="o", label=version.name)
             shown = True
     axes.set(ylabel="ms", ylim=(0.0, None), title="latency of served requests, from when they were due")
-    axes.legend(fontsize=8)
+    if shown:
+        axes.legend(fontsize=8)
     return shown
 
 
--- a/brassfall/lab/report.py
+++ b/brassfall/lab/report.py
@@ -101,7 +101,8 @@
                     f"- {version.name}, seed {result.seed}: **{finding.rule}**, {finding.count} times; "
                     f"first: {finding.first}"
                 )
-    return lines or ["All kept, by the ledger."]
+    counted = any(result.valid for result in results)
+    return lines or ["All kept, by the ledger." if counted else "No play counts."]
 
 
 def _events(results: Sequence[Result]) -> list[str]:
--- a/brassfall/lab/runner.py
+++ b/brassfall/lab/runner.py
@@ -62,7 +62,9 @@
         done = len(self.plays) - len(waiting)
         if done:
             self.say(f"{done} of {len(self.plays)} plays were there already")
-        room = asyncio.Semaphore(head.workers or os.cpu_count() or 1)
+        # Real plays want the machine for themselves.
+        side_by_side = 1 if head.mode == "real" else os.cpu_count() or 1
+        room = asyncio.Semaphore(head.workers or side_by_side)
         telling = asyncio.create_task(self._tell())
         try:
             async with asyncio.TaskGroup() as group:
@@ -116,12 +118,19 @@
             self.say(f"{done} of {len(self.plays)} plays; {', '.join(now) or 'starting'}")
 
     async def _end(self) -> None:
-        """End what still runs, by its id."""
+        """End what still runs, by its id; a real play first ends its own processes."""
         running = [play.process for play in self.plays if play.process and play.process.returncode is None]
         for process in running:
-            process.kill()
-        for process in running:
-            await process.wait()
+            process.terminate()
+        try:
+            async with asyncio.timeout(END_S):
+                for process in running:
+                    await process.wait()
+        except TimeoutError:
+            for process in running:
+                if process.returncode is None:
+                    process.kill()
+                await process.wait()
 
 
 def load(path: Path) -> Result:
@@ -132,8 +141,6 @@
 def prepare(file: Path, out: Path, say: Say) -> Run:
     """Check everything before anything starts; `SettingsError` says what is wrong."""
     told, recorded = experiment(file)
-    if told.experiment.mode != "simulated":
-        raise SettingsError(f"{file}: experiment.mode: this version plays simulated experiments only")
     commits = _commits(file, told)
     try:
         day.draw(told, told.experiment.first_seed, recorded)
@@ -161,6 +168,8 @@
         at = f"{file}: versions[{number}]"
         if version.flaw is not None and version.flaw not in FLAWS:
             raise SettingsError(f"{at}.flaw: {version.flaw!r} is none of {', '.join(FLAWS)}")
+        if version.flaw is not None and told.experiment.mode == "real":
+            raise SettingsError(f"{at}.flaw: flaws are for simulated experiments")
         if version.revision is None:
             continue
         named = ["git", "-C", str(ROOT), "rev-parse", "--verify", "--quiet", f"{version.revision}^{{commit}}"]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -6,13 +6,16 @@
 import json
 import math
 import signal
+import socket
 import subprocess
 import sys
 
+import psutil
 import pytest
 
 from brassfall.lab import day, ledger, play, runner, spec
 from brassfall.lab.models.server import FULL, TAKEN, Job, Server
+from brassfall.lab.real import conductor
 from brassfall.lab.sim.faults import Faults
 from brassfall.lab.sim.flaws import FLAWS
 from brassfall.lab.sim.sidecar import Sidecar
@@ -164,30 +167,78 @@
     assert fallen.index(True) == 8  # 90 ms of work; 4 times 20 ms, and a twentieth more, are 84
 
 
-def test_a_lab_that_is_killed_leaves_no_process_and_can_go_on(tmp_path):
-    asyncio.run(asyncio.wait_for(_killed(tmp_path), 90))
+REAL = (
+    HEAD.format(s=4).replace("simulated", "real")
+    + '[load]\nrate = "120 /s"\n[fleet]\nservers = 4\nsidecars = 2\ncrowding = { servers = 0.0 }\n'
+    + '[[faults]]\nkind = "kill"\nat = "500 ms"\nfor = "1 s"\nservers = ["s0"]\n'
+    + '[[faults]]\nkind = "stop"\nat = "2 s"\nfor = "1 s"\nservers = ["s1"]\n'
+)
 
 
-async def _killed(tmp_path):
-    file = tmp_path / "e.toml"
-    file.write_text(TROUBLED.replace('for = "14 s"', 'for = "16 s"\nrepeats = 3\nworkers = 2'))
-    out = tmp_path / "out"
+def test_a_real_fleet_is_played_and_its_ledger_is_whole(tmp_path):
+    file, out = tmp_path / "e.toml", tmp_path / "out"
+    file.write_text(REAL)
+    done = brassfall("lab", "run", str(file), "--out", str(out))
+    assert done.returncode in (0, 1), done.stderr
+    [row] = [json.loads(line) for line in (out / "plays.jsonl").read_bytes().splitlines()]
+    figures = row["judgement"]["figures"]
+    asked = len(day.draw(spec.load(file), 1).arrivals.at)
+    # A machine that is busy with other things makes the lab late, and the play says so itself.
+    assert row["valid"] == (done.returncode == 0) and (row["valid"] or "ran late" in row["why"])
+    assert figures["requests"] == asked > 300 and figures["statuses"]["served"] > 0.5 * asked
+    assert {finding["rule"] for finding in row["judgement"]["findings"]} <= {"unanswered", "drain"}
+    folder = out / "plays" / "now-1"
+    lives = [(life.server, life.life, life.why) for life in ledger.read(folder, ledger.Life)]
+    assert ("s0", 0, "killed") in lives and ("s0", 1, "") in lives and len(lives) == 5
+    assert {("s0", 1)} <= {(news.server, news.life) for news in ledger.read(folder, ledger.News)}
+    attempts = list(ledger.read(folder, ledger.Attempt))
+    assert len({attempt.server for attempt in attempts}) == 4
+    assert any(attempt.outcome == "unfinished" and attempt.server == "s0" for attempt in attempts)
+    # What was with the server that stood still waited for as long: nothing is left out of the count.
+    assert any(a.server == "s1" and a.end - a.sent > 900.0 for a in attempts)
+
+
+@pytest.mark.parametrize(
+    ("text", "number"), [(TROUBLED, signal.SIGKILL), (REAL, signal.SIGKILL), (REAL, signal.SIGINT)]
+)
+def test_a_lab_that_is_killed_leaves_no_process_and_can_go_on(tmp_path, text, number):
+    asyncio.run(asyncio.wait_for(_killed(tmp_path, text, number), 90))
+
+
+async def _killed(tmp_path, text, number):
+    file, out = tmp_path / "e.toml", tmp_path / "out"
+    file.write_text(text.replace('for = "14 s"', 'for = "16 s"\nrepeats = 2'))
     words = [sys.executable, "-m", "brassfall", "lab", "run", str(file), "--out", str(out)]
     lab = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stderr=asyncio.subprocess.DEVNULL)
-    while not any(path.stat().st_size for path in out.glob("plays/*/answers.jsonl")):
+    real = text is REAL
+    written = "plays/*/parts/*/attempts.jsonl" if real else "plays/*/answers.jsonl"
+    while not any(path.stat().st_size for path in out.glob(written)):
         await asyncio.sleep(0.02)
-    workers = children(lab.pid)
-    assert len(workers) == 2
-    lab.send_signal(signal.SIGKILL)
+    started = psutil.Process(lab.pid).children(recursive=True)
+    ports = {
+        place.laddr.port
+        for process in started
+        for place in process.net_connections()
+        if place.status == "LISTEN"
+    }
+    # A play, its keeper, the list service, two networks, two sidecars, four servers, clients.
+    assert len(started) >= (11 if real else 2) and bool(ports) == real
+    lab.send_signal(number)
     await lab.wait()
-    while any(map(alive, workers)):
+    while any(process.is_running() and process.status() != "zombie" for process in started):
         await asyncio.sleep(0.02)
-    partial = [list(ledger.read(path, ledger.Answer)) for path in out.glob("plays/*")]
-    assert sum(map(len, partial)) > 0
+    for port in ports:
+        with socket.socket() as sock:
+            assert sock.connect_ex(("127.0.0.1", port)) != 0
+    assert not list(out.glob("plays/*/result.json"))  # they ended, and did not play to the end
+    kind = ledger.Attempt if real else ledger.Answer
+    assert sum(1 for path in out.glob(written) for _ in ledger.read(path.parent, kind)) > 0
+    if real:
+        return
     done = await asyncio.to_thread(brassfall, "lab", "run", str(file), "--out", str(out))
     assert done.returncode == 0, done.stderr
     rows = [json.loads(line) for line in (out / "plays.jsonl").read_bytes().splitlines()]
-    assert [row["seed"] for row in rows] == [1, 2, 3] and all(row["valid"] for row in rows)
+    assert [row["seed"] for row in rows] == [1, 2] and all(row["valid"] for row in rows)
     assert "## Service" in (out / "report.md").read_text()
     other = tmp_path / "other.toml"
     other.write_text(file.read_text().replace("0.8", "0.7"))
@@ -195,14 +246,12 @@
     assert again.returncode == 2 and "another experiment" in again.stderr
 
 
-def children(pid):
-    with open(f"/proc/{pid}/task/{pid}/children") as file:
-        return [int(number) for number in file.read().split()]
-
-
-def alive(pid):
-    try:
-        with open(f"/proc/{pid}/stat") as file:
-            return file.read().rpartition(")")[2].split()[0] != "Z"
-    except OSError:
-        return False
+def test_a_play_in_which_the_lab_was_late_or_starved_does_not_count():
+    fine = {"late_ms": 20.0, "late": 0, "due": 1000}
+    assert conductor.lateness([fine, fine]) == ""
+    for odd, why in (
+        ({"late": 11}, "11 of 1000 came more than 50 ms late"),
+        ({"late": 1, "late_ms": 400.0}, "late, by 400 ms"),
+        ({"starved": 3}, "out of descriptors: 3 tries"),
+    ):
+        assert why in conductor.lateness([fine, {**fine, **odd}])
