--- a/brassfall/lab/sim/listing.py
+++ b/brassfall/lab/sim/listing.py
@@ -25,6 +25,7 @@
         self.told: list[int] = []  # every index, in the order in which it was told
         self.news: list[Change] = []
         self.up = self.stalled = False
+        self.gathered_at = 0.0
         self._clock_s = clock_s  # wall time at time 0
         self._wants = settings.LeaseSettings()
         self._keep_ms = settings.GuardSettings().keep_ms if keep_ms is None else keep_ms
@@ -40,8 +41,14 @@
         for row in self.table.rows(INSTANCES):
             grace = float(self._wants.restart_grace_ms)
             self.leases.grant(now, row.key, row.lease_ms, entries.guarded(INSTANCES, row), grace)
+        # Servers of an earlier life are to come back before anybody is told a list without them.
+        self.gathered_at = now + self._wants.gather_ms if lost else now
         self.up = True
 
+    def tells(self, now: float) -> bool:
+        """Whether it tells lists now."""
+        return self.up and now >= self.gathered_at
+
     def stop(self) -> None:
         """End its life."""
         self.up = False
--- a/brassfall/lab/sim/world.py
+++ b/brassfall/lab/sim/world.py
@@ -610,7 +610,7 @@
         """A sidecar asks for the list, and for all changes from then on."""
         if not self.network.reaches(sidecar.zone, 0):
             self.at(now + ASK_TIMEOUT_MS, self._watch_failed, (sidecar, ask))
-        elif not self.listing.up:
+        elif not self.listing.tells(now):
             self.at(now + self._delay(), self._watch_failed, (sidecar, ask))
         else:
             self._watchers[sidecar] = ask
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,7 +13,7 @@
 import psutil
 import pytest
 
-from brassfall.lab import day, ledger, play, runner, spec
+from brassfall.lab import day, judge, ledger, play, runner, spec
 from brassfall.lab.models.server import FULL, TAKEN, Job, Server
 from brassfall.lab.real import conductor
 from brassfall.lab.sim.faults import Faults
@@ -69,6 +69,21 @@
         assert found.get(rule, 0) >= 2, (name, found)
 
 
+def test_a_server_that_is_listed_again_may_be_sent_to(tmp_path):
+    experiment = told(tmp_path, TROUBLED)
+    answer = ledger.Answer(
+        "a", "send-notice", "n0", "a", 0, 2000.0, 2000.0, 900.0, 2100.0, "served", "", "s1", "a"
+    )
+    sent = ledger.Attempt("a", "s1", 0, 2000.0, 2001.0, 2100.0, "ok", "send-notice", "", 9.0)
+    gone, back = (
+        ledger.News("n0", "s1", 0, state, at) for state, at in (("left", 1000.0), ("active", 1800.0))
+    )
+    for news, found in (([gone], ["drain"]), ([gone, back], []), ([back], [])):
+        book = judge.Book([answer], [sent], news, [])
+        rules = judge.judge(book, experiment.classes, 5000.0, 30.0, (4.0, 2000.0)).findings
+        assert [finding.rule for finding in rules] == found
+
+
 def test_latency_runs_from_when_a_request_was_due(tmp_path):
     """One server stops for 1 s: everybody who asked meanwhile waited, and the figures say so."""
     experiment = told(
