Report named spans of an experiment, give the simulated lists their own file, test what a late lab says

An experiment could not say what it wants measured beside the whole: `[[measure]]` names spans of time, of all classes or one, which are reported and compared by themselves. The load by server is drawn from the ledger, so that real plays have it too. Tests show that clients which stood still for 0.7 s make the play not count and show in its latency, that too few descriptors are told, that one play that dies is reported, keeps no other from being played and is played again next time, and that pairs decide what is noise.

--- a/brassfall/lab/compare.py
+++ b/brassfall/lab/compare.py
@@ -83,7 +83,8 @@
 
 def _figure(result: Result, figure: str) -> float:
     assert result.judgement is not None
-    return float(getattr(result.judgement.figures, figure))
+    figures = result.judgement.figures
+    return figures.spans[figure] if figure in figures.spans else float(getattr(figures, figure))
 
 
 def sides(folders: Sequence[Path]) -> list[Side]:
@@ -130,7 +131,9 @@
         for result in other.results.values():
             for finding in result.judgement.findings if result.judgement else ():
                 rules[finding.rule] = rules.get(finding.rule, 0) + 1
-        differences = [difference(figure, base, other) for figure in FIGURES]
+        spans = next(iter(base.results.values())).judgement
+        names = [*FIGURES, *(spans.figures.spans if spans is not None else ())]
+        differences = [difference(figure, base, other) for figure in names]
         made.append(Comparison(base.name, other.name, differences, rules))
     return made
 
--- a/brassfall/lab/compiled.py
+++ b/brassfall/lab/compiled.py
@@ -23,6 +23,7 @@
     "brassfall/lab/models/network.py",
     "brassfall/lab/models/server.py",
     "brassfall/lab/sim/flaws.py",
+    "brassfall/lab/sim/lists.py",
     "brassfall/lab/sim/sidecar.py",
     "brassfall/lab/sim/world.py",
 )
--- a/brassfall/lab/judge.py
+++ b/brassfall/lab/judge.py
@@ -17,7 +17,7 @@
 
 from brassfall.lab.ledger import Answer, Attempt, Life, News
 from brassfall.lab.models.client import BROKEN, FAILED, REFUSED, SERVED, SILENT, UNREACHED
-from brassfall.lab.spec import RequestClass
+from brassfall.lab.spec import Measure, RequestClass
 
 DRAIN_MS = 500.0
 TOLD_SHARE = 2.0 / 3.0  # of what toppled a cold server: from sidecars that had been told of its start
@@ -68,6 +68,7 @@
     waste: float  # work that served no answer, over the work asked for
     latency_ms: dict[str, float]  # of served requests, from when they were due
     by_second: list[float]
+    spans: dict[str, float] = {}  # service by the names of the experiment's measures
 
 
 class Judgement(msgspec.Struct):
@@ -100,7 +101,12 @@
 
 
 def judge(
-    book: Book, classes: Sequence[RequestClass], lasts: float, slack: float, fall: tuple[float, float]
+    book: Book,
+    classes: Sequence[RequestClass],
+    lasts: float,
+    slack: float,
+    fall: tuple[float, float],
+    measures: Sequence[Measure] = (),
 ) -> Judgement:
     """Hold a play against the rules and reckon its service.
 
@@ -120,6 +126,7 @@
     _drains(findings, book, known, slack)
     _cold(findings, book, known, fall)
     figures = _figures(book, by_id, rows, lasts)
+    figures.spans = {measure.name: _span(book, rows, measure) for measure in measures}
     return Judgement(figures, [findings.found[rule] for rule in RULES if rule in findings.found])
 
 
@@ -295,6 +302,18 @@
     )
 
 
+def _span(book: Book, rows: dict[str, RequestClass], measure: Measure) -> float:
+    """The service of what was due in a span of time."""
+    asked = got = 0.0
+    for answer in book.answers:
+        if not measure.begin <= answer.due < measure.end or measure.cls not in (None, answer.cls):
+            continue
+        row = rows[answer.cls]
+        asked += row.worth if answer.hop == 0 else 0.0
+        got += row.worth if answer.status == SERVED and answer.end - answer.due <= row.wanted else 0.0
+    return round(got / asked, 5) if asked else 1.0
+
+
 def _refused_late(answer: Answer, by_id: dict[str, list[Attempt]]) -> bool:
     """Given up on after more than half of its time, without one attempt that reached a server."""
     given_up = answer.status in (REFUSED, FAILED, SILENT) and not answer.excused
--- a/brassfall/lab/ledger.py
+++ b/brassfall/lab/ledger.py
@@ -15,6 +15,11 @@
 FLUSH_ROWS = 4096
 
 
+def ms(value: float) -> float:
+    """A time as it is written down, in whole microseconds; `round` takes four times as long."""
+    return int(value * 1000.0 + 0.5) / 1000.0 if value >= 0.0 else value
+
+
 class Row(msgspec.Struct, omit_defaults=True, gc=False):
     """One line."""
 
@@ -100,13 +105,6 @@
     wrong: float  # mean share of entries that were not as the servers were
 
 
-class Load(Row):
-    """What servers held, at one moment."""
-
-    at: float
-    held: list[int]
-
-
 KINDS: dict[str, type[Row]] = {
     "answers": Answer,
     "attempts": Attempt,
@@ -114,7 +112,6 @@
     "lives": Life,
     "events": Event,
     "ages": Age,
-    "loads": Load,
 }
 NAMES = {kind: name for name, kind in KINDS.items()}
 R = TypeVar("R", bound=Row)
--- a/brassfall/lab/play.py
+++ b/brassfall/lab/play.py
@@ -78,7 +78,7 @@
     )
     slack = SLACK_MS[told.experiment.mode]
     fall = (told.fleet.fall_multiple, float(told.fleet.fall_after))
-    return judge.judge(book, told.classes, told.experiment.lasts, slack, fall)
+    return judge.judge(book, told.classes, told.experiment.lasts, slack, fall, told.measure)
 
 
 def simulate(order: Order) -> Result:
--- a/brassfall/lab/plots.py
+++ b/brassfall/lab/plots.py
@@ -12,6 +12,7 @@
 from brassfall.lab.play import Result
 
 SIZE = (9.0, 3.6)
+SAMPLE_MS = 500.0
 
 
 def write(told: spec.Experiment, results: Sequence[Result], out: Path) -> list[str]:
@@ -89,13 +90,12 @@
 
 def _load(axes: Any, told: spec.Experiment, results: Sequence[Result], out: Path) -> bool:
     found = _first_folder(told, results, out)
-    rows = list(ledger.read(found[1], ledger.Load)) if found else []
-    if found is None or not rows:
+    if found is None:
+        return False
+    held = _held(found[1], told.experiment.lasts)
+    most, end = len(held), told.experiment.lasts / 1000.0
+    if not most:
         return False
-    most = max(len(row.held) for row in rows)
-    held = np.array([row.held + [-1] * (most - len(row.held)) for row in rows], dtype=float).T
-    held[held < 0] = np.nan
-    end = rows[-1].at / 1000.0
     shown = axes.imshow(
         held, aspect="auto", origin="lower", extent=(0.0, end, 0.0, most), interpolation="nearest"
     )
@@ -104,6 +104,23 @@
     return True
 
 
+def _held(folder: Path, lasts: float) -> np.ndarray[Any, np.dtype[np.float64]]:
+    """Requests that each server held, a column every half second: from its attempts, nan where it was not."""
+    lives = list(ledger.read(folder, ledger.Life))
+    names = list(dict.fromkeys(life.server for life in sorted(lives, key=lambda life: life.begun)))
+    at = np.arange(0.0, lasts, SAMPLE_MS)
+    held = np.full((len(names), len(at)), np.nan)
+    for life in lives:
+        end = life.end if life.end >= 0.0 else np.inf
+        held[names.index(life.server), (at >= life.begun) & (at < end)] = 0.0
+    for attempt in ledger.read(folder, ledger.Attempt):
+        if attempt.ran and attempt.server in names:
+            end = attempt.end if attempt.end >= 0.0 else lasts
+            first, last = np.searchsorted(at, (attempt.at, end))
+            held[names.index(attempt.server), first:last] += 1.0
+    return held
+
+
 def _ages(axes: Any, told: spec.Experiment, results: Sequence[Result], out: Path) -> bool:
     found = _first_folder(told, results, out)
     rows = list(ledger.read(found[1], ledger.Age)) if found else []
--- a/brassfall/lab/report.py
+++ b/brassfall/lab/report.py
@@ -33,6 +33,8 @@
     bad = [result for result in results if not result.valid]
     lines += ["", *(_does_not_count(result) for result in bad)] if bad else []
     lines += ["", "## Service", "", *_service(told, results)]
+    if told.measure:
+        lines += ["", "## Spans", "", *_spans(told, results)]
     lines += ["", "## Classes", "", *_classes(told, results)]
     lines += ["", "## Latency of served requests from when they were due, ms", "", *_latency(told, results)]
     lines += ["", "## Rules", "", *_rules(told, results)]
@@ -82,6 +84,17 @@
     return lines
 
 
+def _spans(told: spec.Experiment, results: Sequence[Result]) -> list[str]:
+    lines = ["| version | span | service |", "| --- | --- | --- |"]
+    for version in told.versions:
+        figures = [r.judgement.figures for r in valid(results, version.name) if r.judgement]
+        for measure in told.measure:
+            which = f"{measure.name}, {measure.begin / 1000.0:g} to {measure.end / 1000.0:g} s"
+            which += f", {measure.cls}" if measure.cls else ""
+            lines.append(f"| {version.name} | {which} | {spread([f.spans[measure.name] for f in figures])} |")
+    return lines
+
+
 def _latency(told: spec.Experiment, results: Sequence[Result]) -> list[str]:
     names = ["p50", "p90", "p99", "p99.9"]
     lines = [f"| version | {' | '.join(names)} |", f"| --- |{' --- |' * len(names)}"]
--- a/brassfall/lab/sim/faults.py
+++ b/brassfall/lab/sim/faults.py
@@ -6,7 +6,8 @@
 
 from brassfall.lab import ledger
 from brassfall.lab.day import Trouble
-from brassfall.lab.sim.world import WATCH_SILENT_MS, Host, World
+from brassfall.lab.sim.lists import WATCH_SILENT_MS
+from brassfall.lab.sim.world import Host, World
 
 Deed = Callable[[float, Host], None]
 
@@ -148,13 +149,13 @@
     def _cut(self, now: float, trouble: Trouble) -> None:
         world = self._world
         world.network.cut.add(trouble.zone)
-        world.break_watches(now, trouble.zone, WATCH_SILENT_MS)
+        world.lists.break_watches(now, trouble.zone, WATCH_SILENT_MS)
         world.at(trouble.until, lambda later, _: world.network.cut.discard(trouble.zone), None)
 
     def _registry_down(self, now: float, trouble: Trouble) -> None:
         world = self._world
-        world.list_down(now)
-        world.at(trouble.until, lambda later, _: world.list_up(later, trouble.disk == "lost"), None)
+        world.lists.down(now)
+        world.at(trouble.until, lambda later, _: world.lists.up(later, trouble.disk == "lost"), None)
 
     def _sidecar_kill(self, now: float, trouble: Trouble) -> None:
         world = self._world
--- a/brassfall/lab/sim/sidecar.py
+++ b/brassfall/lab/sim/sidecar.py
@@ -269,10 +269,10 @@
         self.watching = False
         self.watch_asked += 1
         if action.on:
-            self.world.watch(now, self, self.watch_asked)
+            self.world.lists.watch(now, self, self.watch_asked)
 
     def _fetch(self, now: float, action: Fetch) -> None:
-        self.world.fetch(now, self)
+        self.world.lists.fetch(now, self)
 
     def _probe(self, now: float, action: Probe) -> None:
         self.world.probe(now, self, action.server)
--- a/brassfall/lab/sim/world.py
+++ b/brassfall/lab/sim/world.py
@@ -23,30 +23,30 @@
 from brassfall.lab.models.server import BROKEN as ERROR_AT_ONCE
 from brassfall.lab.models.server import FULL as ROOM_FULL
 from brassfall.lab.models.server import TAKEN, Job, Server
-from brassfall.lab.sim.listing import ListService
-from brassfall.lab.sim.sidecar import CONNECT_FAILED, ERROR, FULL, OK, RESET, TIMEOUT, Attempt, Pool, Sidecar
-from brassfall.registry.membership import Call, Membership
-from poppypulley.model import Listing
+from brassfall.lab.sim.lists import Lists
+from brassfall.lab.sim.sidecar import (
+    CONNECT_FAILED,
+    ERROR,
+    FULL,
+    OK,
+    PROBE_TIMEOUT_MS,
+    RESET,
+    TIMEOUT,
+    Attempt,
+    Pool,
+    Sidecar,
+)
+from brassfall.registry.membership import Membership
 
 ANSWER_SLACK_MS = 20.0  # how long past its time a client still reads an answer
 AFTER_MS = 1500.0  # how long a day runs on after the last deadline
-LOOK_MS = 100.0
 BIN_MS = 50.0  # of time limits that are most likely never reached
-SAMPLE_MS = 500.0
-WATCH_SILENT_MS = 5000.0  # a watch without a line for so long is broken
-ASK_TIMEOUT_MS = 1000.0
-SAMPLED = 16  # sidecars whose lists are held against the truth, each sample
 SCRAMBLE = 0x9E3779B97F4A7C15  # ids tell nothing of their order
 MASK = 0xFFFFFFFFFFFFFFFF
 
 Handler = Callable[[float, Any], None]
 
 
-def _ms(value: float) -> float:
-    """Rounded to microseconds, as it is written down; `round` takes four times as long."""
-    return int(value * 1000.0 + 0.5) / 1000.0 if value >= 0.0 else value
-
-
 class Host:
     """One server of the fleet, through all its lives."""
 
@@ -115,15 +115,12 @@
         self._ids = count(1)
         self.rng = random.Random(day.seed * 7919 + 1)  # the network's and the servers'
         self._client_rng = random.Random(day.seed * 7919 + 2)
-        self._list_rng = random.Random(day.seed * 7919 + 3)
+        self.lists = Lists(self, day.seed * 7919 + 3)
         self.network = Network(day.ways, self.rng.random)
-        self.listing = ListService()
         self.servers: dict[str, Host] = {m.name: Host(m.name, m) for m in day.servers}
-        self._lives: dict[tuple[str, float], int] = {}
         self.sidecars = [
             sidecar(self, number, app.name, app.zone, settings(number)) for number, app in enumerate(day.apps)
         ]
-        self._watchers: dict[Sidecar, int] = {}
         self._parked: dict[int, list[tuple[float, int, Handler, Any]]] = {}
         self._end = day.lasts + max(row.deadline for row in day.classes) + AFTER_MS
         self._works: list[tuple[float, float]] = [
@@ -193,20 +190,7 @@
 
     def begin(self) -> None:
         """Start everybody, each with the whole list."""
-        self.listing.start(0.0)
-        for host in self.servers.values():
-            self._start_host(host, 0.0, cold=False)
-            call = host.member.call(0.0)
-            host.member.ended(0.0, self.listing.call(0.0, call), self._list_rng.random())
-            self.at(host.member.due, self._speak, (host, host.speaking))
-        self.listing.take_news()
-        known = {name: self._listing(row) for row in self.listing.listed() for name in [row["name"]]}
-        for sidecar in self.sidecars:
-            sidecar.held = dict(known)
-            sidecar.list_index = self.listing.table.index
-            sidecar.start(0.0, self.day.apps[sidecar.number].seed)
-        self.at(LOOK_MS, self._look, None)
-        self.at(SAMPLE_MS, self._sample, None)
+        self.lists.begin()
 
     def _close(self) -> None:
         for host in self.servers.values():
@@ -273,10 +257,10 @@
                 app.name,
                 chain.first,
                 tried.hop,
-                _ms(chain.due),
-                _ms(tried.sent),
-                _ms(tried.budget),
-                _ms(now + 2.0 * app.client_ms),
+                ledger.ms(chain.due),
+                ledger.ms(tried.sent),
+                ledger.ms(tried.budget),
+                ledger.ms(now + 2.0 * app.client_ms),
                 status,
                 tried.key,
                 by,
@@ -397,24 +381,25 @@
         host = self.servers[name]
         way = self.network.to_server(sidecar.zone, name, host.zone)
         if way is None or (host.up and host.core.stopped):
-            told = (sidecar.life, name, TIMEOUT, ASK_TIMEOUT_MS)
+            told = (sidecar.life, name, TIMEOUT, PROBE_TIMEOUT_MS)
         else:
             told = (sidecar.life, name, OK if host.up else CONNECT_FAILED, 2.0 * way)
         self.at(now + told[3], sidecar.probed, told)
 
     # --- servers --------------------------------------------------------------
 
-    def _start_host(self, host: Host, now: float, cold: bool) -> None:
+    def begin_host(self, host: Host, now: float, cold: bool) -> None:
+        """A life of a server begins; whoever calls this sees to its place in the list."""
         host.life += 1
         host.link += 1
         host.up, host.leaving = True, False
         host.wakes_at = math.inf
         host.core = Server(host.machine, now, cold, self.rng.random)
         since = math.ceil(now)
-        self._lives[host.name, since] = host.life
+        self.lists.lives[host.name, since] = host.life
         entry = {
             "name": host.name,
-            "address": f"127.0.0.1:{10_000 + len(self._lives) % 50_000}",
+            "address": f"127.0.0.1:{10_000 + len(self.lists.lives) % 50_000}",
             "zone": str(host.zone),
             "type": str(host.machine.kind),
             "group": 0,
@@ -427,8 +412,8 @@
 
     def start(self, now: float, host: Host) -> None:
         """A server starts, cold, and registers itself."""
-        self._start_host(host, now, cold=True)
-        self._speak(now, (host, host.speaking))
+        self.begin_host(host, now, cold=True)
+        self.lists.speak(now, (host, host.speaking))
 
     def successor(self, now: float, host: Host) -> None:
         """Another server, of another name, takes a machine over."""
@@ -465,7 +450,7 @@
     def _wish(self, now: float, host: Host, status: str) -> None:
         host.member.wish(now, status)
         host.speaking += 1
-        self._speak(now, (host, host.speaking))
+        self.lists.speak(now, (host, host.speaking))
 
     def reset(self, now: float, host: Host) -> None:
         """All its connections break; it goes on with what it has."""
@@ -493,7 +478,7 @@
         if host.up:
             self.wake(host)
             host.speaking += 1
-            self._speak(now, (host, host.speaking))
+            self.lists.speak(now, (host, host.speaking))
 
     def _note(self, host: Host, data: tuple[Attempt, float], end: float, outcome: str, work: float) -> None:
         attempt, at = data
@@ -503,13 +488,13 @@
                 attempt.of,
                 host.name,
                 host.life,
-                _ms(attempt.sent),
-                _ms(at),
-                _ms(end),
+                ledger.ms(attempt.sent),
+                ledger.ms(at),
+                ledger.ms(end),
                 outcome,
                 self.day.classes[tried.chain.cls].name,
                 attempt.key,
-                _ms(work),
+                ledger.ms(work),
                 attempt.cross,
             )
         )
@@ -521,165 +506,18 @@
             ledger.Life(
                 host.name,
                 host.life,
-                _ms(core.begun),
+                ledger.ms(core.begun),
                 round(machine.capacity, 4),
                 round(machine.cold_from, 4) if cold else 1.0,
-                _ms(machine.cold_ms) if cold else 0.0,
-                _ms(end),
+                ledger.ms(machine.cold_ms) if cold else 0.0,
+                ledger.ms(end),
                 why,
             )
         )
 
-    # --- the list service -----------------------------------------------------
-
-    def _delay(self) -> float:
-        low, high = self.day.list_delay
-        return low + (high - low) * self._list_rng.random()
-
-    def _speak(self, now: float, told: tuple[Host, int]) -> None:
-        """A server calls the list service, if that is due."""
-        host, speaking = told
-        member = host.member
-        if speaking != host.speaking or member.over or (host.up and host.core.stopped):
-            return
-        if member.due > now:
-            self.at(member.due, self._speak, told)
-            return
-        call = member.call(now)
-        self.at(now + self._delay(), self._called, (host, speaking, call))
-
-    def _called(self, now: float, told: tuple[Host, int, Call]) -> None:
-        host, speaking, call = told
-        up = self.listing.up and self.network.reaches(host.zone, 0)
-        status = self.listing.call(now, call) if up else 0
-        if status:
-            self._tell(now)
-        wait = self._delay() if status else host.member.patience_ms
-        self.at(now + wait, self._called_back, (host, speaking, status))
-
-    def _called_back(self, now: float, told: tuple[Host, int, int]) -> None:
-        host, speaking, status = told
-        if speaking == host.speaking:
-            host.member.ended(now, status, self._list_rng.random())
-            self._speak(now, (host, speaking))
-
-    def _look(self, now: float, _: None) -> None:
-        if self.listing.up and self.listing.look(now):
-            self._tell(now)
-        self.at(now + LOOK_MS, self._look, None)
-
-    def _listing(self, row: dict[str, Any]) -> Listing:
-        since = float(row["since_ms"])
-        return Listing(row["name"], int(row["zone"]), int(row["type"]), 0, row["status"], 1.0, since)
-
-    def _tell(self, now: float) -> None:
-        """Tell the watches what has changed."""
-        if not self.listing.news:
-            return
-        entries = [self._listing(row) for row in self.listing.take_news()]
-        index = self.listing.table.index
-        for sidecar, ask in self._watchers.items():
-            if self.network.reaches(sidecar.zone, 0):
-                self.at(now + self._delay(), self._news, (sidecar, ask, "changes", entries, index))
-
-    def _news(self, now: float, told: tuple[Sidecar, int, str, list[Listing], int]) -> None:
-        sidecar, ask, form, entries, index = told
-        if not sidecar.up or ask != sidecar.watch_asked:
-            return
-        self._note_news(now, sidecar, form, entries)
-        sidecar.watching = True
-        sidecar.list_heard = now
-        sidecar.told(now, form, entries, index)
-
-    def _note_news(self, now: float, sidecar: Sidecar, form: str, entries: list[Listing]) -> None:
-        held = sidecar.held
-        news = [
-            (entry.server, entry.started, entry.state)
-            for entry in entries
-            if (old := held.get(entry.server)) is None
-            or (old.state, old.started) != (entry.state, entry.started)
-        ]
-        if form == "all":
-            named = {entry.server for entry in entries}
-            news += [(name, old.started, "left") for name, old in held.items() if name not in named]
-        for name, started, state in news:
-            life = self._lives.get((name, started), -1)
-            self.book.add(ledger.News(sidecar.name, name, life, state, _ms(now)))
-
-    def watch(self, now: float, sidecar: Sidecar, ask: int) -> None:
-        """A sidecar asks for the list, and for all changes from then on."""
-        if not self.network.reaches(sidecar.zone, 0):
-            self.at(now + ASK_TIMEOUT_MS, self._watch_failed, (sidecar, ask))
-        elif not self.listing.tells(now):
-            self.at(now + self._delay(), self._watch_failed, (sidecar, ask))
-        else:
-            self._watchers[sidecar] = ask
-            changed = self.listing.since(sidecar.list_index)
-            form, rows = ("all", self.listing.listed()) if changed is None else ("changes", changed)
-            entries = [self._listing(row) for row in rows]
-            index = self.listing.table.index
-            self.at(now + self._delay(), self._news, (sidecar, ask, form, entries, index))
-
-    def fetch(self, now: float, sidecar: Sidecar) -> None:
-        """A sidecar asks for the whole list once."""
-        self.watch(now, sidecar, sidecar.watch_asked)
-
-    def _watch_failed(self, now: float, told: tuple[Sidecar, int]) -> None:
-        sidecar, ask = told
-        if sidecar.up and ask == sidecar.watch_asked:
-            sidecar.refused_list(now)
-
-    def break_watches(self, now: float, zone: int | None, after: float) -> None:
-        """The watches of a zone, or all, end after a time."""
-        for sidecar, ask in list(self._watchers.items()):
-            if zone is None or not self.network.reaches(sidecar.zone, 0):
-                del self._watchers[sidecar]
-                self.at(now + after, self._watch_failed, (sidecar, ask))
-
-    def list_down(self, now: float) -> None:
-        """The list service dies."""
-        self.listing.stop()
-        self.break_watches(now, None, 1.0)
-
-    def list_up(self, now: float, lost: bool) -> None:
-        """It is back, with its disk or without."""
-        self.listing.start(now, lost)
-
-    # --- samples --------------------------------------------------------------
-
-    def _sample(self, now: float, _: None) -> None:
-        ages = []
-        for sidecar in self.sidecars:
-            if not sidecar.up:
-                continue
-            if sidecar.watching and self.listing.up and self.network.reaches(sidecar.zone, 0):
-                sidecar.list_heard = now
-            ages.append(now - sidecar.list_heard)
-        ages.sort()
-        wrong = [self._wrong(sidecar) for sidecar in self.sidecars[:SAMPLED]]
-        if ages:
-            median, most = ages[len(ages) // 2], ages[-1]
-            self.book.add(ledger.Age(now, _ms(median), _ms(most), round(sum(wrong) / len(wrong), 4)))
-        held = [host.core.held if host.up else -1 for host in self.servers.values()]
-        self.book.add(ledger.Load(now, held))
-        if now < self.day.lasts:
-            self.at(now + SAMPLE_MS, self._sample, None)
-
-    def _wrong(self, sidecar: Sidecar) -> float:
-        """The share of servers that a sidecar's list has as they are not."""
-        true = {name: host.life for name, host in self.servers.items() if host.up and not host.leaving}
-        held = {
-            name: self._lives.get((name, entry.started), -1)
-            for name, entry in sidecar.held.items()
-            if entry.state == "active"
-        }
-        differ = sum(held.get(name) != life for name, life in true.items())
-        differ += sum(name not in true for name in held)
-        return differ / max(1, len(true))
-
     def kill_sidecar(self, now: float, sidecar: Sidecar) -> None:
         """A sidecar's process dies: its clients' connections are reset."""
-        self._watchers.pop(sidecar, None)
+        self.lists.leave(sidecar)
         for tried in sidecar.kill(now):
             self.answered(now, tried, BROKEN, excused=True)
 
--- a/brassfall/lab/spec.py
+++ b/brassfall/lab/spec.py
@@ -223,6 +223,15 @@
     kinds: list[str] = msgspec.field(default_factory=lambda: list(BRIEF))
 
 
+class Measure(Told, frozen=True, kw_only=True):
+    """A span of time, all classes or one, whose service is told by itself."""
+
+    name: Name
+    begin: Ms = msgspec.field(name="from", default=Ms(0.0))
+    end: Ms = msgspec.field(name="to")
+    cls: str | None = msgspec.field(name="class", default=None)
+
+
 class Version(Told, frozen=True, kw_only=True):
     """One of the programs to compare: a revision, other settings, or a seeded flaw."""
 
@@ -256,6 +265,7 @@
     classes: list[RequestClass] = msgspec.field(default_factory=lambda: list(CLASSES))
     faults: list[Fault] = []
     drawn: Drawn | None = None
+    measure: list[Measure] = []
     versions: list[Version] = msgspec.field(default_factory=lambda: [Version(name="now")])
 
 
@@ -311,9 +321,12 @@
         ("fleet.kinds", [kind.name for kind in told.fleet.kinds]),
         ("classes", [row.name for row in told.classes]),
         ("versions", [version.name for version in told.versions]),
+        ("measure", ["all", *(measure.name for measure in told.measure)]),
     ):
         if not names or len(set(names)) != len(names):
             raise ValueError(f"{part}: names are wanted, each once")
+    for number, measure in enumerate(told.measure):
+        _check_measure(f"measure[{number}]", measure, told)
     for number, fault in enumerate(told.faults):
         _check_fault(f"faults[{number}]", fault, told)
     for kind in told.drawn.kinds if told.drawn is not None else ():
@@ -322,6 +335,14 @@
     return told
 
 
+def _check_measure(at: str, measure: Measure, told: Experiment) -> None:
+    if not measure.begin < measure.end <= told.experiment.lasts:
+        lasts = told.experiment.lasts / 1000.0
+        raise ValueError(f"{at}: from and to are no span within the {lasts:g} s played")
+    if measure.cls not in (None, *(row.name for row in told.classes)):
+        raise ValueError(f"{at}.class: {measure.cls!r} is none of the classes")
+
+
 def _check_fault(at: str, fault: Fault, told: Experiment) -> None:
     needs = NEEDS.get(fault.kind)
     if needs is None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,7 +13,7 @@
 import psutil
 import pytest
 
-from brassfall.lab import day, judge, ledger, play, runner, spec
+from brassfall.lab import compare, day, judge, ledger, play, runner, spec
 from brassfall.lab.models.server import FULL, TAKEN, Job, Server
 from brassfall.lab.real import conductor
 from brassfall.lab.sim.faults import Faults
@@ -33,10 +33,14 @@
 )
 
 
-def told(tmp_path, text):
+def written(tmp_path, text):
     file = tmp_path / "e.toml"
     file.write_text(text)
-    return spec.load(file)
+    return file
+
+
+def told(tmp_path, text):
+    return spec.load(written(tmp_path, text))
 
 
 def played(experiment, folder, seed=1, kind=Sidecar):
@@ -85,6 +89,60 @@
         assert [finding.rule for finding in rules] == found
 
 
+def test_the_load_is_as_the_experiment_says(tmp_path):
+    lines = [
+        {"at_ms": 4000, "class": "send-notice", "app": 5, "work_ms": 7},
+        {"at_ms": 10, "class": "new-message"},
+    ]
+    (tmp_path / "day.jsonl").write_text("".join(json.dumps(line) + "\n" for line in lines))
+    _, rows = play.experiment(written(tmp_path, HEAD.format(s=5) + '[load]\nreplay = "day.jsonl"\n'))
+    drawn = day.draw(spec.load(tmp_path / "e.toml"), 1, rows).arrivals
+    assert [column.tolist() for column in (drawn.at, drawn.app, drawn.cls)] == [
+        [10.0, 4000.0],
+        [0, 1],
+        [3, 2],
+    ]
+    assert drawn.work[1] == 7.0 and 120.0 <= drawn.work[0] <= 210.0
+    (tmp_path / "day.jsonl").write_text('{"at_ms": 1, "class": "a"}\n{"at_ms": -1, "class": "a"}\n')
+    with pytest.raises(SettingsError, match=r"day.jsonl: line 2: .*at_ms"):
+        play.experiment(tmp_path / "e.toml")
+    shaped = (
+        HEAD.format(s=40)
+        + '[load]\nrate = "400 /s"\nsteps = [{ at = "10 s", times = 2.0 }]\n'
+        + 'bursts = [{ at = "20 s", for = "5 s", times = 3.0 }]\nwander = { between = [0.5, 0.6] }\n'
+    )
+    at = day.draw(told(tmp_path, shaped), 1).arrivals.at
+    rates = [sum((at >= low) & (at < low + 5000.0)) / 5.0 for low in (0.0, 10_000.0, 20_000.0, 30_000.0)]
+    for rate, times in zip(rates, (1.0, 2.0, 6.0, 2.0), strict=True):
+        assert 400.0 * times * 0.47 < rate < 400.0 * times * 0.63
+
+
+def test_versions_are_paired_by_seed_and_noise_is_not_called_a_difference(tmp_path):
+    def side(name, shifts):
+        def judged(shift):
+            spans = {"m": 0.4 + shift}
+            figures = judge.Figures(1, 1, 1, 0.5 + shift, 0.5, 0.5, 0.5, {}, {}, 0, 0.0, 0.0, {}, [], spans)
+            return judge.Judgement(figures, [])
+
+        rows = {seed: play.Result(name, seed, True, "", judged(shift)) for seed, shift in enumerate(shifts)}
+        return compare.Side(name, rows)
+
+    # The days differ far more than the versions; only pairs can tell them apart.
+    days = [0.0, 0.3, -0.3, 0.2, -0.2, 0.1]
+    base = side("a", days)
+    for shifts, beyond in (
+        ([0.02, 0.03, 0.01, 0.02, 0.03, 0.02], True),
+        ([0.05, -0.05, 0.04, -0.05, 0.06, -0.04], False),
+    ):
+        other = side("b", [at + shift for at, shift in zip(days, shifts, strict=True)])
+        for figure in ("service", "m"):
+            row = compare.difference(figure, base, other)
+            assert row.pairs == 6 and row.beyond_noise == beyond
+            assert row.low <= row.difference <= row.high and row.difference == pytest.approx(sum(shifts) / 6)
+    few = compare.difference("service", base, side("b", days[:2]))
+    assert few.low is None and not few.beyond_noise
+
+
 def test_latency_runs_from_when_a_request_was_due(tmp_path):
     """One server stops for 1 s: everybody who asked meanwhile waited, and the figures say so."""
     experiment = told(
@@ -126,6 +184,10 @@
         ('[load]\nshare = 0.5\n[[versions]]\nname = "v"\nflaw = "odd"', "versions[0].flaw: 'odd'"),
         ('[load]\nshare = 0.5\n[[versions]]\nname = "v"\nrevision = "nowhere"', "'nowhere' is no revision"),
         ("[load]\nshare = 0.5\n[fleet]\nsidecars = 0", "fleet.sidecars"),
+        (
+            '[load]\nshare = 0.5\n[[measure]]\nname = "m"\nfrom = "9 s"\nto = "11 s"',
+            "measure[0]: from and to",
+        ),
     ],
 )
 def test_a_bad_experiment_is_refused_before_anything_starts(tmp_path, change, reason):
@@ -251,8 +313,17 @@
     assert sum(1 for path in out.glob(written) for _ in ledger.read(path.parent, kind)) > 0
     if real:
         return
+    # One play that dies does not keep the other from being played, and is played again next time.
+    lab = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stderr=asyncio.subprocess.DEVNULL)
+    while not (workers := psutil.Process(lab.pid).children()):
+        await asyncio.sleep(0.02)
+    workers[0].kill()
+    assert await lab.wait() == 0
+    rows = [json.loads(line) for line in (out / "plays.jsonl").read_bytes().splitlines()]
+    assert sorted(row["valid"] for row in rows) == [False, True]
+    assert "does not count: ended with status -9" in (out / "report.md").read_text()
     done = await asyncio.to_thread(brassfall, "lab", "run", str(file), "--out", str(out))
-    assert done.returncode == 0, done.stderr
+    assert done.returncode == 0 and "1 of 2 plays were there already" in done.stderr
     rows = [json.loads(line) for line in (out / "plays.jsonl").read_bytes().splitlines()]
     assert [row["seed"] for row in rows] == [1, 2] and all(row["valid"] for row in rows)
     assert "## Service" in (out / "report.md").read_text()
@@ -262,6 +333,45 @@
     assert again.returncode == 2 and "another experiment" in again.stderr
 
 
+def test_a_lab_that_stood_still_says_so_and_its_play_does_not_count(tmp_path):
+    asyncio.run(asyncio.wait_for(_stood_still(tmp_path), 90))
+
+
+async def _stood_still(tmp_path):
+    file, out = written(tmp_path, REAL), tmp_path / "out"
+    words = [sys.executable, "-m", "brassfall", "lab", "run", str(file), "--out", str(out)]
+    lab = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stderr=asyncio.subprocess.DEVNULL)
+    while not any(path.stat().st_size for path in out.glob("plays/*/parts/*/attempts.jsonl")):
+        await asyncio.sleep(0.02)
+    [clients] = [
+        process
+        for process in psutil.Process(lab.pid).children(recursive=True)
+        if "brassfall.lab.real.clients" in process.cmdline()
+    ]
+    clients.suspend()
+    await asyncio.sleep(0.7)
+    clients.resume()
+    assert await lab.wait() == 1
+    [row] = [json.loads(line) for line in (out / "plays.jsonl").read_bytes().splitlines()]
+    assert (
+        not row["valid"] and "ran late" in row["why"] and "does not count" in (out / "report.md").read_text()
+    )
+    # Those that were due meanwhile went out late, and their latency runs from when they were due.
+    rows = list(ledger.read(out / "plays" / "now-1", ledger.Answer))
+    assert sum(answer.hop == 0 and answer.sent - answer.due > 300.0 for answer in rows) >= 20
+    took = sorted(answer.end - answer.due for answer in rows if answer.status == "served")
+    p90 = row["judgement"]["figures"]["latency_ms"]["p90"]
+    assert p90 == pytest.approx(took[math.ceil(0.9 * len(took)) - 1], rel=0.01)
+
+
+def test_too_few_descriptors_are_told(tmp_path):
+    file = written(tmp_path, REAL)
+    words = f"ulimit -n 256; exec {sys.executable} -m brassfall lab run {file} --out {tmp_path / 'out'}"
+    done = subprocess.run(["/bin/sh", "-c", words], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 1 and "256 descriptors a process are too few" in done.stderr
+    assert "256 descriptors" in (tmp_path / "out" / "report.md").read_text()
+
+
 def test_a_play_in_which_the_lab_was_late_or_starved_does_not_count():
     fine = {"late_ms": 20.0, "late": 0, "due": 1000}
     assert conductor.lateness([fine, fine]) == ""
