Tell a sidecar that crashes from one whose end is meant by a field, and test that it is named

A role with a blank at its end stood for an end that was meant, and no test had a sidecar die unasked in a real play. The process now carries a field for it; in the test of a lab that stood still a sidecar is killed, too, and the play names the crash.

--- a/brassfall/lab/real/conductor.py
+++ b/brassfall/lab/real/conductor.py
@@ -289,7 +289,7 @@
         seen: set[int] = set()
         while True:
             for name, actor in self.sidecars.items():
-                if not actor.alive and actor.process.pid not in seen and actor.role == "sidecar":
+                if not actor.alive and actor.process.pid not in seen and not actor.ending:
                     seen.add(actor.process.pid)
                     self.crashes.append(f"sidecar {name} ended with {actor.process.returncode}: {actor.last}")
             await asyncio.sleep(0.1)
@@ -380,7 +380,7 @@
     """Processor time by role, in seconds; the lab's own share of it."""
     by_role: dict[str, float] = {"lab": own, "sidecar": 0.0, "list service": 0.0}
     for actor in troupe.actors:
-        by_role[actor.role.strip()] += actor.cpu_s
+        by_role[actor.role] += actor.cpu_s
     whole = sum(by_role.values())
     return {
         "cpu_lab_s": by_role["lab"],
--- a/brassfall/lab/real/faults.py
+++ b/brassfall/lab/real/faults.py
@@ -159,7 +159,7 @@
         numbers = [n for n, app in enumerate(self._stage.day.apps) if app.name in trouble.targets]
         for number in numbers:
             actor = self._stage.sidecars[self._stage.day.apps[number].name]
-            actor.role = "sidecar "  # meant to end
+            actor.ending = True
             actor.count_cpu()
             actor.process.kill()
         await self._stage.until(trouble.until)
--- a/brassfall/lab/real/troupe.py
+++ b/brassfall/lab/real/troupe.py
@@ -35,6 +35,7 @@
         self._log = open(log, "ab", buffering=0)  # noqa: SIM115 (closed when the process has ended)
         self.reports: dict[str, dict[str, Any]] = {}
         self.lines: deque[str] = deque(maxlen=LAST_LINES)
+        self.ending = False  # its end is meant, and no crash
         self.cpu_s = 0.0  # since the play has begun
         self._cpu_before_s = 0.0
         self.process: asyncio.subprocess.Process
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -343,19 +343,21 @@
     lab = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stderr=asyncio.subprocess.DEVNULL)
     while not any(path.stat().st_size for path in out.glob("plays/*/parts/*/attempts.jsonl")):
         await asyncio.sleep(0.02)
-    [clients] = [
-        process
-        for process in psutil.Process(lab.pid).children(recursive=True)
-        if "brassfall.lab.real.clients" in process.cmdline()
-    ]
+    started = psutil.Process(lab.pid).children(recursive=True)
+    clients, sidecar = (
+        next(process for process in started if name in process.cmdline())
+        for name in ("brassfall.lab.real.clients", "fordtrestle")
+    )
     clients.suspend()
     await asyncio.sleep(0.7)
     clients.resume()
+    sidecar.kill()
     assert await lab.wait() == 1
     [row] = [json.loads(line) for line in (out / "plays.jsonl").read_bytes().splitlines()]
     assert (
         not row["valid"] and "ran late" in row["why"] and "does not count" in (out / "report.md").read_text()
     )
+    assert "crashed" in {finding["rule"] for finding in row["judgement"]["findings"]}
     # Those that were due meanwhile went out late, and their latency runs from when they were due.
     rows = list(ledger.read(out / "plays" / "now-1", ledger.Answer))
     assert sum(answer.hop == 0 and answer.sent - answer.due > 300.0 for answer in rows) >= 20
