--- a/brassfall/lab/models/server.py
+++ b/brassfall/lab/models/server.py
@@ -49,7 +49,6 @@
         self.errors = 0.0  # share of requests that it answers at once with an error
         self.stopped = False  # its process stands still
         self.crowded = False
-        self.worked = 0.0  # work done, in all
         self.slow = 1.0  # times slower
         self.taken = 0.0  # share of the machine that another program has
         self._chance = chance
@@ -176,7 +175,6 @@
             self._v = work[0][0]
             job = heapq.heappop(work)[2]
             done.append(job)
-            self.worked += job.work
             if self._queue:
                 self._begin(self._queue.popleft())
         self._t = max(self._t, now)
--- a/brassfall/lab/spec.py
+++ b/brassfall/lab/spec.py
@@ -85,7 +85,6 @@
     connections: Connections = Connections()
     fall_multiple: float = 4.0  # of its present capacity, sent to a cold server
     fall_after: Ms = Ms(2000.0)
-    probe_work: Span = Span((0.81, 1.6))
 
 
 class Network(Told, frozen=True, kw_only=True):
