Make the sidecar's fleet side a package: lists now, agreement and overrides to follow

The client side of editions, overrides and delays needs files of its own beside the list's. fleet.py becomes fleet/lists.py, imports follow; no behaviour changes (layout and list tests pass).

--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -13,7 +13,7 @@
 
 from fordtrestle.config import Address, Config, ServerList, parse_list
 from fordtrestle.driver import log
-from fordtrestle.fleet import Age, Doubt, Held, Sources
+from fordtrestle.fleet.lists import Age, Doubt, Held, Sources
 
 PATH = "/registry/instances"
 # An empty line comes every 2 s: a connection that misses two of them is broken.
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -69,8 +69,8 @@
         ("admin.py", {CONFIG, DRIVER, LIFECYCLE, LISTENER}),
         ("inbound.py", {BODY, CONFIG, DRIVER, FRAMING, LIFECYCLE, LISTENER}),
         ("outbound.py", {BODY, CONFIG, DRIVER, FRAMING, MODEL}),
-        ("fleet.py", {CONFIG, MODEL}),
-        ("discovery.py", {CONFIG, DRIVER, "fordtrestle.fleet"}),
+        ("fleet/lists.py", {CONFIG, MODEL}),
+        ("discovery.py", {CONFIG, DRIVER, "fordtrestle.fleet.lists"}),
         ("peers.py", {CONFIG, DRIVER}),
     ],
 )
--- a/tests/test_sidecar_lists.py
+++ b/tests/test_sidecar_lists.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from fordtrestle import config, discovery, fleet
+from fordtrestle import config, discovery
+from fordtrestle.fleet import lists as fleet
 from poppypulley.model import Fetch, Tell, Watch
 from tests.loopback import Registry, Scripted, Upstream, entry, listed, loopback, running, told, until
 
