--- /dev/null
+++ b/brassfall/agreement/core.py
@@ -0,0 +1,393 @@
+"""The agreement, as a state machine: `step(now, event) -> actions`, without a clock or a disk of its own.
+
+An edition is *prepared* (durable, and told to all), then *committed* once every process that may act on the
+one before has acknowledged it or has no permission any more. Nobody acts on an edition without a permission,
+which a process counts on its own clock from the time of asking. Hence, with P the length of a permission and
+clocks whose rates differ by at most `drift`:
+
+- After a commit no permission for the edition before is given, so all of those end within P / (1 - drift).
+- Whoever acknowledged the next one acts, for exclusive keys, on what is common to both; whoever did not has
+  no permission when the commit is decided, and acts on the floor. So two values of such a key never meet.
+- A second service on a copy of the disk can commit or permit only with more than half of the roster, each
+  of which takes one service's word at a time; before that it waits until all that the other gave is over.
+
+What is decided becomes durable before it has any effect: `Persist` asks for it, `Durable` says that it is.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from brassfall.agreement.document import Edition
+from brassfall.agreement.edges import Fleet, Objection, Report
+
+DRIFT = 0.01
+COUNTED_MS = 100.0  # how long a count of the roster is good for
+LOOK_MS = 0.01  # between two looks at whether all have acknowledged, for each process that may act
+REQUESTS_MOST = 64
+OUTCOMES_MOST = 256
+LAYERS = ("settings", "plan", "overrides")
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """Spans in ms. A permission and what clocks may differ by stay under `agree_ms`."""
+
+    agree_ms: float = 3000.0
+    drift: float = DRIFT
+
+    @property
+    def permission_ms(self) -> float:
+        """How long a process may act on an edition after it asked."""
+        return 0.9 * self.agree_ms
+
+    @property
+    def over_ms(self) -> float:
+        """How long the service waits for a permission to be over, on its own clock."""
+        return self.permission_ms * (1.0 + self.drift) / (1.0 - self.drift)
+
+    @property
+    def season_ms(self) -> float:
+        """How long a process has to have taken this service's word before it counts: until it no longer
+        counts at another, and what that one gave last is over."""
+        return 2.0 * self.over_ms
+
+
+class Halt(msgspec.Struct, frozen=True):
+    """An edition that did not take effect, and why."""
+
+    edition: Edition
+    objections: dict[str, str] = {}  # by sidecar
+
+
+class Kept(msgspec.Struct, frozen=True):
+    """All that is durable; every change of it is one write."""
+
+    committed: Edition = Edition()
+    pending: Edition | None = None  # prepared
+    waiting: Edition | None = None  # published while another is prepared: the newest of those
+    halted: Halt | None = None  # the last that was objected to
+    newest: int = 0
+    requests: dict[str, int] = {}  # the editions that the last request ids were answered with
+
+
+# --- events and actions -------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """Somebody wants an edition. Layers that are None stay as they are in the newest one."""
+
+    ticket: int
+    settings: dict[str, Any] | None = None
+    plan: dict[str, Any] | None = None
+    overrides: list[dict[str, Any]] | None = None
+    if_match: int | None = None  # the edition that it follows
+    list_index: int = 0
+    forced: bool = False
+    request_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Reported:
+    """A sidecar reports, and asks for a permission."""
+
+    ticket: int
+    name: str
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class Durable:
+    """What was asked to be made durable is."""
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """What was asked to be made durable is not: the disk refused."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """An operator, or a process that ends, takes a sidecar off the roster."""
+
+    name: str
+
+
+Event = Publish | Reported | Durable | Failed | Tick | Forget
+
+
+@dataclass(frozen=True, slots=True)
+class Persist:
+    """Make this durable; `Durable` or `Failed` has to follow, and nothing else is decided before."""
+
+    kept: Kept
+
+
+@dataclass(frozen=True, slots=True)
+class Enrol:
+    """Add a name to the durable roster, or take it off."""
+
+    name: str
+    on: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """The answer to `Publish`."""
+
+    ticket: int
+    edition: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The answer to `Publish` that names an edition which is not the newest."""
+
+    ticket: int
+    newest: int
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The answer to a report; `permission_ms` of 0 is none, and `why` says why."""
+
+    ticket: int
+    edition: int
+    permission_ms: float
+    pending: int
+    why: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """The state has changed: tell the watches."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unwritten:
+    """The answer to `Publish` where the disk refused it."""
+
+    ticket: int
+
+
+Action = Persist | Enrol | Published | Conflict | Unwritten | Granted | Told
+
+
+@dataclass(slots=True)
+class Agreement:
+    """One life of the service's side. `started` is when it began, on the clock that `step` is given."""
+
+    timing: Timing
+    started: float
+    kept: Kept
+    fleet: Fleet
+    objections: dict[str, Objection] = field(default_factory=dict)  # to the pending one, by sidecar
+    barred: Mapping[str, str] = field(default_factory=dict)  # no permission, and why: by the reconciler
+    outcomes: dict[int, str] = field(default_factory=dict)  # what became of the last editions
+    _persisting: tuple[Kept, list[Published]] | None = None
+    _queue: list[Publish] = field(default_factory=list)
+    _counted: tuple[float, str] = (-math.inf, "")
+    _look_again: float = -math.inf
+
+    def step(self, now: float, event: Event) -> list[Action]:
+        """Take in what happened; what to do about it. `now` in monotonic ms."""
+        match event:
+            case Reported():
+                return [*self._reported(now, event), *self._decide(now)]
+            case Publish():
+                self._queue.append(event)
+                return self._decide(now)
+            case Durable():
+                return [*self._durable(), *self._decide(now)]
+            case Failed():
+                return self._failed()
+            case Forget():
+                return [*self._forget(event.name), *self._decide(now)]
+            case Tick():
+                return self._decide(now)
+
+    def enrolled(self, name: str) -> None:
+        """A name is on the durable roster."""
+        self.fleet.names.add(name)
+
+    # --- who may permit ------------------------------------------------------------------
+
+    def may_permit(self, now: float) -> str:
+        """Why no permission can be given at all just now; empty where it can."""
+        if now - self._counted[0] > COUNTED_MS:
+            self._counted = (now, self._count(now))
+        return self._counted[1]
+
+    def _count(self, now: float) -> str:
+        ahead, known = self.fleet.ahead(self.kept.newest), len(self.fleet.edges)
+        if 2 * ahead > known:
+            return f"{ahead} of {known} sidecars hold later editions: this disk was lost, or is a copy"
+        if self.kept.committed.number == 0:
+            return ""  # it permits nothing that could contradict another
+        return self._alone(now)
+
+    def _alone(self, now: float) -> str:
+        """Why this service can't be sure to be the only one that permits; empty where it can."""
+        if now - self.started < self.timing.over_ms:
+            return "what an earlier life of the service permitted may not be over"
+        season, fresh = self.timing.season_ms + COUNTED_MS, self.timing.over_ms
+        counted, known = self.fleet.counted(now, season, fresh), len(self.fleet.names)
+        if known and 2 * counted <= known:
+            return f"only {counted} of {known} sidecars have taken this service's word for long enough"
+        return ""
+
+    # --- reports ------------------------------------------------------------------------
+
+    def _reported(self, now: float, event: Reported) -> list[Action]:
+        name, report = event.name, event.report
+        if not self.fleet.heard(now, name, report):
+            return [self._answer(event, "a later report of this process came before")]
+        if report.leaving:
+            self.fleet.release(name, report.life)
+            return [*self._forget(name), self._answer(event, "it is leaving")]
+        pending, objection = self.kept.pending, report.objection
+        if pending is not None and objection is not None and objection.edition == pending.number:
+            self.objections[name] = objection
+        why = self._refusal(now, event)
+        if not why:
+            until = now + self.timing.over_ms
+            self.fleet.grant(name, report, self.kept.committed.number, until)
+        enrol = [] if name in self.fleet.names else [Enrol(name)]
+        return [*enrol, self._answer(event, why)]
+
+    def _answer(self, event: Reported, why: str) -> Granted:
+        pending = self.kept.pending.number if self.kept.pending is not None else 0
+        length = 0.0 if why else self.timing.permission_ms
+        return Granted(event.ticket, self.kept.committed.number, length, pending, why)
+
+    def _refusal(self, now: float, event: Reported) -> str:
+        """Why this one gets no permission; empty where it does."""
+        report, pending = event.report, self.kept.pending
+        why = self.may_permit(now) or self.barred.get(event.name, "")
+        if why:
+            return why
+        objection = report.objection
+        if objection is not None and objection.edition == self.kept.committed.number:
+            return f"it objects to this edition: {objection.reason}"
+        # What it had ends by itself: so nobody holds up an edition for longer than that lasts.
+        if pending is not None and report.prepared != pending.number and not self.objections:
+            return "it has not acknowledged the edition that is prepared"
+        return ""
+
+    def _forget(self, name: str) -> list[Action]:
+        known = name in self.fleet.names
+        self.fleet.names.discard(name)
+        self.fleet.edges.pop(name, None)
+        return [Enrol(name, False)] if known else []
+
+    # --- decisions ------------------------------------------------------------------------
+
+    def _decide(self, now: float) -> list[Action]:
+        """The next change of what is durable, if one is due and none is under way."""
+        if self._persisting is not None:
+            return []
+        actions: list[Action] = []
+        kept, answers = self.kept, list[Published]()
+        queue, self._queue = self._queue, []
+        for draft in queue:
+            first = kept.requests.get(draft.request_id) if draft.request_id else None
+            if first is not None:
+                answers.append(Published(draft.ticket, first))
+            elif draft.if_match is not None and draft.if_match != kept.newest:
+                actions.append(Conflict(draft.ticket, kept.newest))
+            else:
+                kept = self._published(kept, draft)
+                answers.append(Published(draft.ticket, kept.newest))
+        if kept is self.kept:
+            actions += answers
+            answers = []
+            kept = self._moved(now, kept)
+        if kept is not self.kept:
+            self._persisting = (kept, answers)
+            actions.append(Persist(kept))
+        return actions
+
+    def _published(self, kept: Kept, draft: Publish) -> Kept:
+        """With a new edition: prepared, or waiting until the one that is prepared is decided."""
+        base = kept.waiting or kept.pending or kept.committed
+        given = {name: getattr(draft, name) for name in LAYERS if getattr(draft, name) is not None}
+        edition = msgspec.structs.replace(
+            base,
+            # Numbers start above all of earlier lives: one told by a disk that was lost is used for no other.
+            number=max(kept.newest + 1, self.fleet.life),
+            life=self.fleet.life,
+            follows=kept.newest,
+            list_index=draft.list_index,
+            forced=draft.forced,
+            layers=sorted({*given, *(kept.waiting.layers if kept.waiting is not None else ())}),
+            **given,
+        )
+        requests = {**kept.requests, draft.request_id: edition.number} if draft.request_id else kept.requests
+        if len(requests) > REQUESTS_MOST:
+            del requests[next(iter(requests))]
+        kept = msgspec.structs.replace(kept, newest=edition.number, requests=requests)
+        if kept.pending is None:
+            return msgspec.structs.replace(kept, pending=edition)
+        if kept.waiting is not None:
+            self._note(kept.waiting.number, f"superseded by edition {edition.number}")
+        return msgspec.structs.replace(kept, waiting=edition)
+
+    def _moved(self, now: float, kept: Kept) -> Kept:
+        """The prepared edition halted or committed, where that is due; the next one takes its place."""
+        pending, waiting = kept.pending, kept.waiting
+        if pending is None:
+            return kept
+        if self.objections:
+            reasons = {name: objection.reason for name, objection in sorted(self.objections.items())}
+            if waiting is not None:
+                # What it took over from the one that is halted, it takes from the one that is in force.
+                old = {name: getattr(kept.committed, name) for name in LAYERS if name not in waiting.layers}
+                waiting = msgspec.structs.replace(waiting, **old)
+            halted = Halt(pending, reasons)
+            return msgspec.structs.replace(kept, pending=waiting, waiting=None, halted=halted)
+        if self._agreed(now, pending.number):
+            return msgspec.structs.replace(kept, committed=pending, pending=waiting, waiting=None)
+        return kept
+
+    def _agreed(self, now: float, number: int) -> bool:
+        """Whether everybody who may act on the edition before has acknowledged this one."""
+        if now < self._look_again or self._alone(now):
+            return False
+        holding = self.fleet.holding(now)
+        # A look costs as much as there are sidecars: many that report at once are looked at together.
+        self._look_again = now + LOOK_MS * len(holding)
+        return all(holder.prepared == number for holder in holding.values())
+
+    def _durable(self) -> list[Action]:
+        if self._persisting is None:
+            return []
+        (kept, answers), self._persisting = self._persisting, None
+        before, self.kept = self.kept, kept
+        if kept.pending != before.pending:
+            self.objections = {}
+        if kept.committed.number != before.committed.number:
+            self._note(kept.committed.number, "committed")
+        if kept.halted is not None and kept.halted != before.halted:
+            self._note(kept.halted.edition.number, "halted")
+        self._counted = (-math.inf, "")
+        return [*answers, Told()]
+
+    def _failed(self) -> list[Action]:
+        """The disk refused: nothing has happened, and whoever published hears it."""
+        (_, answers), self._persisting = self._persisting or (self.kept, []), None
+        return [Unwritten(answer.ticket) for answer in answers]
+
+    def _note(self, edition: int, outcome: str) -> None:
+        self.outcomes[edition] = outcome
+        if len(self.outcomes) > OUTCOMES_MOST:
+            del self.outcomes[next(iter(self.outcomes))]
--- /dev/null
+++ b/brassfall/agreement/edges.py
@@ -0,0 +1,150 @@
+"""Who reports, who may still act on what: the service's knowledge of sidecars, as pure code.
+
+Times are milliseconds of the service's monotonic clock. A permission is counted by the sidecar from the
+time of asking, on a clock whose rate may differ; here its end is an upper bound, so that it is never over
+at the sidecar later than here.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from brassfall.errors import Refused
+
+TEXT_MOST = 200
+OVERRIDES_MOST = 1000
+
+
+class ReportError(Refused):
+    """A report that says nothing usable."""
+
+    action = "See which version of the program runs there; the report is dropped, its permission runs out."
+
+
+class Objection(msgspec.Struct, frozen=True):
+    """Why a sidecar can't act on an edition."""
+
+    edition: int
+    reason: str
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What one sidecar says of itself; what it does not know, it leaves out."""
+
+    life: str = ""  # of its process
+    seq: int = 0  # grows with each report of that life
+    of: int = 0  # the life of the service whose permissions it takes
+    held: int = 0
+    prepared: int = 0  # acknowledged: from then on it acts on what is common to that one and the one before
+    acting: int | str = 0  # an edition or "safe"
+    objection: Objection | None = None
+    list_index: int = 0
+    list_age_ms: float | None = None
+    overrides: list[str] | None = None  # acted on; None from a version without them
+    digest: str = ""
+    group: str = ""
+    region: str = ""
+    leaving: bool = False  # its process ends: it will act on nothing more
+    measures: dict[str, Any] = {}
+
+
+def parse(body: bytes) -> Report:
+    """Read a report; `ReportError` says what is wrong with it."""
+    try:
+        report = msgspec.json.decode(body or b"{}", type=Report)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as wrong:
+        raise ReportError("no report", str(wrong)) from wrong
+    for name in ("seq", "of", "held", "prepared", "list_index"):
+        if not 0 <= getattr(report, name) < 2**53:
+            raise ReportError("no report", f"{name} is out of range")
+    if report.acting != "safe" and not (isinstance(report.acting, int) and 0 <= report.acting < 2**53):
+        raise ReportError("no report", 'acting: an edition or "safe" is wanted')
+    age = report.list_age_ms
+    if age is not None and not (math.isfinite(age) and 0.0 <= age <= 1e12):
+        raise ReportError("no report", "list_age_ms is out of range")
+    reason = report.objection.reason if report.objection is not None else ""
+    if max(map(len, (report.life, report.digest, report.group, report.region))) > 64 or len(reason) > 2000:
+        raise ReportError("no report", "a text is too long")
+    if len(report.overrides or ()) > OVERRIDES_MOST:
+        raise ReportError("no report", f"overrides: more than {OVERRIDES_MOST}")
+    return report
+
+
+@dataclass(slots=True)
+class Edge:
+    """One process of a sidecar, by its newest report."""
+
+    name: str
+    last_ms: float
+    report: Report
+    allied_ms: float | None  # since when it has taken this life's word without another's between
+
+
+@dataclass(slots=True)
+class Holder:
+    """A process that may act on an edition, until a time that is at the latest."""
+
+    edition: int
+    until_ms: float
+    prepared: int
+
+
+@dataclass(slots=True)
+class Fleet:
+    """All sidecars known to one life of the service."""
+
+    life: int
+    names: set[str] = field(default_factory=set)  # the durable roster
+    edges: dict[str, Edge] = field(default_factory=dict)
+    holders: dict[tuple[str, str], Holder] = field(default_factory=dict)
+    stale: int = 0  # reports that were repeated or overtaken
+
+    def heard(self, now: float, name: str, report: Report) -> bool:
+        """Take in a report; whether it is the newest of its process.
+
+        One that is repeated, or comes after a later one, says nothing: an acknowledgement in it may
+        have been followed by a process that knows nothing of it."""
+        edge = self.edges.get(name)
+        same = edge is not None and edge.report.life == report.life
+        if edge is not None and same and report.life and report.seq <= edge.report.seq:
+            self.stale += 1
+            return False
+        allied = edge.allied_ms if edge is not None and same else None
+        # Who has had no answer yet takes the first word it gets: that may be this one's.
+        if report.of not in (0, self.life):
+            allied = None
+        elif allied is None:
+            allied = now
+        self.edges[name] = Edge(name, now, report, allied)
+        return True
+
+    def ahead(self, newest: int) -> int:
+        """How many hold an edition later than the newest that this service knows."""
+        return sum(edge.report.held > newest for edge in self.edges.values())
+
+    def grant(self, name: str, report: Report, edition: int, until: float) -> None:
+        """A process may act on an edition."""
+        self.holders[name, report.life] = Holder(edition, until, report.prepared)
+
+    def release(self, name: str, life: str) -> None:
+        """A process has said that it acts on nothing more."""
+        self.holders.pop((name, life), None)
+
+    def holding(self, now: float) -> dict[tuple[str, str], Holder]:
+        """Who may still act on something; the rest is forgotten."""
+        self.holders = {key: holder for key, holder in self.holders.items() if holder.until_ms > now}
+        return self.holders
+
+    def counted(self, now: float, season: float, fresh: float) -> int:
+        """How many of the roster have taken this service's word for `season`, and last within `fresh`."""
+        return sum(
+            edge.allied_ms is not None
+            and edge.name in self.names
+            and now - edge.allied_ms >= season
+            and now - edge.last_ms <= fresh
+            for edge in self.edges.values()
+        )
--- /dev/null
+++ b/fordtrestle/fleet/holder.py
@@ -0,0 +1,173 @@
+"""Which edition this sidecar may act on, and since when it must not: pure, times handed in.
+
+A permission runs on this process's own monotonic clock from the moment of *asking*: however long the answer
+took, it is over here before the service counts it as over. Past it, this sidecar acts on safe rules. `stance`
+is asked at each decision, so that a process that was stopped for ten seconds decides nothing on what ran
+out meanwhile.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+SAFE = "safe"
+DOCUMENTS_MOST = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Edition:
+    """One numbered document; number 0 is what this sidecar's own file says."""
+
+    number: int
+    settings: Mapping[str, Any]
+    plan: Mapping[str, Any] | None
+    overrides: tuple[Mapping[str, Any], ...]
+
+
+OWN_FILE = Edition(0, {}, None, ())
+
+
+class Stance(NamedTuple):
+    """What to act on: `acting` with the document `edition`, or safe rules made from it. With `pending`, the
+    exclusive keys are what both agree on: it was promised that nothing else of the old one is used."""
+
+    safe: bool
+    edition: Edition
+    pending: Edition | None
+
+    @property
+    def acting(self) -> int | str:
+        """As it is told to servers and in reports."""
+        return SAFE if self.safe else self.edition.number
+
+
+def read(raw: Any) -> Edition:
+    """One edition as the service tells it; `ValueError` says what is wrong."""
+    if not isinstance(raw, Mapping):
+        raise ValueError("an edition is an object")
+    number = whole(raw, "edition")
+    settings, plan, overrides = raw.get("settings", {}), raw.get("plan"), raw.get("overrides", [])
+    if not isinstance(settings, Mapping) or not isinstance(plan, Mapping | None):
+        raise ValueError("settings and plan are objects")
+    if not isinstance(overrides, list) or not all(isinstance(row, Mapping) for row in overrides):
+        raise ValueError("overrides are a list of objects")
+    return Edition(number, settings, plan or None, tuple(overrides))
+
+
+def whole(raw: Mapping[str, Any], name: str) -> int:
+    """A whole number from 0 up; `ValueError` names the field."""
+    value = raw.get(name, 0)
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value < 2**53:
+        raise ValueError(f"{name}: a whole number is wanted")
+    return value
+
+
+class Holder:
+    """Editions held, what is promised, and the permission."""
+
+    def __init__(self, life: str, check: Callable[[Edition], str]) -> None:
+        self._life = life
+        self._check = check  # why this program can't act on an edition; empty where it can
+        self._documents: dict[int, Edition] = {0: OWN_FILE}
+        self._objections: dict[int, str] = {}
+        self._seq = 0
+        self._of = 0  # the service's life whose word is taken
+        self._pending = 0  # promised: the edition acknowledged last, not yet decided as far as known
+        self._promised_at = 0  # the report that told so
+        self._permitted = 0
+        self._until = -math.inf
+        self._last = OWN_FILE  # what was acted on last: safe rules are made from it
+
+    # --- what is told ---------------------------------------------------------------
+
+    def news(self, raw: Any) -> None:
+        """A line of the watch on the rules; `ValueError` says what is wrong with it, and changes nothing."""
+        told = read(raw)
+        more = raw.get("committed")
+        committed = read(more) if isinstance(more, Mapping) else None
+        if whole(raw, "life") < self._of:
+            return  # of a service that another has followed: its numbers may be used again
+        for edition in (committed, told):
+            if edition is not None:
+                self._take(edition)
+        if raw.get("state") == "prepared" and told.number not in self._objections:
+            self._promise(told.number)
+
+    def _take(self, edition: Edition) -> None:
+        if edition.number in self._documents or edition.number == 0:
+            return  # immutable: the first reading stays
+        why = self._check(edition)
+        if why:
+            self._objections[edition.number] = why
+        self._documents[edition.number] = edition
+        needed = {0, self._permitted, self._pending, self._last.number, edition.number}
+        for number in sorted(self._documents.keys() - needed)[: len(self._documents) - DOCUMENTS_MOST]:
+            del self._documents[number]
+            self._objections.pop(number, None)
+
+    def _promise(self, number: int) -> None:
+        if number > self._pending:
+            self._pending, self._promised_at = number, self._seq + 1
+
+    # --- reports and permissions ------------------------------------------------------
+
+    def report(self, now: float) -> dict[str, Any]:
+        """The next report's part that is about editions."""
+        self._seq += 1
+        stance = self.stance(now)
+        made: dict[str, Any] = {
+            "life": self._life,
+            "seq": self._seq,
+            "of": self._of,
+            "held": max(self._documents),
+            "prepared": self._pending,
+            "acting": stance.acting,
+        }
+        if self._objections:
+            number = max(self._objections)
+            made["objection"] = {"edition": number, "reason": self._objections[number]}
+        return made
+
+    def answered(self, asked: float, seq: int, raw: Any) -> bool:
+        """The answer to report `seq`, which was sent at `asked`; whether it is of the service that counts.
+
+        `ValueError` says what is wrong with it, and changes nothing."""
+        if not isinstance(raw, Mapping):
+            raise ValueError("an answer is an object")
+        edition, pending, life = (whole(raw, name) for name in ("edition", "pending", "life"))
+        length = raw.get("permission_ms", 0.0)
+        if isinstance(length, bool) or not isinstance(length, int | float) or not 0.0 <= length < 1e7:
+            raise ValueError("permission_ms: an amount is wanted")
+        if life < self._of:
+            return False
+        if life > self._of:
+            # What is promised to the one before may be unknown to this one: nothing of it is kept.
+            self._of, self._until = life, -math.inf
+        if self._pending and seq >= self._promised_at and pending != self._pending:
+            # It was decided after the promise had been told: committed, or never to be.
+            self._pending = 0
+        if length and edition in self._documents and edition not in self._objections:
+            until = asked + length / 1000.0
+            if edition != self._permitted or until > self._until:
+                self._permitted, self._until = edition, until
+        return True
+
+    def stance(self, now: float) -> Stance:
+        """What to act on at this moment."""
+        if now >= self._until:
+            return Stance(True, self._last, None)
+        self._last = self._documents[self._permitted]
+        pending = self._documents.get(self._pending) if self._pending > self._permitted else None
+        return Stance(False, self._last, pending)
+
+    @property
+    def held(self) -> int:
+        """The newest edition held."""
+        return max(self._documents)
+
+    def left_ms(self, now: float) -> float:
+        """How long the permission still runs."""
+        return max(0.0, (self._until - now) * 1000.0)
