Serve editions: /rules published, told and watched, /edges reported and listed

The agreement core had no way in. registry/rules.py carries it: PUT /rules answers once the edition is durable, each change of state is one line to all watches, POST /edges/NAME answers a report with a permission, GET /edges says who holds, acknowledged and acts on what, and who is behind in which way. The core's state is one row of the durable table, the roster one row a sidecar; neither can be written through /tables. An index of the life is taken from the store, so that numbers of editions start above those of a disk that was lost. Seen by hand: published, prepared, 412 for a second publisher, 400 for NaN; the registry's tests pass.

--- a/brassfall/registry/calls.py
+++ b/brassfall/registry/calls.py
@@ -7,6 +7,16 @@
 from brassfall.registry import entries
 from brassfall.registry.entries import INSTANCES, Refused
 
+# Tables with paths of their own: what is written there is decided first.
+OWNED = {
+    INSTANCES: "/registry/instances",
+    "rules": "/rules",
+    "edges": "/edges",
+    "overrides": "/overrides",
+    "overrides-history": "/overrides",
+    "geo": "/geo",
+}
+
 
 def answer(body: bytes, status: int = 200) -> web.Response:
     """JSON that is encoded already."""
@@ -21,8 +31,8 @@
 def own_place(request: web.Request) -> tuple[str, str]:
     """The same, for a write: instances have a path of their own."""
     table, key = place(request)
-    if table == INSTANCES:
-        raise Refused("instances are written under /registry/instances")
+    if table in OWNED:
+        raise Refused(f"{table} is written under {OWNED[table]}")
     return table, key
 
 
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -17,6 +17,7 @@
 import msgspec
 from aiohttp import web
 
+from brassfall import errors
 from brassfall.logs import logger
 from brassfall.registry import calls, entries
 from brassfall.registry.callers import HEAD_BYTES, QUIET, Callers, Connection, error
@@ -24,6 +25,7 @@
 from brassfall.registry.entries import INSTANCES, Refused
 from brassfall.registry.limits import Door, Rates, Shares
 from brassfall.registry.metrics import Metrics
+from brassfall.registry.rules import PLACE, Rules
 from brassfall.registry.watches import AGED_S, BEAT_S, SLOTS, Channel, Form, chunk
 from brassfall.settings import RegistrySettings, address
 from brassfall.table.core import Change, Command, Delete, Put, Result, Status
@@ -60,6 +62,7 @@
         self.callers = Callers(limits)
         self.watching = Shares(limits.watches, limits.caller_share)
         self.channels: dict[str, Channel] = {}
+        self.rules = Rules(self, settings.agreement)
         self.metrics = Metrics(self)
         self.refusals = 0
         self.turned_away = 0
@@ -84,6 +87,8 @@
         except BaseException:
             sock.close()
             raise
+        limits = self.settings.limits
+        self.rules.start(limits.watch_bytes, limits.watch_stuck_ms / 1000.0)
         if self.store.fresh:
             self._gathering_until = time.monotonic() + self.settings.leases.gather_ms / 1000.0
         self._runner = web.AppRunner(self._application(), handler_cancellation=True)
@@ -122,6 +127,7 @@
         if self._runner is not None:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._runner.cleanup(), 5.0)
+        await self.rules.close()
         await self.store.close()
 
     # --- what is told -------------------------------------------------------
@@ -204,6 +210,7 @@
                 web.put(table, self._put),
                 web.delete(table, self._delete),
                 web.post(table + "/renew", self._renew_row),
+                *self.rules.routes(),
                 web.get("/health/live", self._live),
                 web.get("/health/ready", self._ready),
                 web.get("/metrics", self._metrics),
@@ -238,6 +245,10 @@
             return await handler(request)
         except Refused as refused:
             return error(400, str(refused))
+        except errors.Unavailable as told:
+            return error(told.status, str(told), told.retry_s * (0.5 + self._rng.random()))
+        except errors.Refused as told:
+            return error(told.status, str(told))
         except Unavailable as unavailable:
             return error(503, str(unavailable), unavailable.retry_s * (0.5 + self._rng.random()))
         except web.HTTPRequestEntityTooLarge:
@@ -256,7 +267,8 @@
             log.exception("fault", path=request.path)
             return error(500, "a fault in the service")
 
-    async def _body(self, request: web.Request) -> bytes:
+    async def body(self, request: web.Request) -> bytes:
+        """The whole body of a call; `TimeoutError` where it does not come in time."""
         if not request.can_read_body:
             return b""
         async with asyncio.timeout(BODY_S):
@@ -283,7 +295,7 @@
 
     async def _instances(self, request: web.Request) -> web.StreamResponse:
         if request.query.get("watch", "0") not in ("0", ""):
-            return await self._watch(request, INSTANCES)
+            return await self.watch(request, INSTANCES)
         held = calls.number(request.headers.get(HELD, "0"), HELD)
         if held and self.store.table.since(INSTANCES, held) is None:
             self._earlier_life()
@@ -304,7 +316,7 @@
 
     def _forget(self, table: str) -> None:
         """Whoever asks for tables that nobody has written leaves nothing behind."""
-        if not self.channel(table).count and table not in self.store.table.names:
+        if table != PLACE and not self.channel(table).count and table not in self.store.table.names:
             del self.channels[table]
 
     def _turn_away(self, reason: str, wait: float) -> web.Response:
@@ -319,7 +331,7 @@
 
     async def _register(self, request: web.Request) -> web.Response:
         key = entries.name(request.match_info["name"])
-        asked, ttl = entries.registration(key, await self._body(request), self.settings.leases)
+        asked, ttl = entries.registration(key, await self.body(request), self.settings.leases)
         self._room(INSTANCES, key)
         return await self._run(
             entries.register(key, asked, ttl, calls.match(request), calls.request_id(request))
@@ -327,7 +339,7 @@
 
     async def _renew(self, request: web.Request) -> web.Response:
         key = entries.name(request.match_info["name"])
-        return self._renewed(INSTANCES, key, entries.holder(await self._body(request)))
+        return self._renewed(INSTANCES, key, entries.holder(await self.body(request)))
 
     def _renewed(self, table: str, key: str, fence: int | None) -> web.Response:
         result = self.store.renew(table, key, fence)
@@ -336,12 +348,12 @@
     async def _alter(self, request: web.Request) -> web.Response:
         key = entries.name(request.match_info["name"])
         return await self._run(
-            entries.alter(key, await self._body(request), calls.match(request), calls.request_id(request))
+            entries.alter(key, await self.body(request), calls.match(request), calls.request_id(request))
         )
 
     async def _leave(self, request: web.Request) -> web.Response:
         key = entries.name(request.match_info["name"])
-        fence = entries.holder(await self._body(request))
+        fence = entries.holder(await self.body(request))
         return await self._run(entries.leave(key, fence, calls.match(request), calls.request_id(request)))
 
     # --- other tables -------------------------------------------------------------
@@ -349,7 +361,7 @@
     async def _table(self, request: web.Request) -> web.StreamResponse:
         table = entries.name(request.match_info["table"])
         if request.query.get("watch", "0") not in ("0", ""):
-            return await self._watch(request, table)
+            return await self.watch(request, table)
         return self._list(table)
 
     async def _get(self, request: web.Request) -> web.Response:
@@ -362,7 +374,7 @@
     async def _put(self, request: web.Request) -> web.Response:
         table, key = calls.own_place(request)
         try:
-            value = msgspec.json.decode(await self._body(request))
+            value = msgspec.json.decode(await self.body(request))
         except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as wrong:
             raise Refused(f"the value is no JSON: {wrong}") from wrong
         self._room(table, key)
@@ -395,7 +407,8 @@
 
     # --- watches --------------------------------------------------------------------
 
-    async def _watch(self, request: web.Request, table: str) -> web.StreamResponse:
+    async def watch(self, request: web.Request, table: str) -> web.StreamResponse:
+        """Keep a watch on a table, or on the rules, until it ends."""
         index = calls.number(request.query.get("from", "0"), "from")
         connection = request.protocol
         assert isinstance(connection, Connection)
@@ -415,9 +428,9 @@
         """Keep a watch until it ends. Its lines are written past aiohttp's stream, to all watches alike."""
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         response.enable_chunked_encoding()
-        if index and self.store.table.since(INSTANCES, index) is None:
+        if index and table != PLACE and self.store.table.since(INSTANCES, index) is None:
             self._earlier_life()
-        held = self.gathering
+        held = self.gathering and table != PLACE
         await response.prepare(request)
         # The head goes out with the first byte: half of the first line, or of an empty one.
         await response.write(b" " if held else b"{")
@@ -475,6 +488,7 @@
             "connections": len(self.callers),
             "writes_waiting": store.waiting,
             "turned_away": self.turned_away,
+            "rules": self.rules.status(),
         }
 
 
--- a/brassfall/registry/watches.py
+++ b/brassfall/registry/watches.py
@@ -187,11 +187,7 @@
 
     def _tell(self) -> None:
         self._flush = None
-        newest = {change.row.key: change for change in self._due}
-        self._due = []
-        told = self._form.changes(newest.values())
-        last = self.last
-        line = chunk(_encode({"index": last, "snapshot": False, self._form.listed: told}))
+        line, last = self._news(), self.last
         self.figures.lines_built += 1
         for slot in self._slots:
             for watch in slot:
@@ -199,6 +195,13 @@
                     self._send(watch, line)
                     watch.told = last
 
+    def _news(self) -> bytes:
+        """The line for what has changed since the last one."""
+        newest = {change.row.key: change for change in self._due}
+        self._due = []
+        told = self._form.changes(newest.values())
+        return chunk(_encode({"index": self.last, "snapshot": False, self._form.listed: told}))
+
     def beat(self) -> None:
         """One part of the beat: an empty line for a twentieth of the watches, and a look at the slow ones."""
         if self._flush is not None:
--- a/brassfall/settings.py
+++ b/brassfall/settings.py
@@ -49,6 +49,14 @@
     gather_ms: int = 3000  # after a start with an empty disk, where callers know of an earlier life
 
 
+class AgreementSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Editions that all sidecars act on together."""
+
+    agree_ms: float = 3000.0  # no two sidecars act on contradicting rules for longer
+    edges_most: int = 10_000  # sidecars that may report
+    forget_ms: float = 86_400_000.0  # without a report: then it counts no more
+
+
 class Cluster(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Who the replicas are."""
 
@@ -66,6 +74,7 @@
     limits: Limits = Limits()
     guard: GuardSettings = GuardSettings()
     leases: LeaseSettings = LeaseSettings()
+    agreement: AgreementSettings = AgreementSettings()
     cluster: Cluster | None = None
 
 
@@ -109,7 +118,7 @@
         raise ValueError("registry.data: no folder is named")
     if settings.cluster is not None:
         raise ValueError("registry.cluster: this version runs one list service, without replicas")
-    for part in ("limits", "guard", "leases"):
+    for part in ("limits", "guard", "leases", "agreement"):
         _positive(f"registry.{part}.", getattr(settings, part), zero=("caller_calls_per_s", "gather_ms"))
     _positive("registry.", settings)
     for name, share in (
--- a/brassfall/table/store.py
+++ b/brassfall/table/store.py
@@ -83,6 +83,7 @@
         self.figures = Figures()
         self.table = Table()
         self.fresh = False
+        self.life = 0  # the index at which this life began: above all that earlier ones told
 
     @staticmethod
     def now() -> float:
@@ -99,6 +100,7 @@
         life = self.table.life(unix_floor(time.time()), self._at())
         await loop.run_in_executor(self._thread, self._log.append, [life])
         self.table.absorb([life])
+        self.life = life.index
         grace = self._options.restart_grace_ms
         for name in self.table.names:
             for row in self.table.rows(name):
