--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -483,7 +483,9 @@
             "rows": rows,
             "instances": by_status,
             "suspects": store.suspects(INSTANCES),
-            "watches": {name: channel.count for name, channel in self.channels.items()},
+            "watches": {
+                name: made.count for name, made in self.channels.items() if name != PLACE or made.count
+            },
             "watches_behind": sum(channel.behind for channel in self.channels.values()),
             "connections": len(self.callers),
             "writes_waiting": store.waiting,
--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 from fordtrestle import config
 from fordtrestle.admin import Door
@@ -20,6 +21,9 @@
 from fordtrestle.outbound import Pool
 from fordtrestle.peers import Peers
 
+if TYPE_CHECKING:
+    from fordtrestle.fleet.part import Part
+
 # New connections go on coming for up to 0.4 s after SIGTERM; SIGKILL comes no sooner than the
 # longest deadline and 0.7 s after it: whatever comes late is answered before that.
 STILL_LISTEN_S = 0.5
@@ -50,6 +54,27 @@
             self.door.add("LIST", lambda: self.discovery.state)
         self.inbound = Inbound(loop, clock, told, self.driver, self.life)
         self.peers = Peers(told, self.driver.peer_message)
+        self.part = self._part() if told.agreement is not None else None
+
+    def _part(self) -> Part:
+        """The part in the agreement, where the configuration has one; its code is loaded only then."""
+        from fordtrestle.fleet.part import Part
+
+        part = Part(self._loop, self, os.environ)
+        part.agent.measures.append(self.discovery.told)
+        self.driver.before = self.pool.stamp = part.stamp_at(self._loop)
+        self.door.add("RULES", lambda: part.agent.state)
+        return part
+
+    @property
+    def running(self) -> Config:
+        """What this process runs on."""
+        return self._told
+
+    @property
+    def busy(self) -> set[int]:
+        """The slots of classes that requests or clients still name."""
+        return self.driver.bands | self.inbound.bands
 
     async def start(self) -> Address:
         """Be ready: the known list is taken in before the first request; where it listens."""
@@ -58,6 +83,8 @@
         await self.peers.listen(self._loop)
         self.driver.connect(self.pool, self.discovery, self.peers)
         self.discovery.start()
+        if self.part is not None:
+            self.part.agent.start()
         if self._share():
             log("another process of this sidecar serves: waiting for the list before taking clients")
             await self.discovery.first_answer(FIRST_LIST_S)
@@ -83,11 +110,15 @@
         The file has the last word on discovery, since the environment is still that of the start."""
         try:
             told = config.load({**environment, "NODE_DISCOVERY": ""})
-            busy = self.driver.bands | self.inbound.bands
-            news = config.successor(self._told, told, busy)
+            self.adopt(told if self.part is None else self.part.file_read(told))
         except ConfigError as error:
             log(f"reload: {error}; nothing is changed")
             return
+        log(f"reload: done, classes {', '.join(self._told.names.classes)}")
+
+    def adopt(self, told: Config) -> None:
+        """Run on another configuration from now on; `ConfigError` if it can't take this one's place."""
+        news = config.successor(self._told, told, self.busy)
         for name in news.unchanged:
             log(f"reload: {name} stays as it was until a restart")
         self._told = news.config
@@ -95,7 +126,6 @@
         self.pool.reload(news.config)
         self.inbound.reload(news.config.names)
         self.discovery.move(news.config.discovery, news.config.registry)
-        log(f"reload: done, classes {', '.join(news.config.names.classes)}")
 
     async def drain(self) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
@@ -125,6 +155,8 @@
         self.inbound.close()
         self.pool.close()
         self.discovery.close()
+        if self.part is not None:
+            self.part.agent.close()
         self.peers.close()
         if self._look is not None:
             self._look.cancel()
@@ -146,6 +178,8 @@
     gc.freeze()
     await stop.wait()
     await sidecar.drain()
+    if sidecar.part is not None:
+        await sidecar.part.agent.leave()
     sidecar.close()
 
 
--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -16,6 +16,7 @@
 KEY_BELOW = 2**53
 RESERVED = 24  # descriptors for the log, the loop, discovery, peers and what opens for a moment
 DOOR_CALLERS = 8  # operators at the door at once; where there is a door, their descriptors are kept free
+AGREE_MS = 3000.0
 OPTIONAL = frozenset(("AimStretch", "PassesDeadline", "WarmKeys"))  # the keys that may come and go
 # What a running process can't change: it is tied to sockets, to servers known or to its place.
 FIXED = ("name", "listen", "operator", "limits", "peer_listen", "peers", "peers_all")
@@ -87,6 +88,16 @@
         return max(4, int(self.descriptors * part) - self.reserved)
 
 
+@dataclass(frozen=True, slots=True)
+class Agreement:
+    """With the key `fleet.agreement`: what this sidecar's part in the editions rests on."""
+
+    agree_ms: float
+    group: str  # where it stands: its clients' group and the region that is near
+    region: str
+    raw: Mapping[str, Any]  # the file, over which editions are laid
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that this sidecar knows before its first event."""
@@ -108,6 +119,7 @@
     max_open: int
     drain_grace: float
     shape: frozenset[str]  # the keys that were there
+    agreement: Agreement | None = None
 
 
 def stable_number(text: str) -> int:
@@ -159,6 +171,7 @@
         max_open=int(limits.get("MaxOpen", 2**31)),
         drain_grace=_amount(rules.get("StopSendingWithin", 0.0)),
         shape=_shape(raw),
+        agreement=_agreement(raw),
     )
 
 
@@ -195,7 +208,7 @@
     differ = [name for name in FIXED_SETTINGS if getattr(told.settings, name) != fixed[name]]
     differ += [name for name in FIXED if getattr(told, name) != getattr(running, name)]
     names = replace(running.names, classes=classes)
-    if bool(told.registry) != bool(running.registry):
+    if bool(told.registry) != bool(running.registry) or bool(told.agreement) != bool(running.agreement):
         differ.append("fleet")
         told = replace(told, registry=running.registry, discovery=running.discovery)
     differ += [n for n in ("tenants", "zones", "kinds") if getattr(told.names, n) != getattr(names, n)]
@@ -210,6 +223,7 @@
         max_open=told.max_open,
         drain_grace=told.drain_grace,
         shape=told.shape,
+        agreement=told.agreement if running.agreement is not None else None,
     )
     return Reload(config, kept, tuple(dict.fromkeys(differ)))
 
@@ -238,7 +252,7 @@
     """The addresses of the list service, from the object `fleet`."""
     if not isinstance(raw, Mapping):
         raise ValueError("fleet: expected an object")
-    unknown = sorted(raw.keys() - {"registry", "sharing"})
+    unknown = sorted(raw.keys() - {"registry", "sharing", "place", "agreement"})
     if unknown:
         raise ValueError(f"fleet.{unknown[0]}: not known")
     addresses = raw["registry"]
@@ -247,6 +261,25 @@
     return tuple(parse_address(text) for text in addresses)
 
 
+def _agreement(raw: Mapping[str, Any]) -> Agreement | None:
+    """The part in the agreement, from the object `fleet`; None where it has none."""
+    fleet = raw.get("fleet") or {}
+    place, told = fleet.get("place") or {}, fleet.get("agreement")
+    for name, part in (("place", place), ("agreement", {} if told is None else told)):
+        if not isinstance(part, Mapping):
+            raise ValueError(f"fleet.{name}: expected an object")
+    for name, part, known in (("place", place, {"group", "region"}), ("agreement", told or {}, {"agree_ms"})):
+        if unknown := sorted(part.keys() - known):
+            raise ValueError(f"fleet.{name}.{unknown[0]}: not known")
+    if told is None:
+        return None
+    agree = _amount(told.get("agree_ms", AGREE_MS))
+    if not 100.0 <= agree <= 600_000.0:
+        raise ValueError("fleet.agreement.agree_ms: from 100 to 600000 is wanted")
+    kept = {**raw, "known": {"index": 0, "endpoints": []}}
+    return Agreement(agree, str(place.get("group", "")), str(place.get("region", "")), kept)
+
+
 def _descriptor(text: str | None) -> int | None:
     if not text:
         return None
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -179,6 +179,11 @@
         host, port = self._where
         return f"version={self._version} age_ms={told} servers={len(self._held or ())} at={host}:{port}"
 
+    def told(self) -> dict[str, float]:
+        """The list held, for a report: its version, and an upper bound on its age where there is one."""
+        age = self._age.bound(self._loop.time())
+        return {"list_index": self._version} | ({} if age is None else {"list_age_ms": age * 1000.0})
+
     @property
     def _where(self) -> Address:
         return self._address if self._sources is None else self._sources.current
--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -221,6 +221,7 @@
         self._last_answer = math.inf  # by when all has to be answered, once the process ends
         self._next_id = config.seed % 2**32
         self._balancer = Balancer(clock.now(), config.settings, config.seed)
+        self.before: Callable[[], object] | None = None  # asked before each decision: what to act on
         self._upstreams: Upstreams
         self._registry: Registry
         self._gossip: Gossip
@@ -409,6 +410,8 @@
         """Give the module an event and carry out what it decides.
 
         Guards against a fault in it: that fails the request at hand, never the process."""
+        if self.before is not None:
+            self.before()
         try:
             for action in event(self._clock.now(), *args):
                 self._act(action)
--- /dev/null
+++ b/fordtrestle/fleet/agent.py
@@ -0,0 +1,197 @@
+"""This sidecar's part in the agreement: one small report now and then, one watch, and what to act on."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import os
+import random
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from fordtrestle.config import Address, Agreement
+from fordtrestle.discovery import SILENT_S, Channel
+from fordtrestle.driver import log
+from fordtrestle.fleet.calls import Caller, CallFailed
+from fordtrestle.fleet.holder import Edition, Holder, Stance
+from fordtrestle.fleet.lists import Sources
+
+EVERY_MS, EVERY_MOST_MS = 750.0, 10_000.0
+JITTER = 1.0 / 3.0  # of that: from 0.5 to 1 s
+CALL_S = 1.0  # a service that takes longer for an answer is of no use: a permission is counted from asking
+LEAVE_S = 0.3
+AGAIN_S = 0.1  # after a failed report, where no other wait is told
+PATH = "/rules"
+
+Measures = Callable[[], dict[str, Any]]
+
+
+class Agent:
+    """Keeps the holder fed, and calls `act` whenever what to act on has changed."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        name: str,
+        told: Agreement,
+        addresses: tuple[Address, ...],
+        check: Callable[[Edition], str],
+        act: Callable[[Stance], None],
+        seed: int,
+    ) -> None:
+        self._loop = loop
+        self._name = name
+        self._told = told
+        self._act = act
+        self._rng = random.Random(seed)
+        self._sources = Sources(addresses, self._rng)
+        self._caller = Caller(loop)
+        self._every = EVERY_MS
+        self._tasks: list[asyncio.Task[None]] = []
+        self._acted: tuple[int | str, int] | None = None
+        self._failing = ""
+        self.holder = Holder(os.urandom(8).hex(), check)
+        self.measures: list[Measures] = []  # what else rides on the reports
+        self.good_until = -math.inf  # until then, what was acted on last is what to act on
+        self.stamp = b""  # for each request to a server: which edition decided where it goes
+
+    def start(self) -> None:
+        """Act on safe rules, and ask for more."""
+        self.refresh(self._loop.time())
+        work = (self._report(), self._watch())
+        self._tasks = [self._loop.create_task(part) for part in work]
+
+    async def leave(self) -> None:
+        """Say that this process acts on nothing more, and end."""
+        self.close()
+        told: dict[str, Any] = self.holder.report(self._loop.time()) | {"leaving": True}
+        try:
+            await self._caller.call(self._sources.current, "POST", f"/edges/{self._name}", LEAVE_S, told)
+        except CallFailed as error:
+            log(f"agreement: the end was not told: {error}")
+        self._caller.close()
+
+    def close(self) -> None:
+        """Ask no more."""
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+
+    # --- what to act on ---------------------------------------------------------------
+
+    def at(self, now: float) -> bytes:
+        """The stamp for what is decided at this moment, in seconds of the loop.
+
+        Asked before each decision, so it costs one comparison while nothing has run out."""
+        if now >= self.good_until:
+            self.refresh(now)
+        return self.stamp
+
+    def refresh(self, now: float) -> None:
+        """Act on what holds now, if that is another than before."""
+        stance = self.holder.stance(now)
+        self.good_until = math.inf if stance.safe else now + self.holder.left_ms(now) / 1000.0
+        pending = stance.pending.number if stance.pending is not None else 0
+        if (stance.acting, pending) == self._acted:
+            return
+        if self._acted is None or self._acted[0] != stance.acting:
+            log(f"agreement: acting on {stance.acting}")
+        self._acted = (stance.acting, pending)
+        self.stamp = f"X-Edition: {stance.acting}\r\n".encode()
+        self._act(stance)
+
+    @property
+    def state(self) -> str:
+        """For operators: one line of JSON."""
+        now = self._loop.time()
+        stance = self.holder.stance(now)
+        told: dict[str, Any] = {
+            "held": self.holder.held,
+            "acting": stance.acting,
+            "permission_ms": round(self.holder.left_ms(now)),
+            "overrides": [],
+            "at": "{}:{}".format(*self._sources.current),
+            "failing": self._failing,
+        }
+        return json.dumps(told)
+
+    # --- reports ------------------------------------------------------------------------
+
+    async def _report(self) -> None:
+        while True:
+            wait = self._every / 1000.0 * (1.0 + JITTER * (2.0 * self._rng.random() - 1.0))
+            try:
+                await self._ask()
+                self._sources.worked()
+                self._fails("")
+            except CallFailed as error:
+                self._fails(str(error))
+                again = self._sources.failed(error.retry_after)
+                wait = again if error.retry_after else min(again, AGAIN_S * (1.0 + self._rng.random()))
+            except (ValueError, TypeError) as error:
+                self._fails(f"an answer that is none: {error}")
+            await asyncio.sleep(wait)
+
+    async def _ask(self) -> None:
+        """One report, and what its answer brings."""
+        body = self.holder.report(self._loop.time())
+        seq = int(body["seq"])
+        body |= {"group": self._told.group, "region": self._told.region}
+        for measure in self.measures:
+            body |= measure()
+        path = f"/edges/{self._name}"
+        told = await self._caller.call(self._sources.current, "POST", path, CALL_S, body)
+        asked = self._caller.asked_at
+        if isinstance(told, dict):
+            most = told.get("permission_ms", 0.0)
+            told["permission_ms"] = min(most, self._told.agree_ms) if isinstance(most, int | float) else most
+        if not self.holder.answered(asked, seq, told):
+            raise CallFailed("an earlier life of the service answers there")
+        every = told.get("every_ms", EVERY_MS)
+        self._every = min(EVERY_MOST_MS, max(EVERY_MS, float(every)))
+        if told.get("news") and self.holder.lacks(told):
+            # Reports come through where the watch may not: then editions come on their way, too.
+            news = await self._caller.call(self._sources.current, "GET", PATH, CALL_S)
+            self.holder.news(news)
+        self.refresh(self._loop.time())
+
+    def _fails(self, why: str) -> None:
+        if bool(why) != bool(self._failing):
+            log(f"agreement: {'reports fail: ' + why if why else 'reports are answered again'}")
+        self._failing = why
+
+    # --- the watch ------------------------------------------------------------------------
+
+    async def _watch(self) -> None:
+        sources = Sources((self._sources.current, *self._sources.others), self._rng)
+        while True:
+            try:
+                if await self._watch_once(sources.current):
+                    sources.worked()
+            except (OSError, ValueError) as error:
+                log(f"agreement: the watch on rules fails: {error!r}")
+            await asyncio.sleep(sources.failed())
+
+    async def _watch_once(self, address: Address) -> bool:
+        """Watch until the connection ends or falls silent; whether anything came."""
+        host, port = address
+        request = f"GET {PATH}?watch=1&from={self.holder.held} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        async with asyncio.timeout(SILENT_S):
+            _, channel = await self._loop.create_connection(
+                lambda: Channel(request.encode(), self._line), host, port
+            )
+        try:
+            while (left := channel.heard_at + SILENT_S - self._loop.time()) > 0.0:
+                await asyncio.wait((channel.broken,), timeout=left)
+                if channel.broken.done():
+                    break
+        finally:
+            channel.close()
+        return channel.heard
+
+    def _line(self, line: bytes) -> None:
+        told: Mapping[str, Any] = json.loads(line)
+        self.holder.news(told)
+        # The meet of two editions is acted on before the acknowledgement is told.
+        self.refresh(self._loop.time())
--- a/fordtrestle/fleet/holder.py
+++ b/fordtrestle/fleet/holder.py
@@ -163,6 +163,10 @@
         pending = self._documents.get(self._pending) if self._pending > self._permitted else None
         return Stance(False, self._last, pending)
 
+    def lacks(self, raw: Mapping[str, Any]) -> bool:
+        """Whether an answer names an edition that is not held."""
+        return not {whole(raw, "edition"), whole(raw, "pending")} <= self._documents.keys()
+
     @property
     def held(self) -> int:
         """The newest edition held."""
--- a/fordtrestle/fleet/lists.py
+++ b/fordtrestle/fleet/lists.py
@@ -35,6 +35,11 @@
         """Where to ask."""
         return self._addresses[self._at]
 
+    @property
+    def others(self) -> Sequence[Address]:
+        """Where else."""
+        return [*self._addresses[self._at + 1 :], *self._addresses[: self._at]]
+
     def failed(self, retry_after: float = 0.0) -> float:
         """A call was turned away, or its watch is over; how long to wait before the next.
 
--- /dev/null
+++ b/fordtrestle/fleet/part.py
@@ -0,0 +1,94 @@
+"""What an edition means for this process: checked against its own program, and laid over its own file."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import replace
+from typing import Any, Protocol
+
+from fordtrestle import config
+from fordtrestle.config import Config, ConfigError
+from fordtrestle.driver import log
+from fordtrestle.fleet import rules
+from fordtrestle.fleet.agent import Agent
+from fordtrestle.fleet.holder import Edition, Stance
+
+
+class Process(Protocol):
+    """The sidecar's process, as far as editions change it."""
+
+    @property
+    def busy(self) -> Collection[int]:
+        """The slots of classes that requests or clients still name."""
+
+    @property
+    def running(self) -> Config:
+        """What it runs on."""
+
+    def adopt(self, told: Config) -> None:
+        """Run on another configuration from now on; `ConfigError` if it can't take the place."""
+
+
+class Part:
+    """This process's part in the agreement."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, process: Process, environment: Mapping[str, str]
+    ) -> None:
+        self._process = process
+        self._environment = {**environment, "NODE_DISCOVERY": ""}
+        self._file = process.running
+        self._laid: Mapping[str, Any] = {}  # of an edition: what is laid over the file now
+        told = self._file
+        assert told.agreement is not None
+        self.agent = Agent(
+            loop, told.name, told.agreement, told.registry, self._objection, self._act, told.seed
+        )
+
+    def stamp_at(self, loop: asyncio.AbstractEventLoop) -> Callable[[], bytes]:
+        """What is asked before each decision, and at each send: under which edition it is made."""
+        at, clock = self.agent.at, loop.time
+        return lambda: at(clock())
+
+    def file_read(self, told: Config) -> Config:
+        """The file was read again: what to run on, with the edition laid over it; `ConfigError` if none."""
+        made = self._over(told, self._laid)
+        self._file = told
+        return made
+
+    def _over(self, file: Config, settings: Mapping[str, Any]) -> Config:
+        """The file with settings of an edition laid over it; `ConfigError` if that is no configuration."""
+        if file.agreement is None or not settings:
+            return file
+        raw = dict(file.agreement.raw)
+        try:
+            raw["settings"] = rules.overlaid(raw["settings"], settings)
+            return replace(config.parse(raw, self._environment), agreement=file.agreement)
+        except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as error:
+            raise ConfigError(f"{error}") from error
+
+    def _objection(self, edition: Edition) -> str:
+        """Why this program can't act on an edition; empty where it can."""
+        why = rules.unknown(edition)
+        if why:
+            return why
+        try:
+            laid = rules.laid(edition.settings)
+            config.successor(self._process.running, self._over(self._file, laid), self._process.busy)
+        except ConfigError as error:
+            return str(error)
+        return ""
+
+    def _act(self, stance: Stance) -> None:
+        """Act on an edition, on the meet of two, or on safe rules."""
+        settings = rules.effective(stance)
+        laid = rules.laid(settings)
+        if laid == self._laid:
+            return
+        try:
+            self._process.adopt(self._over(self._file, laid))
+        except ConfigError as error:
+            log(f"agreement: {error}; the settings before stay")
+            return
+        self._laid = laid
--- a/fordtrestle/fleet/rules.py
+++ b/fordtrestle/fleet/rules.py
@@ -15,6 +15,7 @@
 EXCLUSIVE = frozenset(("regions", "tenants", "affinity"))
 ADDITIVE = frozenset(("caps",))
 FREE = frozenset(("Profiles", "PolicyLimits", "shares", "floor"))
+LAID = ("Profiles", "PolicyLimits")  # what takes effect as a file would that was read again
 KNOWN = EXCLUSIVE | ADDITIVE | FREE
 # Of what must not add up to more: one that is cut off may not know that it was lowered meanwhile.
 SAFE_PART = 0.5
@@ -73,6 +74,11 @@
     return None
 
 
+def laid(settings: Mapping[str, Any]) -> dict[str, Any]:
+    """What of them is laid over a sidecar's file."""
+    return {key: settings[key] for key in LAID if key in settings}
+
+
 def overlaid(raw: Mapping[str, Any], settings: Mapping[str, Any]) -> dict[str, Any]:
     """A sidecar's settings, as its file has them, with those of an edition laid over them.
 
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -47,6 +47,7 @@
 BUDGET = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
 CALL_ID = re.compile(r"[!-~]{1,128}")
 NOT_FOR_SERVERS = frozenset((b"x-budget",))
+OWN_WORD = frozenset((b"x-edition",))  # with a part in the agreement: no client speaks for this sidecar
 
 
 class BadRequest(Exception):
@@ -99,8 +100,8 @@
         """Whether its body is still coming."""
         return self.body is not None and not self.body.complete
 
-    def read(self, message: Message, names: Names) -> None:
-        """Take in a request for servers; `BadRequest` says what is wrong with it."""
+    def read(self, message: Message, names: Names, kept_back: frozenset[bytes]) -> None:
+        """Take in a request for servers, without some headers; `BadRequest` says what is wrong with it."""
         kind = _class_of(message, names)
         self.band = kind.band
         self.budget = _budget(message.needed("x-budget"))
@@ -118,7 +119,7 @@
         self.again = message.text("x-again") == "1"
         self.mutates = "Mutates=1" in (message.text("x-call-info") or "").split(",")
         self._body = b"" if self.body is not None else bytes(message.body)
-        headers = framing.end_to_end(message.headers, NOT_FOR_SERVERS)
+        headers = framing.end_to_end(message.headers, kept_back)
         # Guards against a body without a length, which a server would read as the next request.
         bare = message.method == "GET" and not self._body
         length = b"" if bare else b"Content-Length: %d\r\n" % len(self._body)
@@ -735,6 +736,7 @@
         life.on_change(self._life_changed)
         self._sweep: asyncio.TimerHandle | None = None
         self._names = config.names
+        self._kept_back = NOT_FOR_SERVERS | (OWN_WORD if config.agreement is not None else frozenset())
         self._before: Names | None = None  # what clients may still name, for a while
         self._forget_before: asyncio.TimerHandle | None = None
         self._connections: dict[Connection, None] = {}
@@ -778,11 +780,11 @@
 
     def _read(self, exchange: Exchange, message: Message) -> None:
         try:
-            exchange.read(message, self._names)
+            exchange.read(message, self._names, self._kept_back)
         except BadRequest:
             if self._before is None:
                 raise
-            exchange.read(message, self._before)
+            exchange.read(message, self._before, self._kept_back)
 
     def stop_listening(self) -> None:
         """Take no new connection; each answer from now on is the last on its own."""
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -39,7 +39,17 @@
 class Exchange:
     """One attempt or probe: from asking for a connection until its outcome."""
 
-    __slots__ = ("_connection", "_done", "_opening", "body", "ended", "expires", "message", "watcher")
+    __slots__ = (
+        "_connection",
+        "_done",
+        "_opening",
+        "body",
+        "ended",
+        "expires",
+        "message",
+        "stamp",
+        "watcher",
+    )
 
     def __init__(
         self,
@@ -53,6 +63,7 @@
         self.expires = expires
         self.watcher = watcher  # of an attempt; a probe has none
         self.body = body
+        self.stamp = b""  # the edition under which its server was picked, where there are any
         self.ended = False
         self._done = done
         self._connection: Connection | None = None
@@ -292,6 +303,7 @@
         self._clock = clock
         self.reload(config)
         settings = config.settings
+        self.stamp: Callable[[], bytes] | None = None  # with a part in the agreement: what is acted on now
         self._fields = settings.report_fields if settings.report_how != "off" else ()
         self._probe_target = b"/stats" if self._fields else b"/health/live"
         self._limits = config.limits
@@ -317,7 +329,10 @@
 
     def send(self, server: str, call: Call, expires: float, watcher: Watcher) -> Exchange:
         """Begin an attempt on an idle connection, the newest first, or on a new one."""
-        return self._begin(server, Exchange(call.wire, expires, watcher.ended, watcher, call.body))
+        exchange = Exchange(call.wire, expires, watcher.ended, watcher, call.body)
+        if self.stamp is not None:
+            exchange.stamp = self.stamp()
+        return self._begin(server, exchange)
 
     def probe(self, server: str, done: Done) -> Exchange:
         """Ask a server how it is."""
@@ -439,7 +454,16 @@
             connection.abort()
             self.loop.call_soon(exchange.end, Result(Outcome.CONNECT_FAILED))
             return
-        connection.begin(exchange, exchange.message(exchange.expires - now))
+        message = exchange.message(exchange.expires - now)
+        if self.stamp is not None and exchange.watcher is not None:
+            if exchange.stamp != self.stamp():
+                # It was decided on rules that hold no more: it is not sent, and decided anew.
+                self.loop.call_soon(exchange.end, Result(Outcome.MOOT))
+                self.free(connection)
+                return
+            line, rest = message.split(b"\r\n", 1)
+            message = b"%b\r\n%b%b" % (line, exchange.stamp, rest)
+        connection.begin(exchange, message)
 
     def _open(self, server: Server, exchange: Exchange) -> None:
         if len(self._connections) + len(self._opening) >= self._most and not self._close_oldest():
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -50,6 +50,7 @@
     assert imported(name) <= allowed
 
 
+FLEET = "fordtrestle.fleet"
 BODY, CONFIG, DRIVER = "fordtrestle.body", "fordtrestle.config", "fordtrestle.driver"
 FRAMING = "fordtrestle.framing"
 LIFECYCLE, LISTENER = "fordtrestle.lifecycle", "fordtrestle.listener"
@@ -72,6 +73,12 @@
         ("fleet/lists.py", {CONFIG, MODEL}),
         ("fleet/holder.py", set()),
         ("fleet/rules.py", {"fordtrestle.fleet.holder"}),
+        ("fleet/calls.py", {CONFIG}),
+        (
+            "fleet/agent.py",
+            {CONFIG, DRIVER, "fordtrestle.discovery"}
+            | {f"fordtrestle.fleet.{n}" for n in ("calls", "holder", "lists")},
+        ),
         ("discovery.py", {CONFIG, DRIVER, "fordtrestle.fleet.lists"}),
         ("peers.py", {CONFIG, DRIVER}),
     ],
