Break the import circles of the lab, and hold every file to it in the layout test

In lab/real the conductor, the clients, the faults and the gathering imported each other by way of play, some for types alone or within functions; in lab/sim world, sidecar and list did. The stage of a real play (processes and their starts) now stands below faults and gathering, and the conductor above them; an experiment with its arrivals is read in arrivals. In the simulation parts.py has what passes between the parts, and sidecar.py says what it asks of its world; requests held back by a stopped server are the world's.

The layout test reads imports file by file, those in functions and for types alone included, and names a ring.

--- a/brassfall/lab/arrivals.py
+++ b/brassfall/lab/arrivals.py
@@ -1,4 +1,4 @@
-"""Arrivals files: what was asked on a recorded day, one JSON object a line."""
+"""Arrivals files: what was asked on a recorded day, one JSON object a line; and experiments with theirs."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from brassfall.lab import spec
 from brassfall.settings import SettingsError
 
 NotNegative = Annotated[float, msgspec.Meta(ge=0.0, lt=1e9)]
@@ -40,3 +41,11 @@
     if not rows:
         raise SettingsError(f"{path}: no arrivals")
     return rows
+
+
+def experiment(path: Path) -> tuple[spec.Experiment, list[tuple[float, str, int, float]]]:
+    """The experiment of a file, and the rows of its arrivals file, if it names one."""
+    told = spec.load(path)
+    if told.load.replay is None:
+        return told, []
+    return told, load(path.parent / told.load.replay)
--- a/brassfall/lab/compiled.py
+++ b/brassfall/lab/compiled.py
@@ -24,6 +24,7 @@
     "brassfall/lab/models/server.py",
     "brassfall/lab/sim/flaws.py",
     "brassfall/lab/sim/lists.py",
+    "brassfall/lab/sim/parts.py",
     "brassfall/lab/sim/sidecar.py",
     "brassfall/lab/sim/world.py",
 )
--- a/brassfall/lab/play.py
+++ b/brassfall/lab/play.py
@@ -19,7 +19,8 @@
 
 import msgspec
 
-from brassfall.lab import arrivals, day, judge, ledger, spec
+from brassfall.lab import day, judge, ledger, spec
+from brassfall.lab.arrivals import experiment
 from brassfall.settings import SettingsError
 
 SLACK_MS = {"simulated": 30.0, "real": 120.0}  # for transit, where rules have time limits
@@ -60,14 +61,6 @@
     found.loader.exec_module(module)
 
 
-def experiment(path: Path) -> tuple[spec.Experiment, list[tuple[float, str, int, float]]]:
-    """The experiment of a file, and the rows of its arrivals file, if it names one."""
-    told = spec.load(path)
-    if told.load.replay is None:
-        return told, []
-    return told, arrivals.load(path.parent / told.load.replay)
-
-
 def judged(folder: Path, told: spec.Experiment) -> judge.Judgement:
     """Hold the ledger in a folder against the rules."""
     book = judge.Book(
--- a/brassfall/lab/real/clients.py
+++ b/brassfall/lab/real/clients.py
@@ -12,7 +12,8 @@
 import aiohttp
 import msgspec
 
-from brassfall.lab import ledger, play
+from brassfall.lab import ledger
+from brassfall.lab.arrivals import experiment
 from brassfall.lab.day import Day, draw
 from brassfall.lab.models import client
 from brassfall.lab.models.client import BROKEN, FAILED, REFUSED, SERVED, SILENT, UNREACHED
@@ -171,7 +172,7 @@
 async def work(raw: dict[str, Any], commands: child.Commands, lateness: child.Lateness) -> None:
     """Be ready, and play when told."""
     order = msgspec.convert(raw, Order)
-    told, recorded = play.experiment(Path(order.experiment))
+    told, recorded = experiment(Path(order.experiment))
     book = ledger.Book(Path(order.folder), kinds=(ledger.Answer,))
     clients = Clients(order, draw(told, order.seed, recorded), book)
     child.say("ready")
--- a/brassfall/lab/real/faults.py
+++ b/brassfall/lab/real/faults.py
@@ -5,12 +5,9 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 from brassfall.lab.day import Trouble
-
-if TYPE_CHECKING:
-    from brassfall.lab.real.conductor import Host, Stage
+from brassfall.lab.real.stage import Host, Stage
 
 
 class Faults:
@@ -108,8 +105,6 @@
                     group.create_task(self._replace(host, trouble.drain))
 
     async def _replace(self, host: Host, drain: float) -> None:
-        from brassfall.lab.real.conductor import Host as Successor
-
         actor = host.actor
         if actor is None or not actor.alive:
             return
@@ -117,7 +112,7 @@
         actor.send(do="drain", drain_s=drain / 1000.0)
         await actor.wait()
         base, _, number = host.name.partition(".")
-        made = Successor(f"{base}.{int(number or 0) + 1}", host.machine)
+        made = Host(f"{base}.{int(number or 0) + 1}", host.machine)
         self._stage.hosts[made.name] = made
         await self._stage.start_server(made, cold=True)
 
--- a/brassfall/lab/real/gather.py
+++ b/brassfall/lab/real/gather.py
@@ -4,13 +4,10 @@
 
 from collections import defaultdict
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 from brassfall.lab import ledger
 from brassfall.lab.ledger import Answer, Attempt, Life, News
-
-if TYPE_CHECKING:
-    from brassfall.lab.real.conductor import Stage
+from brassfall.lab.real.stage import Stage
 
 READ_ON_MS = 500.0  # how long after it goes on a stopped server reads what came meanwhile
 START_MS = 2000.0  # a sidecar that was killed is away for as long as its start takes, too
--- /dev/null
+++ b/brassfall/lab/real/stage.py
@@ -0,0 +1,269 @@
+"""The stage of a real play: its processes, how each is started, and what the play knows of them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import math
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from brassfall.lab import ledger
+from brassfall.lab.day import Day, Machine, Trouble, wire_settings
+from brassfall.lab.real import clients, network, server
+from brassfall.lab.real.child import clock
+from brassfall.lab.real.troupe import (
+    Actor,
+    PlayError,
+    Troupe,
+    environment,
+    free_port,
+    run_command,
+)
+from brassfall.lab.spec import Experiment, Version
+from brassfall.registry import client
+
+READY_S = 30.0
+RATE_A_CLIENT = 400.0  # requests a second that one process of clients sends without being late
+DESCRIPTORS = 4096
+
+
+@dataclass(slots=True)
+class Host:
+    """One server of the fleet, through all its lives."""
+
+    name: str
+    machine: Machine
+    life: int = -1
+    actor: Actor | None = None
+    ends: str = ""  # why it is about to end, once that is meant
+
+
+@dataclass(slots=True)
+class Stage:
+    """One play."""
+
+    told: Experiment
+    version: Version
+    day: Day
+    folder: Path
+    code: Path
+    order: str  # the path of the experiment
+    troupe: Troupe
+    progress: Callable[[float], None]
+    hosts: dict[str, Host] = field(default_factory=dict)
+    networks: list[Actor] = field(default_factory=list)
+    sidecars: dict[str, Actor] = field(default_factory=dict)
+    events: list[ledger.Event] = field(default_factory=list)
+    lives: list[ledger.Life] = field(default_factory=list)
+    crashes: list[str] = field(default_factory=list)
+    taps: dict[str, str] = field(default_factory=dict)
+    list_doors: list[str] = field(default_factory=list)
+    listens: dict[str, str] = field(default_factory=dict)
+    list_port: int = 0
+    lister: Actor | None = None
+    t0: float = 0.0
+    since: dict[tuple[str, int], int] = field(default_factory=dict)
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    # --- start ----------------------------------------------------------------
+
+    async def start(self) -> list[Actor]:
+        """Start everything; the processes of clients, ready to send."""
+        self.list_port = free_port()
+        await self.start_list()
+        await self._start_networks()
+        self.hosts = {machine.name: Host(machine.name, machine) for machine in self.day.servers}
+        await asyncio.gather(*(self.start_server(host, cold=False) for host in self.hosts.values()))
+        await self._listed(len(self.hosts))
+        known = await client.call(self._list_at, "GET", "/registry/instances")
+        for actor in self.networks:
+            actor.send(do="list", endpoints=known["endpoints"])
+        lists = [(await actor.report("list"))["endpoints"] for actor in self.networks]
+        for number in range(len(self.day.apps)):
+            self.listens[self.day.apps[number].name] = f"127.0.0.1:{free_port()}"
+        await asyncio.gather(
+            *(
+                self.start_sidecar(number, {**known, "endpoints": lists[app.zone]})
+                for number, app in enumerate(self.day.apps)
+            )
+        )
+        return await self._start_clients()
+
+    @property
+    def _list_at(self) -> str:
+        return f"127.0.0.1:{self.list_port}"
+
+    async def start_list(self) -> None:
+        """Start the list service, on the disk that it had."""
+        config = self.folder / "registry.toml"
+        data = self.folder / "registry"
+        # In its first life there is nothing that servers could tell it of an earlier one.
+        gather = "" if data.exists() else "[registry.leases]\ngather_ms = 0\n"
+        config.write_text(f'[registry]\nlisten = "{self._list_at}"\ndata = "{data}"\n{gather}')
+        words = [sys.executable, "-m", "brassfall", "registry", "serve", "--config", str(config)]
+        self.lister = await self.troupe.start("list service", "list service", words)
+        await self.lister.report("ready")
+
+    async def _start_networks(self) -> None:
+        zones = self.told.fleet.zones
+        for zone, _ in enumerate(zones):
+            mine = [app.name for app in self.day.apps if app.zone == zone]
+            order = network.Order(
+                zone,
+                zones,
+                self.day.ways,
+                self._list_at,
+                mine,
+                str(self.folder / "parts" / f"network-{zone}"),
+            )
+            self.networks.append(await self.troupe.own(f"network {zones[zone]}", "lab", "network", order))
+        for actor in self.networks:
+            ready = await actor.report("ready")
+            self.taps |= ready["taps"]
+            self.list_doors.append(ready["registry"])
+
+    async def start_server(self, host: Host, cold: bool) -> None:
+        """Start a life of a server, and wait until it listens."""
+        host.life += 1
+        host.ends = ""
+        since = int(time.time() * 1000.0) if cold else 0  # as if it had started long ago
+        self.since[host.name, since] = host.life
+        order = server.Order(
+            machine=host.machine,
+            name=host.name,
+            life=host.life,
+            cold=cold,
+            since_ms=since,
+            registry=self.list_doors[host.machine.zone],
+            ttl_ms=int(self.day.ttl),
+            zones=self.told.fleet.zones,
+            kinds=[kind.name for kind in self.told.fleet.kinds],
+            noise={row.name: cv for row, cv in zip(self.day.classes, self.day.noise, strict=True)},
+            folder=str(self.folder / "parts" / f"server-{host.name}-{host.life}"),
+        )
+        host.actor = await self.troupe.own(host.name, "lab", "server", order)
+        await host.actor.report("ready")
+        self._tasks.append(asyncio.create_task(self._mourn(host, host.actor, host.life)))
+
+    async def _mourn(self, host: Host, actor: Actor, life: int) -> None:
+        """When a server has ended, tell the network that nobody is there any more."""
+        status = await actor.wait()
+        why = host.ends or ("fallen" if status == server.FELL else "crashed")
+        self.lives.append(ledger.Life(host.name, life, 0.0, 0.0, end=self.now(), why=why))
+        for zone in self.networks:
+            zone.send(do="down", names=[host.name])
+        if why == "crashed":
+            self.crashes.append(f"server {host.name} ended with status {status}: {actor.last}")
+
+    async def start_sidecar(self, number: int, known: dict[str, Any] | None = None) -> None:
+        """Start a sidecar as the platform does, and wait until it is ready."""
+        app = self.day.apps[number]
+        folder = self.folder / "sidecars" / app.name
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / "config.json"
+        if known is not None:
+            raw = {
+                "name": app.name,
+                "listen": self.listens[app.name],
+                "discovery": self.taps[app.name],
+                "seed": f"{app.seed:x}",
+                "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": DESCRIPTORS},
+                "known": known,
+                "settings": wire_settings(self.told, number, self.version.settings),
+            }
+            path.write_text(json.dumps(raw))
+        env = environment(NODE_CONFIG=str(path), TMPDIR=str(folder))
+        command = run_command(self.code)
+        actor = await self.troupe.start(app.name, "sidecar", ["/bin/sh", "-c", command], None, self.code, env)
+        self.sidecars[app.name] = actor
+        await self._ready(actor, self.listens[app.name])
+
+    async def _ready(self, actor: Actor, address: str) -> None:
+        async with aiohttp.ClientSession() as session:
+            for _ in range(int(READY_S / 0.02)):
+                if not actor.alive:
+                    raise PlayError(
+                        f"sidecar {actor.name} ended with {actor.process.returncode}: {actor.last}"
+                    )
+                with contextlib.suppress(aiohttp.ClientError, OSError):
+                    async with session.get(f"http://{address}/health/ready") as answer:
+                        if answer.status == 200:
+                            return
+                await asyncio.sleep(0.02)
+        raise PlayError(f"sidecar {actor.name}: not ready within {READY_S:g} s")
+
+    async def _listed(self, count: int) -> None:
+        for _ in range(int(READY_S / 0.05)):
+            with contextlib.suppress(client.CallError):
+                told = await client.call(self._list_at, "GET", "/registry/instances")
+                if len(told["endpoints"]) >= count:
+                    return
+            await asyncio.sleep(0.05)
+        raise PlayError(f"the list service does not list {count} servers within {READY_S:g} s")
+
+    async def _start_clients(self) -> list[Actor]:
+        """Clients in as many processes as it takes to be on time, each with whole applications."""
+        rate = 1000.0 * len(self.day.arrivals.at) / self.day.lasts
+        count = min(len(self.day.apps), max(1, math.ceil(rate / RATE_A_CLIENT)))
+        loads = [0.0] * count
+        shares: list[dict[str, str]] = [{} for _ in range(count)]
+        for app in sorted(self.day.apps, key=lambda app: -app.share):
+            least = loads.index(min(loads))
+            loads[least] += app.share
+            shares[least][app.name] = self.listens[app.name]
+        made = []
+        for number, mine in enumerate(shares):
+            folder = str(self.folder / "parts" / f"clients-{number}")
+            order = clients.Order(self.order, self.day.seed, mine, folder)
+            made.append(await self.troupe.own(f"clients {number}", "lab", "clients", order))
+        for actor in made:
+            await actor.report("ready")
+        return made
+
+    # --- play -----------------------------------------------------------------
+
+    def now(self) -> float:
+        """Ms from the start of the play."""
+        return clock() - self.t0
+
+    async def until(self, at: float) -> None:
+        """Wait until a time of the play."""
+        await asyncio.sleep(max(0.0, at - self.now()) / 1000.0)
+
+    def begin(self, trouble: Trouble) -> ledger.Event:
+        """Note that a trouble begins."""
+        event = ledger.Event(
+            trouble.kind, round(self.now(), 3), round(trouble.until, 3), list(trouble.targets)
+        )
+        self.events.append(event)
+        return event
+
+    def tell_networks(self, **told: Any) -> None:
+        """A command to the network of every zone."""
+        for actor in self.networks:
+            actor.send(**told)
+
+    # --- end ------------------------------------------------------------------
+
+    async def end(self) -> list[dict[str, Any]]:
+        """Let the lab's own processes end, and count what all have used; how late the lab's ran."""
+        for actor in self.troupe.actors:
+            if actor.alive:
+                actor.count_cpu()
+        for task in self._tasks:
+            task.cancel()
+        stopped = {name for event in self.events if event.kind == "stop" for name in event.targets}
+        hosts = [host for host in self.hosts.values() if host.name.partition(".")[0] not in stopped]
+        own = [*self.networks, *(host.actor for host in hosts if host.actor is not None)]
+        asked = [actor for actor in own if actor.alive]
+        for actor in asked:
+            actor.send(do="end")
+        return [await actor.report("done") for actor in asked]
--- a/brassfall/lab/runner.py
+++ b/brassfall/lab/runner.py
@@ -22,7 +22,8 @@
 import msgspec
 
 from brassfall.lab import compiled, day, report, spec
-from brassfall.lab.play import Order, Result, experiment
+from brassfall.lab.arrivals import experiment
+from brassfall.lab.play import Order, Result
 from brassfall.lab.sim.flaws import FLAWS
 from brassfall.settings import SettingsError
 
--- a/brassfall/lab/sim/faults.py
+++ b/brassfall/lab/sim/faults.py
@@ -7,7 +7,8 @@
 from brassfall.lab import ledger
 from brassfall.lab.day import Trouble
 from brassfall.lab.sim.lists import WATCH_SILENT_MS
-from brassfall.lab.sim.world import Host, World
+from brassfall.lab.sim.parts import Host
+from brassfall.lab.sim.world import World
 
 Deed = Callable[[float, Host], None]
 
--- a/brassfall/lab/sim/lists.py
+++ b/brassfall/lab/sim/lists.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from brassfall.lab import ledger
 from brassfall.lab.sim.listing import ListService
+from brassfall.lab.sim.parts import Host
+from brassfall.lab.sim.sidecar import Sidecar, Surroundings
 from brassfall.registry.membership import Call
 from poppypulley.model import Listing
 
-if TYPE_CHECKING:
-    from brassfall.lab.sim.sidecar import Sidecar
-    from brassfall.lab.sim.world import Host, World
-
 LOOK_MS = 100.0
 SAMPLE_MS = 500.0
 WATCH_SILENT_MS = 5000.0  # a watch without a line for so long is broken
@@ -24,7 +22,7 @@
 class Lists:
     """One list service, and everybody who calls it."""
 
-    def __init__(self, world: World, seed: int) -> None:
+    def __init__(self, world: Surroundings, seed: int) -> None:
         self.world = world
         self.service = ListService()
         self.lives: dict[tuple[str, float], int] = {}  # of each server, by its start
@@ -141,10 +139,6 @@
             index = self.service.table.index
             self.world.at(now + self._delay(), self._news, (sidecar, ask, form, entries, index))
 
-    def fetch(self, now: float, sidecar: Sidecar) -> None:
-        """A sidecar asks for the whole list once."""
-        self.watch(now, sidecar, sidecar.watch_asked)
-
     def _watch_failed(self, now: float, told: tuple[Sidecar, int]) -> None:
         sidecar, ask = told
         if sidecar.up and ask == sidecar.watch_asked:
--- a/brassfall/lab/sim/sidecar.py
+++ b/brassfall/lab/sim/sidecar.py
@@ -6,15 +6,19 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from brassfall.lab.day import Day
+from brassfall.lab.ledger import Book
 from brassfall.lab.models.client import FAILED, REFUSED, SERVED
+from brassfall.lab.models.network import Network
+from brassfall.lab.sim.parts import Host, Try
 from poppypulley import Balancer, model
 from poppypulley.model import Cancel, CloseIdle, Fail, Fetch, Listing, Log, Probe, Refuse, Send, Timer, Watch
 
-if TYPE_CHECKING:
-    from brassfall.lab.sim.world import Host, Try, World
+Handler = Callable[[float, Any], None]
 
 OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT = map(int, model.Outcome)
 MARGIN_MS = 8.0  # what the real driver keeps between its deadline and the client's
@@ -64,10 +68,63 @@
         self.idle: list[float] = []
 
 
+class Surroundings(ABC):
+    """The world of a play as its sidecars and its list see it."""
+
+    day: Day
+    book: Book
+    network: Network
+    servers: dict[str, Host]
+    sidecars: list[Sidecar]
+
+    @abstractmethod
+    def at(self, when: float, what: Handler, arg: Any) -> None:
+        """Something happens then."""
+
+    @abstractmethod
+    def unless_over(self, when: float, what: Handler, arg: Any) -> None:
+        """Something happens then, unless `arg.over` by then."""
+
+    @abstractmethod
+    def answered(
+        self,
+        now: float,
+        tried: Try,
+        status: str,
+        retry_after: float = 0.0,
+        by: str = "",
+        of: str = "",
+        excused: bool = False,
+    ) -> None:
+        """A client has its answer, or has given up waiting for it."""
+
+    @abstractmethod
+    def carry(self, now: float, sidecar: Sidecar, attempt: Attempt) -> None:
+        """Bring an attempt to its server, over an idle connection or a new one."""
+
+    @abstractmethod
+    def disconnect(self, name: str, pool: Pool, closed: int) -> None:
+        """A sidecar has closed so many idle connections."""
+
+    @abstractmethod
+    def probe(self, now: float, sidecar: Sidecar, name: str) -> None:
+        """Look whether a server is alive."""
+
+    @abstractmethod
+    def watch(self, now: float, sidecar: Sidecar, ask: int) -> None:
+        """A sidecar asks for the list, and for all changes from then on."""
+
+    @abstractmethod
+    def begin_host(self, host: Host, now: float, cold: bool) -> None:
+        """A life of a server begins; whoever calls this sees to its place in the list."""
+
+
 class Sidecar:
     """One sidecar. `life` counts its starts: what belongs to an earlier one is void."""
 
-    def __init__(self, world: World, number: int, name: str, zone: int, settings: dict[str, Any]) -> None:
+    def __init__(
+        self, world: Surroundings, number: int, name: str, zone: int, settings: dict[str, Any]
+    ) -> None:
         self.world = world
         self.number = number
         self.name = name
@@ -269,10 +326,10 @@
         self.watching = False
         self.watch_asked += 1
         if action.on:
-            self.world.lists.watch(now, self, self.watch_asked)
+            self.world.watch(now, self, self.watch_asked)
 
     def _fetch(self, now: float, action: Fetch) -> None:
-        self.world.lists.fetch(now, self)
+        self.world.watch(now, self, self.watch_asked)
 
     def _probe(self, now: float, action: Probe) -> None:
         self.world.probe(now, self, action.server)
--- a/brassfall/lab/sim/world.py
+++ b/brassfall/lab/sim/world.py
@@ -10,12 +10,13 @@
 import heapq
 import math
 import random
+from collections import defaultdict
 from collections.abc import Callable
 from itertools import count
 from typing import Any
 
 from brassfall.lab import ledger
-from brassfall.lab.day import Day, Machine
+from brassfall.lab.day import Day
 from brassfall.lab.ledger import Book
 from brassfall.lab.models import client
 from brassfall.lab.models.client import BROKEN, SILENT, UNREACHED
@@ -24,6 +25,7 @@
 from brassfall.lab.models.server import FULL as ROOM_FULL
 from brassfall.lab.models.server import TAKEN, Job, Server
 from brassfall.lab.sim.lists import Lists
+from brassfall.lab.sim.parts import Chain, Host, Try
 from brassfall.lab.sim.sidecar import (
     CONNECT_FAILED,
     ERROR,
@@ -33,8 +35,10 @@
     RESET,
     TIMEOUT,
     Attempt,
+    Handler,
     Pool,
     Sidecar,
+    Surroundings,
 )
 from brassfall.registry.membership import Membership
 
@@ -44,60 +48,8 @@
 SCRAMBLE = 0x9E3779B97F4A7C15  # ids tell nothing of their order
 MASK = 0xFFFFFFFFFFFFFFFF
 
-Handler = Callable[[float, Any], None]
 
-
-class Host:
-    """One server of the fleet, through all its lives."""
-
-    def __init__(self, name: str, machine: Machine) -> None:
-        self.name = name
-        self.machine = machine
-        self.zone = machine.zone
-        self.life = -1
-        self.link = 0  # counts generations of connections: a death or a reset ends one
-        self.up = False
-        self.leaving = False
-        self.core: Server
-        self.member: Membership
-        self.speaking = 0  # counts its loops of calls to the list service, so that an old one ends
-        self.wakes_at = math.inf
-        self.held_back: list[Attempt] = []  # what came while its process stood still
-
-
-class Chain:
-    """A request, through all its client's tries."""
-
-    __slots__ = ("first", "cls", "app", "due", "work", "tries")
-
-    def __init__(self, first: str, cls: int, app: int, due: float, work: float) -> None:
-        self.first = first
-        self.cls = cls
-        self.app = app
-        self.due = due
-        self.work = work
-        self.tries = 0
-
-
-class Try:
-    """One try of a client."""
-
-    __slots__ = ("id", "chain", "hop", "sent", "budget", "key", "over", "request", "keyed_or_unsafe", "life")
-
-    def __init__(self, id_: str, chain: Chain, sent: float, budget: float, key: str, writes: bool) -> None:
-        self.id = id_
-        self.chain = chain
-        self.hop = chain.tries
-        self.sent = sent
-        self.budget = budget
-        self.key = key
-        self.over = False
-        self.request: Any = None
-        self.keyed_or_unsafe = writes
-        self.life = 0
-
-
-class World:
+class World(Surroundings):
     """One play."""
 
     def __init__(
@@ -117,10 +69,11 @@
         self._client_rng = random.Random(day.seed * 7919 + 2)
         self.lists = Lists(self, day.seed * 7919 + 3)
         self.network = Network(day.ways, self.rng.random)
-        self.servers: dict[str, Host] = {m.name: Host(m.name, m) for m in day.servers}
+        self.servers = {m.name: Host(m.name, m) for m in day.servers}
         self.sidecars = [
             sidecar(self, number, app.name, app.zone, settings(number)) for number, app in enumerate(day.apps)
         ]
+        self._held_back: defaultdict[str, list[Attempt]] = defaultdict(list)  # by a server that stands still
         self._parked: dict[int, list[tuple[float, int, Handler, Any]]] = {}
         self._end = day.lasts + max(row.deadline for row in day.classes) + AFTER_MS
         self._works: list[tuple[float, float]] = [
@@ -315,7 +268,7 @@
         if attempt.link != host.link or not host.up:
             self._outcome_later(now, attempt, RESET, None)
         elif host.core.stopped:
-            host.held_back.append(attempt)
+            self._held_back[host.name].append(attempt)
         else:
             self.offer(now, host, attempt)
 
@@ -386,6 +339,10 @@
             told = (sidecar.life, name, OK if host.up else CONNECT_FAILED, 2.0 * way)
         self.at(now + told[3], sidecar.probed, told)
 
+    def watch(self, now: float, sidecar: Sidecar, ask: int) -> None:
+        """A sidecar asks for the list, and for all changes from then on."""
+        self.lists.watch(now, sidecar, ask)
+
     # --- servers --------------------------------------------------------------
 
     def begin_host(self, host: Host, now: float, cold: bool) -> None:
@@ -427,9 +384,8 @@
         for job in host.core.abandon():
             self._note(host, job.data, now, "lost", job.work)
             self._outcome_later(now, job.data[0], RESET, None)
-        for attempt in host.held_back:
+        for attempt in self._held_back.pop(host.name, ()):
             self._outcome_later(now, attempt, RESET, None)
-        host.held_back.clear()
         self._note_life(host, now, why)
         host.up = False
         host.link += 1
@@ -471,8 +427,7 @@
         host.core.stop(stopped)
         if stopped:
             return
-        waiting, host.held_back = host.held_back, []
-        for attempt in waiting:
+        for attempt in self._held_back.pop(host.name, ()):
             if host.up:
                 self._reach(now, attempt)
         if host.up:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import graphlib
 import tomllib
 from pathlib import Path
 
@@ -116,6 +117,7 @@
     "lab/models/server.py",
     "lab/models/network.py",
     "lab/sim/listing.py",
+    "lab/sim/parts.py",
     "lab/sim/sidecar.py",
     "lab/sim/faults.py",
     "lab/sim/flaws.py",
@@ -138,6 +140,33 @@
         assert all(floor(module) <= floor(own) for module in house), (own, house)
 
 
+def files_that_import() -> dict[str, set[str]]:
+    """Each file of ours as a module, and the files that it imports: anywhere, for types alone too."""
+    files = {
+        ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
+        for package in OURS
+        for path in (ROOT / package).rglob("*.py")
+    }
+    graph = {}
+    for module, path in files.items():
+        met = set()
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom):
+                base = node.module or ""
+                met |= {named if (named := f"{base}.{a.name}") in files else base for a in node.names}
+            elif isinstance(node, ast.Import):
+                met |= {alias.name for alias in node.names}
+        graph[module] = met & set(files)
+    return graph
+
+
+def test_no_files_import_each_other_by_any_way_round():
+    try:
+        graphlib.TopologicalSorter(files_that_import()).prepare()
+    except graphlib.CycleError as error:
+        pytest.fail(" < ".join(error.args[1]))
+
+
 def test_nothing_of_a_sidecar_imports_the_house():
     for package in (PACKAGE, ROOT / "fordtrestle"):
         for path in package.glob("*.py"):
