--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import sys
 from collections.abc import Coroutine
 from pathlib import Path
@@ -10,10 +11,41 @@
 
 import msgspec
 import typer
+from typer.core import TyperGroup
 
 from brassfall import logs, settings
-
-app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
+from brassfall.errors import BrassfallError, SystemRefused, UsageError
+
+
+class Told(TyperGroup):
+    """All commands: what fails is one line on standard error, and its type says the exit status."""
+
+    def invoke(self, ctx: Any) -> Any:
+        """Run what was asked for."""
+        try:
+            return super().invoke(ctx)
+        except (BrassfallError, OSError, MemoryError, ExceptionGroup) as error:
+            told = _told(error)
+            if told is None:
+                raise
+            typer.echo(str(told), err=True)
+            raise typer.Exit(told.exit_status) from None
+
+
+def _told(error: Exception) -> BrassfallError | None:
+    """What is to be told of an error; None for a defect, and for a reader that has gone."""
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    if isinstance(error, BrassfallError):
+        return error
+    if isinstance(error, OSError) and error.errno != errno.EPIPE:
+        return SystemRefused(str(error.filename or "the system"), error.strerror or str(error))
+    return (
+        SystemRefused("the system", "there is not enough memory") if isinstance(error, MemoryError) else None
+    )
+
+
+app = typer.Typer(cls=Told, no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 registry = typer.Typer(no_args_is_help=True, help="The list service and its callers.")
 app.add_typer(registry, name="registry")
 
@@ -25,27 +57,15 @@
 Config = Annotated[Path, typer.Option(help="A TOML file.")]
 
 
-def _load(path: Path) -> settings.RegistrySettings:
-    try:
-        return settings.load(path)
-    except settings.SettingsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(2) from None
-
-
 @app.command()
 def check(file: Path) -> None:
     """Is this configuration good? It may be a list service's, or an experiment."""
     from brassfall.lab import spec
 
-    try:
-        if spec.is_experiment(file):
-            spec.load(file)
-        else:
-            settings.load(file)
-    except settings.SettingsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(2) from None
+    if spec.is_experiment(file):
+        spec.load(file)
+    else:
+        settings.load(file)
     typer.echo(f"{file}: good")
 
 
@@ -54,11 +74,7 @@
     """Start a small fleet on loopback, send through it while parts fail, and end it again."""
     from brassfall.lab import demo as demo_
 
-    try:
-        _run(demo_.run(typer.echo))
-    except (demo_.DemoError, TimeoutError) as error:
-        typer.echo(f"demo: {str(error) or 'something did not start in time'}", err=True)
-        raise typer.Exit(1) from None
+    _run(demo_.run(typer.echo))
 
 
 @registry.command()
@@ -68,21 +84,16 @@
 
     from brassfall.registry import server
 
-    told = _load(config)
+    told = settings.load(config)
     logs.set_up()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         raise typer.Exit(runner.run(server.serve(told)))
 
 
 def _run(work: Coroutine[Any, Any, Any]) -> Any:
-    """Do it; what fails is one line and status 1, wrong usage is 2."""
-    from brassfall.registry.client import CallError
-
+    """Do it, until Ctrl-C."""
     try:
         return asyncio.run(work)
-    except CallError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(1) from None
     except KeyboardInterrupt:
         raise typer.Exit(130) from None
     except BrokenPipeError:
@@ -90,23 +101,28 @@
         raise typer.Exit(0) from None
 
 
-def _at(text: str) -> str:
+def _at(text: str, option: str = "--at") -> str:
     try:
         settings.address(text)
     except ValueError as error:
-        typer.echo(f"--at: {error}", err=True)
-        raise typer.Exit(2) from None
+        raise UsageError(option, str(error), "Name HOST:PORT, as in 127.0.0.1:8500.") from None
     return text
 
 
 def _name(text: str) -> str:
+    from brassfall.errors import Refused
     from brassfall.registry import entries
 
     try:
         return entries.name(text)
-    except entries.Refused as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(2) from None
+    except Refused as error:
+        raise UsageError(error.what, action="Give a name of that form, as in `list`.") from None
+
+
+class Written(msgspec.Struct):
+    """The answer to a write."""
+
+    index: int
 
 
 ROW = "{name:<24} {status:<8} {address:<22} {zone:<8} {type:<8} {weight:>6g} {since_ms}"
@@ -115,31 +131,32 @@
 @registry.command("list")
 def list_(at: At, json: Json = False) -> None:
     """The instances that are listed now."""
-    from brassfall.registry import client
+    from brassfall.registry import client, entries
 
     told = _run(client.call(_at(at), "GET", "/registry/instances"))
+    listed = client.read(at, entries.Listed, told)
     if json:
         typer.echo(msgspec.json.encode(told).decode())
         return
-    typer.echo(f"index {told['index']}, {len(told['endpoints'])} instances")
-    for row in told["endpoints"]:
-        typer.echo(ROW.format_map(row))
+    typer.echo(f"index {listed.index}, {len(listed.endpoints)} instances")
+    for row in listed.endpoints:
+        typer.echo(ROW.format_map(msgspec.structs.asdict(row)))
 
 
 @registry.command()
 def watch(at: At, from_: Annotated[int, typer.Option("--from")] = 0, json: Json = False) -> None:
     """Each change of the list as it is told, until Ctrl-C or the end of the watch."""
-    from brassfall.registry import client
+    from brassfall.registry import client, entries
 
     async def told() -> None:
         async for line in client.watch(_at(at), "/registry/instances", from_):
             if line and json:
                 typer.echo(line.decode())
             elif line:
-                news = msgspec.json.decode(line)
-                typer.echo(f"index {news['index']}, {'whole list' if news['snapshot'] else 'changes'}")
-                for row in news["endpoints"]:
-                    typer.echo("  " + ROW.format_map(row))
+                news = client.read(at, entries.Listed, line)
+                typer.echo(f"index {news.index}, {'whole list' if news.snapshot else 'changes'}")
+                for row in news.endpoints:
+                    typer.echo("  " + ROW.format_map(msgspec.structs.asdict(row)))
 
     _run(told())
 
@@ -163,7 +180,8 @@
     body = {"address": address, "zone": zone, "type": type, "group": group, "weight": weight}
     body |= {"since_ms": since_ms, "ttl_ms": ttl_ms}
     told = _run(client.call(_at(at), "PUT", f"/registry/instances/{_name(name)}", body))
-    typer.echo(msgspec.json.encode(told).decode() if json else f"{name}: registered, index {told['index']}")
+    index = client.read(at, Written, told).index
+    typer.echo(msgspec.json.encode(told).decode() if json else f"{name}: registered, index {index}")
 
 
 @registry.command()
@@ -172,7 +190,8 @@
     from brassfall.registry import client
 
     told = _run(client.call(_at(at), "DELETE", f"/registry/instances/{_name(name)}"))
-    typer.echo(msgspec.json.encode(told).decode() if json else f"{name}: left, index {told['index']}")
+    index = client.read(at, Written, told).index
+    typer.echo(msgspec.json.encode(told).decode() if json else f"{name}: left, index {index}")
 
 
 @registry.command()
@@ -191,12 +210,7 @@
     """Run an experiment, and report on it."""
     from brassfall.lab import runner
 
-    try:
-        status = _run(runner.run(file, out, lambda text: typer.echo(text, err=True)))
-    except settings.SettingsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(2) from None
-    raise typer.Exit(status)
+    raise typer.Exit(_run(runner.run(file, out, lambda text: typer.echo(text, err=True))))
 
 
 @lab.command("compare")
@@ -207,11 +221,7 @@
     """Set versions against each other, paired by seed; what is beyond noise."""
     from brassfall.lab import compare
 
-    try:
-        made = compare.compare(folders)
-    except settings.SettingsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(2) from None
+    made = compare.compare(folders)
     typer.echo(msgspec.json.encode(made).decode() if json else compare.table(made))
 
 
@@ -237,8 +247,8 @@
     from brassfall.lab import transcriber
 
     logs.set_up()
-    addresses = [_at(text) for text in registry.split(",")]
-    _at(listen)
+    addresses = [_at(text, "--registry") for text in registry.split(",")]
+    _at(listen, "--listen")
     told = transcriber.run(_name(name), listen, addresses, zone, ttl_ms, work_ms, ledger)
     raise typer.Exit(_run(told))
 
--- a/brassfall/errors.py
+++ b/brassfall/errors.py
@@ -128,6 +128,18 @@
     action = "See that it runs at that address and is reachable from here; its log and /status say more."
 
 
+class CantListen(BrassfallError):
+    """The address that a process should listen on can't be had."""
+
+    action = "End whoever has that address, or name another one that this machine has."
+
+
+class SystemRefused(BrassfallError):
+    """The operating system refused what a command needs, and no part of the program knows more."""
+
+    action = "Look at that file or address, at the disk, and at this user's rights and limits."
+
+
 class ExperimentError(BrassfallError):
     """An experiment could not be played to its end; it says nothing about the versions."""
 
--- a/brassfall/lab/day.py
+++ b/brassfall/lab/day.py
@@ -12,6 +12,7 @@
 
 import numpy as np
 
+from brassfall.errors import UsageError
 from brassfall.lab.quantities import Span
 from brassfall.lab.spec import ANYONE, BRIEF, NEEDS, SERVERS, Experiment, Fault, Kind, RequestClass
 
@@ -135,9 +136,11 @@
     ttl: float
 
 
-class DayError(ValueError):
+class DayError(UsageError):
     """An experiment whose day can't be drawn; its text is one line."""
 
+    action = "Mend the experiment there, or the arrivals file that it names."
+
 
 def draw(told: Experiment, seed: int, recorded: Sequence[tuple[float, str, int, float]] = ()) -> Day:
     """The day of a seed. `recorded` holds the rows of an arrivals file, if the load is a replay."""
@@ -332,7 +335,7 @@
     kept = sorted((row for row in rows if row[0] < lasts), key=lambda row: row[0])
     for at, name, _, _ in kept:
         if name not in names:
-            raise DayError(f"load.replay: class {name!r} at {at:g} ms is none of {', '.join(names)}")
+            raise DayError("load.replay", f"class {name!r} at {at:g} ms is none of {', '.join(names)}")
     cls = np.array([names[row[1]] for row in kept], dtype=np.int64)
     return Arrivals(
         np.array([row[0] for row in kept], dtype=np.float64),
--- a/brassfall/lab/demo.py
+++ b/brassfall/lab/demo.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -20,6 +21,7 @@
 
 import aiohttp
 
+from brassfall.errors import ExperimentError
 from brassfall.registry import client
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -32,9 +34,11 @@
 }
 
 
-class DemoError(Exception):
+class DemoError(ExperimentError):
     """The demonstration failed; its text is one line."""
 
+    action = "Run it again on a machine with less to do; if it fails there too, report this line."
+
 
 class Demo:
     """The processes of one demonstration."""
@@ -115,13 +119,14 @@
             sys.executable, "-m", "brassfall", *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE
         )
         assert process.stderr is not None
-        async with asyncio.timeout(READY_S):
-            async for line in process.stderr:
-                told = json.loads(line) if line.startswith(b"{") else {}
-                if told.get("event") == "ready":
-                    self._logs.append(asyncio.create_task(_drop(process.stderr)))
-                    return str(told["listen"])
-        raise DemoError(f"{name} did not start")
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READY_S):
+                async for line in process.stderr:
+                    told = json.loads(line) if line.startswith(b"{") else {}
+                    if told.get("event") == "ready":
+                        self._logs.append(asyncio.create_task(_drop(process.stderr)))
+                        return str(told["listen"])
+        raise DemoError(f"{name} did not start", f"not ready within {READY_S:g} s")
 
     async def _sidecar(self, service: str) -> str:
         """Start a sidecar as the platform does; where it listens, once it is ready."""
@@ -137,11 +142,15 @@
             "/bin/sh", "-c", run, cwd=ROOT, env={**kept, "NODE_CONFIG": str(config)}, stderr=log
         )
         log.close()
-        async with asyncio.timeout(READY_S), aiohttp.ClientSession() as session:
-            while not await _serves(session, address):
-                if self._processes["sidecar"].returncode is not None:
-                    raise DemoError((self._folder / "sidecar.log").read_text().strip()[-300:])
-                await asyncio.sleep(0.05)
+        try:
+            async with asyncio.timeout(READY_S), aiohttp.ClientSession() as session:
+                while not await _serves(session, address):
+                    if self._processes["sidecar"].returncode is not None:
+                        said = (self._folder / "sidecar.log").read_text().strip()[-300:]
+                        raise DemoError("the sidecar ended", said)
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            raise DemoError("the sidecar did not start", f"not ready within {READY_S:g} s") from None
         return address
 
     async def _kill(self, name: str) -> None:
--- a/brassfall/lab/play.py
+++ b/brassfall/lab/play.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from brassfall.errors import BrassfallError
 from brassfall.lab import day, judge, ledger, spec
 from brassfall.lab.arrivals import experiment
 from brassfall.settings import SettingsError
@@ -112,7 +113,7 @@
 def perform(order: Order) -> Result:
     """Play a day with real processes."""
     from brassfall.lab.real.conductor import conduct
-    from brassfall.lab.real.troupe import ROOT, PlayError
+    from brassfall.lab.real.troupe import ROOT
 
     told, recorded = experiment(Path(order.experiment))
     version = next(version for version in told.versions if version.name == order.version)
@@ -126,10 +127,7 @@
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         return await conduct(told, version, drawn, folder, code, order.experiment, _progress(order))
 
-    try:
-        why, crashes, cost, events = asyncio.run(work())
-    except PlayError as error:
-        raise SettingsError(str(error)) from error
+    why, crashes, cost, events = asyncio.run(work())
     judgement = judged(folder, told)
     judgement.findings += [judge.Finding("crashed", 1, crash) for crash in crashes]
     return Result(order.version, order.seed, not why, why, judgement, events, cost)
@@ -161,7 +159,7 @@
     try:
         real = spec.load(Path(order.experiment)).experiment.mode == "real"
         result = perform(order) if real else simulate(order)
-    except (SettingsError, day.DayError) as error:
+    except BrassfallError as error:
         print(error, file=sys.stderr)
         return 2
     except (KeyboardInterrupt, asyncio.CancelledError):
--- a/brassfall/lab/real/troupe.py
+++ b/brassfall/lab/real/troupe.py
@@ -17,14 +17,18 @@
 import msgspec
 import psutil
 
+from brassfall.errors import ExperimentError
+
 ROOT = Path(__file__).resolve().parent.parent.parent.parent
 READY_S = 30.0
 LAST_LINES = 20
 
 
-class PlayError(Exception):
+class PlayError(ExperimentError):
     """A play that came to nothing; its text is one line."""
 
+    action = "Look at `logs` in the folder of the play; `lab run` with the same --out plays it again."
+
 
 class Actor:
     """One process."""
@@ -200,7 +204,7 @@
         raw = tomllib.loads((code / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
         return str(raw["run"])
     except (OSError, tomllib.TOMLDecodeError, KeyError) as error:
-        raise PlayError(f"{code}: deploy/balancer.toml names no `run`: {error}") from error
+        raise PlayError(str(code), f"deploy/balancer.toml names no `run`: {error}") from error
 
 
 def lend_environment(code: Path) -> None:
--- a/brassfall/lab/sim/listing.py
+++ b/brassfall/lab/sim/listing.py
@@ -7,8 +7,9 @@
 import msgspec
 
 from brassfall import settings
+from brassfall.errors import Refused
 from brassfall.registry import entries
-from brassfall.registry.entries import INSTANCES, Refused
+from brassfall.registry.entries import INSTANCES
 from brassfall.registry.membership import Call
 from brassfall.table.core import Change, Command, Delete, Record, Result, Status, Table
 from brassfall.table.leases import Guard, Leases
--- a/brassfall/registry/bench.py
+++ b/brassfall/registry/bench.py
@@ -25,6 +25,7 @@
 import aiohttp
 import psutil
 
+from brassfall.errors import BrassfallError
 from brassfall.registry import client
 
 CONFIG = """[registry]
@@ -42,6 +43,12 @@
 VALUE = {"address": "127.0.0.1:7001", "zone": "a", "type": "m2", "group": 3, "ttl_ms": 0}
 
 
+class BenchError(BrassfallError):
+    """The measurement came to nothing."""
+
+    action = "End what else loads this machine, see that its limit of descriptors is high, and run it again."
+
+
 @dataclass(slots=True)
 class Row:
     """One line of the table."""
@@ -82,7 +89,7 @@
             if told["event"] == "ready":
                 break
         else:
-            raise RuntimeError("the service did not start")
+            raise BenchError("the service did not start")
         draining = asyncio.create_task(process.stderr.read())
         yield told["listen"], psutil.Process(process.pid), time.monotonic() - begun
         draining.cancel()
@@ -111,7 +118,7 @@
             writer.write(request)
             head = await reader.readuntil(b"\r\n\r\n")
             if b" 200 " not in head[:20]:
-                raise RuntimeError(head.split(b"\r\n")[0].decode())
+                raise BenchError(head.split(b"\r\n")[0].decode())
             length = int(head.lower().split(b"content-length: ")[1].split(b"\r")[0])
             await reader.readexactly(length)
             took.append(time.monotonic() - begun)
@@ -140,7 +147,7 @@
                 process.kill()
                 await process.wait()
         if process.returncode:
-            raise RuntimeError(f"the load {kind} failed")
+            raise BenchError(f"the load {kind} failed")
         return json.loads(out)
 
     return await asyncio.gather(*(one(words) for words in calls))
@@ -258,14 +265,14 @@
             ):
                 await answer.read()
                 if answer.status != 200:
-                    raise RuntimeError(f"status {answer.status}")
+                    raise BenchError(f"status {answer.status}")
 
         async with aiohttp.ClientSession() as session:
             await asyncio.gather(*(put(number) for number in range(entries)))
     async with service(folder) as (listen, _, ready_s):
         told = await client.call(listen, "GET", "/registry/instances")
         if len(told["endpoints"]) != entries:
-            raise RuntimeError("entries are missing")
+            raise BenchError("entries are missing")
     return {"s": ready_s, "empty_s": empty_s}
 
 
--- a/brassfall/registry/callers.py
+++ b/brassfall/registry/callers.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from brassfall.errors import Conflict, Missing, Refused, Stale, TooLarge, TooOften, Unavailable
 from brassfall.registry.limits import Shares
 from brassfall.settings import Limits
 
@@ -18,22 +19,65 @@
 QUIET.propagate = False
 
 
+class NoSuchPath(Missing):
+    """The service has no such path."""
+
+    action = "See docs/registry.md for the paths; a service of an earlier version lacks the newer ones."
+
+
+class WrongMethod(Refused):
+    """The path has no such method (405)."""
+
+    action = "See docs/registry.md for the methods of the path."
+    status = 405
+    slug = "method not allowed"
+
+
+class TooSlow(Refused):
+    """The body of a call did not come in time (408)."""
+
+    action = "Send the whole body at once; look at the network between the two."
+    status = 408
+    slug = "too slow"
+
+
+class Fault(Refused):
+    """A defect of the service (500)."""
+
+    action = "Report it with the traceback that the service's log has under `fault`."
+    status = 500
+    slug = "internal error"
+
+
+KINDS: dict[int, type[Refused]] = {
+    kind.status: kind
+    for kind in (
+        Refused,
+        Missing,
+        WrongMethod,
+        TooSlow,
+        Conflict,
+        Stale,
+        TooLarge,
+        TooOften,
+        Fault,
+        Unavailable,
+    )
+}
+
+
 def error(status: int, reason: str, retry_s: float | None = None) -> web.Response:
-    """An answer that says what is wrong."""
-    headers = {} if retry_s is None else {"Retry-After": f"{max(retry_s, 0.05):.2f}"}
-    name = {
-        400: "bad request",
-        404: "not found",
-        405: "method not allowed",
-        408: "too slow",
-        409: "conflict",
-        412: "precondition failed",
-        413: "too large",
-        429: "too many calls",
-        500: "internal error",
-        503: "unavailable",
-    }.get(status, "error")
-    return web.json_response({"error": name, "reason": reason}, status=status, headers=headers)
+    """An answer that says what is wrong, and by its status what can be done."""
+    return refusal(KINDS.get(status, Refused)(reason), retry_s, status)
+
+
+def refusal(told: Refused, retry_s: float | None = None, status: int | None = None) -> web.Response:
+    """The answer for an error; `retry_s` where another time than its own is told."""
+    status = told.status if status is None else status
+    body = told.wire() if status in KINDS else {**told.wire(), "error": "error"}
+    wait = told.retry_s if retry_s is None and isinstance(told, Unavailable) else retry_s
+    headers = {} if wait is None else {"Retry-After": f"{max(wait, 0.05):.2f}"}
+    return web.json_response(body, status=status, headers=headers)
 
 
 class Connection(web.RequestHandler):
--- a/brassfall/registry/client.py
+++ b/brassfall/registry/client.py
@@ -6,22 +6,34 @@
 import random
 import time
 from collections.abc import AsyncIterator, Sequence
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 import msgspec
 
+from brassfall.errors import Unreachable
 from brassfall.logs import logger
 from brassfall.registry.membership import Call, Membership, Place
 
 CALL_S = 2.0
+UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+ANOTHER = "Another program seems to listen there: name the address of a list service."
 SILENT_S = 4.5  # a watch brings an empty line every 2 s
 
 log = logger("member")
+Kind = TypeVar("Kind")
 
 
-class CallError(Exception):
-    """A call failed; its text is one line."""
+class CallError(Unreachable):
+    """A call had no good answer; its text is one line."""
+
+    action = "See that a list service runs at that address and is reachable from here; its log says more."
+
+
+class CallRefused(CallError):
+    """The service refused a call; the text is the service's own, and says what can be done."""
+
+    action = "See the log of the list service for what it refused."
 
 
 class Member:
@@ -112,14 +124,14 @@
             session.request(method, f"http://{address}{path}", json=body) as answer,
         ):
             data = await answer.read()
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise CallError(f"{address}: {str(error) or 'no answer'}") from error
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        raise CallError(address, str(error) or "no answer") from error
     if answer.status != 200:
-        raise CallError(f"{address}: {answer.status}, {_reason(data)}")
+        raise _refused(address, answer.status, data)
     try:
         return msgspec.json.decode(data)
-    except msgspec.MsgspecError as error:
-        raise CallError(f"{address}: what came is no JSON") from error
+    except UNREADABLE as error:
+        raise CallError(address, "what came is no JSON", ANOTHER) from error
 
 
 async def watch(address: str, path: str, index: int = 0) -> AsyncIterator[bytes]:
@@ -131,11 +143,19 @@
             session.get(f"http://{address}{path}?watch=1&from={index}") as answer,
         ):
             if answer.status != 200:
-                raise CallError(f"{address}: {answer.status}, {_reason(await answer.read())}")
+                raise _refused(address, answer.status, await answer.read())
             async for line in answer.content:
                 yield line.strip()
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise CallError(f"{address}: {str(error) or 'the watch fell silent'}") from error
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:  # the last: a line without end
+        raise CallError(address, str(error) or "the watch fell silent") from error
+
+
+def read(address: str, kind: type[Kind], raw: Any) -> Kind:
+    """An answer, or a line of a watch, as its type; `CallError` where it is none."""
+    try:
+        return msgspec.json.decode(raw, type=kind) if isinstance(raw, bytes) else msgspec.convert(raw, kind)
+    except UNREADABLE as error:
+        raise CallError(address, f"what came is not what was asked for: {error}", ANOTHER) from error
 
 
 def _now() -> float:
@@ -149,10 +169,15 @@
         return 0.0
 
 
+def _refused(address: str, status: int, body: bytes) -> CallRefused:
+    text, _, action = _reason(body).partition(". ")
+    return CallRefused(address, f"{status}, {text}", action)
+
+
 def _reason(body: bytes) -> str:
     try:
         said = msgspec.json.decode(body)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         said = None
     return (
         str(said["reason"]) if isinstance(said, dict) and "reason" in said else body[:200].decode("latin-1")
--- a/brassfall/registry/entries.py
+++ b/brassfall/registry/entries.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from brassfall.errors import Refused
 from brassfall.settings import LeaseSettings, address
 from brassfall.table.core import Change, Delete, Patch, Put, Row
 
@@ -18,10 +19,6 @@
 WHOLE_MOST = 2**53  # beyond it JSON readers round
 
 
-class Refused(ValueError):
-    """A call that asks for something senseless; its text says what, and why."""
-
-
 class Registration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The body of `PUT /registry/instances/NAME`."""
 
@@ -63,6 +60,14 @@
     since_ms: int
 
 
+class Listed(msgspec.Struct, frozen=True):
+    """A whole list, or a line of a watch."""
+
+    index: int
+    endpoints: list[Endpoint]
+    snapshot: bool = True
+
+
 def name(text: str) -> str:
     """A name of an instance, a table or a key; `Refused` if it is none."""
     if not NAME.fullmatch(text):
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -25,8 +25,7 @@
 from brassfall.registry.watches import Channel, Form, chunk
 from brassfall.settings import AgreementSettings
 from brassfall.table.core import Delete, Put
-from brassfall.table.store import Store
-from brassfall.table.store import Unavailable as DiskUnavailable
+from brassfall.table.store import NotWritten, Store
 
 RULES, ROSTER = "rules", "edges"
 STATE = "state"
@@ -192,7 +191,7 @@
         try:
             value = msgspec.to_builtins(kept)
             await self.host.store.submit(Put(table=RULES, key=STATE, value=value))
-        except DiskUnavailable as error:
+        except NotWritten as error:
             log.error("not durable", reason=str(error))
             self.step(deciding.Failed())
             return
@@ -221,7 +220,7 @@
                 self.core.enrolled(name)
             else:
                 await self.host.store.submit(Delete(table=ROSTER, key=name))
-        except DiskUnavailable as error:
+        except NotWritten as error:
             log.warning("roster not durable", name=name, reason=str(error))
         finally:
             self._enrolling.discard(name)
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -17,12 +17,12 @@
 import msgspec
 from aiohttp import web
 
-from brassfall import errors
+from brassfall.errors import CantListen, Refused, Unavailable
 from brassfall.logs import logger
 from brassfall.registry import calls, entries
-from brassfall.registry.callers import HEAD_BYTES, QUIET, Callers, Connection, error
+from brassfall.registry.callers import HEAD_BYTES, QUIET, Callers, Connection, NoSuchPath, error, refusal
 from brassfall.registry.calls import answer
-from brassfall.registry.entries import INSTANCES, Refused
+from brassfall.registry.entries import INSTANCES
 from brassfall.registry.limits import Door, Rates, Shares
 from brassfall.registry.metrics import Metrics
 from brassfall.registry.rules import PLACE, Rules
@@ -31,10 +31,11 @@
 from brassfall.table.core import Change, Command, Delete, Put, Result, Status
 from brassfall.table.leases import Guard
 from brassfall.table.log import Log, LogError
-from brassfall.table.store import Options, Store, Unavailable
+from brassfall.table.store import Options, Store
 
 SWITCH_S = 0.0002
 BACKLOG = 4096  # a fleet connects at once
+MORE_ROOM = "Delete what is not needed, or raise the limit in the service's configuration."
 BODY_S = 5.0  # for a body to arrive
 HELD = "X-Held-Index"  # a caller of the whole list says here which one it holds
 ANSWERED = {Status.DONE: 200, Status.MISSING: 404, Status.CONFLICT: 409, Status.STALE: 412}
@@ -243,14 +244,12 @@
     async def _handle(self, request: web.Request, handler: Handler) -> web.StreamResponse:
         try:
             return await handler(request)
-        except Refused as refused:
-            return error(400, str(refused))
-        except errors.Unavailable as told:
-            return error(told.status, str(told), told.retry_s * (0.5 + self._rng.random()))
-        except errors.Refused as told:
-            return error(told.status, str(told))
-        except Unavailable as unavailable:
-            return error(503, str(unavailable), unavailable.retry_s * (0.5 + self._rng.random()))
+        except Unavailable as told:
+            return refusal(told, told.retry_s * (0.5 + self._rng.random()))
+        except Refused as told:
+            return refusal(told)
+        except web.HTTPNotFound:
+            return refusal(NoSuchPath("no such path", request.path[:200]))
         except web.HTTPRequestEntityTooLarge:
             made = error(413, f"the body is larger than {self.settings.limits.body_bytes} bytes")
             made.force_close()
@@ -284,12 +283,12 @@
         return error(ANSWERED[result.status], result.reason)
 
     def _room(self, table: str, key: str) -> None:
-        store = self.store.table
-        if store.get(table, key) is None and sum(map(store.count, store.names)) >= self.settings.limits.rows:
-            raise Unavailable(f"all {self.settings.limits.rows} rows are taken", 10.0)
+        store, limits = self.store.table, self.settings.limits
+        if store.get(table, key) is None and sum(map(store.count, store.names)) >= limits.rows:
+            raise Unavailable("all rows are taken", str(limits.rows), MORE_ROOM, retry_s=10.0)
         names = store.names
-        if table not in names and len(names) >= self.settings.limits.tables:
-            raise Unavailable(f"all {self.settings.limits.tables} tables are taken", 10.0)
+        if table not in names and len(names) >= limits.tables:
+            raise Unavailable("all tables are taken", str(limits.tables), MORE_ROOM, retry_s=10.0)
 
     # --- instances --------------------------------------------------------------
 
@@ -510,12 +509,14 @@
     service = Service(settings)
     try:
         listen = await service.start()
-    except LogError as wrong:
-        log.error("can't start", reason=str(wrong))
-        return 1
-    except OSError as wrong:
-        log.error("can't start", reason=f"{settings.listen}: {wrong.strerror}")
-        return 1
+    except (LogError, OSError) as error:
+        wrong = (
+            error
+            if isinstance(error, LogError)
+            else CantListen(settings.listen, error.strerror or str(error))
+        )
+        log.error("can't start", reason=wrong.told, action=wrong.action)
+        return wrong.exit_status
     log.info("ready", listen=listen, data=settings.data)
     await stop.wait()
     log.info("stopping")
--- a/brassfall/settings.py
+++ b/brassfall/settings.py
@@ -8,10 +8,14 @@
 
 import msgspec
 
+from brassfall.errors import UsageError
 
-class SettingsError(Exception):
+
+class SettingsError(UsageError):
     """A file that can't be used; its text is one line with file, key and reason."""
 
+    action = "Mend the file there; `python -m brassfall check FILE` looks at it alone."
+
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What callers may take up."""
@@ -97,9 +101,11 @@
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise SettingsError(f"{path}: {error}") from error
+        raise SettingsError(str(path), error.strerror or str(error)) from error
+    except RecursionError as error:
+        raise SettingsError(str(path), "its values are nested too deeply") from error
+    except ValueError as error:  # no TOML, no UTF-8, or a number of thousands of digits
+        raise SettingsError(str(path), str(error)) from error
 
 
 def load(path: Path) -> RegistrySettings:
@@ -108,7 +114,7 @@
     try:
         return check(msgspec.convert(raw, File, strict=True).registry)
     except (msgspec.ValidationError, ValueError) as error:
-        raise SettingsError(f"{path}: {error}") from error
+        raise SettingsError(str(path), str(error)) from error
 
 
 def check(settings: RegistrySettings) -> RegistrySettings:
--- a/brassfall/table/log.py
+++ b/brassfall/table/log.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from brassfall.errors import Damaged
 from brassfall.table.core import Record, Snapshot, Table
 
 FORMAT = 1
@@ -29,9 +30,18 @@
 """
 
 
-class LogError(Exception):
+class LogError(Damaged):
     """The log can't be read or written; its text is one line that names the file."""
 
+    action = (
+        "Free the disk or give the rights back. A foreign or damaged file: move the folder away and start "
+        "empty; servers come back by themselves, editions and overrides have to be published anew."
+    )
+
+
+LOCKED = "another process has it open"
+END_ONE = "Find the other process that runs on this folder, and end one of the two; never copy its folder."
+
 
 @dataclass(slots=True)
 class Loaded:
@@ -53,7 +63,7 @@
         try:
             folder.mkdir(parents=True, exist_ok=True)
         except OSError as error:
-            raise LogError(f"{folder}: {error.strerror}") from error
+            raise LogError(str(folder), error.strerror or str(error)) from error
 
     def load(self, ring: int | None = None) -> Loaded:
         """Open the log and read all of it; `LogError` if it is locked, foreign or damaged."""
@@ -62,7 +72,7 @@
             return self._read() if ring is None else self._read(ring)
         except (sqlite3.Error, msgspec.MsgspecError, ValueError) as error:
             self.close()
-            raise LogError(f"{self._path}: {_reason(error)}") from error
+            raise self._error(error) from error
 
     def append(self, records: list[Record]) -> None:
         """Put records on the disk, all or none; `LogError` if they are not there.
@@ -78,7 +88,7 @@
                 db.execute("insert into log values (?, ?)", (seq, body))
         except sqlite3.Error as error:
             if not self._reached(seq):
-                raise LogError(f"{self._path}: {_reason(error)}") from error
+                raise self._error(error) from error
         self._seq = seq
         self._since_snapshot += len(records)
 
@@ -100,7 +110,7 @@
                 db.execute("delete from log where seq <= ?", (before or 0,))
         except sqlite3.Error as error:
             self._close_quietly()
-            raise LogError(f"{self._path}: {_reason(error)}") from error
+            raise self._error(error) from error
         self._since_snapshot = 0
 
     def close(self) -> None:
@@ -109,6 +119,14 @@
             self._db.close()
             self._db = None
 
+    def _error(self, error: Exception) -> LogError:
+        text = str(error)
+        return (
+            LogError(str(self._path), LOCKED, END_ONE)
+            if "locked" in text
+            else LogError(str(self._path), text)
+        )
+
     def _open(self) -> sqlite3.Connection:
         db = sqlite3.connect(self._path, timeout=0.0, isolation_level=None, check_same_thread=False)
         try:
@@ -167,8 +185,3 @@
             self.close()
         except sqlite3.Error:
             self._db = None
-
-
-def _reason(error: Exception) -> str:
-    text = " ".join(str(error).split())
-    return "another process has it open" if "locked" in text else text
--- a/brassfall/table/store.py
+++ b/brassfall/table/store.py
@@ -12,6 +12,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
+from brassfall.errors import Unavailable
 from brassfall.logs import logger
 from brassfall.table.core import Change, Command, Delete, Put, Record, Result, Row, Snapshot, Status, Table
 from brassfall.table.leases import Guard, Leases
@@ -23,12 +24,10 @@
 log = logger("table")
 
 
-class Unavailable(Exception):
-    """A write can't be taken just now; it has not happened. `retry_s` says when to come back."""
+class NotWritten(Unavailable):
+    """A write can't be taken just now; it has not happened."""
 
-    def __init__(self, reason: str, retry_s: float) -> None:
-        super().__init__(reason)
-        self.retry_s = retry_s
+    action = "Send it again after the time told; where that goes on, look at the disk of the list service."
 
 
 @dataclass(slots=True)
@@ -116,19 +115,19 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for _, future in self._queue:
             if not future.done():
-                future.set_exception(Unavailable("the service is stopping", 1.0))
+                future.set_exception(NotWritten("the service is stopping"))
         self._queue = []
         self._thread.shutdown()
         self._log.close()
 
     def submit(self, command: Command) -> asyncio.Future[Result]:
-        """Have a command carried out; `Unavailable` where the disk or the queue is full.
+        """Have a command carried out; `NotWritten` where the disk or the queue is full.
 
         The answer comes when what was decided is durable. A caller that no longer waits for it does
         not undo it."""
         if len(self._queue) >= self._options.queue:
             self.figures.refused += 1
-            raise Unavailable("too many writes wait for the disk", 1.0)
+            raise NotWritten("too many writes wait for the disk")
         future: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
         self._queue.append((command, future))
         self._work.set()
@@ -200,7 +199,7 @@
             try:
                 await self._put_down(stage.records)
             except LogError as error:
-                self._failed(str(error), answers)
+                self._failed(error, answers)
                 return
             for table, change in self.table.absorb(stage.records):
                 self._told(table, change)
@@ -222,14 +221,16 @@
             log.info("disk is back")
             self.figures.disk = ""
 
-    def _failed(self, reason: str, answers: Iterable[tuple[Command, asyncio.Future[Result], Result]]) -> None:
+    def _failed(
+        self, error: LogError, answers: Iterable[tuple[Command, asyncio.Future[Result], Result]]
+    ) -> None:
         self.figures.failures += 1
         if not self.figures.disk:
-            log.error("disk", reason=reason)
-        self.figures.disk = reason
+            log.error("disk", reason=error.told, action=error.action)
+        self.figures.disk = error.told
         for _, future, _ in answers:
             if not future.done():
-                future.set_exception(Unavailable(reason, 1.0))
+                future.set_exception(NotWritten(error.told))
 
     def _settle(self, command: Command, result: Result) -> None:
         """What a command that was carried out means for the lease of its row."""
@@ -256,7 +257,7 @@
             await asyncio.get_running_loop().run_in_executor(self._thread, self._log.compact, snapshot)
             self.figures.snapshots += 1
         except LogError as error:
-            log.warning("no snapshot", reason=str(error))
+            log.warning("no snapshot", reason=error.told, action=error.action)
 
     # --- leases ---------------------------------------------------------------
 
@@ -288,7 +289,7 @@
             if (await self.submit(command)).done:
                 self.figures.expired += 1
                 log.info("expired", table=table, key=row.key)
-        except Unavailable:
+        except NotWritten:
             if self.table.get(table, row.key) is row:
                 self._lease(table, row)
         finally:
--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -24,6 +24,7 @@
 # longest deadline and 0.7 s after it: whatever comes late is answered before that.
 STILL_LISTEN_S = 0.5
 LONGEST_MS, ANSWERED_MS = 3000.0, 550.0
+CANT_LISTEN = "end whoever has that address or name another, and start it again"
 POLL_S = 0.02
 LOOK_S = 0.25  # for another process of this sidecar, which takes longer to start
 LAST_BYTES_S = 0.3
@@ -86,7 +87,7 @@
             busy = self.driver.bands | self.inbound.bands
             news = config.successor(self._told, told, busy)
         except ConfigError as error:
-            log(f"reload: {error}; nothing is changed")
+            log(f"reload: {error}; nothing is changed; mend the file and send SIGHUP again")
             return
         for name in news.unchanged:
             log(f"reload: {name} stays as it was until a restart")
@@ -154,12 +155,12 @@
     try:
         told = config.load(os.environ)
     except ConfigError as error:
-        log(str(error))
+        log(f"{error}; {error.action}")
         return 2
     try:
         asyncio.run(serve(told))
     except OSError as error:
-        log(f"can't start: {error}")
+        log(f"can't start: {error}; {CANT_LISTEN}")
         return 1
     return 0
 
--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -37,6 +37,8 @@
 class ConfigError(Exception):
     """A configuration that no sidecar can start from; its text is one line."""
 
+    action = "mend the file or the variable, and start it again, or send SIGHUP to one that runs"
+
 
 class Address(NamedTuple):
     """Where to listen or connect."""
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -22,6 +22,7 @@
 LINE_MOST = 4 * 1024 * 1024
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 2.0
 HELD = "X-Held-Index"  # tells our own list service which version an asker of the whole list has
+ASKED_AGAIN = "see that it runs at its address; it is asked again by itself, and the list held serves"
 LOOK_S = 1.0  # at the age of the list
 
 News = Callable[[str, ServerList | None], None]
@@ -30,6 +31,8 @@
 class Doubted(ValueError):
     """A list that can't be right; the first of its kind is worth a line in the log."""
 
+    action = "look at the list service, which lost its list or runs twice; past 30 s it is believed"
+
     def __init__(self, why: str, first: bool) -> None:
         super().__init__(f"{why}: the list held is kept")
         self.first = first
@@ -70,7 +73,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             cause = error.__context__ or error
             if not isinstance(cause, Doubted) or cause.first:
-                log(f"discovery: {cause}")
+                log(f"discovery: {cause}; {getattr(cause, 'action', ASKED_AGAIN)}")
             self.close()
 
     def eof_received(self) -> bool:
@@ -237,7 +240,7 @@
                 if await self._watch():
                     wait = BACKOFF_S
             except Exception as error:  # a dead watch would go on sending to servers that drain
-                log(f"discovery: {error!r}")
+                log(f"discovery: {error!r}; {ASKED_AGAIN}")
             if self._sources is not None:
                 await asyncio.sleep(self._sources.failed(self._retry_after))
                 continue
@@ -286,7 +289,7 @@
             if self._held is None and news.version < self._version:
                 raise ValueError("the list is older than the one held")
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            log(f"discovery: {error}")
+            log(f"discovery: {error}; {getattr(error, 'action', ASKED_AGAIN)}")
             if self._sources is not None:
                 self._sources.failed(channel.retry_after if channel is not None else 0.0)
             self._news("refused", None)
@@ -319,7 +322,7 @@
         if why is not None:
             raise Doubted(why, first)
         if bad:
-            log(f"discovery: entries kept as they were: {bad}")
+            log(f"discovery: entries kept as they were: {bad}; register those servers anew, in good form")
             news = self._held.mended(news, bad)
         return news
 
--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -333,7 +333,7 @@
 
     def _overdue(self, request: Request) -> None:
         if self._end(request):
-            log(f"request {request.id}: no answer at its deadline")
+            log(f"request {request.id}: no answer at its deadline; report it")
             request.call.failed(True)
             self._ask(request, self._balancer.client_gone, request.id)
 
@@ -457,7 +457,7 @@
     def _send(self, action: model.Send) -> None:
         request = self._requests.get(action.request)
         if request is None:
-            log(f"a send for request {action.request}, which is not held")
+            log(f"a send for request {action.request}, which is not held; report it")
             return
         now = self._clock.now()
         left = request.call.budget if request.call.reading else request.give_up_at - now
--- a/fordtrestle/framing.py
+++ b/fordtrestle/framing.py
@@ -105,6 +105,8 @@
 class BadAnswer(Exception):
     """What came is not HTTP, or is larger than allowed."""
 
+    action = "look at the server: the attempt counts as broken, and others serve the request"
+
 
 class AnswerParser:
     """The answers that come on one connection, one after the other."""
--- a/fordtrestle/handover.py
+++ b/fordtrestle/handover.py
@@ -29,7 +29,7 @@
             return False
         except OSError as error:
             if not self.held:
-                log(f"handover: {self._path}: {error.strerror}")
+                log(f"handover: {self._path}: {error.strerror}; name a TMPDIR that can be written")
         self.held = True
         return True
 
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -52,6 +52,8 @@
 class BadRequest(Exception):
     """A request that is answered here, with this status."""
 
+    action = "the client has to mend its request as the answer says; 503 may be sent again"
+
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
         self.status = status
--- a/fordtrestle/lifecycle.py
+++ b/fordtrestle/lifecycle.py
@@ -18,6 +18,8 @@
 class Impossible(Exception):
     """A change that the present state doesn't allow; its text is one line."""
 
+    action = "wait for the start to end; a process that stops comes back by a new start only"
+
 
 class Lifecycle:
     """Sole owner of the state; whoever acts on changes is called after each."""
