Answer bad input at every command with one line, never a traceback

Each is now a typed error at the place that knows most: settings.address takes only what a resolver takes (host names in their ASCII form, IPv6), what comes over the wire is read as its type, and experiments are checked whole before anything starts. A measurement of zero rounds or no time is refused.

--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -54,6 +54,7 @@
 
 At = Annotated[str, typer.Option(help="HOST:PORT of the list service.")]
 Json = Annotated[bool, typer.Option("--json", help="JSON instead of text.")]
+Rounds = Annotated[int, typer.Option(min=1, help="How often each is measured.")]
 Config = Annotated[Path, typer.Option(help="A TOML file.")]
 
 
@@ -195,10 +196,12 @@
 
 
 @registry.command()
-def bench(rounds: int = 3, seconds: float = 3.0) -> None:
+def bench(rounds: Rounds = 3, seconds: float = 3.0) -> None:
     """Measure one list service on this machine; a table in Markdown, in about a minute a round."""
     from brassfall.registry import bench as bench_
 
+    if not 0.1 <= seconds <= 600.0:
+        raise UsageError("--seconds", f"{seconds:g} is not between 0.1 and 600", "Name a time in between.")
     typer.echo(_run(bench_.run(rounds, seconds, lambda text: typer.echo(text, err=True))))
 
 
@@ -226,7 +229,7 @@
 
 
 @lab.command("bench")
-def bench_lab(rounds: int = 3, compiled: bool = False) -> None:
+def bench_lab(rounds: Rounds = 3, compiled: bool = False) -> None:
     """Measure what simulated plays cost on this machine; a table in Markdown, in some minutes."""
     from brassfall.lab import bench as bench_
 
--- a/brassfall/lab/arrivals.py
+++ b/brassfall/lab/arrivals.py
@@ -34,12 +34,13 @@
                 try:
                     row = decode(line)
                 except msgspec.MsgspecError as error:
-                    raise SettingsError(f"{path}: line {number}: {error}") from error
+                    raise SettingsError(f"{path}: line {number}", str(error)) from error
                 rows.append((row.at_ms, row.cls, row.app, row.work_ms))
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (OSError, ValueError) as error:  # the latter: no name that a file can have
+        why = error.strerror if isinstance(error, OSError) else None
+        raise SettingsError(str(path), why or str(error)) from error
     if not rows:
-        raise SettingsError(f"{path}: no arrivals")
+        raise SettingsError(str(path), "no arrivals")
     return rows
 
 
--- a/brassfall/lab/compare.py
+++ b/brassfall/lab/compare.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -11,12 +10,13 @@
 import numpy as np
 
 from brassfall.lab.play import Result
-from brassfall.settings import SettingsError
+from brassfall.settings import SettingsError, read_toml
 
 FIGURES = ("service", "worst_window", "worst_class", "goal")
 RESAMPLES = 10_000
 CONFIDENCE = 95.0
 PAIRS_LEAST = 3
+FINISH = "Name folders in which `lab run` has played one experiment to its end, with two versions in all."
 # What may differ between two experiments that play the same days.
 FREE = ("versions",)
 FREE_HEAD = ("name", "mode", "repeats", "first_seed", "workers", "compiled")
@@ -93,30 +93,36 @@
     first: dict[str, object] | None = None
     for folder in folders:
         try:
-            experiment = tomllib.loads((folder / "experiment.toml").read_text(encoding="utf-8"))
+            experiment = read_toml(folder / "experiment.toml")
             lines = (folder / "plays.jsonl").read_bytes().splitlines()
+            results = [msgspec.json.decode(line, type=Result) for line in lines]
+        except SettingsError as error:
+            raise SettingsError(error.what, error.why, FINISH) from error
         except OSError as error:
-            raise SettingsError(f"{error.filename}: {error.strerror}; no finished experiment?") from error
+            raise SettingsError(str(error.filename), error.strerror or "", FINISH) from error
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise SettingsError(str(folder / "plays.jsonl"), str(error), FINISH) from error
         day = _day(experiment)
         first = day if first is None else first
         differ = sorted(key for key in first.keys() | day.keys() if first.get(key) != day.get(key))
         if differ:
-            raise SettingsError(
-                f"{folder}: {differ[0]} is not as in {folders[0]}: other days are played there"
-            )
-        results = [msgspec.json.decode(line, type=Result) for line in lines]
+            why = f"{differ[0]} is not as in {folders[0]}: other days are played there"
+            raise SettingsError(str(folder), why, FINISH)
         prefix = f"{folder.name}/" if len(folders) > 1 else ""
         for version in dict.fromkeys(result.version for result in results):
             plays = {r.seed: r for r in results if r.version == version and r.valid and r.judgement}
             found.append(Side(f"{prefix}{version}", plays))
     if len(found) < 2:
-        raise SettingsError(f"{folders[0]}: holds one version only; there is nothing to compare it with")
+        raise SettingsError(str(folders[0]), "holds one version only, which is nothing to compare", FINISH)
     return found
 
 
-def _day(experiment: dict[str, dict[str, object]]) -> dict[str, object]:
+def _day(experiment: dict[str, object]) -> dict[str, object]:
     """What of an experiment decides its days."""
-    head = {key: value for key, value in experiment["experiment"].items() if key not in FREE_HEAD}
+    told = experiment.get("experiment")
+    head = (
+        {key: value for key, value in told.items() if key not in FREE_HEAD} if isinstance(told, dict) else {}
+    )
     return {**{key: value for key, value in experiment.items() if key not in FREE}, "experiment": head}
 
 
@@ -126,7 +132,7 @@
     made = []
     for other in others:
         if not base.results.keys() & other.results.keys():
-            raise SettingsError(f"{other.name} and {base.name} have no seed in common")
+            raise SettingsError(f"{other.name} and {base.name} have no seed in common", action=FINISH)
         rules: dict[str, int] = {}
         for result in other.results.values():
             for finding in result.judgement.findings if result.judgement else ():
--- a/brassfall/lab/compiled.py
+++ b/brassfall/lab/compiled.py
@@ -30,6 +30,7 @@
 )
 MODULE = ("balancer.py", "model.py", "shedding.py")
 LIMIT_S = 600.0
+WITHOUT = "Install mypy and a C compiler, or take `compiled` out: the results are the same, and take longer."
 
 
 def tree(root: Path, code: Path, say: Callable[[str], None]) -> Path:
@@ -38,9 +39,9 @@
     `SettingsError` if it can't be made; takes about a minute the first time.
     """
     if importlib.util.find_spec("mypyc") is None:
-        raise SettingsError("experiment.compiled: mypyc is not installed (it comes with mypy)")
+        raise SettingsError("experiment.compiled", "mypyc is not installed", WITHOUT)
     if not any(shutil.which(name) for name in ("cc", "gcc", "clang")):
-        raise SettingsError("experiment.compiled: there is no C compiler")
+        raise SettingsError("experiment.compiled", "there is no C compiler", WITHOUT)
     module = [f"poppypulley/{name}" for name in MODULE if (code / "poppypulley" / name).exists()]
     cache = Path(os.environ.get("XDG_CACHE_HOME") or Path.home() / ".cache") / "brassfall" / "compiled"
     folder = cache / _digest(root, code)
@@ -57,7 +58,7 @@
         made = subprocess.run(words, cwd=part, capture_output=True, text=True, timeout=LIMIT_S)
         if made.returncode:
             lines = (made.stdout + made.stderr).strip().splitlines()
-            raise SettingsError(f"experiment.compiled: {lines[-1] if lines else 'mypyc failed'}")
+            raise SettingsError("experiment.compiled", lines[-1] if lines else "mypyc failed", WITHOUT)
         shutil.rmtree(part / "build", ignore_errors=True)
         with contextlib.suppress(OSError):  # another lab was faster with the same
             part.replace(folder)
--- a/brassfall/lab/play.py
+++ b/brassfall/lab/play.py
@@ -56,7 +56,9 @@
         "poppypulley", package / "__init__.py", submodule_search_locations=[str(package)]
     )
     if found is None or found.loader is None or not (package / "__init__.py").exists():
-        raise SettingsError(f"{code}: no decision module there")
+        raise SettingsError(
+            str(code), "no decision module there", "Name a revision that has the folder poppypulley."
+        )
     module = importlib.util.module_from_spec(found)
     sys.modules["poppypulley"] = module
     found.loader.exec_module(module)
--- a/brassfall/lab/quantities.py
+++ b/brassfall/lab/quantities.py
@@ -20,6 +20,8 @@
     value = float(number) * units[unit]
     if value < 0.0:
         raise ValueError(f"{text!r} is negative")
+    if not math.isfinite(value):
+        raise ValueError(f"{text!r} is out of range")
     return value
 
 
--- a/brassfall/lab/runner.py
+++ b/brassfall/lab/runner.py
@@ -25,7 +25,8 @@
 from brassfall.lab.arrivals import experiment
 from brassfall.lab.play import Order, Result
 from brassfall.lab.sim.flaws import FLAWS
-from brassfall.settings import SettingsError
+from brassfall.settings import SettingsError, read_toml
+from poppypulley import model
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 TELL_EVERY_S = 2.0
@@ -33,6 +34,7 @@
 # The threads that numpy's library would start spin beside the play, and use up its core.
 ONE_THREAD = {"OPENBLAS_NUM_THREADS": "1", "OMP_NUM_THREADS": "1", "MKL_NUM_THREADS": "1"}
 Say = Callable[[str], None]
+ELSEWHERE = "Name another folder in --out, or move what is there away."
 
 
 @dataclass(slots=True)
@@ -141,8 +143,12 @@
 
 
 def load(path: Path) -> Result:
-    """A result that was written down."""
-    return msgspec.json.decode(path.read_bytes(), type=Result)
+    """A result that was written down; `SettingsError` if it is none."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Result)
+    except (msgspec.MsgspecError, ValueError) as error:
+        action = "Take that file away, and run the experiment again: it plays what is missing."
+        raise SettingsError(str(path), str(error), action) from error
 
 
 def prepare(file: Path, out: Path, say: Say) -> Run:
@@ -182,30 +188,39 @@
         if told.experiment.compiled and told.experiment.mode == "real":
             raise SettingsError(f"{file}: experiment.compiled: only simulated experiments are compiled")
         if version.revision is None:
+            _check_settings(f"{at}.settings", told, version)
             continue
         named = ["git", "-C", str(ROOT), "rev-parse", "--verify", "--quiet", f"{version.revision}^{{commit}}"]
-        found = subprocess.run(named, capture_output=True, text=True)
-        if found.returncode:
+        found = None if "\0" in version.revision else subprocess.run(named, capture_output=True, text=True)
+        if found is None or found.returncode:
             raise SettingsError(f"{at}.revision: {version.revision!r} is no revision of this repository")
         commits[version.name] = found.stdout.strip()
     return commits
 
 
+def _check_settings(at: str, told: spec.Experiment, version: spec.Version) -> None:
+    """Whether the decision module that stands here takes the settings of a version."""
+    try:
+        model.Settings.parse(day.wire_settings(told, 0, version.settings))
+    except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as error:
+        raise SettingsError(at, f"the decision module does not take them: {error!r}") from error
+
+
 def _lay_out(file: Path, told: spec.Experiment, out: Path) -> None:
     """The folder of the results, with the experiment in it."""
     text = file.read_text(encoding="utf-8")
     kept = out / "experiment.toml"
-    if kept.exists() and tomllib.loads(kept.read_text(encoding="utf-8")) != tomllib.loads(text):
-        raise SettingsError(f"{out}: holds another experiment, or one that was changed since")
+    if kept.exists() and read_toml(kept) != tomllib.loads(text):
+        raise SettingsError(str(out), "holds another experiment, or one that was changed since", ELSEWHERE)
     if out.exists() and not kept.exists() and (not out.is_dir() or any(out.iterdir())):
-        raise SettingsError(f"{out}: is not an empty folder, and holds no experiment")
+        raise SettingsError(str(out), "is not an empty folder, and holds no experiment", ELSEWHERE)
     try:
         out.mkdir(parents=True, exist_ok=True)
         kept.write_text(text, encoding="utf-8")
         if told.load.replay is not None:
             shutil.copyfile(file.parent / told.load.replay, out / Path(told.load.replay).name)
     except OSError as error:
-        raise SettingsError(f"{out}: {error.strerror}") from error
+        raise SettingsError(str(out), error.strerror or str(error), ELSEWHERE) from error
 
 
 def _checked_out(commit: str, out: Path, say: Say) -> str:
--- a/brassfall/lab/spec.py
+++ b/brassfall/lab/spec.py
@@ -16,6 +16,7 @@
 
 Part = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Some = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+LASTS_MOST_MS = 86_400_000.0
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 
 
@@ -298,13 +299,15 @@
     try:
         return check(msgspec.convert(raw, Experiment, strict=True, dec_hook=read))
     except (msgspec.ValidationError, ValueError) as error:
-        raise SettingsError(f"{path}: {error}") from error
+        raise SettingsError(str(path), str(error)) from error
 
 
 def check(told: Experiment) -> Experiment:
     """The same experiment, if its values make sense together; `ValueError` names the first that does not."""
     if told.experiment.lasts <= 0.0:
         raise ValueError("experiment.for: nothing is played in no time")
+    if told.experiment.lasts > LASTS_MOST_MS:
+        raise ValueError("experiment.for: a day is the most")
     if (told.load.share is None) + (told.load.rate is None) + (told.load.replay is None) != 2:
         raise ValueError("load: one of share, rate and replay is wanted")
     if told.load.rate is not None and told.load.rate > 1e6:
--- a/brassfall/lab/transcriber.py
+++ b/brassfall/lab/transcriber.py
@@ -18,11 +18,13 @@
 import msgspec
 from aiohttp import web
 
+from brassfall.errors import CantListen
 from brassfall.logs import logger
 from brassfall.registry.client import Member
 from brassfall.settings import address
 
 TOLD_S = 0.55  # sidecars send nothing new from 500 ms on, and a little for the way
+UNLISTED = "End the other process of that name, or mend what the list service refuses."
 REFUSED_FROM_S = 1.0  # after that what still comes is turned away
 
 log = logger("server")
@@ -103,7 +105,11 @@
         runner = web.AppRunner(app, access_log=None, keepalive_timeout=15.0)
         await runner.setup()
         site = web.TCPSite(runner, *address(listen))
-        await site.start()
+        try:
+            await site.start()
+        except OSError as error:
+            await runner.cleanup()
+            raise CantListen(listen, error.strerror or str(error)) from error
         host, port = runner.addresses[0][:2]
         entry = {
             "name": name,
@@ -123,7 +129,7 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         if lost.done():
-            log.error("not in the list", reason=lost.result())
+            log.error("not in the list", reason=lost.result(), action=UNLISTED)
         await _drain(server, member)
         await runner.cleanup()
     return 1 if lost.done() and not stop.is_set() else 0
--- a/brassfall/registry/client.py
+++ b/brassfall/registry/client.py
@@ -10,12 +10,15 @@
 
 import aiohttp
 import msgspec
+from aiohttp.http import HttpProcessingError
 
 from brassfall.errors import Unreachable
 from brassfall.logs import logger
 from brassfall.registry.membership import Call, Membership, Place
 
 CALL_S = 2.0
+# The last two: an address that is no URL, and a line or a head without end.
+UNANSWERED = (aiohttp.ClientError, TimeoutError, OSError, ValueError, HttpProcessingError)
 UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 ANOTHER = "Another program seems to listen there: name the address of a list service."
 SILENT_S = 4.5  # a watch brings an empty line every 2 s
@@ -112,7 +115,7 @@
                 retry = _seconds(answer.headers.get("Retry-After"))
                 reason = "" if answer.status == 200 else _reason(body)
                 self.state.ended(_now(), answer.status, chance, retry, reason)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except UNANSWERED:
             self.state.ended(_now(), 0, chance)
 
 
@@ -124,8 +127,8 @@
             session.request(method, f"http://{address}{path}", json=body) as answer,
         ):
             data = await answer.read()
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-        raise CallError(address, str(error) or "no answer") from error
+    except UNANSWERED as error:
+        raise CallError(address, str(error)[:200] or "no answer") from error
     if answer.status != 200:
         raise _refused(address, answer.status, data)
     try:
@@ -146,8 +149,8 @@
                 raise _refused(address, answer.status, await answer.read())
             async for line in answer.content:
                 yield line.strip()
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:  # the last: a line without end
-        raise CallError(address, str(error) or "the watch fell silent") from error
+    except UNANSWERED as error:
+        raise CallError(address, str(error)[:200] or "the watch fell silent") from error
 
 
 def read(address: str, kind: type[Kind], raw: Any) -> Kind:
--- a/brassfall/settings.py
+++ b/brassfall/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -10,6 +12,10 @@
 
 from brassfall.errors import UsageError
 
+PORT = re.compile(r"[0-9]{1,5}")
+# What a resolver takes without an error of its own: labels of up to 63 characters.
+HOST = re.compile(r"(?=.{1,253}$)[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*\.?")
+
 
 class SettingsError(UsageError):
     """A file that can't be used; its text is one line with file, key and reason."""
@@ -90,10 +96,18 @@
 
 def address(text: str) -> tuple[str, int]:
     """`HOST:PORT` as a pair; `ValueError` if it is none."""
-    host, found, port = text.rpartition(":")
-    if not found or not host or not (port.isascii() and port.isdigit()) or int(port) > 65_535:
-        raise ValueError(f"{text!r} is no HOST:PORT")
-    return host.strip("[]"), int(port)
+    host, _, port = text.rpartition(":")
+    bare = host[1:-1] if host.startswith("[") and host.endswith("]") else host
+    if not PORT.fullmatch(port) or int(port) > 65_535 or not (HOST.fullmatch(host) or _is_ipv6(bare)):
+        raise ValueError(f"{text[:140]!r} is no HOST:PORT")
+    return bare, int(port)
+
+
+def _is_ipv6(text: str) -> bool:
+    try:
+        return ipaddress.ip_address(text).version == 6
+    except ValueError:
+        return False
 
 
 def read_toml(path: Path) -> dict[str, Any]:
@@ -120,7 +134,7 @@
 def check(settings: RegistrySettings) -> RegistrySettings:
     """The same settings, if their values make sense; `ValueError` names the first that does not."""
     address(settings.listen)
-    if not settings.data:
+    if not settings.data or "\0" in settings.data:
         raise ValueError("registry.data: no folder is named")
     if settings.cluster is not None:
         raise ValueError("registry.cluster: this version runs one list service, without replicas")
