Keep the sidecar's hint for a failed call for the list in one place

The line for an unforeseen end of a watch names the fault already, and what follows it is the same call again; the hint stands with the lines where an operator can do something.

--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -22,10 +22,10 @@
 LINE_MOST = 4 * 1024 * 1024
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 2.0
 HELD = "X-Held-Index"  # tells our own list service which version an asker of the whole list has
-ASKED_AGAIN = "see that it runs at its address; it is asked again by itself, and the list held serves"
 LOOK_S = 1.0  # at the age of the list
 
 News = Callable[[str, ServerList | None], None]
+ASKED_AGAIN = "see that it runs at its address; it is asked again by itself, and the list held serves"
 
 
 class Doubted(ValueError):
@@ -240,7 +240,7 @@
                 if await self._watch():
                     wait = BACKOFF_S
             except Exception as error:  # a dead watch would go on sending to servers that drain
-                log(f"discovery: {error!r}; {ASKED_AGAIN}")
+                log(f"discovery: {error!r}")
             if self._sources is not None:
                 await asyncio.sleep(self._sources.failed(self._retry_after))
                 continue
