--- a/brassfall/lab/arrivals.py
+++ b/brassfall/lab/arrivals.py
@@ -1,4 +1,4 @@
-"""Arrivals files: what was asked on a recorded day, one JSON object a line."""
+"""Arrivals files: what was asked on a recorded day, one JSON object a line; and experiments with theirs."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from brassfall.lab import spec
 from brassfall.settings import SettingsError
 
 NotNegative = Annotated[float, msgspec.Meta(ge=0.0, lt=1e9)]
@@ -33,10 +34,19 @@
                 try:
                     row = decode(line)
                 except msgspec.MsgspecError as error:
-                    raise SettingsError(f"{path}: line {number}: {error}") from error
+                    raise SettingsError(f"{path}: line {number}", str(error)) from error
                 rows.append((row.at_ms, row.cls, row.app, row.work_ms))
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (OSError, ValueError) as error:  # the latter: no name that a file can have
+        why = error.strerror if isinstance(error, OSError) else None
+        raise SettingsError(str(path), why or str(error)) from error
     if not rows:
-        raise SettingsError(f"{path}: no arrivals")
+        raise SettingsError(str(path), "no arrivals")
     return rows
+
+
+def experiment(path: Path) -> tuple[spec.Experiment, list[tuple[float, str, int, float]]]:
+    """The experiment of a file, and the rows of its arrivals file, if it names one."""
+    told = spec.load(path)
+    if told.load.replay is None:
+        return told, []
+    return told, load(path.parent / told.load.replay)
--- a/brassfall/lab/play.py
+++ b/brassfall/lab/play.py
@@ -19,7 +19,9 @@
 
 import msgspec
 
-from brassfall.lab import arrivals, day, judge, ledger, spec
+from brassfall.errors import BrassfallError
+from brassfall.lab import day, judge, ledger, spec
+from brassfall.lab.arrivals import experiment
 from brassfall.settings import SettingsError
 
 SLACK_MS = {"simulated": 30.0, "real": 120.0}  # for transit, where rules have time limits
@@ -54,20 +56,14 @@
         "poppypulley", package / "__init__.py", submodule_search_locations=[str(package)]
     )
     if found is None or found.loader is None or not (package / "__init__.py").exists():
-        raise SettingsError(f"{code}: no decision module there")
+        raise SettingsError(
+            str(code), "no decision module there", "Name a revision that has the folder poppypulley."
+        )
     module = importlib.util.module_from_spec(found)
     sys.modules["poppypulley"] = module
     found.loader.exec_module(module)
 
 
-def experiment(path: Path) -> tuple[spec.Experiment, list[tuple[float, str, int, float]]]:
-    """The experiment of a file, and the rows of its arrivals file, if it names one."""
-    told = spec.load(path)
-    if told.load.replay is None:
-        return told, []
-    return told, arrivals.load(path.parent / told.load.replay)
-
-
 def judged(folder: Path, told: spec.Experiment) -> judge.Judgement:
     """Hold the ledger in a folder against the rules."""
     book = judge.Book(
@@ -119,7 +115,7 @@
 def perform(order: Order) -> Result:
     """Play a day with real processes."""
     from brassfall.lab.real.conductor import conduct
-    from brassfall.lab.real.troupe import ROOT, PlayError
+    from brassfall.lab.real.troupe import ROOT
 
     told, recorded = experiment(Path(order.experiment))
     version = next(version for version in told.versions if version.name == order.version)
@@ -133,10 +129,7 @@
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         return await conduct(told, version, drawn, folder, code, order.experiment, _progress(order))
 
-    try:
-        why, crashes, cost, events = asyncio.run(work())
-    except PlayError as error:
-        raise SettingsError(str(error)) from error
+    why, crashes, cost, events = asyncio.run(work())
     judgement = judged(folder, told)
     judgement.findings += [judge.Finding("crashed", 1, crash) for crash in crashes]
     return Result(order.version, order.seed, not why, why, judgement, events, cost)
@@ -168,7 +161,7 @@
     try:
         real = spec.load(Path(order.experiment)).experiment.mode == "real"
         result = perform(order) if real else simulate(order)
-    except (SettingsError, day.DayError) as error:
+    except BrassfallError as error:
         print(error, file=sys.stderr)
         return 2
     except (KeyboardInterrupt, asyncio.CancelledError):
--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -28,6 +28,7 @@
 # longest deadline and 0.7 s after it: whatever comes late is answered before that.
 STILL_LISTEN_S = 0.5
 LONGEST_MS, ANSWERED_MS = 3000.0, 550.0
+CANT_LISTEN = "end whoever has that address or name another, and start it again"
 POLL_S = 0.02
 LOOK_S = 0.25  # for another process of this sidecar, which takes longer to start
 LAST_BYTES_S = 0.3
@@ -112,7 +113,7 @@
             told = config.load({**environment, "NODE_DISCOVERY": ""})
             self.adopt(told if self.part is None else self.part.file_read(told))
         except ConfigError as error:
-            log(f"reload: {error}; nothing is changed")
+            log(f"reload: {error}; nothing is changed; mend the file and send SIGHUP again")
             return
         log(f"reload: done, classes {', '.join(self._told.names.classes)}")
 
@@ -188,12 +189,12 @@
     try:
         told = config.load(os.environ)
     except ConfigError as error:
-        log(str(error))
+        log(f"{error}; {error.action}")
         return 2
     try:
         asyncio.run(serve(told))
     except OSError as error:
-        log(f"can't start: {error}")
+        log(f"can't start: {error}; {CANT_LISTEN}")
         return 1
     return 0
 
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -53,6 +53,8 @@
 class BadRequest(Exception):
     """A request that is answered here, with this status."""
 
+    action = "the client has to mend its request as the answer says; 503 may be sent again"
+
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
         self.status = status
