Ask discovery again in time: after silence, lost connections, a move and at a start

Held against the standing test's sentences on lists, the calls came too late in five cases, in each by a wait of their own: (1) asked lists: after a silent watch the module waited its 0.5 to 1 s more, and a call that waits its turn for 1 s was answered 6.4 s after the silence began, told after 6 s; (2) a connection that did not come up was given up after 4.5 s, so news was 3.5 s late once a cut was over; (3) pushed lists: after failures in a row the wait grew to 3 s, 1.6 s late, while what the agent has counts at once; (4) asked lists: a call that failed after SIGHUP left the next to a module that had grown patient, 4.5 s, told after 4 s; (5) a new process with pushed lists took clients before its agent had answered, and sent to a server that the agent had told of as gone.

Now a silent watch is opened again at once by the shell (4.65 s), a connection has 1 s, pushed lists are asked for again within 0.45 s, after a move calls are made again for 4 s without the module, and a process with pushed lists waits for the first answer, failure or 1 s. A call answered 503 no longer resets the wait. Lists that come indented are taken from a watch, too: each line was taken for a list of its own. What is written on the wire is as before.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -29,6 +29,7 @@
 LAST_BYTES_S = 0.3
 # A process that replaces another says yes within 6 s; the module asks discovery within 2.5 s.
 FIRST_LIST_S = 4.0
+FIRST_CALL_S = 1.0  # for an agent that takes the call and says nothing
 
 
 class Sidecar:
@@ -61,6 +62,8 @@
         if self._share():
             log("another process of this sidecar serves: waiting for the list before taking clients")
             await self.discovery.first_answer(FIRST_LIST_S)
+        else:
+            await self.discovery.first_call(FIRST_CALL_S)
         address = self.inbound.listen(self._told.listen, self._told.inherited)
         self.life.serve()
         return address
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -17,10 +17,17 @@
 
 PATH = "/registry/instances"
 # An empty line comes every 2 s: a connection that misses two of them is broken.
+# What is missed in silence counts as told 6 s after it began: the call that follows has to fit in, too.
 SILENT_S = 4.5
-FETCH_S = 5.0
+FETCH_S = 4.5  # the same, from the call on
+# A connection comes up at once or was lost on its way: the system asks again only 1, 3 and 7 s later.
+CONNECT_S = 1.0
+CLOCK_STEP_S = 0.001  # less is left only by rounding
 LINE_MOST = 4 * 1024 * 1024
-BACKOFF_S, BACKOFF_MOST_S = 0.1, 2.0
+# A pushed list counts from the moment the agent has it, and sends that go wrong for half a second:
+# within that the watch has to be open again once the agent can be reached.
+BACKOFF_S, BACKOFF_MOST_S = 0.1, 0.3
+MOVED_S = 4.0  # after a move, what the new address has counts as told
 HELD = "X-Held-Index"  # tells our own list service which version an asker of the whole list has
 LOOK_S = 1.0  # at the age of the list
 
@@ -36,10 +43,13 @@
 
 
 class Channel(asyncio.Protocol):
-    """One connection to discovery: its answer is cut into lines as it comes."""
+    """One connection to discovery: its answer is cut into lines as it comes, and what was spread over
+    several lines is joined again."""
 
-    def __init__(self, request: bytes, on_line: Callable[[bytes], None]) -> None:
+    def __init__(self, request: bytes, on_line: Callable[[bytes], None], called_at: float) -> None:
         self._request = request
+        self._object = bytearray()  # one that has begun: lists may come indented
+        self._depth = 0
         self._empties = 0
         self._told = False  # whether a line with something in it has come
         self.retry_after = 0.0
@@ -50,10 +60,11 @@
         self._status = 0
         self._transport: asyncio.Transport
         self._loop = asyncio.get_running_loop()
-        self.heard = False
-        self.heard_at = self._loop.time()
+        self.taken = False  # the call was: what follows is an answer
+        self.heard_at = called_at
         self.broken = self._loop.create_future()
         self.complete = False
+        self.silent = False  # it was given up for that
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask."""
@@ -64,7 +75,7 @@
 
     def data_received(self, data: bytes) -> None:
         """A part of the answer; what is no HTTP, no list or refused ends the connection."""
-        self.heard, self.heard_at = True, self._loop.time()
+        self.heard_at = self._loop.time()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -104,6 +115,7 @@
         self._status = self._parser.get_status_code()
         if self._status != 200:
             raise ValueError(f"status {self._status}")
+        self.taken = True
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser: whole lines are passed on, empty ones show only that it lives."""
@@ -119,20 +131,35 @@
         """Called by the parser: a last line may lack its end."""
         self._take(self._buffer)
         self._buffer = bytearray()
+        if self._object:
+            self._give()  # half of one: whoever reads it says what is wrong
         self.complete = True
         self._done()
 
     def _take(self, line: bytearray) -> None:
         if self.broken.done():
             return
-        if line.strip():
-            self._on_line(bytes(line))
-            self._told = True
+        text = line.strip()
+        if text:
+            on_one_line = not self._object and text.startswith(b"{") and text.endswith(b"}")
+            self._object += text
+            self._depth += text.count(b"{") - text.count(b"}")
+            if len(self._object) > LINE_MOST:
+                raise ValueError("a line is too long")
+            if not on_one_line and self._depth > 0:
+                return
         else:
             self._empties += 1
+        if self._object:
+            self._give()
         if self.age is not None and self._told:
             self.age.confirmed(self.asked_at, self._loop.time(), self._empties)
 
+    def _give(self) -> None:
+        whole, self._object, self._depth = bytes(self._object), bytearray(), 0
+        self._on_line(whole)
+        self._told = True
+
 
 class Discovery:
     """The list of servers, as this sidecar is told of it.
@@ -161,6 +188,7 @@
         self._looking: asyncio.TimerHandle | None = None
         self._watching: asyncio.Task[None] | None = None
         self._first = asyncio.Event()
+        self._called = asyncio.Event()  # the first call is answered, or over
         self._fetches: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
@@ -194,6 +222,13 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._first.wait(), limit)
 
+    async def first_call(self, limit: float) -> None:
+        """Where lists are pushed, wait until the first call is answered or has failed, or the limit is
+        over: what the agent has counts as told from the first moment of a process."""
+        if self._pushed:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._called.wait(), limit)
+
     def watch(self, on: bool) -> None:
         """The module asks for changes, or for no more of them."""
         if self._pushed:
@@ -206,7 +241,8 @@
         """Discovery has another address: what it says goes on from the version held, told there.
 
         At once and also where no watch is open: the news counts as told 4 s after the move, and the
-        module may be waiting for longer before it asks again."""
+        module may be waiting for longer before it asks again. For the same reason a call that fails
+        there is made again without the module."""
         if (address, listed) == (self._address, self._listed):
             return
         self._address, self._listed = address, listed
@@ -214,7 +250,10 @@
             self._sources = Sources(listed, self._rng)
         if self._watching is not None:
             self._watching.cancel()
-        self._watching = self._loop.create_task(self._keep_watch() if self._pushed else self._watch_once())
+        until = self._loop.time() + MOVED_S
+        self._watching = self._loop.create_task(
+            self._keep_watch() if self._pushed else self._watch_once(until)
+        )
 
     def fetch(self) -> None:
         """The module asks for the whole list once."""
@@ -234,49 +273,70 @@
         wait = BACKOFF_S
         while True:
             try:
-                if await self._watch():
+                channel = await self._watch()
+                if channel is not None and channel.taken:
                     wait = BACKOFF_S
             except Exception as error:  # a dead watch would go on sending to servers that drain
                 log(f"discovery: {error!r}")
+            self._called.set()
             if self._sources is not None:
                 await asyncio.sleep(self._sources.failed(self._retry_after))
                 continue
-            await asyncio.sleep(wait * (0.5 + self._rng.random()))
+            await self._pause(wait)
             wait = min(2.0 * wait, BACKOFF_MOST_S)
 
-    async def _watch_once(self) -> None:
-        await self._watch()
+    async def _pause(self, wait: float) -> None:
+        """Wait before the next call, spread: every sidecar loses its watch in the same moment."""
+        await asyncio.sleep(wait * (0.5 + self._rng.random()))
+
+    async def _watch_once(self, until: float = -math.inf) -> None:
+        """Watch until the module has to hear that it is over. It has a time of its own until it asks
+        again, for which what a silent watch misses does not wait, nor what was told by a move; a call
+        that was not taken by `until` is made again, too."""
+        wait = BACKOFF_S
+        channel = await self._watch()
+        while self._sources is None:
+            taken = channel is not None and channel.taken
+            if channel is not None and channel.silent:
+                wait = BACKOFF_S
+            elif taken or self._loop.time() >= until:
+                break
+            await self._pause(wait)
+            wait = min(2.0 * wait, BACKOFF_MOST_S)
+            channel = await self._watch()
         if self._sources is not None:
-            wait = self._sources.failed(self._retry_after)
+            pause = self._sources.failed(self._retry_after)
             # The module has a time of its own until it asks again; it begins once that may be.
-            await asyncio.sleep(wait if self._retry_after else 0.0)
+            await asyncio.sleep(pause if self._retry_after else 0.0)
         self._watching = None
         self._news("refused", None)
 
-    async def _watch(self) -> bool:
-        """Watch until the connection ends or falls silent; whether anything came."""
-        channel = await self._open(f"{PATH}?watch=1&from={self._version}", self._changed, SILENT_S)
+    async def _watch(self) -> Channel | None:
+        """Watch until the connection ends or falls silent; the connection, if one came up."""
+        channel = await self._open(f"{PATH}?watch=1&from={self._version}", self._changed)
         if channel is None:
-            return False
+            return None
         if self._sources is not None:
             channel.age = self._age
         try:
             # Guards against a machine that is cut off: its connections stay open and silent.
-            while (left := channel.heard_at + SILENT_S - self._loop.time()) > 0.0:
+            while (left := channel.heard_at + SILENT_S - self._loop.time()) > CLOCK_STEP_S:
                 await asyncio.wait((channel.broken,), timeout=left)
                 if channel.broken.done():
                     break
+            channel.silent = not channel.broken.done()
         finally:
             channel.close()
             self._retry_after = channel.retry_after
-        return channel.heard
+        return channel
 
     async def _fetch(self) -> None:
         got: list[bytes] = []
-        channel = await self._open(PATH, got.append, FETCH_S)
+        until = self._loop.time() + FETCH_S
+        channel = await self._open(PATH, got.append)
         if channel is not None:
             try:
-                await asyncio.wait((channel.broken,), timeout=FETCH_S)
+                await asyncio.wait((channel.broken,), timeout=max(0.0, until - self._loop.time()))
             finally:
                 channel.close()
         try:
@@ -294,15 +354,16 @@
         self._age.confirmed(channel.asked_at, channel.heard_at, 0)
         self._tell("all", news)
 
-    async def _open(self, target: str, on_line: Callable[[bytes], None], limit: float) -> Channel | None:
+    async def _open(self, target: str, on_line: Callable[[bytes], None]) -> Channel | None:
         address = self._where
         more = f"{HELD}: {self._version}\r\n" if self._sources is not None else ""
         request = f"GET {target} HTTP/1.1\r\nHost: {address.host}:{address.port}\r\n{more}\r\n".encode()
         self._retry_after = 0.0
+        called_at = self._loop.time()
         try:
-            async with asyncio.timeout(limit):
+            async with asyncio.timeout(CONNECT_S):
                 _, channel = await self._loop.create_connection(
-                    lambda: Channel(request, on_line), address.host, address.port
+                    lambda: Channel(request, on_line, called_at), address.host, address.port
                 )
         except OSError:
             return None
@@ -345,4 +406,5 @@
             self._sources.worked()
             self._held.take(news)
         self._first.set()
+        self._called.set()
         self._news(form, news)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -148,9 +148,11 @@
 
 
 class Registry:
-    """Discovery: every watch and list call is kept, watches are written to by the test."""
+    """Discovery: every watch and list call is kept, watches are written to by the test; one that is
+    `current` tells each at once that it has nothing newer."""
 
-    def __init__(self, listed=()):
+    def __init__(self, listed=(), current=False):
+        self.current = current
         self.asked = []
         self.watches = []
         self.listed = listed
@@ -169,6 +171,8 @@
         if "watch=1" in target:
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self.watches.append(writer)
+            if self.current:
+                self.tell(int(target.rpartition("=")[2]))
             await reader.read()
         else:
             body = json.dumps(self.listed).encode()
@@ -240,12 +244,14 @@
 async def running(*upstreams, balancer=None, registry=None, raw=None, **settings):
     """A sidecar in this process, and the upstreams it knows."""
     own = registry is None
-    registry = await Registry().start() if own else registry
+    registry = await Registry(current=True).start() if own else registry
     made = Sidecar(
         asyncio.get_running_loop(), told(upstreams, registry=registry.address, raw=raw, **settings)
     )
     if balancer is not None:
         made.driver._balancer = balancer
+    if not registry.current:
+        made.discovery._called.set()  # this test's watches tell nothing before it has started
     made.address = await made.start()
     try:
         yield made
