Let a client see at once that its idle connection is closed, and test a planned end

An idle connection was closed by the loop one turn after the decision.

The end is now written in the same turn. A test sends from 40 clients, in one piece or in two, on every connection that stays open from a second before the stop until the process ends, three times: none lost, none closed between its parts, over before SIGKILL may come. Seen to fail where the drain does not wait, where it closes what has begun, and without the change.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import re
 from collections import deque
@@ -390,6 +391,10 @@
     def close(self) -> None:
         """Close it, between requests."""
         self._deaf = True
+        # The loop closes it a turn later: who looks before a send has to see it now, or what is sent
+        # meanwhile is taken and never answered. Where the client was first, there is nothing to tell.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
         self._transport.close()
 
     def abort(self) -> None:
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -8,6 +8,8 @@
 import asyncio
 import functools
 import json
+import os
+import random
 import socket
 
 import looptime
@@ -15,10 +17,22 @@
 
 from fordtrestle import config
 from poppypulley.model import Fetch
-from tests.loopback import OK, App, Registry, Scripted, Upstream, entry, listed, read_message, running
+from tests.loopback import (
+    OK,
+    App,
+    Registry,
+    Scripted,
+    Upstream,
+    entry,
+    listed,
+    read_message,
+    request,
+    running,
+)
 
 TOLD_S = 6.0  # after a silence began, what was missed in it counts as told
 MOVED_S = 4.0  # after SIGHUP
+KILLED_S = 3.7  # after SIGTERM, at the soonest
 SENDS_ON_S = 0.5  # to a server of which it is told that it leaves
 
 
@@ -169,3 +183,88 @@
             sidecar.discovery.move(config.parse_address(new.address))
             assert await told(sidecar) - moved < bound
         new.stop()
+
+
+# --- a planned end --------------------------------------------------------------------------------
+
+
+class Caller:
+    """A client that sends for as long as it has a connection that stays open, in one piece or in two."""
+
+    def __init__(self, address, rng):
+        self._address, self._rng = address, rng
+        self.answered, self.lost = 0, 0
+        self.begun = 0  # requests whose connection was closed between their two parts
+
+    async def run(self):
+        app = None
+        while True:
+            await asyncio.sleep(self._rng.expovariate(20.0))
+            if app is not None and not stays_open(app):
+                app.close()
+                app = None
+            try:
+                app = app or await App.connect(self._address)
+            except ConnectionError:
+                return  # nobody listens any more
+            whole = request()
+            if self._rng.random() < 0.3:
+                app.writer.write(whole[:40])
+                await asyncio.sleep(0.3 * self._rng.random())
+                if not stays_open(app):
+                    self.begun += 1
+                    continue
+                whole = whole[40:]
+            app.writer.write(whole)
+            answer = await app.answer()
+            if answer is None or answer.body != b"done":
+                self.lost += 1
+            else:
+                self.answered += 1
+
+
+def stays_open(app):
+    """Whether the other end has not closed, as whoever looks before a send can see."""
+    with socket.socket(fileno=os.dup(app.writer.get_extra_info("socket").fileno())) as looked_at:
+        try:
+            return bool(looked_at.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return True
+        except ConnectionError:
+            return False
+
+
+@hurried
+async def test_every_connection_that_stays_open_is_served_until_the_process_ends():
+    rng = random.Random(5)
+
+    async def slowly(reader, writer):
+        await asyncio.sleep(rng.random())
+        return OK
+
+    for _ in range(3):
+        upstream = await Upstream([slowly]).start()
+        async with running(upstream, balancer=Scripted()) as sidecar:
+            callers = [Caller(sidecar.address, rng) for _ in range(40)]
+            running_on = [asyncio.create_task(caller.run()) for caller in callers]
+            await asyncio.sleep(1.0)
+            before = sum(caller.answered for caller in callers)
+            stopped = now()
+            await sidecar.drain()
+            assert now() - stopped < KILLED_S
+            sidecar.close()
+            await asyncio.gather(*running_on)
+            assert sum(caller.lost for caller in callers) == 0
+            assert sum(caller.begun for caller in callers) == 0
+            assert sum(caller.answered for caller in callers) > before
+
+
+@hurried
+async def test_a_connection_that_is_closed_between_requests_is_seen_to_be_at_once():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        apps = [await App.connect(sidecar.address) for _ in range(3)]
+        assert (await apps[1].ask()).body == b"done"
+        apps[2].close()  # and one that was closed by its client is no fault
+        sidecar.inbound.close_idle()
+        assert not any(stays_open(app) for app in apps[:2])  # in the same turn of the loop
