Begin the checker of the agreement: real cores in a simulated world of faults, judged by rules

Whether the agreement holds under faults was known from one run of three holders. brassfall/lab/agreement puts the real cores of both sides into simulated true time with clocks at rates of their own, a disk that lags and fails, one-way cuts, stops, crashes between any two steps and copies of the disk, and judges exclusive overlap, contradiction, permissions, contents, durability and liveness from outside at every instant at which a stance may change.

--- /dev/null
+++ b/brassfall/lab/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The checker of the agreement: the real cores in a simulated world of faults, judged from outside."""
--- /dev/null
+++ b/brassfall/lab/agreement/program.py
@@ -0,0 +1,45 @@
+"""What is under test: the service's core and the sidecar's, and the few choices that their shells make.
+
+The sidecar's part is loaded by its name, as the program under test: nothing of the house is built on it, and
+the layout test keeps it so.
+"""
+
+from __future__ import annotations
+
+import importlib
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from brassfall.agreement.core import Agreement, Timing
+from brassfall.agreement.edges import Fleet
+
+holder: Any = importlib.import_module("fordtrestle.fleet.holder")
+sidecar_rules: Any = importlib.import_module("fordtrestle.fleet.rules")
+
+
+def life(wall_ms: float, last: int, chance: random.Random) -> int:
+    """The number of a life of the service, as `brassfall/table` makes it out of the wall clock and the last
+    index that is durable."""
+    return max(int(wall_ms) << 10, last + 1)
+
+
+def answered(held: Any, asked: float, received: float, seq: int, raw: Mapping[str, Any]) -> bool:
+    """Hand an answer to the sidecar's core; times in seconds of its own clock."""
+    return bool(held.answered(asked, seq, raw))
+
+
+@dataclass(frozen=True)
+class Program:
+    """The parts that a defect may replace."""
+
+    timing: Timing = field(default_factory=Timing)
+    agreement: type[Agreement] = Agreement
+    fleet: type[Fleet] = Fleet
+    holder: Any = holder.Holder
+    effective: Callable[[Any], dict[str, Any]] = sidecar_rules.effective
+    unknown: Callable[[Any], str] = sidecar_rules.unknown
+    answered: Callable[[Any, float, float, int, Mapping[str, Any]], bool] = answered
+    life: Callable[[float, int, random.Random], int] = life
+    wall_clock: bool = False  # the sidecar counts on its wall clock
--- /dev/null
+++ b/brassfall/lab/agreement/rules.py
@@ -0,0 +1,221 @@
+"""The safety rules, judged from outside at every instant at which a process could send.
+
+What a process acts on changes only when it is told something, when its permission ends, or when it is
+stopped, continued, started or ended: so its stance is looked at there, without its knowing, and what it would
+do is set against what every other running process would do at that time. That is stronger than to look at
+sends that happen to be made, and cheaper.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+SLACK_MS = 0.01  # of floating point, in sums of times
+NOBODY = ""
+
+
+class Broken(Exception):
+    """A rule that does not hold: `rule` is its name."""
+
+    def __init__(self, rule: str, at_ms: float, what: str) -> None:
+        super().__init__(f"{rule} at {at_ms:.2f} ms: {what}")
+        self.rule, self.at_ms, self.what = rule, at_ms, what
+
+    def __reduce__(self) -> tuple[Any, ...]:
+        return (Broken, (self.rule, self.at_ms, self.what))
+
+
+def marks(edition: Any) -> tuple[int, int]:
+    """What tells one content from another: each draft bears a mark of its own in each layer it states."""
+    plan = edition.plan or {}
+    return (edition.settings.get("PolicyLimits", {}).get("mark", 0), plan.get("mark", 0))
+
+
+@dataclass(eq=False, slots=True)
+class Profile:
+    """What a process acts on, as servers see it; one object for each that is different."""
+
+    safe: bool
+    number: int
+    content: tuple[int, int]
+    promised: frozenset[int]
+    known: frozenset[int]  # editions it was told of; of the others safe rules can't take account
+    tenants: Mapping[str, str]
+    held: frozenset[str]
+    document_held: frozenset[str]
+    floor_tenants: Mapping[str, str]
+    caps: Mapping[str, float]
+    document_caps: Mapping[str, float]
+    good: dict[Profile, str] = field(default_factory=dict)
+
+    def __str__(self) -> str:
+        name = f"safe rules after {self.number}" if self.safe else f"edition {self.number}"
+        return f"{name} (promised {sorted(self.promised)}, knows {sorted(self.known)[-3:]})"
+
+
+def clash(one: Profile, other: Profile) -> str:
+    """What two processes do that exclusive keys forbid; empty where nothing."""
+    return _harms(one, other) or _harms(other, one)
+
+
+def _harms(sender: Profile, actor: Profile) -> str:
+    """What `sender` does against the edition that `actor` acts on.
+
+    Safe rules are exempt against an edition that their process was never told of, and where the document's
+    own floor says what to do: the operator has stated that. Who has acknowledged the sender's edition agrees
+    that a region it holds itself is open there."""
+    if actor.safe or (sender.safe and actor.number not in sender.known):
+        return ""
+    consents = not sender.safe and sender.number in actor.promised
+    open_ = actor.document_held - sender.held
+    if open_ and not consents:
+        return f"sends to {min(open_)}, which is held"
+    for tenant in sender.tenants.keys() | actor.tenants.keys():
+        mine, theirs = sender.tenants.get(tenant), actor.tenants.get(tenant)
+        if mine == theirs or NOBODY in (mine, theirs):
+            continue
+        if sender.safe and tenant in sender.floor_tenants:
+            continue
+        return f"serves {tenant} in {mine or 'any region'}, not in {theirs or 'any region'}"
+    return ""
+
+
+@dataclass
+class Judge:
+    """Everything that was decided and acted on in one world."""
+
+    agree_ms: float
+    drift: float
+    acting: Counter[Profile] = field(default_factory=Counter)
+    first: dict[int, float] = field(default_factory=dict)  # since when an edition is acted on
+    contents: dict[int, tuple[int, int]] = field(default_factory=dict)
+    committed: set[int] = field(default_factory=set)  # durable at some time
+    halted: dict[int, tuple[int, int]] = field(default_factory=dict)
+    banned: set[int] = field(default_factory=set)  # marks of layers that were stated by a halted edition
+    prepared_at: dict[int, float] = field(default_factory=dict)
+    decided_at: dict[int, float] = field(default_factory=dict)
+    _profiles: dict[Any, Profile] = field(default_factory=dict)
+
+    # --- what becomes durable -----------------------------------------------------------
+
+    def durable(self, now: float, kept: Any) -> None:
+        """A service's disk has it."""
+        for edition in (kept.committed, kept.pending):
+            if edition is not None and edition.number:
+                self._same(now, edition.number, marks(edition))
+        if kept.pending is not None:
+            self.prepared_at.setdefault(kept.pending.number, now)
+        if kept.committed.number:
+            self._decided(now, kept.committed.number)
+            self.committed.add(kept.committed.number)
+        if kept.halted is not None and kept.halted.edition.number not in self.halted:
+            edition = kept.halted.edition
+            self._decided(now, edition.number)
+            self.halted[edition.number] = marks(edition)
+            stated = dict(zip(("settings", "plan"), marks(edition), strict=True))
+            self.banned |= {stated[name] for name in edition.layers if name in stated}
+            if edition.number in self.first:
+                raise Broken("S5 halted", now, f"edition {edition.number} was acted on, and is halted")
+
+    def _decided(self, now: float, number: int) -> None:
+        self.decided_at.setdefault(number, now)
+
+    def _same(self, now: float, number: int, content: tuple[int, int]) -> None:
+        if self.contents.setdefault(number, content) != content:
+            raise Broken("S4 content", now, f"edition {number} stands for two contents")
+
+    # --- what is acted on -----------------------------------------------------------------
+
+    def profile(self, stance: Any, known: frozenset[int], effective: Callable[[Any], Any]) -> Profile:
+        """What a stance amounts to."""
+        edition, pending = stance.edition, stance.pending
+        others = () if pending is None else pending if isinstance(pending, tuple) else (pending,)
+        told = known if stance.safe else frozenset[int]()
+        key = (stance.safe, edition.number, marks(edition), tuple((e.number, marks(e)) for e in others), told)
+        found = self._profiles.get(key)
+        if found is None:
+            settings = effective(stance)
+            floor = edition.settings.get("floor", {})
+            found = self._profiles[key] = Profile(
+                stance.safe,
+                edition.number,
+                marks(edition),
+                frozenset(e.number for e in others),
+                told,
+                settings.get("tenants", {}),
+                frozenset(settings.get("regions", {}).get("held", ())),
+                frozenset(edition.settings.get("regions", {}).get("held", ())),
+                floor.get("tenants", {}),
+                settings.get("caps", {}),
+                edition.settings.get("caps", {}),
+            )
+        return found
+
+    def changed(self, now: float, who: Any, new: Profile | None, until_ms: float) -> None:
+        """A process acts on something else from now on (None: on nothing). `until_ms` is the true time at
+        which its permission for it is over at the latest."""
+        old: Profile | None = who.profile
+        if new is not None and not new.safe and now > until_ms + SLACK_MS:
+            raise Broken("S3 permission", now, f"{who.label} acts on {new}, {now - until_ms:.1f} ms too long")
+        if new is old:
+            return
+        if old is not None:
+            self._leaves(now, who, old)
+            self.acting[old] -= 1
+            if not self.acting[old]:
+                del self.acting[old]
+        who.profile = new
+        if new is not None:
+            self._joins(now, who, new)
+
+    def _leaves(self, now: float, who: Any, old: Profile) -> None:
+        """Contradictions are measured where they end."""
+        if old.safe:
+            return
+        for other in self.acting:
+            if other.safe or other.number == old.number:
+                continue
+            lasted = now - max(self.first[other.number], self.first[old.number])
+            if lasted > self.agree_ms + SLACK_MS:
+                text = f"{who.label} on {old} against {other} for {lasted:.0f} ms"
+                raise Broken("S2 contradiction", now, text)
+
+    def _joins(self, now: float, who: Any, new: Profile) -> None:
+        if not new.safe:
+            self._takes_effect(now, who, new)
+        for other in self.acting:
+            if other not in new.good:
+                new.good[other] = other.good[new] = clash(new, other)
+            if new.good[other]:
+                text = f"{who.label} on {new} against {other}: {new.good[other]}"
+                raise Broken("S1 exclusive", now, text)
+        self.acting[new] += 1
+        if new.caps:
+            self._sum(now)
+
+    def _takes_effect(self, now: float, who: Any, new: Profile) -> None:
+        number = new.number
+        if number:
+            self._same(now, number, new.content)
+            if number in self.halted:
+                raise Broken("S5 halted", now, f"{who.label} acts on edition {number}, which was halted")
+            if self.banned & set(new.content):
+                raise Broken("S5 halted", now, f"edition {number} has a layer that was halted")
+            if number not in self.committed:
+                raise Broken("S5 durable", now, f"{who.label} acts on {number}, whose commit is not durable")
+        if number < who.highest:
+            raise Broken("S4 back", now, f"{who.label} acts on {number} after {who.highest}")
+        who.highest = number
+        self.first.setdefault(number, now)
+
+    def _sum(self, now: float) -> None:
+        """S7: each of n processes takes its n-th part; together never more than the larger edition's."""
+        count = sum(self.acting.values())
+        for name in {name for profile in self.acting for name in profile.caps}:
+            capped = [(p, n) for p, n in self.acting.items() if name in p.caps]
+            merged = sum(p.caps[name] * n for p, n in capped) / count
+            if merged > max(p.document_caps.get(name, 0.0) for p, _ in capped) + 1e-6:
+                raise Broken("S7 sum", now, f"{name}: together {merged:.1f} a second")
--- /dev/null
+++ b/brassfall/lab/agreement/schedule.py
@@ -0,0 +1,288 @@
+"""Faults, drawn by seed: what goes wrong, when, for how long."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from brassfall.lab.agreement.base import HOUR_MS, KINDS
+from brassfall.lab.agreement.service import Disk, Service
+from brassfall.lab.agreement.sidecar import Sidecar
+from brassfall.lab.agreement.world import FAULTS_MS, World
+
+STOPPED_MS = 10_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a schedule."""
+
+    at_ms: float
+    name: str
+    seed: int  # of what the fault itself draws
+
+
+def draw(world: World, only: tuple[str, ...] = ()) -> list[Fault]:
+    """A schedule: some themes, each with some faults. A split of the sidecars over two services and a liar
+    do not go together: a liar may take both services' words, which no majority of three stands."""
+    chance = world.kernel.random
+    names = list(only or chance.sample(sorted(THEMES), chance.choice((1, 2, 3))))
+    if "twin" in names and "liar" in names:
+        names.remove("liar")
+    made = []
+    for name in names:
+        for _ in range(chance.choice(THEMES[name][1])):
+            at = chance.uniform(FAULTS_MS[0], FAULTS_MS[1] - 3000.0)
+            made.append(Fault(at, name, chance.randrange(2**32)))
+    return sorted(made, key=lambda fault: fault.at_ms)
+
+
+def arrange(world: World, faults: list[Fault]) -> None:
+    """Have them happen."""
+    world.calm = all(fault.name in CALM for fault in faults)
+    for fault in faults:
+        world.kernel.at(fault.at_ms, _begin, world, fault)
+
+
+def _begin(world: World, fault: Fault) -> None:
+    world.note(fault.name)
+    THEMES[fault.name][0](world)
+
+
+def _some(world: World, part: float = 0.34) -> list[Sidecar]:
+    """A few sidecars that run, fewer than half of all."""
+    chance, running = world.kernel.random, [s for s in world.sidecars if not s.stopped]
+    most = max(1, int(len(running) * part))
+    return chance.sample(running, min(len(running), chance.randint(1, most)))
+
+
+def _later(world: World, span: float, run: Callable[..., object], *args: object) -> None:
+    """The end of a fault, at the latest with all others."""
+    world.kernel.at(min(world.kernel.now + span, FAULTS_MS[1] - 1.0), run, *args)
+
+
+# --- the service and its disk ----------------------------------------------------------------------
+
+
+def _restart(world: World, disk: Disk | None = None) -> None:
+    service = world.services[0]
+    service.crash()
+    if disk is not None:
+        service.disk = disk
+
+    def again() -> None:
+        if not service.up:
+            service.start()
+
+    _later(world, world.kernel.random.choice((20.0, 500.0, 3000.0)), again)
+
+
+def crash(world: World) -> None:
+    """Killed whenever something is written, for some seconds, and once now."""
+    service = world.services[0]
+    service.faults.crash = 0.3
+
+    def over() -> None:
+        service.faults.crash = 0.0
+
+    _later(world, 3000.0, over)
+    _restart(world)
+
+
+def lost(world: World) -> None:
+    """The disk is empty."""
+    _restart(world, Disk())
+
+
+def restored(world: World) -> None:
+    """An older copy is put back."""
+    if world.snapshots:
+        _restart(world, world.kernel.random.choice(world.snapshots[-3:]).copy())
+
+
+def disk(world: World) -> None:
+    """Writes fail, or take long."""
+    faults = world.services[0].faults
+    faults.fail, faults.slow = world.kernel.random.choice(((0.4, 0.0), (0.0, 0.5), (0.2, 0.3)))
+
+    def over() -> None:
+        faults.fail = faults.slow = 0.0
+
+    _later(world, world.kernel.random.uniform(1000.0, 6000.0), over)
+
+
+def twin(world: World) -> None:
+    """A second service on a copy of the disk; each sidecar sees one of the two, or some see both."""
+    second, chance = world.services[1], world.kernel.random
+    if second.up or not world.snapshots:
+        return
+    copies = [world.services[0].disk, world.snapshots[-1]]
+    second.disk = chance.choice(copies).copy()
+    second.start()
+    part, both = chance.choice((0.4, 0.5, 0.6)), chance.choice((0.0, 0.0, 0.3))
+    for sidecar in world.sidecars:
+        if chance.random() >= both:
+            _cut(world, sidecar.name, 0 if chance.random() < part else 1)
+    _later(world, chance.uniform(2000.0, 6000.0), _swap, world)
+    _later(world, chance.uniform(4000.0, 15_000.0), _one_stays, world)
+
+
+def _cut(world: World, name: str, service: int) -> None:
+    world.kernel.net.cuts |= {(name, service, kind) for kind in KINDS}
+
+
+def _swap(world: World) -> None:
+    """Some come over to the other side."""
+    chance = world.kernel.random
+    for sidecar in world.sidecars:
+        if chance.random() < 0.4:
+            for service in (0, 1):
+                world.kernel.net.cuts -= {(sidecar.name, service, kind) for kind in KINDS}
+            _cut(world, sidecar.name, chance.choice((0, 1)))
+
+
+def _one_stays(world: World) -> None:
+    world.kernel.net.cuts.clear()
+    stopped: Service = world.kernel.random.choice(world.services)
+    stopped.crash()
+
+
+def jump(world: World) -> None:
+    """Wall clocks jump by an hour."""
+    chance = world.kernel.random
+    for clock in [service.clock for service in world.services] + [s.clock for s in _some(world)]:
+        clock.wall += chance.choice((HOUR_MS, -HOUR_MS))
+    for sidecar in world.sidecars:
+        sidecar.judged()
+    if chance.random() < 0.5:
+        _restart(world)
+
+
+# --- sidecars -----------------------------------------------------------------------------------------
+
+
+def stop(world: World) -> None:
+    """Stopped for ten seconds, across whatever comes, and continued."""
+    for sidecar in _some(world):
+        sidecar.stop()
+        span = world.kernel.random.choice((STOPPED_MS, world.kernel.random.uniform(500.0, STOPPED_MS)))
+        _later(world, span, sidecar.resume)
+
+
+def beside(world: World) -> None:
+    """A stopped process gets a successor of its name, and comes back beside it."""
+    for sidecar in _some(world):
+        sidecar.stop()
+        after = world.kernel.random.uniform(10.0, 3000.0)
+        _later(world, after, _given_up, world, sidecar)
+        _later(world, after + world.kernel.random.uniform(10.0, 4000.0), sidecar.resume)
+
+
+def _given_up(world: World, sidecar: Sidecar) -> None:
+    if sidecar in world.sidecars and sidecar.stopped:
+        world.succeed(sidecar, False)
+
+
+def restart(world: World) -> None:
+    """A process ends, with a word or without, and another follows at once."""
+    for sidecar in _some(world):
+        world.succeed(sidecar, world.kernel.random.random() < 0.5)
+
+
+def rolling(world: World) -> None:
+    """All are restarted within some seconds, and an edition is published in the middle."""
+    names = [sidecar.name for sidecar in world.sidecars]
+    for number, name in enumerate(names):
+        _later(world, 3000.0 * number / len(names), _rolled, world, name)
+    _later(world, 1000.0, world.publish)
+
+
+def _rolled(world: World, name: str) -> None:
+    for sidecar in [s for s in world.sidecars if s.name == name and not s.stopped]:
+        world.succeed(sidecar, world.kernel.random.random() < 0.7)
+
+
+def join(world: World) -> None:
+    """New ones, while an edition is prepared."""
+    world.publish()
+    number = len(world.sidecars)
+    name = f"n{number}-{world.kernel.random.randrange(10**6)}"
+    _later(world, world.kernel.random.uniform(0.0, 1500.0), world.join, name)
+
+
+def liar(world: World) -> None:
+    """One that reports what is not so; what it does itself is found at the servers alone."""
+    sidecar = world.kernel.random.choice(world.sidecars)
+    sidecar.liar = True
+    sidecar.judged()
+
+
+# --- the network ------------------------------------------------------------------------------------------
+
+
+def cut(world: World) -> None:
+    """Some are cut off, one way, of one kind, or altogether."""
+    chance = world.kernel.random
+    kinds = chance.choice(
+        (KINDS, ("report",), ("answer",), ("watch",), ("watch", "open"), ("report", "watch"))
+    )
+    rows = {(s.name, number, kind) for s in _some(world) for number in (0, 1) for kind in kinds}
+    world.kernel.net.cuts |= rows
+
+    def over() -> None:
+        world.kernel.net.cuts -= rows
+
+    _later(world, chance.uniform(500.0, 9000.0), over)
+
+
+def rough(world: World) -> None:
+    """Messages are lost, and slow enough to be useless."""
+    net, chance = world.kernel.net, world.kernel.random
+    net.loss, net.slow = chance.choice(((0.2, 0.0), (0.0, 0.5), (0.1, 0.2)))
+    net.slow_ms = chance.choice((900.0, 3500.0))
+
+    def over() -> None:
+        net.loss = net.slow = 0.0
+
+    _later(world, chance.uniform(1000.0, 8000.0), over)
+
+
+def replay(world: World) -> None:
+    """Reports come again, late and in any order; some that come are no reports at all."""
+    net = world.kernel.net
+    net.replay = 0.5
+
+    def over() -> None:
+        net.replay = 0.0
+
+    for body in (b"", b"[]", b'{"seq":NaN}', b'{"held":1e300}', b'{"seq":-1}', b"{" * 5000):
+        if world.services[0].up and body:
+            world.services[0].report("s0", body, lambda raw: None)
+    _later(world, world.kernel.random.uniform(3000.0, 12_000.0), over)
+
+
+def burst(world: World) -> None:
+    """Ten editions in a second."""
+    for number in range(10):
+        _later(world, 100.0 * number, world.publish)
+
+
+THEMES: dict[str, tuple[Callable[[World], None], tuple[int, ...]]] = {
+    "crash": (crash, (1, 2, 3)),
+    "lost disk": (lost, (1,)),
+    "older copy": (restored, (1, 2)),
+    "disk": (disk, (1, 2)),
+    "twin": (twin, (1,)),
+    "wall clock": (jump, (1, 2)),
+    "stop": (stop, (1, 2, 3)),
+    "beside": (beside, (1, 2, 3)),
+    "restart": (restart, (1, 2, 3)),
+    "rolling": (rolling, (1,)),
+    "join": (join, (1, 2)),
+    "liar": (liar, (1,)),
+    "cut": (cut, (1, 2, 4)),
+    "rough": (rough, (1, 2)),
+    "replay": (replay, (1, 2)),
+    "burst": (burst, (1, 2)),
+}
+CALM = frozenset(("stop", "beside", "restart", "join", "cut", "burst"))
--- /dev/null
+++ b/brassfall/lab/agreement/sidecar.py
@@ -0,0 +1,235 @@
+"""The sidecar's shell as a model: reports, one watch, stops in the middle of anything, clocks of its own."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from brassfall.lab.agreement.base import Kernel
+from brassfall.lab.agreement.rules import Profile
+from brassfall.lab.agreement.service import Service
+
+REPORT_MS = (500.0, 1000.0)
+TIMEOUT_MS = 1000.0
+SILENT_MS = (2000.0, 3000.0)
+KNOWN_MOST = 12  # more than can be acted on by anybody within `agree_ms`
+NOVEL = "novel"  # a key that only the newer version of the program knows
+
+
+class Sidecar:
+    """One process. What it acts on is judged at each moment at which that may change."""
+
+    def __init__(
+        self, kernel: Kernel, name: str, life: str, services: Sequence[Service], newer: bool = True
+    ) -> None:
+        self.kernel = kernel
+        self.name, self.label = name, f"{name}/{life}"
+        self.services = services
+        self.newer = newer
+        self.clock = kernel.clock()
+        self.holder = kernel.program.holder(life, self._check)
+        self.profile: Profile | None = None
+        self.highest = 0
+        self.dead = self.stopped = self.liar = False
+        self.lax = False  # takes answers that come after it gave up on them
+        self._report_at = kernel.random.randrange(len(services))
+        self._watch_at = kernel.random.randrange(len(services))
+        self._connection = 0
+        self._flight = 0
+        self._known = frozenset({0})
+        self._of = 0
+        self._until: dict[int, float] = {}  # true time by which an edition's permission is over at the latest
+        self._backlog: list[tuple[str, Callable[..., None], tuple[Any, ...]]] = []
+
+    def _check(self, edition: Any) -> str:
+        why = str(self.kernel.program.unknown(edition))
+        return "" if self.newer and why.startswith(f"{NOVEL}:") else why
+
+    def start(self) -> None:
+        """Begin to report and to watch."""
+        self.judged()
+        span = self.kernel.random.uniform(0.0, 500.0)
+        self.kernel.after(span, self._do, "timer", self._cycle)
+        self.kernel.after(self.kernel.random.uniform(0.0, 100.0), self._do, "timer", self._open)
+
+    # --- what it acts on -----------------------------------------------------------------------
+
+    def seconds(self) -> float:
+        """Its clock."""
+        clock, now = self.clock, self.kernel.now
+        return (clock.unix(now) if self.kernel.program.wall_clock else clock.mono(now)) / 1000.0
+
+    def judged(self) -> None:
+        """Have the judge see what a decision made now would act on; it decides nothing by that."""
+        profile = None
+        if not (self.dead or self.stopped or self.liar):
+            holder = self.holder
+            last = holder._last
+            stance = holder.stance(self.seconds())
+            holder._last = last
+            profile = self.kernel.judge.profile(stance, self._known, self.kernel.program.effective)
+        until = self._until.get(profile.number, -math.inf) if profile is not None else 0.0
+        self.kernel.judge.changed(self.kernel.now, self, profile, until)
+
+    def _decided(self) -> None:
+        """A request comes, sooner or later, and is decided."""
+        if self.kernel.random.random() < 0.7:
+            self.holder.stance(self.seconds())
+        self.judged()
+
+    # --- stops and ends ---------------------------------------------------------------------------
+
+    def stop(self) -> None:
+        """SIGSTOP: nothing runs, the clock does."""
+        self.judged()
+        self.stopped = True
+        self.judged()
+
+    def resume(self) -> None:
+        """SIGCONT: the first decision may come before anything that waits is read."""
+        if self.dead or not self.stopped:
+            return
+        self.stopped = False
+        self.judged()
+        waiting, self._backlog = self._backlog, []
+        streams = sorted({row[0] for row in waiting})
+        self.kernel.random.shuffle(streams)
+        for stream in streams:
+            for name, run, args in waiting:
+                if name == stream and not self.dead:
+                    run(*args)
+
+    def end(self, leave: bool = False) -> None:
+        """The process ends; one that is ended gently says so, and acts on nothing before it does."""
+        if self.dead:
+            return
+        service = self.services[self._report_at]
+        self.judged()
+        self.dead = True
+        self.judged()
+        for each in self.services:
+            each.closed(self._connection)
+        if leave and not self.stopped and not self.kernel.lost("report", self.name, service.number):
+            raw = {**self.holder.report(self.seconds()), "leaving": True}
+            body = json.dumps(raw).encode()
+            self.kernel.after(self.kernel.delay(), service.report, self.name, body, lambda raw: None)
+
+    def _do(self, stream: str, run: Callable[..., None], *args: Any) -> None:
+        if self.dead:
+            return
+        if self.stopped:
+            self._backlog.append((stream, run, args))
+        else:
+            run(*args)
+
+    # --- reports -------------------------------------------------------------------------------------
+
+    def _again(self, low: float, high: float) -> None:
+        span = self.kernel.random.uniform(low, high) / self.clock.rate
+        self.kernel.after(span, self._do, "timer", self._cycle)
+
+    def _cycle(self) -> None:
+        kernel, service = self.kernel, self.services[self._report_at]
+        asked = self.seconds()
+        raw = self.holder.report(asked)
+        self._flight = seq = raw["seq"]
+        if self.liar:
+            raw = self._lied(raw, service)
+        body = json.dumps(raw).encode()
+        kernel.after(TIMEOUT_MS / self.clock.rate, self._do, "timer", self._gave_up, seq)
+        if kernel.lost("report", self.name, service.number):
+            return
+        call = (service, seq, asked, kernel.now, body)
+        kernel.after(kernel.delay(), self._arrives, *call)
+        while kernel.net.replay and kernel.random.random() < kernel.net.replay:
+            kernel.met["replayed reports"] += 1
+            span = kernel.random.uniform(1.0, 10_000.0)
+            kernel.after(span, service.report, self.name, body, lambda raw: None)
+
+    def _arrives(self, service: Service, seq: int, asked: float, true_ms: float, body: bytes) -> None:
+        kernel = self.kernel
+
+        def answer(raw: dict[str, Any]) -> None:
+            if not kernel.lost("answer", self.name, service.number):
+                kernel.after(kernel.delay(), self._do, "answer", self._answered, seq, asked, true_ms, raw)
+
+        if not service.report(self.name, body, answer):
+            kernel.after(kernel.delay(), self._do, "answer", self._gave_up, seq)
+
+    def _gave_up(self, seq: int) -> None:
+        if self._flight == seq:
+            self._flight = 0
+            self._report_at = (self._report_at + 1) % len(self.services)
+            self._again(20.0, 200.0)
+
+    def _answered(self, seq: int, asked: float, true_ms: float, raw: dict[str, Any]) -> None:
+        if self._flight != seq and not self.lax:
+            return
+        clock, length, edition = self.clock, raw["permission_ms"], raw["edition"]
+        if length:
+            over = true_ms + length / (1.0 - self.kernel.judge.drift)
+            self._until[edition] = max(self._until.get(edition, -math.inf), over)
+        now = self.seconds()
+        counts = self.kernel.program.answered(self.holder, asked, now, seq, raw)
+        if counts:
+            self._of = max(self._of, raw["life"])
+        self._decided()
+        if length:
+            left = self.holder.left_ms(now) / clock.rate
+            self.kernel.after(left + 1e-6, self.judged)
+            self.kernel.at(self._until[edition] + 1.0, self.judged)
+        if self._flight == seq:
+            self._flight = 0
+            if not counts:
+                self._report_at = (self._report_at + 1) % len(self.services)
+            self._again(*REPORT_MS)
+
+    def _lied(self, raw: dict[str, Any], service: Service) -> dict[str, Any]:
+        """Whatever may do the most harm."""
+        chance, pending = self.kernel.random, 0
+        if service.up and service.agreement.kept.pending is not None:
+            pending = service.agreement.kept.pending.number
+        lies = {"prepared": pending, "held": chance.choice((0, 2**53 - 1)), "acting": pending}
+        return {**raw, **lies, "of": chance.choice((0, getattr(service, "life", 0)))}
+
+    # --- the watch ---------------------------------------------------------------------------------------
+
+    def _open(self) -> None:
+        kernel = self.kernel
+        self.services[self._watch_at].closed(self._connection)
+        kernel.watches += 1
+        self._connection = connection = kernel.watches
+        service = self.services[self._watch_at]
+        if kernel.lost("open", self.name, service.number):
+            kernel.after(kernel.random.uniform(*SILENT_MS), self._do, "timer", self._reopen, connection)
+            return
+        kernel.after(kernel.delay(), self._opens, service, connection)
+
+    def _opens(self, service: Service, connection: int) -> None:
+        if connection == self._connection and not self.dead and not service.watch(connection, self):
+            self.broken(connection, False)
+
+    def _reopen(self, connection: int) -> None:
+        if connection == self._connection:
+            self._watch_at = (self._watch_at + 1) % len(self.services)
+            self._open()
+
+    def broken(self, connection: int, silent: bool) -> None:
+        """The watch has ended: at once where that was told, else after a silence."""
+        span = self.kernel.random.uniform(*SILENT_MS) if silent else self.kernel.random.uniform(20.0, 500.0)
+        self.kernel.after(span, self._do, "timer", self._reopen, connection)
+
+    def line(self, connection: int, raw: dict[str, Any]) -> None:
+        """A line has come."""
+        self._do("watch", self._line, connection, raw)
+
+    def _line(self, connection: int, raw: dict[str, Any]) -> None:
+        if connection != self._connection:
+            return
+        if raw["life"] >= self._of:
+            more = raw.get("committed", raw)["edition"]
+            self._known = frozenset(sorted(self._known | {raw["edition"], more})[-KNOWN_MOST:])
+        self.holder.news(raw)
+        self._decided()
--- /dev/null
+++ b/brassfall/lab/agreement/world.py
@@ -0,0 +1,179 @@
+"""One world: a service or two, sidecars, publishers; then the faults end, and all have to come together."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from brassfall.agreement import core
+from brassfall.lab.agreement.base import Kernel
+from brassfall.lab.agreement.program import Program
+from brassfall.lab.agreement.rules import Broken, Judge
+from brassfall.lab.agreement.service import Disk, Service
+from brassfall.lab.agreement.sidecar import NOVEL, Sidecar
+
+FAULTS_MS = (7_000.0, 24_000.0)
+LIVE_MS = 15_000.0  # S6: after the faults, all that can be reached act on the newest edition within this
+DECIDED_MS = 5_000.0  # S6: where no service fails, an edition is decided within this, whoever is cut off
+REGIONS = ("a", "b", "c")
+TENANTS = ("t0", "t1", "t2", "t3")
+
+
+class World:
+    """Everything of one seed."""
+
+    def __init__(self, seed: int, nodes: int, program: Program) -> None:
+        self.judge = Judge(program.timing.agree_ms, core.DRIFT)
+        self.kernel = kernel = Kernel(seed, program, self.judge)
+        self.seed, self.nodes = seed, nodes
+        self.calm = True  # no service, disk or majority fails: an edition has to be decided in time
+        first = Service(kernel, 0, Disk(), kernel.clock())
+        # The address of a second service is known to all, whether or not anybody is there.
+        self.services = [first, Service(kernel, 1, Disk(), kernel.clock())]
+        self.sidecars: list[Sidecar] = []  # each name's newest process
+        self.older: list[Sidecar] = []  # processes that were left beside their successors
+        self.snapshots: list[Disk] = []
+        self._drafts = self._lives = 0
+        first.start()
+        for number in range(nodes):
+            self.join(f"s{number}", newer=kernel.random.random() < 0.9)
+        kernel.at(500.0, self._publishing)
+        kernel.at(6_000.0, self._copying)
+
+    @property
+    def met(self) -> dict[str, int]:
+        """How often each fault met each phase of the agreement."""
+        return dict(self.kernel.met)
+
+    def phase(self) -> str:
+        """What the services are doing just now."""
+        found = [service.phase() for service in self.services if service.up]
+        return next((phase for phase in found if phase != "rest"), "rest" if found else "outage")
+
+    def note(self, fault: str) -> None:
+        """A fault begins: count what it meets."""
+        self.kernel.met[f"{fault} in {self.phase()}"] += 1
+
+    # --- processes ---------------------------------------------------------------------------
+
+    def join(self, name: str, newer: bool = True) -> Sidecar:
+        """A new process of a sidecar."""
+        self._lives += 1
+        made = Sidecar(self.kernel, name, f"p{self._lives}", self.services, newer)
+        made.lax = self.kernel.random.random() < 0.3
+        self.sidecars.append(made)
+        made.start()
+        return made
+
+    def succeed(self, old: Sidecar, leave: bool) -> Sidecar:
+        """A process is followed by another of its name, which knows nothing."""
+        self.sidecars.remove(old)
+        if old.stopped:
+            self.older.append(old)  # the supervisor gave it up, and it may come back
+        else:
+            old.end(leave)
+        return self.join(old.name, old.newer)
+
+    def _copying(self) -> None:
+        self.snapshots.append(self.services[0].disk.copy())
+        self.kernel.after(self.kernel.random.uniform(500.0, 4000.0), self._copying)
+
+    # --- publishers ------------------------------------------------------------------------------
+
+    def _publishing(self) -> None:
+        """Two publishers that know nothing of each other, as one stream of drafts."""
+        if self.kernel.now < FAULTS_MS[1]:
+            self.publish()
+            self.kernel.after(self.kernel.random.choice((200.0, 1000.0, 2500.0)), self._publishing)
+
+    def publish(self) -> None:
+        """One draft, at whichever service answers."""
+        chance = self.kernel.random
+        up = [service for service in self.services if service.up]
+        if not up:
+            return
+        service = chance.choice(up)
+        newest = service.agreement.kept.newest
+        match = chance.choice((None, None, newest, newest - 1))
+        service.publish(self._draft(match, chance.random()))
+
+    def _draft(self, match: int | None, kind: float) -> core.Publish:
+        """A draft with marks of its own in each layer that it states."""
+        self._drafts += 1
+        mark = self._drafts
+        settings, plan = self._settings(mark), {"mark": mark}
+        if kind < 0.25:
+            return core.Publish(mark, plan=plan, if_match=match)
+        if kind < 0.35:
+            settings[NOVEL] = mark
+        return core.Publish(mark, settings=settings, plan=plan if kind < 0.5 else None, if_match=match)
+
+    def _settings(self, mark: int) -> dict[str, Any]:
+        chance = self.kernel.random
+        settings: dict[str, Any] = {
+            "PolicyLimits": {"mark": mark},
+            "caps": {"safe": float(chance.choice((10, 100, 1000)))},
+            "tenants": {name: chance.choice(REGIONS) for name in TENANTS if chance.random() < 0.5},
+            "regions": {"held": [name for name in REGIONS if chance.random() < 0.3]},
+        }
+        if chance.random() < 0.2:
+            settings["floor"] = {"tenants": {TENANTS[0]: REGIONS[0]}, "regions": {"held": [REGIONS[2]]}}
+        return settings
+
+    # --- the run ------------------------------------------------------------------------------------
+
+    def run(self) -> None:
+        """Play it; `Broken` names the rule that does not hold."""
+        kernel = self.kernel
+        kernel.run(FAULTS_MS[1])
+        self._heal()
+        kernel.run(kernel.now + 1_000.0)
+        self._last_word()
+        kernel.run(kernel.now + LIVE_MS)
+        self._alive()
+
+    def _heal(self) -> None:
+        """The faults end, and of two services the later one stays, at whose word the other's is void."""
+        kernel = self.kernel
+        net = kernel.net
+        net.cuts.clear()
+        net.loss = net.slow = net.replay = 0.0
+        for old in self.older:
+            old.end()
+        for sidecar in list(self.sidecars):
+            sidecar.resume()
+            if sidecar.liar:
+                self.sidecars.remove(sidecar)
+                sidecar.end()
+        up = [service for service in self.services if service.up]
+        lives = [getattr(service, "life", 0) for service in self.services]
+        self.survivor = self.services[0] if lives[0] >= lives[1] else self.services[1]
+        for service in self.services:
+            service.faults.fail = service.faults.slow = service.faults.crash = 0.0
+            if service in up and service is not self.survivor:
+                service.crash()
+        if not self.survivor.up:
+            self.survivor.start()
+
+    def _last_word(self) -> None:
+        draft = self._draft(None, 1.0)
+        self.survivor.publish(draft)
+        if not self.survivor.up:
+            raise Broken("S6 liveness", self.kernel.now, "the service is down though its faults have ended")
+
+    def _alive(self) -> None:
+        now, kept = self.kernel.now, self.survivor.agreement.kept
+        for sidecar in self.sidecars:
+            profile = sidecar.profile
+            if profile is None or profile.safe or profile.number != kept.newest:
+                text = f"{sidecar.label} acts on {profile}, edition {kept.newest} is the newest"
+                raise Broken("S6 liveness", now, text)
+        if self.calm:
+            self._decided_in_time()
+
+    def _decided_in_time(self) -> None:
+        judge = self.judge
+        for number, at in judge.prepared_at.items():
+            lasted = judge.decided_at.get(number, self.kernel.now) - at
+            # The first one waits until the roster is known.
+            if at > FAULTS_MS[0] and lasted > DECIDED_MS:
+                raise Broken("S6 held up", at + lasted, f"edition {number} was prepared for {lasted:.0f} ms")
