Keep the meet with every edition told, not the last one alone, and safe rules clear of what is known

Cause: a sidecar that acted on 5 and had promised 6 forgot that promise when 7 was prepared before its permission for 6 came, so it acted on what 5 and 7 agree on beside others on 6; and safe rules took no account of editions acknowledged or told since. Change: the holder keeps all editions told after the permitted one until a permission for a later one shows them decided; a permission for an earlier edition than the last is not taken (a service put back to an old copy, an answer that was overtaken), and what a service that follows tells is heeded even if its number is lower.

--- a/fordtrestle/fleet/holder.py
+++ b/fordtrestle/fleet/holder.py
@@ -15,6 +15,7 @@
 
 SAFE = "safe"
 DOCUMENTS_MOST = 4
+TOLD_MOST = 32  # editions that came while nothing was permitted: more than `agree_ms` has room for
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,12 +32,15 @@
 
 
 class Stance(NamedTuple):
-    """What to act on: `acting` with the document `edition`, or safe rules made from it. With `pending`, the
-    exclusive keys are what both agree on: it was promised that nothing else of the old one is used."""
+    """What to act on: `acting` with the document `edition`, or safe rules made from it.
+
+    `told` are editions after that one which others may act on by now, as far as is known here: exclusive
+    keys are what all agree on. That is what an acknowledgement promises, and it holds for each of them, not
+    for the last one only, until a permission for a later one comes, or they are known to be halted."""
 
     safe: bool
     edition: Edition
-    pending: Edition | None
+    told: tuple[Edition, ...]
 
     @property
     def acting(self) -> int | str:
@@ -78,8 +82,9 @@
         self._pending = 0  # promised: the edition acknowledged last, not yet decided as far as known
         self._promised_at = 0  # the report that told so
         self._permitted = 0
+        self._by = 0  # the service's life that permitted it
         self._until = -math.inf
-        self._last = OWN_FILE  # what was acted on last: safe rules are made from it
+        self._told: dict[int, tuple[Edition, int]] = {}  # after the permitted one; the report that knew first
 
     # --- what is told ---------------------------------------------------------------
 
@@ -88,11 +93,15 @@
         told = read(raw)
         more = raw.get("committed")
         committed = read(more) if isinstance(more, Mapping) else None
-        if whole(raw, "life") < self._of:
+        life = whole(raw, "life")
+        if life < self._of:
             return  # of a service that another has followed: its numbers may be used again
         for edition in (committed, told):
             if edition is not None:
                 self._take(edition)
+                self._heed(edition, life)
+        if raw.get("state") == "halted":
+            self._told.pop(told.number, None)
         if raw.get("state") == "prepared" and told.number not in self._objections:
             self._promise(told.number)
 
@@ -103,11 +112,19 @@
         if why:
             self._objections[edition.number] = why
         self._documents[edition.number] = edition
-        needed = {0, self._permitted, self._pending, self._last.number, edition.number}
+        needed = {0, self._permitted, self._pending, edition.number, *self._told}
         for number in sorted(self._documents.keys() - needed)[: len(self._documents) - DOCUMENTS_MOST]:
             del self._documents[number]
             self._objections.pop(number, None)
 
+    def _heed(self, edition: Edition, life: int) -> None:
+        # A service that follows may have forgotten the edition permitted here, and permit an older one.
+        later = edition.number > self._permitted or (life > self._by and edition.number != self._permitted)
+        if later and edition.number not in self._told:
+            self._told[edition.number] = (edition, self._seq + 1)
+            if len(self._told) > TOLD_MOST:
+                del self._told[min(self._told)]
+
     def _promise(self, number: int) -> None:
         if number > self._pending:
             self._pending, self._promised_at = number, self._seq + 1
@@ -150,18 +167,25 @@
             # It was decided after the promise had been told: committed, or never to be.
             self._pending = 0
         if length and edition in self._documents and edition not in self._objections:
-            until = asked + length / 1000.0
-            if edition != self._permitted or until > self._until:
-                self._permitted, self._until = edition, until
+            self._permit(edition, asked + length / 1000.0, seq, pending)
         return True
 
+    def _permit(self, edition: int, until: float, seq: int, pending: int) -> None:
+        if edition < self._permitted or (edition == self._permitted and until <= self._until):
+            # An answer that was overtaken; or a service that has forgotten what it had permitted.
+            return
+        self._permitted, self._until, self._by = edition, until, self._of
+        # Of those that the report knew, none but the one still pending can take effect any more.
+        self._told = {
+            number: row
+            for number, row in self._told.items()
+            if number > edition and (number == pending or row[1] > seq)
+        }
+
     def stance(self, now: float) -> Stance:
         """What to act on at this moment."""
-        if now >= self._until:
-            return Stance(True, self._last, None)
-        self._last = self._documents[self._permitted]
-        pending = self._documents.get(self._pending) if self._pending > self._permitted else None
-        return Stance(False, self._last, pending)
+        told = tuple(edition for edition, _ in self._told.values())
+        return Stance(now >= self._until, self._documents[self._permitted], told)
 
     @property
     def held(self) -> int:
--- a/fordtrestle/fleet/rules.py
+++ b/fordtrestle/fleet/rules.py
@@ -32,11 +32,10 @@
     settings = dict(stance.edition.settings)
     floor = settings.get("floor", {})
     if stance.safe:
-        return _safe(settings, floor)
-    if stance.pending is not None:
-        other = stance.pending.settings
+        return _safe(settings, [edition.settings for edition in stance.told], floor)
+    for other in stance.told:
         for key in EXCLUSIVE:
-            met = _meet(key, settings.get(key), other.get(key))
+            met = _meet(key, settings.get(key), other.settings.get(key))
             if met is not None:
                 settings[key] = met
             else:
@@ -44,15 +43,17 @@
     return settings
 
 
-def _safe(settings: dict[str, Any], floor: Mapping[str, Any]) -> dict[str, Any]:
-    """What contradicts no edition that this sidecar may have missed."""
-    held = {*settings.get("regions", {}).get("held", ()), *floor.get("regions", {}).get("held", ())}
+def _safe(
+    settings: dict[str, Any], told: list[Mapping[str, Any]], floor: Mapping[str, Any]
+) -> dict[str, Any]:
+    """What contradicts no edition that this sidecar knows of."""
+    held = {name for each in (settings, *told, floor) for name in each.get("regions", {}).get("held", ())}
     made = {key: value for key, value in settings.items() if key not in EXCLUSIVE}
     if held:
         made["regions"] = {"held": sorted(held)}
-    tenants = settings.get("tenants", {})
+    tenants = {name for each in (settings, *told) for name in each.get("tenants", {})}
     if tenants:
-        made["tenants"] = {name: floor.get("tenants", {}).get(name, NOBODY) for name in tenants}
+        made["tenants"] = {name: floor.get("tenants", {}).get(name, NOBODY) for name in sorted(tenants)}
     if "affinity" in floor:
         made["affinity"] = floor["affinity"]
     if "caps" in made:
