Let a sidecar object to the edition that is asked for, and to one it was told was halted

Cause: a report carries one objection, the one to the highest number, so an edition prepared after it with a lower number by a service that follows (or a halted one that an old copy prepares again) went unobjected and was committed. Change: the objection told is to the edition that is prepared, if there is one; a halted edition is objected to from then on.

--- a/fordtrestle/fleet/holder.py
+++ b/fordtrestle/fleet/holder.py
@@ -77,6 +77,7 @@
         self._check = check  # why this program can't act on an edition; empty where it can
         self._documents: dict[int, Edition] = {0: OWN_FILE}
         self._objections: dict[int, str] = {}
+        self._asked = 0  # the edition that is prepared, as told last
         self._seq = 0
         self._of = 0  # the service's life whose word is taken
         self._pending = 0  # promised: the edition acknowledged last, not yet decided as far as known
@@ -101,9 +102,13 @@
                 self._take(edition)
                 self._heed(edition, life)
         if raw.get("state") == "halted":
+            # A service put back to an old copy may prepare it once more.
             self._told.pop(told.number, None)
-        if raw.get("state") == "prepared" and told.number not in self._objections:
-            self._promise(told.number)
+            self._objections.setdefault(told.number, "it was halted before")
+        if raw.get("state") == "prepared":
+            self._asked = told.number
+            if told.number not in self._objections:
+                self._promise(told.number)
 
     def _take(self, edition: Edition) -> None:
         if edition.number in self._documents or edition.number == 0:
@@ -144,7 +149,7 @@
             "acting": stance.acting,
         }
         if self._objections:
-            number = max(self._objections)
+            number = self._asked if self._asked in self._objections else max(self._objections)
             made["objection"] = {"edition": number, "reason": self._objections[number]}
         return made
 
