Count only who took this service's word, enrol only where permitted, permit no edition 0 unasked

Changes: edition 0 is permitted like any other; names are enrolled and taken off by the service that permits, newcomers once they count; only a confirmed word counts; a halt needs what a commit needs; a successor within a permission's length goes on in its name's place.

--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -195,6 +195,7 @@
     barred: Mapping[str, str] = field(default_factory=dict)  # no permission, and why: by the reconciler
     outcomes: dict[int, str] = field(default_factory=dict)  # what became of the last editions
     _persisting: tuple[Kept, list[Published]] | None = None
+    _left: dict[str, tuple[float, str]] = field(default_factory=dict)  # names whose process said it ends
     _queue: list[Publish] = field(default_factory=list)
     _counted: tuple[float, str] = (-math.inf, "")
     _look_again: float = -math.inf
@@ -214,7 +215,7 @@
             case Forget():
                 return [*self._forget(event.name), *self._decide(now)]
             case Tick():
-                return self._decide(now)
+                return [*self._gone(now), *self._decide(now)]
 
     def enrolled(self, name: str) -> None:
         """A name is on the durable roster."""
@@ -232,8 +233,6 @@
         ahead, known = self.fleet.ahead(self.kept.newest), len(self.fleet.edges)
         if 2 * ahead > known:
             return f"{ahead} of {known} sidecars hold later editions: this disk was lost, or is a copy"
-        if self.kept.committed.number == 0:
-            return ""  # it permits nothing that could contradict another
         return self._alone(now)
 
     def _alone(self, now: float) -> str:
@@ -250,11 +249,13 @@
 
     def _reported(self, now: float, event: Reported) -> list[Action]:
         name, report = event.name, event.report
-        if not self.fleet.heard(now, name, report):
-            return [self._answer(event, "a later report of this process came before")]
         if report.leaving:
+            # Its name stays for a while: most often another process of it follows.
             self.fleet.release(name, report.life)
-            return [*self._forget(name), self._answer(event, "it is leaving")]
+            self._left[name] = (now, report.life)
+            return [self._answer(event, "it is leaving")]
+        if not self.fleet.heard(now, name, report, self.timing.over_ms):
+            return [self._answer(event, "a later report of this process came before")]
         pending, objection = self.kept.pending, report.objection
         if pending is not None and objection is not None and objection.edition == pending.number:
             self.objections[name] = objection
@@ -262,8 +263,19 @@
         if not why:
             until = now + self.timing.over_ms
             self.fleet.grant(name, report, self.kept.committed.number, until)
-        enrol = [] if name in self.fleet.names else [Enrol(name)]
-        return [*enrol, self._answer(event, why)]
+        return [*self._enrol(now, name), self._answer(event, why)]
+
+    def _enrol(self, now: float, name: str) -> list[Action]:
+        """Once something is committed, only the one service that permits takes names onto the roster: a
+        majority of newcomers, who know another one alone, is none. Nor does a crowd of them cost it its
+        majority: each counts from the moment at which it is counted in."""
+        names = self.fleet.names
+        if name in names:
+            return []
+        since = self.fleet.edges[name].allied_ms
+        old = since is not None and now - since >= self.timing.season_ms
+        first = not names or self.kept.committed.number == 0
+        return [Enrol(name)] if first or (old and not self.may_permit(now)) else []
 
     def _answer(self, event: Reported, why: str) -> Granted:
         pending = self.kept.pending.number if self.kept.pending is not None else 0
@@ -284,6 +296,18 @@
             return "it has not acknowledged the edition that is prepared"
         return ""
 
+    def _gone(self, now: float) -> list[Action]:
+        """One name off the roster, whose process has left and was followed by none. As with those that come,
+        only the service that permits decides it: else it would make itself a majority of who is left."""
+        for name, (at, life) in list(self._left.items()):
+            edge = self.fleet.edges.get(name)
+            if edge is not None and edge.report.life != life:
+                del self._left[name]
+            elif now - at >= self.timing.season_ms and not self.may_permit(now):
+                del self._left[name]
+                return self._forget(name)
+        return []
+
     def _forget(self, name: str) -> list[Action]:
         known = name in self.fleet.names
         self.fleet.names.discard(name)
@@ -348,6 +372,8 @@
         if pending is None:
             return kept
         if self.objections:
+            if self._alone(now):
+                return kept  # another service may be the one that decides, and none that objects be there
             reasons = {name: objection.reason for name, objection in sorted(self.objections.items())}
             if waiting is not None:
                 # What it took over from the one that is halted, it takes from the one that is in force.
--- a/brassfall/agreement/edges.py
+++ b/brassfall/agreement/edges.py
@@ -81,7 +81,7 @@
     name: str
     last_ms: float
     report: Report
-    allied_ms: float | None  # since when it has taken this life's word without another's between
+    allied_ms: float | None  # since when its name has taken this life's word without another's between
 
 
 @dataclass(slots=True)
@@ -103,8 +103,9 @@
     holders: dict[tuple[str, str], Holder] = field(default_factory=dict)
     stale: int = 0  # reports that were repeated or overtaken
 
-    def heard(self, now: float, name: str, report: Report) -> bool:
-        """Take in a report; whether it is the newest of its process.
+    def heard(self, now: float, name: str, report: Report, brief: float = 0.0) -> bool:
+        """Take in a report; whether it is the newest of its process. `brief`: how soon (ms) after another
+        process of its name one counts as going on where that was.
 
         One that is repeated, or comes after a later one, says nothing: an acknowledgement in it may
         have been followed by a process that knows nothing of it."""
@@ -113,11 +114,14 @@
         if edge is not None and same and report.life and report.seq <= edge.report.seq:
             self.stale += 1
             return False
-        allied = edge.allied_ms if edge is not None and same else None
-        # Who has had no answer yet takes the first word it gets: that may be this one's.
+        # In a time shorter than a season no other service can have come to count the name: so a rolling
+        # restart costs no majority.
+        goes_on = edge is not None and (same or now - edge.last_ms <= brief)
+        allied = edge.allied_ms if edge is not None and goes_on else None
         if report.of not in (0, self.life):
             allied = None
-        elif allied is None:
+        elif allied is None and report.of:
+            # Who has had no answer yet has taken nobody's word, and may report to two.
             allied = now
         self.edges[name] = Edge(name, now, report, allied)
         return True
@@ -143,6 +147,7 @@
         """How many of the roster have taken this service's word for `season`, and last within `fresh`."""
         return sum(
             edge.allied_ms is not None
+            and edge.report.of == self.life
             and edge.name in self.names
             and now - edge.allied_ms >= season
             and now - edge.last_ms <= fresh
