--- a/brassfall/lab/agreement/program.py
+++ b/brassfall/lab/agreement/program.py
@@ -22,7 +22,8 @@
 def life(wall_ms: float, last: int, chance: random.Random) -> int:
     """The number of a life of the service, as `brassfall/table` makes it out of the wall clock and the last
     index that is durable."""
-    return max(int(wall_ms) << 10, last + 1)
+    floor = (int(wall_ms) << 10) + chance.getrandbits(10)
+    return floor if floor > last else last + 1 + chance.getrandbits(30)
 
 
 def answered(held: Any, asked: float, received: float, seq: int, raw: Mapping[str, Any]) -> bool:
