--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -11,6 +11,7 @@
 from brassfall.agreement.document import Edition
 from brassfall.agreement.edges import ReportError, parse
 from brassfall.lab.agreement.base import Clock, Kernel
+from brassfall.lab.agreement.rules import Line
 
 TICK_MS = 50.0
 
@@ -34,10 +35,11 @@
     kept: core.Kept = field(default_factory=core.Kept)
     names: set[str] = field(default_factory=set)
     index: int = 0  # of the last write, life or row
+    line: Line = field(default_factory=Line)
 
     def copy(self) -> Disk:
         """As it is now."""
-        return Disk(self.kept, set(self.names), self.index)
+        return Disk(self.kept, set(self.names), self.index, self.line.copy())
 
 
 @dataclass(slots=True)
@@ -225,7 +227,7 @@
             if action.kept.committed.number != self.disk.kept.committed.number:
                 self.committed_at = self.kernel.now
             self.disk.kept = action.kept
-            self.kernel.judge.durable(self.kernel.now, action.kept)
+            self.kernel.judge.durable(self.kernel.now, action.kept, self.disk.line)
         elif isinstance(action, core.Enrol):
             (self.disk.names.add if action.on else self.disk.names.discard)(action.name)
 
