Raise a service's life where its sidecars take only the word of a later one

Change: where more than half of all that report have asked here for a whole season and take a later life's word, the service takes a life, and issues its newest edition anew, above all they know; durable first. Lives further off than three hours are not believed.

--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -72,6 +72,7 @@
     waiting: Edition | None = None  # published while another is prepared: the newest of those
     halted: Halt | None = None  # the last that was objected to
     newest: int = 0
+    life: int = 0  # taken above the one that the disk gave, where sidecars took the word of a later one
     requests: dict[str, int] = {}  # the editions that the last request ids were answered with
 
 
@@ -197,6 +198,7 @@
     _persisting: tuple[Kept, list[Published]] | None = None
     _left: dict[str, tuple[float, str]] = field(default_factory=dict)  # names whose process said it ends
     _queue: list[Publish] = field(default_factory=list)
+    _taken: int = 0  # the life that this run has taken
     _counted: tuple[float, str] = (-math.inf, "")
     _look_again: float = -math.inf
 
@@ -335,7 +337,7 @@
         if kept is self.kept:
             actions += answers
             answers = []
-            kept = self._moved(now, kept)
+            kept = self._moved(now, self._raised(now, kept))
         if kept is not self.kept:
             self._persisting = (kept, answers)
             actions.append(Persist(kept))
@@ -366,6 +368,22 @@
             self._note(kept.waiting.number, f"superseded by edition {edition.number}")
         return msgspec.structs.replace(kept, waiting=edition)
 
+    def _raised(self, now: float, kept: Kept) -> Kept:
+        """With a life of its own above those whose word is taken, where that is due.
+
+        A disk that was lost, or a second service whose clock was ahead, leave sidecars that take no word of
+        this one, for as long as clocks differ. Where more than half have asked here for a whole season and
+        could ask nobody else, there is nobody else with a majority; this one then waits for its own."""
+        life, span = self.fleet.life, self.timing.season_ms
+        # The low bits of a life are drawn: so two services on one copy do not raise it to the same number.
+        more = 1 + life % 2**20
+        beyond = self.fleet.outlived(now, span, self.timing.over_ms)
+        if beyond:
+            return _anew(kept, max(beyond, kept.life) + more)
+        # What an earlier run took is its own, and never this one's.
+        earlier = kept.life >= life and kept.life != self._taken
+        return msgspec.structs.replace(kept, life=kept.life + more) if earlier else kept
+
     def _moved(self, now: float, kept: Kept) -> Kept:
         """The prepared edition halted or committed, where that is due; the next one takes its place."""
         pending, waiting = kept.pending, kept.waiting
@@ -399,6 +417,8 @@
             return []
         (kept, answers), self._persisting = self._persisting, None
         before, self.kept = self.kept, kept
+        if kept.life > before.life:
+            self.fleet.life = self._taken = kept.life
         if kept.pending != before.pending:
             self.objections = {}
         if kept.committed.number != before.committed.number:
@@ -417,3 +437,14 @@
         self.outcomes[edition] = outcome
         if len(self.outcomes) > OUTCOMES_MOST:
             del self.outcomes[next(iter(self.outcomes))]
+
+
+def _anew(kept: Kept, life: int) -> Kept:
+    """All that is known, under a life and a number above those that sidecars have acted on: they take none
+    that is lower for news."""
+    newest = kept.waiting or kept.pending or kept.committed
+    kept = msgspec.structs.replace(kept, life=life)
+    if not newest.number:
+        return kept
+    again = msgspec.structs.replace(newest, number=life, life=life, follows=kept.newest)
+    return msgspec.structs.replace(kept, pending=again, waiting=None, newest=life)
--- a/brassfall/agreement/edges.py
+++ b/brassfall/agreement/edges.py
@@ -17,6 +17,7 @@
 
 TEXT_MOST = 200
 OVERRIDES_MOST = 1000
+APART = 3 * 3_600_000 << 10  # of lives numbered by wall clocks that are an hour wrong, either way, and some
 
 
 class ReportError(Refused):
@@ -82,6 +83,7 @@
     last_ms: float
     report: Report
     allied_ms: float | None  # since when its name has taken this life's word without another's between
+    lost_ms: float | None = None  # since when it has asked here although it takes a later life's word
 
 
 @dataclass(slots=True)
@@ -123,9 +125,26 @@
         elif allied is None and report.of:
             # Who has had no answer yet has taken nobody's word, and may report to two.
             allied = now
-        self.edges[name] = Edge(name, now, report, allied)
+        lost = None
+        if report.of > self.life:
+            asks_on = edge is not None and now - edge.last_ms <= brief and edge.lost_ms is not None
+            lost = edge.lost_ms if edge is not None and asks_on else now
+        self.edges[name] = Edge(name, now, report, allied, lost)
         return True
 
+    def outlived(self, now: float, span: float, fresh: float) -> int:
+        """The latest life and edition known to those who take no word of this life, where they are more than
+        half and have asked here for `span` ms all the same; else 0. What is absurd is not believed."""
+        lost = [
+            max(edge.report.of, edge.report.held)
+            for edge in self.edges.values()
+            if edge.lost_ms is not None and now - edge.lost_ms >= span and now - edge.last_ms <= fresh
+        ]
+        # Of the roster, or of all that ask where that is longer: an empty disk has no roster.
+        known = max(len(self.names), len(self.edges))
+        believed = [life for life in lost if life <= self.life + APART]
+        return max(believed, default=0) if known and 2 * len(believed) > known else 0
+
     def ahead(self, newest: int) -> int:
         """How many hold an edition later than the newest that this service knows."""
         return sum(edge.report.held > newest for edge in self.edges.values())
