--- a/brassfall/lab/agreement/rules.py
+++ b/brassfall/lab/agreement/rules.py
@@ -140,6 +140,11 @@
         if line.banned & set(marks(kept.committed)):
             raise Broken("S5 halted", now, f"edition {kept.committed.number} has a layer that was halted")
 
+    def agreed(self, now: float, number: int, objected: set[int]) -> None:
+        """A commit becomes durable, at a service that has heard these objections."""
+        if number in objected:
+            raise Broken("S5 objected", now, f"edition {number} is committed against an objection")
+
     def _decided(self, now: float, number: int) -> None:
         self.decided_at.setdefault(number, now)
 
--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -91,6 +91,11 @@
         self._watchers: dict[int, tuple[Watcher, float]] = {}
         self.agreement: core.Agreement
 
+    @property
+    def life(self) -> int:
+        """The life whose word is told; 0 before the first."""
+        return self.agreement.fleet.life if self._run else 0
+
     # --- lives ----------------------------------------------------------------------------
 
     def start(self) -> None:
@@ -99,9 +104,10 @@
         now = self.clock.mono(kernel.now)
         self._run += 1
         self.up, self._free = True, kernel.now
-        self.life = program.life(self.clock.unix(kernel.now), self.disk.index, kernel.random)
-        self.disk.index = self.life
-        fleet = program.fleet(self.life, set(self.disk.names))
+        life = program.life(self.clock.unix(kernel.now), self.disk.index, kernel.random)
+        self.disk.index = life
+        self._objected: set[int] = set()
+        fleet = program.fleet(life, set(self.disk.names))
         self.agreement = program.agreement(program.timing, now, self.disk.kept, fleet)
         self._tick(self._run)
 
@@ -177,7 +183,12 @@
             return True
         self._ticket += 1
         self._answers[self._ticket] = answer
+        deciding = any(isinstance(row, core.Persist) for row in self._writing)
         self.handle(core.Reported(self._ticket, name, report))
+        edge = self.agreement.fleet.edges.get(name)
+        news = edge is not None and (edge.report.life, edge.report.seq) == (report.life, report.seq)
+        if report.objection is not None and news and not deciding:
+            self._objected.add(report.objection.edition)
         return True
 
     # --- the disk -------------------------------------------------------------------------------
@@ -226,6 +237,7 @@
         if isinstance(action, core.Persist):
             if action.kept.committed.number != self.disk.kept.committed.number:
                 self.committed_at = self.kernel.now
+                self.kernel.judge.agreed(self.kernel.now, action.kept.committed.number, self._objected)
             self.disk.kept = action.kept
             self.kernel.judge.durable(self.kernel.now, action.kept, self.disk.line)
         elif isinstance(action, core.Enrol):
