--- /dev/null
+++ b/brassfall/lab/agreement/command.py
@@ -0,0 +1,239 @@
+"""`lab agreement`: many worlds by seed, on several processes; what broke, shrunk, and what the faults met."""
+
+from __future__ import annotations
+
+import json
+import multiprocessing
+import os
+import signal
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from brassfall.lab.agreement import schedule
+from brassfall.lab.agreement.flaws import FLAWS, REAL
+from brassfall.lab.agreement.rules import Broken
+from brassfall.lab.agreement.world import World
+
+FLAW_NODES = (3, 5)
+FLAW_SEEDS = 150
+PROGRESS_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    """One world to play."""
+
+    nodes: int
+    seed: int
+    flaw: str = ""
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What came of one world: the rule that broke, or none."""
+
+    task: Task
+    rule: str = ""
+    what: str = ""
+    faults: list[str] = field(default_factory=list)  # the schedule, shrunk where a rule broke
+    met: dict[str, int] = field(default_factory=dict)
+    commits: int = 0
+    events: int = 0
+    took_s: float = 0.0
+
+
+def play(task: Task) -> Outcome:
+    """Play one world; where a rule breaks, shrink its schedule."""
+    began = time.perf_counter()
+    world, faults = _world(task)
+    broken = _broken(world)
+    outcome = Outcome(task, met=world.met, commits=len(world.judge.committed), events=world.kernel.events)
+    if broken is not None:
+        shrunk, broken = faults, broken
+        if not task.flaw:
+            shrunk, broken = shrink(task, faults, broken)
+        outcome.rule, outcome.what = broken.rule, str(broken)
+        outcome.faults = [f"{fault.at_ms:.0f} ms {fault.name}" for fault in shrunk]
+    outcome.took_s = time.perf_counter() - began
+    return outcome
+
+
+def _world(task: Task, faults: list[schedule.Fault] | None = None) -> tuple[World, list[schedule.Fault]]:
+    flaw = FLAWS.get(task.flaw)
+    world = World(task.seed, task.nodes, flaw.program if flaw is not None else REAL)
+    drawn = schedule.draw(world, flaw.themes if flaw is not None else ())
+    faults = drawn if faults is None else faults
+    schedule.arrange(world, faults)
+    return world, faults
+
+
+def _broken(world: World) -> Broken | None:
+    try:
+        world.run()
+    except Broken as broken:
+        return broken
+    return None
+
+
+def shrink(task: Task, faults: list[schedule.Fault], broken: Broken) -> tuple[list[schedule.Fault], Broken]:
+    """Take faults away, one at a time, as long as the same rule breaks."""
+    for fault in list(faults):
+        fewer = [other for other in faults if other is not fault]
+        found = _broken(_world(task, fewer)[0])
+        if found is not None and found.rule == broken.rule:
+            faults, broken = fewer, found
+    return faults, broken
+
+
+def play_flaw(name: str) -> tuple[Outcome, int]:
+    """Play worlds with a defect until one of its rules names it; that world, and how many it took."""
+    flaw, tried, spent = FLAWS[name], 0, 0.0
+    outcome = Outcome(Task(0, 0, name))
+    for seed in range(FLAW_SEEDS):
+        for nodes in FLAW_NODES:
+            tried += 1
+            outcome = play(Task(nodes, seed, name))
+            spent += outcome.took_s
+            outcome.took_s = spent
+            if outcome.rule in flaw.rules:
+                return outcome, tried
+            if outcome.rule:
+                return outcome, tried  # by another rule than it has to be
+    return outcome, tried
+
+
+# --- many -----------------------------------------------------------------------------------------
+
+
+def _quiet() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the parent ends the pool
+
+
+def spread(run: Callable[[Any], Any], tasks: list[Any], jobs: int) -> Iterator[Any]:
+    """Run tasks on several processes; results as they come. They end with this iterator."""
+    if jobs == 1:
+        yield from map(run, tasks)
+        return
+    with multiprocessing.get_context("spawn").Pool(jobs, _quiet) as pool:
+        yield from pool.imap_unordered(run, tasks, chunksize=1)
+
+
+@dataclass(slots=True)
+class Summary:
+    """What came of all worlds."""
+
+    played: Counter[int] = field(default_factory=Counter)  # by number of sidecars
+    took_s: Counter[int] = field(default_factory=Counter)
+    commits: int = 0
+    met: Counter[str] = field(default_factory=Counter)
+    broken: list[Outcome] = field(default_factory=list)
+
+    def add(self, outcome: Outcome) -> None:
+        """Take in one world."""
+        nodes = outcome.task.nodes
+        self.played[nodes] += 1
+        self.took_s[nodes] += outcome.took_s  # type: ignore[assignment]
+        self.commits += outcome.commits
+        self.met.update(outcome.met)
+        if outcome.rule:
+            self.broken.append(outcome)
+
+    def plain(self) -> dict[str, Any]:
+        """As plain values."""
+        return {
+            "played": dict(sorted(self.played.items())),
+            "seconds_each": {n: round(self.took_s[n] / self.played[n], 3) for n in sorted(self.played)},
+            "commits": self.commits,
+            "met": dict(sorted(self.met.items())),
+            "broken": [
+                {
+                    "nodes": o.task.nodes,
+                    "seed": o.task.seed,
+                    "rule": o.rule,
+                    "what": o.what,
+                    "faults": o.faults,
+                }
+                for o in self.broken
+            ],
+        }
+
+
+def check(seeds: int, nodes: list[int], jobs: int, say: Callable[[str], None]) -> tuple[Summary, bool]:
+    """Play `seeds` worlds of each size; whether all were played."""
+    tasks = [Task(size, seed) for size in sorted(nodes, reverse=True) for seed in range(seeds)]
+    summary, last = Summary(), time.monotonic()
+    try:
+        for done, outcome in enumerate(spread(play, tasks, jobs or os.cpu_count() or 1), 1):
+            summary.add(outcome)
+            if outcome.rule:
+                say(f"{outcome.task.nodes} sidecars, seed {outcome.task.seed}: {outcome.what}")
+            if time.monotonic() - last > PROGRESS_S:
+                last = time.monotonic()
+                say(f"{done} of {len(tasks)} worlds, {len(summary.broken)} broken")
+    except KeyboardInterrupt:
+        say("stopped; what was played so far follows")
+        return summary, False
+    return summary, True
+
+
+def find(names: list[str], jobs: int) -> list[dict[str, Any]]:
+    """Whether each defect is found by a rule that may name it, in how many worlds and seconds."""
+    rows = []
+    for outcome, tried in spread(play_flaw, names, min(jobs or os.cpu_count() or 1, len(names))):
+        name = outcome.task.flaw
+        found = outcome.rule in FLAWS[name].rules
+        row = {"flaw": name, "what": FLAWS[name].what, "rule": outcome.rule, "found": found}
+        rows.append({**row, "worlds": tried, "seconds": round(outcome.took_s, 2)})
+    return sorted(rows, key=lambda row: list(FLAWS).index(row["flaw"]))
+
+
+def table(rows: list[dict[str, Any]]) -> str:
+    """Defects as a table in Markdown."""
+    lines = ["| defect | what is wrong | found by | worlds | s |", "|---|---|---|---|---|"]
+    for row in rows:
+        rule = row["rule"] if row["found"] else f"**not found** ({row['rule'] or 'nothing broke'})"
+        lines.append(f"| `{row['flaw']}` | {row['what']} | {rule} | {row['worlds']} | {row['seconds']:.2f} |")
+    return "\n".join(lines)
+
+
+def text(summary: Summary) -> str:
+    """All worlds as a few lines."""
+    plain = summary.plain()
+    lines = [
+        f"{n} sidecars: {plain['played'][n]} worlds, {plain['seconds_each'][n]} s each"
+        for n in plain["played"]
+    ]
+    lines.append(f"{summary.commits} commits; how often each fault met each phase:")
+    lines += [f"  {name}: {count}" for name, count in plain["met"].items()]
+    for row in plain["broken"]:
+        lines.append(
+            f"BROKEN {row['nodes']} sidecars, seed {row['seed']}: {row['what']}; {', '.join(row['faults'])}"
+        )
+    return "\n".join(lines)
+
+
+class UsageError(Exception):
+    """The command was asked for what it does not have."""
+
+
+def run(seeds: int, nodes: str, flaw: str, jobs: int, as_json: bool, say: Callable[[str], None]) -> int:
+    """The command: prints what was found; its exit status."""
+    if flaw:
+        if flaw != "all" and flaw not in FLAWS:
+            raise UsageError(f"--flaw: {flaw!r} is none of {', '.join(FLAWS)}; name one of them, or all")
+        try:
+            rows = find(list(FLAWS) if flaw == "all" else [flaw], jobs)
+        except KeyboardInterrupt:
+            say("stopped")
+            return 130
+        print(json.dumps(rows) if as_json else table(rows))
+        return 0 if all(row["found"] for row in rows) else 1
+    parts = nodes.split(",")
+    if not all(part.isdecimal() and 3 <= int(part) <= 2000 for part in parts):
+        raise UsageError(f"--nodes: numbers from 3 to 2000 with commas are wanted, not {nodes!r}")
+    summary, whole = check(seeds, [int(part) for part in parts], jobs, say)
+    print(json.dumps(summary.plain()) if as_json else text(summary))
+    return 130 if not whole else 1 if summary.broken else 0
--- a/brassfall/lab/agreement/schedule.py
+++ b/brassfall/lab/agreement/schedule.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -48,13 +49,15 @@
 
 
 def _begin(world: World, fault: Fault) -> None:
+    # Its draws are its own: a schedule from which another fault is taken keeps this one as it was.
+    world.drawn = random.Random(fault.seed)
     world.note(fault.name)
     THEMES[fault.name][0](world)
 
 
 def _some(world: World, part: float = 0.34) -> list[Sidecar]:
     """A few sidecars that run, fewer than half of all."""
-    chance, running = world.kernel.random, [s for s in world.sidecars if not s.stopped]
+    chance, running = world.drawn, [s for s in world.sidecars if not s.stopped]
     most = max(1, int(len(running) * part))
     return chance.sample(running, min(len(running), chance.randint(1, most)))
 
@@ -77,7 +80,7 @@
         if not service.up:
             service.start()
 
-    _later(world, world.kernel.random.choice((20.0, 500.0, 3000.0)), again)
+    _later(world, world.drawn.choice((20.0, 500.0, 3000.0)), again)
 
 
 def crash(world: World) -> None:
@@ -100,23 +103,23 @@
 def restored(world: World) -> None:
     """An older copy is put back."""
     if world.snapshots:
-        _restart(world, world.kernel.random.choice(world.snapshots[-3:]).copy())
+        _restart(world, world.drawn.choice(world.snapshots[-3:]).copy())
 
 
 def disk(world: World) -> None:
     """Writes fail, or take long."""
     faults = world.services[0].faults
-    faults.fail, faults.slow = world.kernel.random.choice(((0.4, 0.0), (0.0, 0.5), (0.2, 0.3)))
+    faults.fail, faults.slow = world.drawn.choice(((0.4, 0.0), (0.0, 0.5), (0.2, 0.3)))
 
     def over() -> None:
         faults.fail = faults.slow = 0.0
 
-    _later(world, world.kernel.random.uniform(1000.0, 6000.0), over)
+    _later(world, world.drawn.uniform(1000.0, 6000.0), over)
 
 
 def twin(world: World) -> None:
     """A second service on a copy of the disk; each sidecar sees one of the two, or some see both."""
-    second, chance = world.services[1], world.kernel.random
+    second, chance = world.services[1], world.drawn
     if second.up or not world.snapshots:
         return
     copies = [world.services[0].disk, world.snapshots[-1]]
@@ -136,7 +139,7 @@
 
 def _swap(world: World) -> None:
     """Some come over to the other side."""
-    chance = world.kernel.random
+    chance = world.drawn
     for sidecar in world.sidecars:
         if chance.random() < 0.4:
             for service in (0, 1):
@@ -146,13 +149,13 @@
 
 def _one_stays(world: World) -> None:
     world.kernel.net.cuts.clear()
-    stopped: Service = world.kernel.random.choice(world.services)
+    stopped: Service = world.drawn.choice(world.services)
     stopped.crash()
 
 
 def jump(world: World) -> None:
     """Wall clocks jump by an hour."""
-    chance = world.kernel.random
+    chance = world.drawn
     for clock in [service.clock for service in world.services] + [s.clock for s in _some(world)]:
         clock.wall += chance.choice((HOUR_MS, -HOUR_MS))
     for sidecar in world.sidecars:
@@ -168,7 +171,7 @@
     """Stopped for ten seconds, across whatever comes, and continued."""
     for sidecar in _some(world):
         sidecar.stop()
-        span = world.kernel.random.choice((STOPPED_MS, world.kernel.random.uniform(500.0, STOPPED_MS)))
+        span = world.drawn.choice((STOPPED_MS, world.drawn.uniform(500.0, STOPPED_MS)))
         _later(world, span, sidecar.resume)
 
 
@@ -176,9 +179,9 @@
     """A stopped process gets a successor of its name, and comes back beside it."""
     for sidecar in _some(world):
         sidecar.stop()
-        after = world.kernel.random.uniform(10.0, 3000.0)
+        after = world.drawn.uniform(10.0, 3000.0)
         _later(world, after, _given_up, world, sidecar)
-        _later(world, after + world.kernel.random.uniform(10.0, 4000.0), sidecar.resume)
+        _later(world, after + world.drawn.uniform(10.0, 4000.0), sidecar.resume)
 
 
 def _given_up(world: World, sidecar: Sidecar) -> None:
@@ -189,7 +192,7 @@
 def restart(world: World) -> None:
     """A process ends, with a word or without, and another follows at once."""
     for sidecar in _some(world):
-        world.succeed(sidecar, world.kernel.random.random() < 0.5)
+        world.succeed(sidecar, world.drawn.random() < 0.5)
 
 
 def rolling(world: World) -> None:
@@ -202,20 +205,20 @@
 
 def _rolled(world: World, name: str) -> None:
     for sidecar in [s for s in world.sidecars if s.name == name and not s.stopped]:
-        world.succeed(sidecar, world.kernel.random.random() < 0.7)
+        world.succeed(sidecar, world.drawn.random() < 0.7)
 
 
 def join(world: World) -> None:
     """New ones, while an edition is prepared."""
     world.publish()
     number = len(world.sidecars)
-    name = f"n{number}-{world.kernel.random.randrange(10**6)}"
-    _later(world, world.kernel.random.uniform(0.0, 1500.0), world.join, name)
+    name = f"n{number}-{world.drawn.randrange(10**6)}"
+    _later(world, world.drawn.uniform(0.0, 1500.0), world.join, name)
 
 
 def liar(world: World) -> None:
     """One that reports what is not so; what it does itself is found at the servers alone."""
-    sidecar = world.kernel.random.choice(world.sidecars)
+    sidecar = world.drawn.choice(world.sidecars)
     sidecar.liar = True
     sidecar.judged()
 
@@ -225,7 +228,7 @@
 
 def cut(world: World) -> None:
     """Some are cut off, one way, of one kind, or altogether."""
-    chance = world.kernel.random
+    chance = world.drawn
     kinds = chance.choice(
         (KINDS, ("report",), ("answer",), ("watch",), ("watch", "open"), ("report", "watch"))
     )
@@ -240,7 +243,7 @@
 
 def rough(world: World) -> None:
     """Messages are lost, and slow enough to be useless."""
-    net, chance = world.kernel.net, world.kernel.random
+    net, chance = world.kernel.net, world.drawn
     net.loss, net.slow = chance.choice(((0.2, 0.0), (0.0, 0.5), (0.1, 0.2)))
     net.slow_ms = chance.choice((900.0, 3500.0))
 
@@ -261,7 +264,7 @@
     for body in (b"", b"[]", b'{"seq":NaN}', b'{"held":1e300}', b'{"seq":-1}', b"{" * 5000):
         if world.services[0].up and body:
             world.services[0].report("s0", body, lambda raw: None)
-    _later(world, world.kernel.random.uniform(3000.0, 12_000.0), over)
+    _later(world, world.drawn.uniform(3000.0, 12_000.0), over)
 
 
 def burst(world: World) -> None:
--- a/brassfall/lab/agreement/world.py
+++ b/brassfall/lab/agreement/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 from brassfall.agreement import core
@@ -25,6 +26,7 @@
         self.judge = Judge(program.timing.agree_ms, core.DRIFT)
         self.kernel = kernel = Kernel(seed, program, self.judge)
         self.seed, self.nodes = seed, nodes
+        self.drawn = random.Random(seed)  # of the fault that began last
         self.calm = True  # no service, disk or majority fails: an edition has to be decided in time
         first = Service(kernel, 0, Disk(), kernel.clock())
         # The address of a second service is known to all, whether or not anybody is there.
