--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -72,6 +72,7 @@
     waiting: Edition | None = None  # published while another is prepared: the newest of those
     halted: Halt | None = None  # the last that was objected to
     newest: int = 0
+    life: int = 0  # taken above the one that the disk gave, where sidecars took the word of a later one
     requests: dict[str, int] = {}  # the editions that the last request ids were answered with
 
 
@@ -195,7 +196,9 @@
     barred: Mapping[str, str] = field(default_factory=dict)  # no permission, and why: by the reconciler
     outcomes: dict[int, str] = field(default_factory=dict)  # what became of the last editions
     _persisting: tuple[Kept, list[Published]] | None = None
+    _left: dict[str, tuple[float, str]] = field(default_factory=dict)  # names whose process said it ends
     _queue: list[Publish] = field(default_factory=list)
+    _taken: int = 0  # the life that this run has taken
     _counted: tuple[float, str] = (-math.inf, "")
     _look_again: float = -math.inf
 
@@ -214,7 +217,7 @@
             case Forget():
                 return [*self._forget(event.name), *self._decide(now)]
             case Tick():
-                return self._decide(now)
+                return [*self._gone(now), *self._decide(now)]
 
     def enrolled(self, name: str) -> None:
         """A name is on the durable roster."""
@@ -232,8 +235,6 @@
         ahead, known = self.fleet.ahead(self.kept.newest), len(self.fleet.edges)
         if 2 * ahead > known:
             return f"{ahead} of {known} sidecars hold later editions: this disk was lost, or is a copy"
-        if self.kept.committed.number == 0:
-            return ""  # it permits nothing that could contradict another
         return self._alone(now)
 
     def _alone(self, now: float) -> str:
@@ -250,11 +251,13 @@
 
     def _reported(self, now: float, event: Reported) -> list[Action]:
         name, report = event.name, event.report
-        if not self.fleet.heard(now, name, report):
-            return [self._answer(event, "a later report of this process came before")]
         if report.leaving:
+            # Its name stays for a while: most often another process of it follows.
             self.fleet.release(name, report.life)
-            return [*self._forget(name), self._answer(event, "it is leaving")]
+            self._left[name] = (now, report.life)
+            return [self._answer(event, "it is leaving")]
+        if not self.fleet.heard(now, name, report, self.timing.over_ms):
+            return [self._answer(event, "a later report of this process came before")]
         pending, objection = self.kept.pending, report.objection
         if pending is not None and objection is not None and objection.edition == pending.number:
             self.objections[name] = objection
@@ -262,8 +265,19 @@
         if not why:
             until = now + self.timing.over_ms
             self.fleet.grant(name, report, self.kept.committed.number, until)
-        enrol = [] if name in self.fleet.names else [Enrol(name)]
-        return [*enrol, self._answer(event, why)]
+        return [*self._enrol(now, name), self._answer(event, why)]
+
+    def _enrol(self, now: float, name: str) -> list[Action]:
+        """Once something is committed, only the one service that permits takes names onto the roster: a
+        majority of newcomers, who know another one alone, is none. Nor does a crowd of them cost it its
+        majority: each counts from the moment at which it is counted in."""
+        names = self.fleet.names
+        if name in names:
+            return []
+        since = self.fleet.edges[name].allied_ms
+        old = since is not None and now - since >= self.timing.season_ms
+        first = not names or self.kept.committed.number == 0
+        return [Enrol(name)] if first or (old and not self.may_permit(now)) else []
 
     def _answer(self, event: Reported, why: str) -> Granted:
         pending = self.kept.pending.number if self.kept.pending is not None else 0
@@ -284,6 +298,18 @@
             return "it has not acknowledged the edition that is prepared"
         return ""
 
+    def _gone(self, now: float) -> list[Action]:
+        """One name off the roster, whose process has left and was followed by none. As with those that come,
+        only the service that permits decides it: else it would make itself a majority of who is left."""
+        for name, (at, life) in list(self._left.items()):
+            edge = self.fleet.edges.get(name)
+            if edge is not None and edge.report.life != life:
+                del self._left[name]
+            elif now - at >= self.timing.season_ms and not self.may_permit(now):
+                del self._left[name]
+                return self._forget(name)
+        return []
+
     def _forget(self, name: str) -> list[Action]:
         known = name in self.fleet.names
         self.fleet.names.discard(name)
@@ -311,7 +337,7 @@
         if kept is self.kept:
             actions += answers
             answers = []
-            kept = self._moved(now, kept)
+            kept = self._moved(now, self._raised(now, kept))
         if kept is not self.kept:
             self._persisting = (kept, answers)
             actions.append(Persist(kept))
@@ -342,12 +368,30 @@
             self._note(kept.waiting.number, f"superseded by edition {edition.number}")
         return msgspec.structs.replace(kept, waiting=edition)
 
+    def _raised(self, now: float, kept: Kept) -> Kept:
+        """With a life of its own above those whose word is taken, where that is due.
+
+        A disk that was lost, or a second service whose clock was ahead, leave sidecars that take no word of
+        this one, for as long as clocks differ. Where more than half have asked here for a whole season and
+        could ask nobody else, there is nobody else with a majority; this one then waits for its own."""
+        life, span = self.fleet.life, self.timing.season_ms
+        # The low bits of a life are drawn: so two services on one copy do not raise it to the same number.
+        more = 1 + life % 2**20
+        beyond = self.fleet.outlived(now, span, self.timing.over_ms)
+        if beyond:
+            return _anew(kept, max(beyond, kept.life) + more)
+        # What an earlier run took is its own, and never this one's.
+        earlier = kept.life >= life and kept.life != self._taken
+        return msgspec.structs.replace(kept, life=kept.life + more) if earlier else kept
+
     def _moved(self, now: float, kept: Kept) -> Kept:
         """The prepared edition halted or committed, where that is due; the next one takes its place."""
         pending, waiting = kept.pending, kept.waiting
         if pending is None:
             return kept
         if self.objections:
+            if self._alone(now):
+                return kept  # another service may be the one that decides, and none that objects be there
             reasons = {name: objection.reason for name, objection in sorted(self.objections.items())}
             if waiting is not None:
                 # What it took over from the one that is halted, it takes from the one that is in force.
@@ -373,6 +417,8 @@
             return []
         (kept, answers), self._persisting = self._persisting, None
         before, self.kept = self.kept, kept
+        if kept.life > before.life:
+            self.fleet.life = self._taken = kept.life
         if kept.pending != before.pending:
             self.objections = {}
         if kept.committed.number != before.committed.number:
@@ -391,3 +437,14 @@
         self.outcomes[edition] = outcome
         if len(self.outcomes) > OUTCOMES_MOST:
             del self.outcomes[next(iter(self.outcomes))]
+
+
+def _anew(kept: Kept, life: int) -> Kept:
+    """All that is known, under a life and a number above those that sidecars have acted on: they take none
+    that is lower for news."""
+    newest = kept.waiting or kept.pending or kept.committed
+    kept = msgspec.structs.replace(kept, life=life)
+    if not newest.number:
+        return kept
+    again = msgspec.structs.replace(newest, number=life, life=life, follows=kept.newest)
+    return msgspec.structs.replace(kept, pending=again, waiting=None, newest=life)
--- a/brassfall/agreement/edges.py
+++ b/brassfall/agreement/edges.py
@@ -17,6 +17,7 @@
 
 TEXT_MOST = 200
 OVERRIDES_MOST = 1000
+APART = 3 * 3_600_000 << 10  # of lives numbered by wall clocks that are an hour wrong, either way, and some
 
 
 class ReportError(Refused):
@@ -81,7 +82,8 @@
     name: str
     last_ms: float
     report: Report
-    allied_ms: float | None  # since when it has taken this life's word without another's between
+    allied_ms: float | None  # since when its name has taken this life's word without another's between
+    lost_ms: float | None = None  # since when it has asked here although it takes a later life's word
 
 
 @dataclass(slots=True)
@@ -103,8 +105,9 @@
     holders: dict[tuple[str, str], Holder] = field(default_factory=dict)
     stale: int = 0  # reports that were repeated or overtaken
 
-    def heard(self, now: float, name: str, report: Report) -> bool:
-        """Take in a report; whether it is the newest of its process.
+    def heard(self, now: float, name: str, report: Report, brief: float = 0.0) -> bool:
+        """Take in a report; whether it is the newest of its process. `brief`: how soon (ms) after another
+        process of its name one counts as going on where that was.
 
         One that is repeated, or comes after a later one, says nothing: an acknowledgement in it may
         have been followed by a process that knows nothing of it."""
@@ -113,15 +116,35 @@
         if edge is not None and same and report.life and report.seq <= edge.report.seq:
             self.stale += 1
             return False
-        allied = edge.allied_ms if edge is not None and same else None
-        # Who has had no answer yet takes the first word it gets: that may be this one's.
+        # In a time shorter than a season no other service can have come to count the name: so a rolling
+        # restart costs no majority.
+        goes_on = edge is not None and (same or now - edge.last_ms <= brief)
+        allied = edge.allied_ms if edge is not None and goes_on else None
         if report.of not in (0, self.life):
             allied = None
-        elif allied is None:
+        elif allied is None and report.of:
+            # Who has had no answer yet has taken nobody's word, and may report to two.
             allied = now
-        self.edges[name] = Edge(name, now, report, allied)
+        lost = None
+        if report.of > self.life:
+            asks_on = edge is not None and now - edge.last_ms <= brief and edge.lost_ms is not None
+            lost = edge.lost_ms if edge is not None and asks_on else now
+        self.edges[name] = Edge(name, now, report, allied, lost)
         return True
 
+    def outlived(self, now: float, span: float, fresh: float) -> int:
+        """The latest life and edition known to those who take no word of this life, where they are more than
+        half and have asked here for `span` ms all the same; else 0. What is absurd is not believed."""
+        lost = [
+            max(edge.report.of, edge.report.held)
+            for edge in self.edges.values()
+            if edge.lost_ms is not None and now - edge.lost_ms >= span and now - edge.last_ms <= fresh
+        ]
+        # Of the roster, or of all that ask where that is longer: an empty disk has no roster.
+        known = max(len(self.names), len(self.edges))
+        believed = [life for life in lost if life <= self.life + APART]
+        return max(believed, default=0) if known and 2 * len(believed) > known else 0
+
     def ahead(self, newest: int) -> int:
         """How many hold an edition later than the newest that this service knows."""
         return sum(edge.report.held > newest for edge in self.edges.values())
@@ -143,6 +166,7 @@
         """How many of the roster have taken this service's word for `season`, and last within `fresh`."""
         return sum(
             edge.allied_ms is not None
+            and edge.report.of == self.life
             and edge.name in self.names
             and now - edge.allied_ms >= season
             and now - edge.last_ms <= fresh
