--- /dev/null
+++ b/brassfall/overrides/document.py
@@ -0,0 +1,224 @@
+"""What an operator writes to override the rules for a while, checked. Pure code.
+
+The wire form is in `docs/overrides.md`. An `Override` is one revision of such a document as the book has it:
+frozen, with the absolute end that its row keeps.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+
+from brassfall.errors import Refused
+
+LONGEST_MS = 24 * 3_600_000  # a measure that lasts longer belongs into the settings
+NAME = re.compile(r"[A-Za-z0-9._:-]{1,128}\Z")
+WORDS_MOST = 500  # characters of `by` and of `why`
+PLACES_MOST = 256  # groups, regions, and regions of a shift
+PRIORITY_MOST = 1000
+SUM_SLACK = 1e-6  # shares that add up to one, written as decimals
+
+
+class BadOverride(Refused):
+    """A document that can't be an override (400)."""
+
+    action = "Mend the document as the reason says, and send it again; docs/overrides.md has its form."
+
+
+class Shift(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Shares of the requests by region; what is left of one goes on as without this override."""
+
+    to: dict[str, float]
+
+
+class Hold(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """Hold off one of these."""
+
+    server: str | None = None
+    group: str | None = None
+    region: str | None = None
+
+
+class Cap(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole fleet's most for a class."""
+
+    per_s: float
+
+
+class Pin(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A tenant is served by this region, and by no other."""
+
+    region: str
+
+
+class Action(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """What is done: exactly one of these."""
+
+    shift: Shift | None = None
+    hold: Hold | None = None
+    cap: Cap | None = None
+    pin: Pin | None = None
+    freeze: bool = False
+
+    @property
+    def kinds(self) -> list[str]:
+        """Which of them are there."""
+        return [name for name in self.__struct_fields__ if getattr(self, name)]
+
+
+class Match(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """Whose requests: one class, one tenant, or all."""
+
+    cls: str | None = msgspec.field(name="class", default=None)
+    tenant: str | None = None
+
+
+class Places(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """At which sidecars, by where they stand; empty is everywhere."""
+
+    groups: tuple[str, ...] = ()
+    regions: tuple[str, ...] = ()
+
+    def holds(self, group: str, region: str) -> bool:
+        """Whether a sidecar that stands there is meant."""
+        return (not self.groups or group in self.groups) and (not self.regions or region in self.regions)
+
+
+class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The body of `PUT /overrides/ID`; `until_ms` is Unix time by the service's clock."""
+
+    action: Action
+    match: Match = Match()
+    places: Places = Places()
+    by: str
+    why: str
+    until_ms: int
+    priority: int = 0
+
+    @property
+    def content(self) -> tuple[Action, Match, Places, int]:
+        """What sidecars act on; the rest says who, why and how long."""
+        return self.action, self.match, self.places, self.priority
+
+
+class Override(Document, frozen=True, kw_only=True):
+    """One revision. Revisions of all ids share numbers that only grow, over deletes and restarts too."""
+
+    id: str
+    rev: int
+    same_from: int  # the oldest revision, without an end in between, that says the same
+    from_ms: int  # of the first revision without an end in between
+
+    @property
+    def document(self) -> Document:
+        """What the operator wrote."""
+        return Document(**{name: getattr(self, name) for name in Document.__struct_fields__})
+
+
+def parse(override_id: str, body: bytes | str, now_ms: int) -> Document:
+    """The document that an operator sent at a time of the service; `BadOverride` says what is wrong."""
+    what = f"override {override_id!r} is not taken"
+    if not NAME.match(override_id):
+        raise BadOverride(what, "an id is 1 to 128 letters, digits, '.', '_', ':' or '-'")
+    try:
+        document = msgspec.json.decode(body, type=Document, strict=True)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:  # ValidationError is one of the first
+        raise BadOverride(what, str(error)) from error
+    except RecursionError as error:
+        raise BadOverride(what, "it is nested too deep") from error
+    wrong = next(faults(document, now_ms), "")
+    if wrong:
+        raise BadOverride(what, wrong)
+    return document
+
+
+def faults(document: Document, now_ms: int) -> Iterator[str]:
+    """Why a document can't be meant, one reason at a time."""
+    yield from _action_faults(document.action, document.match)
+    for name, words in (("by", document.by), ("why", document.why)):
+        if not words.strip() or len(words) > WORDS_MOST:
+            yield f"`{name}` has to have 1 to {WORDS_MOST} characters"
+    for name, places in (("groups", document.places.groups), ("regions", document.places.regions)):
+        if len(places) > PLACES_MOST or not all(map(NAME.match, places)):
+            yield f"`places.{name}` has to be at most {PLACES_MOST} names"
+    if abs(document.priority) > PRIORITY_MOST:
+        yield f"`priority` has to be between -{PRIORITY_MOST} and {PRIORITY_MOST}"
+    left = document.until_ms - now_ms
+    if left <= 0:
+        yield f"`until_ms` is past by {-left} ms; it is {now_ms} here"
+    if left > LONGEST_MS:
+        yield f"`until_ms` is {left / 3.6e6:.1f} h off, and 24 h are the most; what lasts longer is a setting"
+
+
+def _action_faults(action: Action, match: Match) -> Iterator[str]:
+    kinds = action.kinds
+    if len(kinds) != 1:
+        yield f"`action` names {len(kinds)} of shift, hold, cap, pin and freeze, not exactly one"
+        return
+    if match.cls is not None and match.tenant is not None:
+        yield "`match` names a class and a tenant; only one of them can be meant"
+    for name, value in (("class", match.cls), ("tenant", match.tenant)):
+        if value is not None and not NAME.match(value):
+            yield f"`match.{name}` is no name"
+    if action.shift is not None:
+        yield from _share_faults(action.shift.to)
+    elif action.hold is not None:
+        hold = action.hold
+        named = [name for name in (hold.server, hold.group, hold.region) if name is not None]
+        if len(named) != 1 or not NAME.match(named[0]):
+            yield "`action.hold` has to name exactly one server, group or region"
+    elif action.cap is not None and not 0.0 < action.cap.per_s <= 1e9:
+        yield "`action.cap.per_s` has to be over 0 and at most 1e9; to shut a class off is a setting"
+    elif action.pin is not None and not NAME.match(action.pin.region):
+        yield "`action.pin.region` is no name"
+    wanted = {"hold": (None, None), "freeze": (None, None), "cap": ("class", None), "pin": (None, "tenant")}
+    has = ("class" if match.cls is not None else None, "tenant" if match.tenant is not None else None)
+    if kinds[0] in wanted and has != wanted[kinds[0]]:
+        need = next((name for name in wanted[kinds[0]] if name), "")
+        yield f"`match` of a {kinds[0]} has to name " + (f"a {need} and nothing else" if need else "nothing")
+
+
+def _share_faults(to: dict[str, float]) -> Iterator[str]:
+    if not 1 <= len(to) <= PLACES_MOST or not all(map(NAME.match, to)):
+        yield f"`action.shift.to` has to be 1 to {PLACES_MOST} regions"
+    elif not all(math.isfinite(share) and 0.0 <= share <= 1.0 for share in to.values()):
+        yield "a share of `action.shift.to` is not between 0 and 1"
+    elif sum(to.values()) > 1.0 + SUM_SLACK:
+        yield f"the shares of `action.shift.to` add up to {sum(to.values()):g}, which is over 1"
+
+
+def listed(override: Override, now_ms: int) -> dict[str, Any]:
+    """The form of answers and listings, with the time left."""
+    found: dict[str, Any] = msgspec.to_builtins(override)
+    return {"id": override.id, **found, "left_ms": max(0, override.until_ms - now_ms)}
+
+
+def layer(overrides: Iterable[Override]) -> dict[str, dict[str, Any]]:
+    """The overrides layer of an edition, by id: what sidecars act on, and nothing about time.
+
+    Times left are told apart from it, with each answer, since an edition lasts longer than they hold."""
+    return {
+        found.id: {
+            "rev": found.rev,
+            "same_from": found.same_from,
+            "from_ms": found.from_ms,
+            "priority": found.priority,
+            "action": msgspec.to_builtins(found.action),
+            "match": msgspec.to_builtins(found.match),
+            "places": msgspec.to_builtins(found.places),
+        }
+        for found in overrides
+    }
+
+
+def times(overrides: Iterable[Override], now_ms: int) -> dict[str, dict[str, int]]:
+    """What an answer to a report tells of the time left, by id."""
+    return {
+        found.id: {"rev": found.rev, "same_from": found.same_from, "left_ms": found.until_ms - now_ms}
+        for found in overrides
+        if found.until_ms > now_ms
+    }
