--- a/brassfall/overrides/clock.py
+++ b/brassfall/overrides/clock.py
@@ -12,6 +12,9 @@
     a wall clock that went back over a restart prolongs an override by no more than the time since the
     mark. `marked_at_ms` is what the monotonic clock said then, where the machine has not been started
     since (its boot id is the same): time then goes on from the mark, whatever the wall clock says.
+
+    The first mark of a life has to be durable before the life answers anything: were it killed before, the
+    next one would have to believe the wall clock again.
     """
 
     def __init__(
--- a/brassfall/overrides/document.py
+++ b/brassfall/overrides/document.py
@@ -204,7 +204,6 @@
     return {
         found.id: {
             "rev": found.rev,
-            "same_from": found.same_from,
             "from_ms": found.from_ms,
             "priority": found.priority,
             "action": msgspec.to_builtins(found.action),
--- a/fordtrestle/fleet/overrides.py
+++ b/fordtrestle/fleet/overrides.py
@@ -17,6 +17,7 @@
 # long before is early by it, so that it is never late; telling anew takes the margin back.
 DRIFT = 0.0203
 RETELL_PART = 0.5  # of the time left that was told last: with less left, it is asked for anew
+SLOW_S = 0.5  # an answer that took longer makes the end early by that much: it is asked for anew at once
 LONGEST_MS = 25 * 3_600_000.0  # more than an override can have left: such an answer is not believed
 OVERRIDES_MOST = 4096
 FORGOTTEN_S = 60.0  # after its end; a late copy of an old answer is past by itself
@@ -36,14 +37,14 @@
 
     rev: int
     same_from: int
-    cap_s: float  # never acted on from then on, whatever is told later of the same revision
-    sure_s: float  # surely not over before then, at any rate of the two clocks
+    low_s: float  # surely not over before then, whatever the ways took and at any rate of the two clocks
+    high_s: float  # surely over then
     retell_s: float
 
     @property
     def end_s(self) -> float:
         """From then on it is not acted on."""
-        return min(self.cap_s, self.sure_s)
+        return min(self.low_s, self.high_s)
 
 
 class Deadlines:
@@ -53,49 +54,55 @@
         self._drift = drift
         self._told: dict[str, list[_Told]] = {}  # newest revision first, and the one before it
 
-    def told(self, asked_at_s: float, times: Mapping[str, Any]) -> tuple[str, ...]:
-        """An answer: `{ID: {"rev", "same_from", "left_ms"}}` to what was sent then.
+    def told(
+        self, asked_at_s: float, times: Mapping[str, Any], heard_at_s: float | None = None
+    ) -> tuple[str, ...]:
+        """An answer: `{ID: {"rev", "same_from", "left_ms"}}` to what was sent and came at these times.
 
-        The time left is counted from the asking, so that it is never too long. The ids of what could not be
-        read are returned; they change nothing."""
+        The time left is counted from the asking, so that it is never too long; when the answer was heard
+        bounds it from above. The ids of what could not be read, or contradicts what was told of the same
+        revision before, are returned; they change nothing."""
+        heard = asked_at_s if heard_at_s is None else max(asked_at_s, heard_at_s)
         bad = []
         for key, row in times.items():
             try:
-                rev, same_from, left = _time(row)
+                rev, same_from, left_ms = _time(row)
             except ValueError:
                 bad.append(str(key))
                 continue
-            if not self._take(str(key), rev, same_from, asked_at_s, left / 1000.0):
+            low, high = left_ms / 1000.0 * (1.0 - self._drift), left_ms / 1000.0 * (1.0 + self._drift)
+            retell = asked_at_s + (left_ms / 1000.0 * RETELL_PART if heard - asked_at_s < SLOW_S else 0.0)
+            new = _Told(rev, same_from, asked_at_s + low, heard + high, retell)
+            if not self._take(str(key), new, asked_at_s):
                 bad.append(str(key))
         return tuple(bad)
 
-    def _take(self, key: str, rev: int, same_from: int, asked: float, left: float) -> bool:
+    def _take(self, key: str, new: _Told, now_s: float) -> bool:
         held = self._told.get(key)
         if held is None and len(self._told) >= OVERRIDES_MOST:
-            self._forget(asked)
+            self._forget(now_s)
             if len(self._told) >= OVERRIDES_MOST:
                 return False
-        new = _Told(
-            rev, same_from, asked + left, asked + left * (1.0 - self._drift), asked + left * RETELL_PART
-        )
-        if held is None or rev > held[0].rev:
+        if held is None or new.rev > held[0].rev:
             self._told[key] = [new, *(held or [])[:1]]
-        elif rev == held[0].rev:
+        elif new.rev == held[0].rev:
             old = held[0]
-            old.cap_s = min(old.cap_s, new.cap_s)
-            old.sure_s, old.retell_s = max(old.sure_s, new.sure_s), max(old.retell_s, new.retell_s)
+            if new.low_s > old.high_s:
+                return False  # a service that begins it anew, or one with another clock, prolongs nothing
+            old.low_s, old.high_s = max(old.low_s, new.low_s), min(old.high_s, new.high_s)
+            old.retell_s = max(old.retell_s, new.retell_s)
         return True
 
     def _forget(self, now_s: float) -> None:
         self._told = {k: rows for k, rows in self._told.items() if rows[0].end_s > now_s - FORGOTTEN_S}
 
-    def acts(self, key: str, rev: int, same_from: int, now_s: float) -> bool:
+    def acts(self, key: str, rev: int, now_s: float) -> bool:
         """Whether a revision that an edition has is to be acted on now.
 
-        The edition and the answers come at different times: a time left of another revision counts where
-        that one says the same."""
+        The times of a newer revision are told before the edition that has it: they count for an older one
+        that says the same. Never the other way: the newer one may have been shortened."""
         for told in self._told.get(key, ()):
-            if told.same_from <= rev <= told.rev or same_from <= told.rev <= rev:
+            if told.same_from <= rev <= told.rev:
                 return now_s < told.end_s
         return False
 
@@ -142,7 +149,6 @@
 
     id: str
     rev: int
-    same_from: int
     from_ms: int
     priority: int
     kind: str  # of KINDS
@@ -179,14 +185,13 @@
     ):
         if not set(has) <= known:
             raise ValueError(f"this version knows no {name} by {', '.join(sorted(set(has) - known))}")
-    rev, same_from = row["rev"], row.get("same_from", row["rev"])
-    if not (_whole(rev) and _whole(same_from) and _whole(row["from_ms"]) and _whole(row["priority"])):
+    if not all(_whole(row[name]) for name in ("rev", "from_ms", "priority")):
         raise ValueError("its numbers are none")
     spec = _spec(kinds[0], action[kinds[0]])
     groups, regions = (frozenset(map(str, places.get(name, ()))) for name in ("groups", "regions"))
     cls, tenant = match.get("class"), match.get("tenant")
     return Line(
-        key, rev, same_from, row["from_ms"], row["priority"], kinds[0], spec, cls, tenant, groups, regions
+        key, row["rev"], row["from_ms"], row["priority"], kinds[0], spec, cls, tenant, groups, regions
     )
 
 
@@ -276,11 +281,7 @@
 
     `layer` is `read_layer`'s, `sidecars` how many share a cap. It changes only when one of these
     does, or at `deadlines.next_end`."""
-    lines = [
-        line
-        for line in layer
-        if _here(line, place) and deadlines.acts(line.id, line.rev, line.same_from, now_s)
-    ]
+    lines = [line for line in layer if _here(line, place) and deadlines.acts(line.id, line.rev, now_s)]
     said: list[str] = []
     unknown: list[str] = []
     known = [line for line in lines if _known(line, names, unknown)]
