Seed fifteen defects into overrides, and find each by the rule that it breaks

Eight of the service (expiry by the wall clock, no mark, a restart that begins anew, an end over an extension on its way, answers before the disk, revisions counted by name, no history, an end not published) and seven of a sidecar (deadline from the answer, the same revision prolongs, a lower one taken, no margin for clocks, expiry by a timer, undo to the previous state, a pin dropped by an inner end).

--- a/brassfall/lab/judge_overrides.py
+++ b/brassfall/lab/judge_overrides.py
@@ -103,7 +103,7 @@
         if rev == 0 and held is not None and held.rev <= self._ended_rev(key):
             self._break("an end was forgotten", now, f"{key} is back")
         if rev and (row is None or row["rev"] < rev):
-            truth = next((t for t in self._truths[key] if t.override.rev == rev), None)
+            truth = next((t for t in self._truths.get(key, ()) if t.override.rev == rev), None)
             if truth is None or (truth.gone is None and now < truth.end - 2.0):
                 self._break("an answered change was lost", now, f"{key} revision {rev}")
 
@@ -123,12 +123,14 @@
         kind = "extensions" if found.rev != found.same_from else "starts"
         setattr(self.outcome, kind, getattr(self.outcome, kind) + 1)
 
-    def dropped(self, now: float, service: Any, key: str) -> None:
+    def dropped(self, now: float, key: str, by_time: bool) -> None:
         """A row is gone: its time was over, or an operator ended it."""
         self.outcome.drops += 1
         rows = self._truths.get(key)
         if rows and rows[-1].gone is None:
             rows[-1].gone = now
+            if by_time and now < rows[-1].due - 5.0:
+                self._break("ended before its time", now, f"{key} by {rows[-1].due - now:.0f} ms")
 
     def acknowledged(self, key: str, found: Override | None) -> None:
         """An operator has heard that it is done."""
--- a/brassfall/lab/sim_overrides.py
+++ b/brassfall/lab/sim_overrides.py
@@ -25,13 +25,13 @@
 
 HOUR_MS = 3_600_000.0
 EPOCH_MS = 1.8e12
-RATES = (0.99, 1.01)
+RATES = (0.99, 1.01, 1.0)  # of monotonic clocks: the worst, and a good one
 REGIONS, TENANTS, CLASSES = ("a", "b", "c"), ("t1", "t2"), ("c1", "c2")
 IDS = tuple(f"o{number}" for number in range(6))
 TICK_MS = 100.0
 DISK_MS = (1.0, 40.0)
 WAY_MS = (1.0, 60.0)
-SLOW_SHARE, SLOW_MS = 0.03, (60.0, 6000.0)
+SLOW_SHARE, SLOW_MS = 0.06, (60.0, 6000.0)
 COMMIT_MS = (20.0, 400.0)  # from publication until sidecars can fetch the edition
 QUIET_MS = 8000.0  # at the end nothing is drawn any more
 
@@ -111,7 +111,7 @@
     def __init__(self, world: World, parts: Parts) -> None:
         self.world, self.parts, self.disk = world, parts, Disk()
         rng = world.rng
-        self.rate = rng.uniform(*RATES)
+        self.rate = rng.choice(RATES)
         self.wall_off = rng.uniform(-HOUR_MS, HOUR_MS)
         self.boot, self.booted_at, self.editions = 0, 0.0, 0
         self.up, self.stopped_until, self.life, self.disk_free = False, 0.0, 0, 0.0
@@ -205,6 +205,7 @@
             return
         why = "the disk is full" if self.world.rng.random() < self.world.bad_disk else ""
         tickets = []
+        expired = {w.entry.id for w in writes if isinstance(w, History) and w.entry.kind == "expired"}
         for write in writes:
             if not isinstance(write, History):
                 tickets.append(write.ticket)
@@ -215,7 +216,7 @@
                 self.world.judge.stored(self.world.now, self, write.override)
             elif isinstance(write, books.Drop):
                 self.disk.rows.pop(write.id, None)
-                self.world.judge.dropped(self.world.now, self, write.id)
+                self.world.judge.dropped(self.world.now, write.id, write.id in expired)
             else:
                 self.disk.history[write.key] = write.value
                 self.disk.history.pop(write.drop, None)
@@ -276,7 +277,7 @@
 
     def __init__(self, world: World, number: int, make: Callable[[str], Edge]) -> None:
         self.world, self.number, self.make = world, number, make
-        self.rate, self.zero = world.rng.uniform(*RATES), world.rng.uniform(0.0, 1e6)
+        self.rate, self.zero = world.rng.choice(RATES), world.rng.uniform(0.0, 1e6)
         self.region = world.rng.choice(REGIONS)
         self.run, self.stopped_until, self.asked = 0, 0.0, False
         self.cuts, self.copy_until = {"up": 0.0, "down": 0.0}, 0.0
