--- a/brassfall/overrides/document.py
+++ b/brassfall/overrides/document.py
@@ -215,9 +215,8 @@
 
 
 def times(overrides: Iterable[Override], now_ms: int) -> dict[str, dict[str, int]]:
-    """What an answer to a report tells of the time left, by id."""
+    """What an answer to a report tells of the time left, by id; of those in force."""
     return {
         found.id: {"rev": found.rev, "same_from": found.same_from, "left_ms": found.until_ms - now_ms}
         for found in overrides
-        if found.until_ms > now_ms
     }
--- a/brassfall/overrides/reconciler.py
+++ b/brassfall/overrides/reconciler.py
@@ -170,6 +170,8 @@
     life_since: int
     place: tuple[str, str] = ("", "")
     other_since: int | None = None  # since when its digest differs from what is due
+    strange_since: int | None = None  # since when it acts on what was never heard of
+    suspected: set[Kind] = field(default_factory=set)  # what its last details showed
     findings: dict[Kind, Finding] = field(default_factory=dict)
     told: int = 0  # tellings since the first finding
     told_at: int = 0
@@ -290,7 +292,8 @@
             return
         if report.digest == self._digest(now, node.place):
             yield from self._settle(now, report.node, node, set())
-            node.other_since = None
+            node.other_since = node.strange_since = None
+            node.suspected = set()
             return
         if node.other_since is None:
             node.other_since = now
@@ -315,8 +318,14 @@
         found = self._compare(now, node, event.acted)
         if not found:
             node.other_since = now  # news on its way, and nothing more
+        node.strange_since = (node.strange_since or now) if Kind.STRANGE in found else None
+        if node.strange_since is not None and now - node.strange_since <= NEWS_MS:
+            del found[Kind.STRANGE]  # what is newer than is known here may be told before it is published
+        # A report may have been long on its way: what one alone shows is not believed.
+        sure = {kind: ids for kind, ids in found.items() if kind in node.suspected}
+        node.suspected = set(found)
         yield from self._settle(now, event.node, node, set(found))
-        yield from self._open(now, event.node, node, found)
+        yield from self._open(now, event.node, node, sure)
         yield from self._press(now, event.node, node)
 
     def _compare(self, now: int, node: _Node, acted: Any) -> dict[Kind, tuple[str, ...]]:
@@ -337,13 +346,13 @@
         return {kind: tuple(sorted(ids)) for kind, ids in wrong.items()}
 
     def _extra(self, now: int, node: _Node, key: str, rev: int) -> Kind | None:
-        """What it is that a node acts on something that is not due."""
+        """What it is that a node acts on something that is not due there."""
         held = self._due.get(key)
         if held is not None and held.until_ms <= now:
             ended = (held.rev, held.until_ms, True)  # over, and not yet published
-        elif held is not None:
-            return Kind.STRANGE  # due, but not where this node stands
-        elif key in self._ended:
+        elif held is not None and rev < held.rev:
+            ended = (rev, self._seen[key][1], False)  # the revision after it is for other places
+        elif held is None and key in self._ended:
             ended = self._ended[key]
         else:
             return Kind.STRANGE
