Tell a sidecar only the times of revisions that are new to it, and bound what mass ends cost

A thousand ends in a second made each report of each sidecar differ, and would have been answered with all times: 77 kB a report. Revisions of all ids grow together, so a report says the newest that was told, and the answer has newer ones only, or all where they are asked for. A place's digest is made anew at most each 100 ms.

--- a/brassfall/lab/overrides/parts.py
+++ b/brassfall/lab/overrides/parts.py
@@ -31,8 +31,8 @@
     def layer(self, raw: list[dict[str, Any]]) -> None:
         """The overrides of a new edition."""
 
-    def report(self, now_s: float) -> tuple[str, bool]:
-        """The digest of what is acted on, and whether times are asked for."""
+    def report(self, now_s: float) -> tuple[str, bool, int]:
+        """The digest of what is acted on, whether times are asked for, and the newest revision told."""
 
     def timer(self, now_s: float) -> None:
         """Called every 100 ms while the process runs."""
--- a/brassfall/lab/overrides/world.py
+++ b/brassfall/lab/overrides/world.py
@@ -168,6 +168,8 @@
         for action in actions:
             if isinstance(action, rec.Ask):
                 self.world.nodes[int(action.node)].asked = True
+            elif isinstance(action, rec.Tell):
+                self.world.nodes[int(action.node)].tell = True
             elif isinstance(action, History):
                 writes.append(action)
                 if action.entry.kind == "found":
@@ -186,8 +188,10 @@
         answer: dict[str, Any] = {"ask": node.asked}
         node.asked = False
         due = [found for found in self.book.active(now) if found.places.holds("", node.region)]
-        if said["tell"] or said["digest"] != rec.digest((found.id, found.rev) for found in due):
-            answer["times"] = times(due, now)
+        told = times(due, now, 0 if said["tell"] or node.tell else said["newest"])
+        node.tell = False
+        if told:
+            answer["times"] = told
         if self.edition is not None and self.edition[0] != said["edition"]:
             answer["edition"] = self.edition
         if "times" in answer and node.copied():
@@ -209,7 +213,7 @@
         self.world, self.number, self.make = world, number, make
         self.rate, self.zero = world.rng.choice(RATES), world.rng.uniform(0.0, 1e6)
         self.region = world.rng.choice(REGIONS)
-        self.run, self.stopped_until, self.asked = 0, 0.0, False
+        self.run, self.stopped_until, self.asked, self.tell = 0, 0.0, False, False
         self.cuts, self.copy_until = {"up": 0.0, "down": 0.0}, 0.0
         self.well_since, self.touched = 0.0, False
         self.start()
@@ -265,8 +269,8 @@
         """Tell the service, and ask."""
         if not self.runs(run, self.report, run):
             return
-        word, tell = self.edge.report(self.clock())
-        said: dict[str, Any] = {"digest": word, "tell": tell, "edition": self.edition}
+        word, tell, newest = self.edge.report(self.clock())
+        said: dict[str, Any] = {"digest": word, "tell": tell, "newest": newest, "edition": self.edition}
         if self.details:
             said["acted"], self.details = dict(self.edge.decide(self.clock()).acted), False
         service = self.world.service
--- a/brassfall/overrides/document.py
+++ b/brassfall/overrides/document.py
@@ -205,9 +205,13 @@
     return [{name: msgspec.to_builtins(getattr(found, name)) for name in names} for found in overrides]
 
 
-def times(overrides: Iterable[Override], now_ms: int) -> dict[str, dict[str, int]]:
-    """What an answer to a report tells of the time left, by id; of those in force."""
+def times(overrides: Iterable[Override], now_ms: int, newest: int = 0) -> dict[str, dict[str, int]]:
+    """What an answer to a report tells of the time left, by id; of those in force.
+
+    Only of revisions after the newest that the sidecar was told, as it reports: revisions of all ids grow
+    together. 0 tells all, which one that asks for times anew, or is told again, has to get."""
     return {
         found.id: {"rev": found.rev, "same_from": found.same_from, "left_ms": found.until_ms - now_ms}
         for found in overrides
+        if found.rev > newest
     }
--- a/brassfall/overrides/reconciler.py
+++ b/brassfall/overrides/reconciler.py
@@ -19,6 +19,7 @@
 
 LATE_MS = 1500  # past its end by this, counting a report's interval and its way: an expiry was missed
 NEWS_MS = 5000  # what a start, a change or an end by hand may take to be acted on
+FRESH_MS = 100  # a place's digest is not made anew sooner, however many end
 AGAIN_MS = 1000  # between two tellings
 TELL_MOST = 3  # tellings without effect before the permission is refused
 REFUSED_MS = 6000  # longer than a permission lasts; then the operator is told
@@ -272,7 +273,8 @@
             ends = (found.until_ms for found in self._due.values() if found.until_ms > now)
             if len(self._digests) >= NODES_MOST:
                 self._digests.clear()
-            kept = self._digests[place] = (digest(self.due(now, *place).items()), min(ends, default=1 << 62))
+            until = max(now + FRESH_MS, min(ends, default=1 << 62))
+            kept = self._digests[place] = (digest(self.due(now, *place).items()), until)
         return kept[0]
 
     # --- reports --------------------------------------------------------------------------------
--- a/fordtrestle/fleet/deadlines.py
+++ b/fordtrestle/fleet/deadlines.py
@@ -66,6 +66,7 @@
     def __init__(self, drift: float = DRIFT) -> None:
         self._drift = drift
         self._told: dict[str, list[_Told]] = {}  # newest revision first, and the one before it
+        self.newest = 0  # the newest revision told, for the report: what is newer is to be told
 
     def told(
         self, asked_at_s: float, times: Mapping[str, Any], heard_at_s: float | None = None
@@ -96,6 +97,7 @@
             self._forget(now_s)
             if len(self._told) >= OVERRIDES_MOST:
                 return False
+        self.newest = max(self.newest, new.rev)
         if held is None or new.rev > held[0].rev:
             self._told[key] = [new, *(held or [])[:1]]
         elif new.rev == held[0].rev:
--- a/tests/test_overrides.py
+++ b/tests/test_overrides.py
@@ -30,7 +30,8 @@
         assert not wrong
 
     def report(self, now_s):
-        return digest(self.decide(now_s).acted), self.deadlines.wants(now_s)
+        acted = digest(self.decide(now_s).acted)
+        return acted, self.deadlines.wants(now_s), self.deadlines.newest
 
     def timer(self, now_s):
         pass
--- a/tests/test_overrides_parts.py
+++ b/tests/test_overrides_parts.py
@@ -558,6 +558,7 @@
     lines, wrong = edge.read_layer(wire["layer"])
     held = Deadlines()
     assert not wrong and held.told(0.0, wire["times"]) == ()
+    assert held.newest == active[0].rev and times(active, shell.at, held.newest) == {}
     found = edge.effective(1.0, edge.Rules(), lines, held, edge.Place("g1", "a"), NAMES)
     assert found.class_shares == {"c1": {"a": 0.5, "b": 0.25, "c": 0.25}}
     assert deadlines.digest(found.acted) == rec.digest((o.id, o.rev) for o in active)
@@ -684,6 +685,17 @@
     assert watch.kinds() == ["missed-start"]
 
 
+def test_many_ends_in_one_second_are_bounded_work_for_reports(monkeypatch):
+    watch, made = Watch(), []
+    watch.due(**{f"k{n}": (n + 1, 1000 + n) for n in range(1000)})
+    due = watch.rec.due
+    monkeypatch.setattr(watch.rec, "due", lambda *args: made.append(args) or due(*args))
+    for _ in range(2500):
+        watch.at += 1
+        watch.step(rec.Reported("n", "1", digest="none"))
+    assert len(made) <= 2 + 1000 // rec.FRESH_MS
+
+
 def test_findings_outlive_the_service_and_end_when_a_node_is_gone(monkeypatch):
     watch = Watch()
     watch.due(**X)
