--- a/fordtrestle/fleet/deadlines.py
+++ b/fordtrestle/fleet/deadlines.py
@@ -49,15 +49,17 @@
     high_s: float  # surely over then
     retell_s: float
 
-    @property
-    def end_s(self) -> float:
-        """From then on it is not acted on."""
-        return math.floor(min(self.low_s, self.high_s) / GRID_S) * GRID_S
+    end_s: float = 0.0  # from then on it is not acted on
+    over_s: float = 0.0  # from then on no other sidecar acts on it either
 
-    @property
-    def over_s(self) -> float:
-        """From then on no other sidecar acts on it either."""
-        return math.ceil(self.high_s / GRID_S) * GRID_S
+    def __post_init__(self) -> None:
+        self.bound(self.low_s, self.high_s)
+
+    def bound(self, low_s: float, high_s: float) -> None:
+        """Take these bounds."""
+        self.low_s, self.high_s = low_s, high_s
+        self.end_s = math.floor(min(low_s, high_s) / GRID_S) * GRID_S
+        self.over_s = math.ceil(high_s / GRID_S) * GRID_S
 
 
 class Deadlines:
@@ -104,7 +106,7 @@
             old = held[0]
             if new.low_s > old.high_s:
                 return False  # a service that begins it anew, or one with another clock, prolongs nothing
-            old.low_s, old.high_s = max(old.low_s, new.low_s), min(old.high_s, new.high_s)
+            old.bound(max(old.low_s, new.low_s), min(old.high_s, new.high_s))
             old.retell_s = max(old.retell_s, new.retell_s)
         return True
 
