Keep the times of four revisions, since an edition may lag behind several that were told

With two kept, a second change within the time of a commit took the times of the revision that the edition still had, and the override paused until the next edition.

--- a/brassfall/overrides/reconciler.py
+++ b/brassfall/overrides/reconciler.py
@@ -195,7 +195,8 @@
         self._opened = (0, 0)  # in the second that began then: how many
 
     def restore(self, history: Iterable[Any]) -> None:
-        """Findings of an earlier life without an end are open until their node shows that they are over."""
+        """Take in the history's rows in the order of their keys: findings of an earlier life without an end
+        are open until their node shows that they are over."""
         for value in history:
             try:
                 entry = msgspec.convert(value, Entry)
--- a/fordtrestle/fleet/deadlines.py
+++ b/fordtrestle/fleet/deadlines.py
@@ -21,6 +21,7 @@
 SLOW_S = 0.5  # an answer that took longer makes the end early by that much: it is asked for anew at once
 LONGEST_MS = 25 * 3_600_000.0  # more than an override can have left: such an answer is not believed
 OVERRIDES_MOST = 4096
+REVISIONS_MOST = 4  # of one override: an edition may still have the one before the newest that were told
 GRID_S = 0.0625  # ends are rounded to this, the safe way, so that a thousand in a second are sixteen changes
 FORGOTTEN_S = 60.0  # after its end; a late copy of an old answer is past by itself
 
@@ -67,7 +68,7 @@
 
     def __init__(self, drift: float = DRIFT) -> None:
         self._drift = drift
-        self._told: dict[str, list[_Told]] = {}  # newest revision first, and the one before it
+        self._told: dict[str, list[_Told]] = {}  # newest revision first, and those before it
         self.newest = 0  # the newest revision told, for the report: what is newer is to be told
 
     def told(
@@ -101,7 +102,7 @@
                 return False
         self.newest = max(self.newest, new.rev)
         if held is None or new.rev > held[0].rev:
-            self._told[key] = [new, *(held or [])[:1]]
+            self._told[key] = [new, *(held or [])[: REVISIONS_MOST - 1]]
         elif new.rev == held[0].rev:
             old = held[0]
             if new.low_s > old.high_s:
