--- a/tests/test_overrides_parts.py
+++ b/tests/test_overrides_parts.py
@@ -314,6 +314,11 @@
         [(100, 100, 10_000, 5, 5), (101, 101, 60_000, 6, 6)],
         (True, True, False),
     ),
+    (
+        "two of them",
+        [(100, 100, 10_000, 5, 5), (101, 101, 60_000, 6, 6), (102, 102, 60_000, 7, 7)],
+        (True, True, False),
+    ),
     ("only a newer one", [(100, 100, 60_000, 6, 6)], (False, False, False)),
     ("none left", [(100, 100, 10_000, 5, 5), (101, 101, 0, 5, 5)], (False, False, False)),
 ]
@@ -670,6 +675,17 @@
     assert watch.kinds() == ["old-state"]
 
 
+def test_one_report_that_was_long_on_its_way_accuses_nobody():
+    watch = Watch()
+    watch.due(**X)
+    watch.report({"x": 7}, seconds=2)
+    watch.due()
+    watch.report({}, seconds=8)
+    watch.step(rec.Details("n", {"x": 7}))  # of eight seconds ago
+    watch.report({}, seconds=2)
+    assert not watch.notes
+
+
 def test_an_override_that_runs_out_between_publications_is_no_difference_and_places_count():
     watch = Watch()
     watch.due(x=(7, 3500), y=(8, 60_000))
