Estimate the delay of each client group to each region from what passes anyway

Operators asked how far a region really is; nothing measured it. An edge's sketch of handshakes and first bytes, evidence that merges without order, repetition or one edge's excess counting, and a model of group, region and pair for tried and untried pairs.

--- /dev/null
+++ b/tests/test_geo.py
@@ -0,0 +1,244 @@
+"""Delays out of what passes anyway: the edge's sketch, evidence, the model, the plan and its publisher."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import math
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brassfall.geo import evidence, levels, model
+from brassfall.lab.models import delays as worlds
+from fordtrestle.fleet import delays
+
+# --- the edge's sketch -------------------------------------------------------------------------------------
+
+
+def test_buckets_are_the_same_on_both_sides():
+    assert (delays.WIDTH, delays.LEAST_MS, delays.BUCKETS) == (
+        evidence.WIDTH,
+        evidence.LEAST_MS,
+        evidence.BUCKETS,
+    )
+    for ms in (0.05, 1.0, 33.3, 59_999.0):
+        assert evidence.value_ms(delays.bucket(ms)) == pytest.approx(ms, rel=0.026)
+
+
+def test_a_sketch_leaves_out_what_tells_nothing_of_the_way():
+    held = delays.Delays("west-1")
+    held.handshake("a", 300.0, cold=True)
+    for ms, spent in ((math.nan, 0.0), (5.0, 9.0), (1e9, 0.0), (math.inf, 0.0), (5.0, math.nan)):
+        held.first_byte("a", ms, spent)
+    assert held.take(1.0) == []
+    held.first_byte("a", 30.0, 10.0)
+    (row,) = held.take(2.0)
+    assert row == {
+        "region": "a",
+        "window": 2,
+        "span_ms": 1000,
+        "shake": {},
+        "first": {str(delays.bucket(20.0)): 1},
+    }
+
+
+def test_reports_are_small_and_what_waits_is_told_later():
+    held = delays.Delays("west-1")
+    told: set[str] = set()
+    for turn in range(6):
+        for region, k in itertools.product("abcdefghijkl", range(40)):
+            held.first_byte(region, 5.0 * 1.1**k, 0.0)
+        rows = held.take(turn + 1.0)
+        assert len(json.dumps(rows, separators=(",", ":"))) <= delays.REPORT_BYTES
+        assert not evidence.sift(rows).refused
+        told |= {str(row["region"]) for row in rows}
+    assert told == set("abcdefghijkl")
+
+
+def test_thinning_keeps_the_low_quantiles_and_all_counts():
+    counts = {k: 1 + k % 7 for k in range(20, 140)}
+    thin = {int(k): n for k, n in delays.thinned(counts).items()}
+    assert len(thin) <= 4 and sum(thin.values()) == sum(counts.values())
+
+    def low(points, part):
+        return levels.quantile([(k, float(n)) for k, n in sorted(points.items())], part)
+
+    assert low(thin, 0.05) == pytest.approx(low(counts, 0.05), rel=0.05)
+
+
+# --- evidence ----------------------------------------------------------------------------------------------
+
+sketches = st.dictionaries(st.integers(0, 286).map(str), st.integers(1, 9), min_size=1, max_size=3)
+reports = st.lists(
+    st.tuples(
+        st.sampled_from("ef"), st.sampled_from("12"), st.sampled_from("ab"), st.integers(0, 40), sketches
+    ),
+    max_size=25,
+    unique_by=lambda told: told[:4],
+)
+
+
+NOTHING = evidence.State()
+
+
+def merged(told, state=NOTHING, now=5.0):
+    for edge, life, region, window, sketch in told:
+        row = {"region": region, "window": window, "span_ms": 900, "shake": {}, "first": sketch}
+        state = evidence.merge(state, edge, life, "g", [row], now)
+    return state
+
+
+@settings(max_examples=150, deadline=None)
+@given(reports, st.randoms(use_true_random=False))
+def test_evidence_does_not_depend_on_order_or_repetition(told, rng):
+    once = merged(told)
+    again = [*told, *rng.choices(told, k=5)] if told else []
+    rng.shuffle(again)
+    assert merged(again) == once
+    assert merged(told, once, now=99.0) == once  # a replay later is not fresh
+
+
+@settings(max_examples=100, deadline=None)
+@given(reports)
+def test_no_edge_outweighs_the_others(told):
+    for edges in evidence.by_pair(merged(told)).values():
+        assert all(len(rows) <= evidence.WINDOWS for rows in edges.values())
+    for each in levels.edge_levels(evidence.by_pair(merged(told))).values():
+        assert all(level.weight <= 1.0 for level in each.values())
+
+
+GOOD = {"region": "a", "window": 1, "span_ms": 1000, "shake": {}, "first": {"100": 3}}
+
+
+@pytest.mark.parametrize(
+    ("row", "reason"),
+    [
+        (None, "row"),
+        ({}, "region"),
+        (GOOD | {"region": 7}, "region"),
+        (GOOD | {"region": "x" * 999}, "region"),
+        (GOOD | {"window": -1}, "window"),
+        (GOOD | {"window": 2**60}, "window"),
+        (GOOD | {"window": True}, "window"),
+        (GOOD | {"span_ms": math.nan}, "span_ms"),
+        (GOOD | {"span_ms": math.inf}, "span_ms"),
+        (GOOD | {"first": [1]}, "first"),
+        (GOOD | {"first": {"287": 1}}, "first"),
+        (GOOD | {"first": {"-1": 1}}, "first"),
+        (GOOD | {"first": {"1": math.nan}}, "first"),
+        (GOOD | {"first": {"1": 10**9}}, "first"),
+        (GOOD | {"shake": {str(k): 1 for k in range(200)}}, "shake"),
+        (GOOD | {"first": {}}, "empty"),
+    ],
+)
+def test_a_malformed_row_is_refused_by_reason_and_the_others_count(row, reason):
+    sifted = evidence.sift([row, GOOD])
+    assert sifted.refused == {reason: 1} and len(sifted.rows) == 1
+    state = evidence.merge(evidence.State(), "e", "1", "g", [row], 1.0)
+    assert state == evidence.State()
+
+
+@pytest.mark.parametrize("rows", [None, 3, "rows", {"a": 1}, [GOOD] * 5000])
+def test_a_report_of_any_shape_is_survived(rows):
+    assert sum(evidence.sift(rows).refused.values()) > 0
+    evidence.merge(evidence.State(), "e", "1", "g", rows, math.nan)
+
+
+# --- the model ---------------------------------------------------------------------------------------------
+
+SMALL = worlds.Terms(groups=12, regions=6, tried=0.5, nonsense=0.0)
+
+
+def heard(world, pairs, start, until, state):
+    """The state after so many seconds of requests, a report a second."""
+    for second in range(start, until):
+        worlds.requests(world, pairs, 1.0)
+        for edge, life, group, rows in worlds.reports(world, second + 1.0):
+            state = evidence.merge(state, edge, life, group, rows, second + 1.0)
+    return state
+
+
+def pair_of(pairs, names):
+    return next(pair for pair in pairs if (pair.group, pair.region) == names)
+
+
+def drawn(seed, **terms):
+    return worlds.draw(seed, replace(SMALL, **terms), delays.Delays)
+
+
+def errors(world, pairs, tried):
+    return sorted(abs(p.delay_ms / world.true_ms[p.group, p.region] - 1.0) for p in pairs if p.tried == tried)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_delays_are_found_though_a_third_of_the_edges_report_nonsense(seed):
+    world = worlds.draw(seed, worlds.Terms(), delays.Delays)  # a third of the pairs, a third of the edges
+    pairs = model.estimate(
+        heard(world, world.tried, 0, 12, evidence.State()), 12.0, world.groups, world.regions
+    )
+    tried, untried = errors(world, pairs, True), errors(world, pairs, False)
+    assert tried[len(tried) // 2] < 0.10
+    assert untried[len(untried) // 2] < 0.25
+    inside = [p.low_ms <= world.true_ms[p.group, p.region] <= p.high_ms for p in pairs]
+    assert sum(inside) / len(inside) > 0.8
+
+
+@pytest.mark.parametrize("times", [1.5, 0.6])
+def test_a_change_by_half_is_seen_within_10_s_and_a_pair_that_did_not_change_stays(times):
+    world = drawn(4)
+    changed, same = world.tried[0], world.tried[-1]
+    state = heard(world, world.tried, 0, 30, evidence.State())
+    world.true_ms[changed] *= times
+    pairs = model.estimate(heard(world, world.tried, 30, 40, state), 40.0)
+    for names in (changed, same):
+        assert pair_of(pairs, names).delay_ms == pytest.approx(world.true_ms[names], rel=0.12)
+
+
+def test_a_queue_is_not_distance():
+    world = drawn(5, shakes=0.3)
+    region = world.regions[0]
+    names = next(pair for pair in world.tried if pair[1] == region)
+    state = heard(world, world.tried, 0, 20, evidence.State())
+    world.load[region], world.tells[region] = 0.97, False
+    pairs = model.estimate(heard(world, world.tried, 20, 40, state), 40.0)
+    assert pair_of(pairs, names).delay_ms == pytest.approx(world.true_ms[names], rel=0.2)
+
+
+def test_a_pair_that_is_no_longer_measured_grows_uncertain_and_older():
+    world = drawn(6)
+    state = heard(world, world.tried, 0, 12, evidence.State())
+    widths, ages = [], []
+    for now in (12.0, 120.0, 1200.0):
+        pair = pair_of(model.estimate(state, now), world.tried[0])
+        widths.append(pair.high_ms / pair.low_ms)
+        ages.append(pair.age_ms)
+    assert widths == sorted(widths) and widths[-1] > 1.2 * widths[0]
+    assert ages[-1] == pytest.approx(ages[0] + 1_188_000.0)
+
+
+def test_a_group_of_one_edge_with_ten_requests_a_minute_has_its_figure():
+    world = drawn(7)
+    names = world.tried[0]
+    world.edges[names[0]] = world.edges[names[0]][:1]
+    others = [pair for pair in world.tried if pair[0] != names[0]]
+    state = heard(world, others, 0, 4, evidence.State())
+    held = delays.Delays(names[0], 0.0)
+    for number in range(10):
+        held.first_byte(names[1], world.true_ms[names] * (1.0 + 0.02 * number), 0.0)
+        state = evidence.merge(state, "lone", "1", names[0], held.take(6.0 * number), 6.0 * number)
+    pair = pair_of(model.estimate(state, 60.0), names)
+    assert pair.edges == 1
+    assert pair.low_ms <= world.true_ms[names] <= pair.high_ms * 1.02
+
+
+def test_a_region_and_a_group_that_nobody_measured_are_guessed_with_wide_intervals():
+    world = drawn(8)
+    state = heard(world, world.tried, 0, 12, evidence.State())
+    pairs = model.estimate(state, 12.0, ["new"], ["far"])
+    new = pair_of(pairs, (world.tried[0][0], "far"))
+    assert not new.tried and new.age_ms is None and new.high_ms / new.low_ms > 3.0
+    assert pair_of(pairs, ("new", "far")).edges == 0
+    assert model.estimate(evidence.State(), 0.0, ["new"], ["far"]) == []
