--- a/brassfall/geo/model.py
+++ b/brassfall/geo/model.py
@@ -38,28 +38,48 @@
 Levels = Mapping[tuple[str, str], levels.Level]
 
 
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """All pairs, and what the next estimate may start from (cheaper; the same but for noise)."""
+
+    pairs: tuple[Pair, ...]
+    warm: positions.Warm | None
+
+
 def estimate(
     state: State, now_s: float, groups: Iterable[str] = (), regions: Iterable[str] = ()
 ) -> list[Pair]:
+    """As `follow`, started anew."""
+    return list(follow(state, now_s, groups, regions).pairs)
+
+
+def follow(
+    state: State,
+    now_s: float,
+    groups: Iterable[str] = (),
+    regions: Iterable[str] = (),
+    warm: positions.Warm | None = None,
+) -> Estimate:
     """All pairs of the groups and regions in the evidence, and of those named besides; by group and region.
 
     Empty where nothing at all was measured: there is nothing to guess from."""
     by_edge = levels.edge_levels(levels.fresh(by_pair(state), now_s))
     if not by_edge:
-        return []
+        return Estimate((), warm)
     all_groups = sorted({group for group, _ in by_edge} | set(groups))
     all_regions = sorted({region for _, region in by_edge} | set(regions))
     known: Levels = _aged({pair: levels.agreed(told, {}, None) for pair, told in by_edge.items()}, now_s)
-    shape = positions.fit(_plain(known), all_groups, all_regions)
+    shape = positions.fit(_plain(known), all_groups, all_regions, warm)
     trust = levels.trusts(by_edge, {pair: (level.log_ms, level.sd) for pair, level in known.items()})
     priors = {pair: (guess.log_ms, max(0.2, guess.sd)) for pair, guess in shape.guesses.items()}
     known = _aged({pair: levels.agreed(told, trust, priors[pair]) for pair, told in by_edge.items()}, now_s)
     shape = positions.fit(_plain(known), all_groups, all_regions, shape.warm)
-    return [
+    pairs = [
         _pair((group, region), known.get((group, region)), shape.guesses[group, region], now_s)
         for group in all_groups
         for region in all_regions
     ]
+    return Estimate(tuple(pairs), shape.warm)
 
 
 def _aged(known: Levels, now_s: float) -> Levels:
--- a/brassfall/geo/positions.py
+++ b/brassfall/geo/positions.py
@@ -30,7 +30,7 @@
 PLACE_SD = 1.0  # of a position, in scales
 SOFT = 0.03  # scales; a distance is rounded off at nought
 STARTS = 6
-KEPT, RESEATS = 3, 6  # starts that are followed up, and how often each may be set anew
+KEPT, RESEATS = 6, 6  # starts that are followed up, and how often each may be set anew
 FOLDS, BLIND_SD = 5, 1e3  # to guess each pair from others; the sd of a figure that is not to be seen
 DETOUR_LEAST = 0.05  # what a pair differs from the shape, at least, as a part
 ROBUST = 2.5  # residuals beyond so many sds count less
@@ -46,12 +46,21 @@
     sd: float
 
 
+@dataclass(frozen=True, slots=True)
+class Warm:
+    """The parts of a fit, for the next one to start from: that costs less than starting anew."""
+
+    groups: tuple[str, ...]
+    regions: tuple[str, ...]
+    parts: Array
+
+
 @dataclass(frozen=True, slots=True)
 class Shape:
     """Guesses for all pairs; those of tried pairs leave the pair's own figures out."""
 
     guesses: Mapping[Pair, Guess]
-    warm: Array  # where the next fit may start
+    warm: Warm | None  # where the next fit may start
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +102,8 @@
         return mean, np.concatenate([np.full(n + m, ACCESS_SD), np.full(2 * (n + m), PLACE_SD)])
 
 
-def _solve(problem: _Problem, start: Array, sds: Array, most: int) -> tuple[Array, float]:
+def _solve(problem: _Problem, start: Array, sds: Array, most: int) -> Array:
+    """The parameters nearest to a start that fit best, all figures believed as far as their sds say."""
     mean, spread = problem.prior()
 
     def residuals(p: Array) -> Array:
@@ -105,7 +115,23 @@
         return np.vstack([jac / sds[:, None], np.diag(1.0 / spread)])
 
     found = least_squares(residuals, start, jacobian, method="lm", max_nfev=most, ftol=1e-4, xtol=1e-4)
-    return np.asarray(found.x, dtype=np.float64), float(found.cost)
+    return np.asarray(found.x, dtype=np.float64)
+
+
+def _cost(problem: _Problem, p: Array, sds: Array) -> float:
+    """How badly parameters fit; one figure that is far off costs little more than one that is off."""
+    mean, spread = problem.prior()
+    z2 = ((problem.predict(p, problem.g, problem.r)[0] - problem.log_ms) / sds) ** 2
+    far = 0.5 * ROBUST**2 * np.log1p(z2 / ROBUST**2)
+    return float(far.sum() + 0.5 * (((p - mean) / spread) ** 2).sum())
+
+
+def _followed(problem: _Problem, start: Array, sds: Array) -> tuple[Array, float]:
+    """Solved from a start twice, the second time without what the first found far off; and its cost."""
+    p = _solve(problem, start, sds, 20)
+    off = problem.log_ms - problem.predict(p, problem.g, problem.r)[0]
+    p = _solve(problem, p, _robust(off, sds), 20)
+    return p, _cost(problem, p, sds)
 
 
 def _reseated(problem: _Problem, p: Array, sds: Array) -> Array:
@@ -152,7 +178,7 @@
 def _settled(problem: _Problem, found: tuple[Array, float], sds: Array) -> tuple[Array, float]:
     """Reseat and solve for as long as it gets better."""
     for _ in range(RESEATS):
-        again = _solve(problem, _reseated(problem, found[0], sds), sds, 25)
+        again = _followed(problem, _reseated(problem, found[0], sds), sds)
         if again[1] > 0.98 * found[1]:
             break
         found = again
@@ -168,24 +194,26 @@
     levels: Mapping[Pair, tuple[float, float]],
     groups: Sequence[str],
     regions: Sequence[str],
-    warm: Array | None = None,
+    warm: Warm | None = None,
 ) -> Shape:
     """Fit the shape to levels (log ms, sd) of tried pairs; guesses for all pairs of these names."""
     pairs = sorted(levels)
     tried_groups = [g for g in groups if any(pair[0] == g for pair in pairs)]
     tried_regions = [r for r in regions if any(pair[1] == r for pair in pairs)]
     if not pairs:
-        return Shape({}, np.zeros(0))
+        return Shape({}, None)
     g = np.array([tried_groups.index(pair[0]) for pair in pairs])
     r = np.array([tried_regions.index(pair[1]) for pair in pairs])
     log_ms = np.array([levels[pair][0] for pair in pairs])
     errors = np.array([levels[pair][1] for pair in pairs])
     scale = float(np.median(log_ms))
     problem = _Problem(len(tried_groups), len(tried_regions), g, r, log_ms - scale, scale)
-    p, detour = _best(problem, errors, warm)
+    known = warm is not None and (warm.groups, warm.regions) == (tuple(tried_groups), tuple(tried_regions))
+    starts = [warm.parts] if warm is not None and known else _starts(problem)
+    p, detour = _best(problem, errors, starts)
     guesses = _named(problem, p, errors, detour, pairs, tried_groups, tried_regions)
     _fill(guesses, groups, regions, tried_groups, tried_regions)
-    return Shape(guesses, p)
+    return Shape(guesses, Warm(tuple(tried_groups), tuple(tried_regions), p))
 
 
 def _named(
@@ -211,13 +239,11 @@
     return made
 
 
-def _best(problem: _Problem, errors: Array, warm: Array | None) -> tuple[Array, float]:
+def _best(problem: _Problem, errors: Array, starts: Sequence[Array]) -> tuple[Array, float]:
     """The parameters that fit best, and how far pairs differ from the shape."""
     detour = 0.15
     sds = np.hypot(errors, detour)
-    size = 3 * (problem.groups + problem.regions)
-    starts = _starts(problem) if warm is None or len(warm) != size else [warm]
-    ranked = sorted((_solve(problem, start, sds, 25) for start in starts), key=lambda found: found[1])
+    ranked = sorted((_followed(problem, start, sds) for start in starts), key=lambda found: found[1])
     p, _ = min((_settled(problem, found, sds) for found in ranked[:KEPT]), key=lambda found: found[1])
     for _ in range(3):
         told, jac = problem.predict(p, problem.g, problem.r)
@@ -226,7 +252,7 @@
         free = max(0.2, 1.0 - float(hat.mean()))  # degrees of freedom that the fit has left, of each pair
         spread = 1.483 * float(np.median(np.abs(off))) / math.sqrt(free)
         detour = math.sqrt(max(DETOUR_LEAST**2, spread**2 - float(np.median(errors)) ** 2))
-        p, _ = _solve(problem, p, _robust(off, np.hypot(errors, detour)), 40)
+        p = _solve(problem, p, _robust(off, np.hypot(errors, detour)), 40)
     return p, detour
 
 
@@ -251,7 +277,7 @@
     for each in range(FOLDS):
         out = fold == each
         if out.any():
-            again, _ = _solve(problem, p, np.where(out, BLIND_SD, sds), 15)
+            again, _ = _followed(problem, p, np.where(out, BLIND_SD, sds))
             asked = [problem.r[out & (problem.g == i)] for i in range(problem.groups)]
             all_mean, all_sd = _spread_out(problem, again, sds, detour, ~out, asked)
             mean[out], sd[out] = (
