Let one publisher at a time send steering plans, by a fenced lease counted from the asking

Two services that plan would overwrite each other, and a stopped one would come back with an old plan.

--- a/brassfall/geo/plan.py
+++ b/brassfall/geo/plan.py
@@ -18,6 +18,7 @@
 from scipy.optimize import linprog
 from scipy.sparse import coo_array
 
+from brassfall.errors import Refused
 from brassfall.geo.model import Pair
 
 Array = npt.NDArray[np.float64]
@@ -37,8 +38,11 @@
 SPARE_DEMAND = 0.01  # of the mean demand: a group without requests has a plan all the same
 
 
-class PlanError(Exception):
-    """A plan layer that cannot be used; the text says which key and why."""
+class PlanError(Refused):
+    """A plan layer that cannot be used; `what` names the key."""
+
+    action = "Publish a plan of the form in docs/geo.md; the plan that was published before stays."
+    slug = "bad plan"
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,19 +67,19 @@
 def from_json(layer: object) -> Plan:
     """A plan layer, checked; `PlanError` if it is none."""
     if not isinstance(layer, Mapping) or set(layer) != {"shares", "look", "age_limit_ms"}:
-        raise PlanError("plan: needs exactly shares, look and age_limit_ms")
+        raise PlanError("plan", "needs exactly shares, look and age_limit_ms")
     look, limit, shares = layer["look"], layer["age_limit_ms"], layer["shares"]
     if not _is_share(look):
-        raise PlanError("plan.look: must be a number from 0 to 1")
+        raise PlanError("plan.look", "must be a number from 0 to 1")
     if not (_is_number(limit) and 1_000.0 <= limit <= 600_000.0):
-        raise PlanError("plan.age_limit_ms: must be a number from 1,000 to 600,000")
+        raise PlanError("plan.age_limit_ms", "must be a number from 1,000 to 600,000")
     if not isinstance(shares, Mapping):
-        raise PlanError("plan.shares: must be an object by group")
+        raise PlanError("plan.shares", "must be an object by group")
     for group, each in shares.items():
         if not isinstance(each, Mapping) or not all(_is_share(share) for share in each.values()):
-            raise PlanError(f"plan.shares.{group}: must be shares from 0 to 1 by region")
+            raise PlanError(f"plan.shares.{group}", "must be shares from 0 to 1 by region")
         if each and not (abs(sum(each.values()) - 1.0) < 0.01 or not any(each.values())):
-            raise PlanError(f"plan.shares.{group}: must add up to 1, or be all 0")
+            raise PlanError(f"plan.shares.{group}", "must add up to 1, or be all 0")
     return Plan({group: dict(each) for group, each in shares.items()}, float(look), float(limit))
 
 
--- a/tests/test_geo.py
+++ b/tests/test_geo.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import heapq
 import itertools
 import json
 import math
+import random
 from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brassfall.geo import evidence, levels, model, plan
+from brassfall.geo import evidence, levels, model, plan, publisher
 from brassfall.lab.models import delays as worlds
 from brassfall.lab.models import steered
 from fordtrestle.fleet import delays
@@ -361,3 +363,91 @@
     assert plan.from_json(good).as_json() == good
     with pytest.raises(plan.PlanError, match="plan"):
         plan.from_json(good | change)
+
+
+# --- who publishes -----------------------------------------------------------------------------------------
+
+
+class Service:
+    """The row of the duty and the editions, as the list service keeps them."""
+
+    def __init__(self):
+        self.version = self.row = 0
+        self.ends = -math.inf
+        self.editions = [(0, plan.Plan({}))]  # the fence of each, and its plan
+
+    def answer(self, now, action):
+        if isinstance(action, publisher.Take | publisher.Renew):
+            if now >= self.ends:
+                self.row = 0
+            if isinstance(action, publisher.Take) and self.row == 0:
+                self.version += 1
+                self.row = self.version
+            elif isinstance(action, publisher.Take) or action.version != self.row or self.row == 0:
+                return publisher.Denied(action.asked_s)
+            self.ends = now + 6.0
+            return publisher.Granted(action.asked_s, self.row)
+        if isinstance(action, publisher.ReadNewest):
+            return publisher.Read(self.editions[-1][1], len(self.editions) - 1)
+        if action.follows != len(self.editions) - 1 or (now >= self.ends or action.fence != self.row):
+            return publisher.Overtaken()
+        self.editions.append((action.fence, action.plan))
+        return publisher.Accepted(len(self.editions) - 1)
+
+
+def published(seed, until, stops=0.0, moved=0.05):
+    """Three publishers on one service: calls take up to 1.5 s each way, some are lost, processes stop."""
+    rng = random.Random(seed)
+    service, states, stopped = Service(), [publisher.State() for _ in range(3)], [0.0] * 3
+    serial = itertools.count()
+    queue = [(0.1 * i, next(serial), i, publisher.Tick()) for i in range(3)]
+    told, sure = [], []
+    while queue:
+        now, _, who, what = heapq.heappop(queue)
+        if now > until:
+            break
+        if who < 0:  # a call that reached the service
+            heapq.heappush(
+                queue, (now + rng.uniform(0, 1.5), next(serial), -who - 1, service.answer(now, what))
+            )
+            continue
+        if now < stopped[who]:
+            heapq.heappush(queue, (stopped[who], next(serial), who, what))
+            continue
+        if isinstance(what, publisher.Tick):
+            heapq.heappush(queue, (now + 0.2, next(serial), who, what))
+            if rng.random() < stops:
+                stopped[who] = now + rng.uniform(0, 15)
+        states[who], actions = publisher.step(states[who], now, what)
+        for action in actions:
+            if isinstance(action, publisher.Make):
+                share = rng.random()
+                made = plan.Plan({"g": {"a": share, "b": 1 - share}}, moved=moved)
+                heapq.heappush(queue, (now + 0.1, next(serial), who, publisher.Made(made, action.follows)))
+                continue
+            if isinstance(action, publisher.Publish):
+                told.append((now, who, action))
+                sure.append(sum(state.holds(now) for state in states))
+            if rng.random() > 0.05:
+                heapq.heappush(queue, (now + rng.uniform(0, 1.5), next(serial), -who - 1, action))
+    return service, told, sure
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_one_publishes_at_a_time_and_never_after_its_successor(seed):
+    service, _, sure = published(seed, 120.0, stops=0.01)
+    fences = [fence for fence, _ in service.editions]
+    assert fences == sorted(fences) and len(set(fences)) > 1
+    assert set(sure) <= {1}  # never two that believe they hold the row, whatever the delays
+    assert len(fences) > 10
+
+
+def test_publishers_are_sparing_and_keep_a_plan_fresh():
+    told = published(7, 90.0, moved=0.0)[1]
+    times = [now for now, _, _ in told]
+    gaps = [b - a for a, b in itertools.pairwise(times)]
+    terms = publisher.Terms()
+    assert min(gaps) >= terms.every_s
+    assert max(gaps) < plan.AGE_LIMIT_MS / 1000.0
+    busy = published(7, 90.0, moved=0.5)[1]
+    assert len(told) < len(busy) <= 90.0 / terms.every_s + 1
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -117,6 +117,7 @@
     "geo/positions.py",
     "geo/model.py",
     "geo/plan.py",
+    "geo/publisher.py",
     "lab/quantities.py",
     "lab/judge.py",
     "lab/models/client.py",
