--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -12,6 +12,7 @@
 import typer
 
 from brassfall import logs, settings
+from brassfall.lab import geo_command
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 registry = typer.Typer(no_args_is_help=True, help="The list service and its callers.")
@@ -19,6 +20,7 @@
 
 lab = typer.Typer(no_args_is_help=True, help="Experiments on a model of what the project serves.")
 app.add_typer(lab, name="lab")
+geo_command.add(lab)
 
 At = Annotated[str, typer.Option(help="HOST:PORT of the list service.")]
 Json = Annotated[bool, typer.Option("--json", help="JSON instead of text.")]
