See a change of delay for as long as anything older is held, and weigh votes by trust

In worlds of 40 groups half of the changes were seen and lost again: the spans compared were too far apart, and edges that lie outvoted sparse honest ones. Spans lie closer, the shortest that shows a change dates it, unsteady and distrusted edges have less of a vote.

--- a/brassfall/geo/levels.py
+++ b/brassfall/geo/levels.py
@@ -14,9 +14,13 @@
 
 LOW = 0.1  # the quantile that stands for the undisturbed way
 HALF_S = 30.0  # a row counts half as much as one that is younger by this
-# A change: what was heard within one of these spans, against what is older.
-SPANS_S = (5.0, 20.0, 60.0)
-RECENT_LEAST, OLDER_LEAST = 8.0, 5.0  # figures on each side
+# A change: what was heard within one of these spans, against what is older. They are close enough that one of
+# them ends soon after the change, for as long as there is anything older.
+SPANS_S = (3.0, 5.0, 8.0, 12.0, 18.0, 27.0, 40.0, 60.0)
+ACTIVE_S = 5.0  # a pair that was heard within it is measured
+RECENT_LEAST, OLDER_LEAST = 8.0, 2.0  # figures on each side
+SHAKES_LEAST = 2.0  # recent handshakes that may contradict
+UNSTEADY = 0.7  # the logarithm of middle over low, at which an edge's figures are held for noise by half
 RISE, FALL = 1.2, 0.85
 HELD_UP = 1.15  # handshakes that rose by less contradict a rise of first bytes
 # Spread of one figure around the low level, as parts of it, and the least error of a whole sketch.
@@ -49,7 +53,10 @@
 
 
 Pair = tuple[str, str]
-Rows = Mapping[Pair, Mapping[str, Sequence[Row]]]
+Edges = Mapping[str, Sequence[Row]]
+Rows = Mapping[Pair, Edges]
+Trust = Mapping[str, float]  # from 0 to 1, by edge; 1 where it is not named
+NO_DOUBT: Trust = {}
 Weighted = list[tuple[int, float]]
 
 
@@ -81,17 +88,26 @@
 # --- changes -----------------------------------------------------------------------------------------------
 
 
-def _ratio(
-    recent: Sequence[Row], older: Sequence[Row], kind: str
-) -> tuple[float, float, float, float] | None:
-    """How an edge's figures moved: (figures now, before, rise, fall); the latter are 1 at rest."""
+@dataclass(frozen=True, slots=True)
+class _Move:
+    """How an edge's figures of one pair moved; `rise` and `fall` are 1 at rest."""
+
+    recent: float  # figures
+    older: float
+    steady: float  # 1 where the older ones lie together, less where they are all over the place
+    rise: float
+    fall: float
+
+
+def _move(recent: Sequence[Row], older: Sequence[Row], kind: str) -> _Move | None:
     now, before = pooled(recent, kind, recent[0].heard_s), pooled(older, kind, older[0].heard_s)
     if not now or not before:
         return None
-    low = quantile(now, LOW)
+    low, floor = quantile(now, LOW), quantile(before, LOW)
+    steady = 1.0 / (1.0 + (math.log(quantile(before, 0.5) / floor) / UNSTEADY) ** 2)
     # Up only if nearly all that came lies above what was usual; down if half of it lies under the old floor.
-    rise = low / quantile(before, LOW) if low > quantile(before, 0.6) else 1.0
-    return total(now), total(before), rise, min(1.0, quantile(now, 0.5) / quantile(before, LOW))
+    rise = low / floor if low > quantile(before, 0.6) else 1.0
+    return _Move(total(now), total(before), steady, rise, min(1.0, quantile(now, 0.5) / floor))
 
 
 def _median(values: Sequence[tuple[float, float]]) -> float:
@@ -104,23 +120,19 @@
     return 1.0
 
 
-def _moved(
-    edges: Mapping[str, Sequence[Row]], now_s: float, span_s: float, kind: str
-) -> tuple[float, float, float]:
+def _moved(edges: Edges, now_s: float, span_s: float, kind: str, trust: Trust) -> tuple[float, float, float]:
     """Over the edges of a pair: figures in the span, and how far they rose and fell (medians of votes)."""
     rises, falls, recent_n, older_n = [], [], 0.0, 0.0
-    for rows in edges.values():
+    for edge, rows in edges.items():
         recent = [row for row in rows if row.heard_s > now_s - span_s]
         older = [row for row in rows if row.heard_s <= now_s - span_s]
-        told = _ratio(recent, older, kind) if recent and older else None
+        told = _move(recent, older, kind) if recent and older else None
         if told is not None:
-            weight = min(told[0], told[1], ENOUGH)
-            rises.append((told[2], weight))
-            falls.append((told[3], weight))
-            recent_n, older_n = recent_n + told[0], older_n + told[1]
-    if recent_n < (RECENT_LEAST if kind == "first" else 2.0) or older_n < (
-        OLDER_LEAST if kind == "first" else 2.0
-    ):
+            weight = min(told.recent, told.older, ENOUGH) * told.steady * trust.get(edge, 1.0)
+            rises.append((told.rise, weight))
+            falls.append((told.fall, weight))
+            recent_n, older_n = recent_n + told.recent, older_n + told.older
+    if recent_n < (RECENT_LEAST if kind == "first" else SHAKES_LEAST) or older_n < OLDER_LEAST:
         return 0.0, 1.0, 1.0
     return recent_n, _median(rises), _median(falls)
 
@@ -134,11 +146,13 @@
     sure: bool  # handshakes say so too
 
 
-def change(edges: Mapping[str, Sequence[Row]], now_s: float) -> Change | None:
-    """Has a pair's delay moved? First bytes see it early; handshakes confirm or contradict."""
+def change(edges: Edges, now_s: float, trust: Trust = NO_DOUBT) -> Change | None:
+    """Has a pair's delay moved? First bytes see it early; handshakes confirm or contradict.
+
+    Dated by the shortest span that shows it: a longer one may reach back before it."""
     for span_s in SPANS_S:
-        firsts, rise, fall = _moved(edges, now_s, span_s, "first")
-        shakes, shake_rise, shake_fall = _moved(edges, now_s, span_s, "shake")
+        firsts, rise, fall = _moved(edges, now_s, span_s, "first", trust)
+        shakes, shake_rise, shake_fall = _moved(edges, now_s, span_s, "shake", trust)
         if shakes >= RECENT_LEAST and shake_rise > RISE:
             return Change(now_s - span_s, True, True)
         if firsts and rise > RISE and not (shakes and shake_rise < HELD_UP):
@@ -148,13 +162,14 @@
     return None
 
 
-def changes(rows: Rows, now_s: float) -> dict[Pair, Change]:
+def changes(rows: Rows, now_s: float, trust: Trust = NO_DOUBT) -> dict[Pair, Change]:
     """All pairs that moved. Where most groups of a region rise at once, and no handshake, it is a queue."""
-    found = {pair: moved for pair, edges in rows.items() if (moved := change(edges, now_s)) is not None}
+    told = ((pair, change(edges, now_s, trust)) for pair, edges in rows.items())
+    found = {pair: moved for pair, moved in told if moved is not None}
     measured: dict[str, int] = {}
     doubtful: dict[str, int] = {}
     for pair, edges in rows.items():
-        if any(row.first and row.heard_s > now_s - SPANS_S[0] for each in edges.values() for row in each):
+        if any(row.first and row.heard_s > now_s - ACTIVE_S for each in edges.values() for row in each):
             measured[pair[1]] = measured.get(pair[1], 0) + 1
         moved = found.get(pair)
         if moved is not None and moved.up and not moved.sure:
@@ -170,9 +185,9 @@
 # --- levels ------------------------------------------------------------------------------------------------
 
 
-def fresh(rows: Rows, now_s: float) -> dict[Pair, dict[str, list[Row]]]:
+def fresh(rows: Rows, now_s: float, trust: Trust = NO_DOUBT) -> dict[Pair, dict[str, list[Row]]]:
     """The rows that still count: those since its change, where a pair has changed."""
-    moved = changes(rows, now_s)
+    moved = changes(rows, now_s, trust)
     kept: dict[Pair, dict[str, list[Row]]] = {}
     for pair, edges in rows.items():
         since = moved[pair].since_s if pair in moved else -math.inf
--- a/brassfall/geo/model.py
+++ b/brassfall/geo/model.py
@@ -63,7 +63,8 @@
     """All pairs of the groups and regions in the evidence, and of those named besides; by group and region.
 
     Empty where nothing at all was measured: there is nothing to guess from."""
-    by_edge = levels.edge_levels(levels.fresh(by_pair(state), now_s))
+    rows = by_pair(state)
+    by_edge = levels.edge_levels(levels.fresh(rows, now_s))
     if not by_edge:
         return Estimate((), warm)
     all_groups = sorted({group for group, _ in by_edge} | set(groups))
@@ -71,6 +72,7 @@
     known: Levels = _aged({pair: levels.agreed(told, {}, None) for pair, told in by_edge.items()}, now_s)
     shape = positions.fit(_plain(known), all_groups, all_regions, warm)
     trust = levels.trusts(by_edge, {pair: (level.log_ms, level.sd) for pair, level in known.items()})
+    by_edge = levels.edge_levels(levels.fresh(rows, now_s, trust))
     priors = {pair: (guess.log_ms, max(0.2, guess.sd)) for pair, guess in shape.guesses.items()}
     known = _aged({pair: levels.agreed(told, trust, priors[pair]) for pair, told in by_edge.items()}, now_s)
     shape = positions.fit(_plain(known), all_groups, all_regions, shape.warm)
