--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -15,6 +15,7 @@
 
 from brassfall import logs, settings
 from brassfall.errors import BrassfallError, SystemRefused, UsageError
+from brassfall.lab import geo_command
 
 
 class Told(TyperGroup):
@@ -51,6 +52,7 @@
 
 lab = typer.Typer(no_args_is_help=True, help="Experiments on a model of what the project serves.")
 app.add_typer(lab, name="lab")
+geo_command.add(lab)
 
 At = Annotated[str, typer.Option(help="HOST:PORT of the list service.")]
 Json = Annotated[bool, typer.Option("--json", help="JSON instead of text.")]
