--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -251,6 +251,10 @@
         self._settings, self._max_open = config.settings, config.max_open
         self._ask(None, self._balancer.reload, config.settings, kept)
 
+    def steer(self, steer: model.Steer) -> None:
+        """Another steering plan and other overrides from now on."""
+        self._ask(None, self._balancer.steer, steer)
+
     def arrive(self, call: Call, now: float) -> Request | None:
         """Take a request; its `call` gets one final answer. Its time runs from its last byte, which was
         read at `now`, or of which `body_read` tells."""
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -17,6 +17,7 @@
 
 from poppypulley import model
 from poppypulley.shedding import SHED_GAIN, SHED_IDLE, SHED_LEAK_MS, Shed, Throttle
+from poppypulley.steering import Steering
 
 Report = Mapping[str, float] | None
 
@@ -83,6 +84,7 @@
 ILL_LEAST = 0.35  # a lone fault brings 0.3: one tells nothing of a server
 ILL_HELD = 8.0  # what a server that fails always counts as held: breaks ties at none in flight
 
+LOOK_USUAL = 4.0  # usual answers' time that a request must have left to bear a look at a zone of low share
 TRIAL_USUAL = 3.0  # a first attempt that may be repeated gets at least so many usual answers' time
 
 # A server with an attempt out past this share of its aim may be hung: it counts as so much held.
@@ -220,6 +222,7 @@
     limits: model.Settings  # those of its arrival
     arrived: float
     give_up_at: float
+    tenant: int = 0
     work: float = 1.0
     over: bool = False
     in_turn: bool = False
@@ -248,6 +251,7 @@
         self._rng = random.Random(seed)
         self._throttle = Throttle()
         self._shed = Shed(settings)
+        self._steering = Steering(self._rng)
         self._servers: dict[str, Server] = {}
         self._ring: list[Server] = []
         self._top_weight = 1.0
@@ -303,6 +307,12 @@
         self._spill += [0.0] * (len(settings.profiles) - len(self._spill))
         return self._take()
 
+    def steer(self, now: float, steer: model.Steer) -> list[model.Action]:
+        """Another plan and other overrides from now on; the change is eased in."""
+        if self._steering.take(now, steer):
+            self._rebuild()
+        return self._take()
+
     def request(self, now: float, arrival: model.Arrival) -> list[model.Action]:
         """A client's request: refuse it at once or send it."""
         if not 0 <= arrival.band < len(self._set.profiles):
@@ -312,6 +322,7 @@
         request = Request(arrival.request, arrival.band, key, profile, self._set, now, until)
         # A figure that is not finite must not reach a time-out: the class's own serves.
         request.work = arrival.work if arrival.work and 0.0 < arrival.work < math.inf else 1.0
+        request.tenant = arrival.tenant
         request.in_turn = profile.in_turn and key is not None
         request.large = arrival.large
         self._requests[request.id] = request
@@ -466,7 +477,8 @@
             self._throttle.add(now, 0.0)
             self._give_up(now, request)
             return
-        drawn = self._draw(now, request)
+        capped = self._steering.on and not request.attempts and self._steering.over_cap(now, request.band)
+        drawn = [] if capped else self._pick(now, request) if self._steering.on else self._draw(now, request)
         if not drawn:
             self._give_up(now, request)
         else:
@@ -482,28 +494,48 @@
             return False
         return request.work * self._pace.rate(0.0, 0.0) > HOPELESS * request.profile.objective
 
-    def _draw(self, now: float, request: Request) -> list[Server]:
+    def _pick(self, now: float, request: Request) -> list[Server]:
+        """The draw as steered: from the zone drawn by share, if it can take it, else from all."""
+        drawn: list[Server] = []
+        ease = self._steering.settle(now)
+        if not request.attempts and not (self._set.warm_keys and request.key is not None):
+            bears = self._repeatable(request.profile) and not request.large
+            bears = bears and request.useful_until() - now > LOOK_USUAL * self._usual()
+            resting = [server.zone for server in self._resting.values() if server.rest_until > now]
+            zone = self._steering.zone(now, request.band, request.tenant, bears, resting)
+            drawn = [] if zone is None else self._draw(now, request, zone, ease)
+        if ease and not drawn:
+            drawn = self._draw(now, request, None, ease)
+        return drawn or self._draw(now, request)
+
+    def _draw(
+        self, now: float, request: Request, zone: int | None = None, ease: bool = False
+    ) -> list[Server]:
         """A few random servers, each as likely as its share of the capacity."""
         drawn: list[Server] = []
         tried = [attempt.server for attempt in request.attempts if not attempt.stale]
         if self._set.warm_keys and request.key is not None:
-            drawn = self._draw_for_key(now, request, request.key)
+            drawn = self._draw_for_key(now, request, request.key, ease)
             if drawn:
                 return drawn
         ring, bound = self._ring, request.bound()
         if bound is not None and request.profile.semantics == "token" and request.profile.group != "all":
             # Only its group may have it again.
             ring = self._groups.get(self._group(request.profile.group, bound.server), [])
+        elif zone is not None:
+            ring = self._groups.get(("zone", zone), [])
         elif self._zoned and self._near and self._far:
             ring = self._far if self._rng.random() < self._spill[request.band] else self._near
         reach = min(self._reach(len(request.attempts)), len(ring))
         for draw in range(DRAWS if ring else 0):
             if draw == DRAWS - LAST_DRAWS and bound is None:
-                if drawn:
+                if drawn or zone is not None:
                     break
                 ring, reach = self._ring, len(self._ring)
             server = ring[int(self._rng.random() * reach)]
             share = self._capacity(now, server) / (self._top_weight * SPEED_MOST)
+            if ease:
+                share *= self._steering.eased(now, server.name, server.zone if zone is None else -1)
             if share < 1.0 and self._rng.random() >= share:
                 continue
             if server in tried or server in drawn:
@@ -534,7 +566,7 @@
             if not self._key_counts[old]:
                 del self._key_counts[old]
 
-    def _draw_for_key(self, now: float, request: Request, key: int) -> list[Server]:
+    def _draw_for_key(self, now: float, request: Request, key: int, ease: bool) -> list[Server]:
         """The first servers in a key's rendezvous order, more of them for a popular key.
 
         A server that is cold or keeps pace badly passes a part of its keys down the order,
@@ -550,6 +582,8 @@
             if warmth < 1.0 and request.attempts:
                 continue
             fitness = warmth * server.pace.speed
+            if ease:
+                fitness *= self._steering.eased(now, server.name, server.zone)
             if fitness < 1.0 and self._rng.random() >= fitness:
                 continue
             if server in tried or not self._fit(now, server) or not self._may_send(now, request, server):
@@ -600,7 +634,7 @@
         if warmth >= 1.0:
             return True
         # Only the sidecars whose subset holds the server send to it: theirs is the others' part too.
-        seen = min(1.0, self._reach() / max(1, len(self._ring)))
+        seen = min(1.0, self._reach() / max(1, self._steering.among(server.zone, len(self._ring))))
         part = warmth * min(SPEED_MOST, server.kind_pace.speed) / (self._most_servers * seen)
         share = self._rate(now) * part * self._set.fall_multiple * COLD_SHARE
         gained = share * (now - server.budget_at)
@@ -629,8 +663,10 @@
             self._shed.strain(now, self._strain(server, status, now))
             least = 0.0 if status == OK else request.profile.objective
             self._learn_pace(server, max(spent, least), request.work)
+        missed = float(status != OK or spent > request.profile.objective)
+        if self._steering.on and status != MOOT and status != CANCELLED:
+            self._steering.learn(now, server.zone, missed)
         if self._zoned and status != MOOT and status != CANCELLED:
-            missed = float(status != OK or spent > request.profile.objective)
             if server.zone != self._set.locality:
                 self._far_miss += (1.0 - MISS_MEMORY) * (missed - self._far_miss)
             else:
@@ -753,7 +789,7 @@
         """How long to wait for an attempt before it is better spent elsewhere."""
         useful, profile = request.useful_until(), request.profile
         whole = max(0.0, (useful if useful > now else request.give_up_at) - now)
-        again = profile.semantics == "pure" or (profile.semantics == "token" and profile.group == "all")
+        again = self._repeatable(profile)
         quick = self._slowness < SLOW and now - self._silent_at < REST_MAX_MS
         if again and quick and not request.large and len(request.attempts) + 1 < request.limits.max_attempts:
             # Guards against hung and silent servers, also where they hold up a key's line. Only
@@ -828,9 +864,11 @@
         return group == "all" or self._group(group, server) == self._group(group, bound.server)
 
     def _may_refuse(self, request: Request) -> bool:
-        profile = request.profile
-        again = profile.semantics == "token" and profile.group == "all"
-        return again or profile.semantics == "pure" or request.bound() is None
+        return self._repeatable(request.profile) or request.bound() is None
+
+    @staticmethod
+    def _repeatable(profile: model.Profile) -> bool:
+        return profile.semantics == "pure" or (profile.semantics == "token" and profile.group == "all")
 
     def _send(self, now: float, request: Request, server: Server) -> None:
         timeout = self._timeout(now, request)
@@ -930,13 +968,21 @@
         """
         ring = sorted(self._servers.values(), key=lambda server: server.name)
         start = int((self._set.me * GOLDEN) % 1.0 * len(ring))
-        self._ring = [server for server in ring[start:] + ring[:start] if server.usable]
+        usable = [server for server in ring[start:] + ring[:start] if server.usable]
+        off = self._steering.steer
+        held = {s: None for s in usable if s.zone in off.held_zones or s.name in off.held_servers}
+        # Where all are held off, or all of the group that a request is bound to, there is no other.
+        self._ring = [server for server in usable if server not in held] or usable
+        self._steering.listed([server.zone for server in self._ring])
         self._near = [server for server in self._ring if server.zone == self._set.locality]
         self._far = [server for server in self._ring if server.zone != self._set.locality]
         self._groups = {}
-        for server in self._ring:
-            for group in ("zone", "cell"):
-                self._groups.setdefault(self._group(group, server), []).append(server)
+        for servers in (held, self._ring):
+            groups: dict[tuple[str, int], list[Server]] = {}
+            for server in servers:
+                for group in ("zone", "cell"):
+                    groups.setdefault(self._group(group, server), []).append(server)
+            self._groups |= groups
         self._top_weight = max((server.weight for server in self._ring), default=1.0)
         self._most_servers = max(1.0, len(self._ring), 0.98 * self._most_servers)
 
--- a/poppypulley/model.py
+++ b/poppypulley/model.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import IntEnum
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 
@@ -121,6 +122,24 @@
     large: bool = False  # its body is still coming, and only its beginning can be sent again
 
 
+class Steer(NamedTuple):
+    """How picks are steered, replaced whole by each new one; the neutral one changes nothing.
+
+    A zone is its position in `FailureDomains`. What shares leave of 1 goes by the present picks.
+    """
+
+    shares: Mapping[int, float] = MappingProxyType(
+        {}
+    )  # zone -> share of first attempts; empty: present picks
+    class_shares: Mapping[int, Mapping[int, float]] = MappingProxyType({})  # by class, instead of `shares`
+    tenant_shares: Mapping[int, Mapping[int, float]] = MappingProxyType({})  # by tenant, instead of both
+    held_zones: frozenset[int] = frozenset()  # held off: no new send while any other server can take it
+    held_servers: frozenset[str] = frozenset()
+    caps: Mapping[int, float] = MappingProxyType({})  # class -> most requests/s; over it: refused locally
+    weight: float = 1.0  # 0 to 1, how far shares count: a plan that ages fades to the present picks
+    look: float = 0.0  # share of repeatable first attempts with time to spare for zones of low share
+
+
 @dataclass(frozen=True, slots=True)
 class Profile:
     """One request class."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -29,10 +29,11 @@
 
 def test_the_decision_module_can_be_read_aloud():
     files = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
-    assert files == ["poppypulley/balancer.py", "poppypulley/shedding.py"]
+    assert files == [f"poppypulley/{name}.py" for name in ("balancer", "shedding", "steering")]
     lines = {file: (ROOT / file).read_text().splitlines() for file in files}
     counts = {file: len([line for line in rows if line.strip()]) for file, rows in lines.items()}
     assert counts["poppypulley/balancer.py"] <= 910
+    assert counts["poppypulley/steering.py"] <= 120
     assert sum(counts.values()) <= 1200
     assert max(len(line) for rows in lines.values() for line in rows) <= 110
 
@@ -42,7 +43,8 @@
     [
         ("model.py", set()),
         ("shedding.py", {"poppypulley.model"}),
-        ("balancer.py", {"poppypulley.model", "poppypulley.shedding"}),
+        ("steering.py", {"poppypulley.model"}),
+        ("balancer.py", {"poppypulley.model", "poppypulley.shedding", "poppypulley.steering"}),
         ("wirehost.py", {"poppypulley.model", "poppypulley.balancer"}),
     ],
 )
