--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -497,25 +497,29 @@
     def _pick(self, now: float, request: Request) -> list[Server]:
         """The draw as steered: from the zone drawn by share, if it can take it, else from all."""
         drawn: list[Server] = []
-        ease = self._steering.settle(now)
+        luck = self._steering.settle(now)
         if not request.attempts and not (self._set.warm_keys and request.key is not None):
             bears = self._repeatable(request.profile) and not request.large
             bears = bears and request.useful_until() - now > LOOK_USUAL * self._usual()
             resting = [server.zone for server in self._resting.values() if server.rest_until > now]
             zone = self._steering.zone(now, request.band, request.tenant, bears, resting)
-            drawn = [] if zone is None else self._draw(now, request, zone, ease)
-        if ease and not drawn:
-            drawn = self._draw(now, request, None, ease)
+            drawn = [] if zone is None else self._draw(now, request, zone, luck)
+        if luck and not (drawn := drawn or self._draw(now, request, None, luck)):
+            # A subset may lie in what is still on its way back.
+            tried = [attempt.server for attempt in request.attempts]
+            able = [
+                s for s in self._ring if s not in tried and self._steering.back(now, luck, s.name, s.zone)
+            ]
+            able = [s for s in able if self._fit(now, s) and self._may_send(now, request, s)]
+            drawn = self._rng.sample(able, min(CANDIDATES, len(able)))
         return drawn or self._draw(now, request)
 
-    def _draw(
-        self, now: float, request: Request, zone: int | None = None, ease: bool = False
-    ) -> list[Server]:
+    def _draw(self, now: float, request: Request, zone: int | None = None, luck: float = 0.0) -> list[Server]:
         """A few random servers, each as likely as its share of the capacity."""
         drawn: list[Server] = []
         tried = [attempt.server for attempt in request.attempts if not attempt.stale]
         if self._set.warm_keys and request.key is not None:
-            drawn = self._draw_for_key(now, request, request.key, ease)
+            drawn = self._draw_for_key(now, request, request.key, luck)
             if drawn:
                 return drawn
         ring, bound = self._ring, request.bound()
@@ -534,12 +538,12 @@
                 ring, reach = self._ring, len(self._ring)
             server = ring[int(self._rng.random() * reach)]
             share = self._capacity(now, server) / (self._top_weight * SPEED_MOST)
-            if ease:
-                share *= self._steering.eased(now, server.name, server.zone if zone is None else -1)
             if share < 1.0 and self._rng.random() >= share:
                 continue
             if server in tried or server in drawn:
                 continue
+            if luck and not self._steering.back(now, luck, server.name, server.zone):
+                continue
             if not self._fit(now, server) or not self._may_send(now, request, server):
                 continue
             drawn.append(server)
@@ -566,7 +570,7 @@
             if not self._key_counts[old]:
                 del self._key_counts[old]
 
-    def _draw_for_key(self, now: float, request: Request, key: int, ease: bool) -> list[Server]:
+    def _draw_for_key(self, now: float, request: Request, key: int, luck: float) -> list[Server]:
         """The first servers in a key's rendezvous order, more of them for a popular key.
 
         A server that is cold or keeps pace badly passes a part of its keys down the order,
@@ -582,10 +586,10 @@
             if warmth < 1.0 and request.attempts:
                 continue
             fitness = warmth * server.pace.speed
-            if ease:
-                fitness *= self._steering.eased(now, server.name, server.zone)
             if fitness < 1.0 and self._rng.random() >= fitness:
                 continue
+            if luck and not self._steering.back(now, luck, server.name, server.zone):
+                continue
             if server in tried or not self._fit(now, server) or not self._may_send(now, request, server):
                 continue
             drawn.append(server)
--- a/poppypulley/steering.py
+++ b/poppypulley/steering.py
@@ -88,16 +88,16 @@
         if zone := self._zones.get(number):
             zone.misses, zone.at = MISS_MEMORY * zone.missed(now) + (1.0 - MISS_MEMORY) * missed, now
 
-    def settle(self, now: float) -> bool:
-        """Forget what has been eased in; whether something held off is still on its way back."""
+    def settle(self, now: float) -> float:
+        """Forget what has been eased in; a request's luck if something is still on its way back, else 0."""
         while len(self._stages) > 1 and now - self._stages[1][0] >= EASE_MS:
             del self._stages[0]
         self._back = {name: at for name, at in self._back.items() if now - at < EASE_MS}
-        return bool(self._back)
+        return 1.0 - self._rng.random() if self._back else 0.0
 
-    def eased(self, now: float, *names: int | str) -> float:
-        """How far a server that was held off, or its zone, is back, 0 to 1."""
-        return min(1.0, (now - max(self._back.get(name, -math.inf) for name in names)) / EASE_MS)
+    def back(self, now: float, luck: float, server: str, zone: int) -> bool:
+        """Whether a request of such luck may go there: ever more may where a hold-off has ended."""
+        return now - max(self._back.get(server, -math.inf), self._back.get(zone, -math.inf)) >= luck * EASE_MS
 
     def zone(self, now: float, band: int, tenant: int, bears: bool, resting: Iterable[int]) -> int | None:
         """The zone to draw from for a first attempt, or None for the present picks. One that
@@ -119,7 +119,7 @@
         others = [z.missed(now) for z in self._zones.values() if z.servers and z is not zone]
         over = (zone.missed(now) - min(others, default=1.0) - MISS_LEAST) / MISS_SPAN
         able = max(0, zone.servers - sum(number == chosen for number in resting)) / zone.most
-        keep = self.eased(now, chosen) * able * (1.0 - max(0.0, min(1.0, over)))
+        keep = able * (1.0 - max(0.0, min(1.0, over)))
         return chosen if self._rng.random() < keep else None
 
     def _shares(self, now: float, band: int, tenant: int) -> dict[int, float]:
--- a/tests/test_rules_property.py
+++ b/tests/test_rules_property.py
@@ -20,6 +20,7 @@
     Probe,
     Refuse,
     Send,
+    Steer,
     Timer,
     Watch,
 )
@@ -111,6 +112,7 @@
         self.doubts = {}  # by key: the last end that left one, and whose it was
         self.touched = {}  # leaving servers: the notice, or the last send or outcome there
         self.closed = {}
+        self.held = Steer()
         self.balancer = Balancer(self.now, Settings.parse(self.told), self.rng.getrandbits(40))
         entries = [self.entry(i) for i in range(self.rng.choice([0, 1, 5, 9]))]
         self.listed = {entry.server: entry for entry in entries}
@@ -159,6 +161,11 @@
         assert target.state == "active", "a send to a server known to be leaving"
         if not self.raw["PolicyLimits"]["ParallelTries"]:
             assert all(not a["out"] for a in attempts), "two attempts out at once"
+        bound = any(a["out"] or a["status"] not in NEVER_RAN for a in attempts)
+        if self.off(target) and not (bound and profile["Semantics"] == "token"):
+            assert all(self.off(e) for e in self.listed.values() if e.state == "active"), (
+                "sent though held off"
+            )
         for earlier in attempts:
             if not earlier["out"] and earlier["status"] in NEVER_RAN:
                 continue
@@ -187,6 +194,21 @@
             end = self.rng.choice(ENDS)
             self.at(took, "outcome", action.request, hop, end)
 
+    def off(self, entry):
+        """Whether a server is held off."""
+        return entry.zone in self.held.held_zones or entry.server in self.held.held_servers
+
+    def steered(self):
+        """Another plan and other overrides, sensible or not."""
+        draw, zones = self.rng.choice, range(-1, 4)
+        shares = {z: draw([0.0, 0.3, 1.0, 5.0, -1.0, float("nan"), float("inf")]) for z in zones}
+        off = frozenset(z for z in zones if self.rng.random() < 0.3)
+        self.held = Steer(
+            draw([{}, shares]), {0: draw([{}, shares])}, {1: shares}, off, frozenset({f"s{draw(range(9))}"}),
+            {1: draw([0.0, 3.0, float("nan"), -1.0])}, draw([0.0, 0.5, 1.0, 3.0]), draw([0.0, 0.5]),
+        )  # fmt: skip
+        self.apply(self.balancer.steer(self.now, self.held))
+
     def keep_order(self, number, request, profile):
         """The rule of order per key, by the oracle's own books."""
         key = request["key"]
@@ -334,7 +356,7 @@
 STEPS = st.lists(
     st.sampled_from(
         ["arrive", "arrive", "arrive", "burst", "short", "gone", "change", "whole", "wait",
-         "long", "peer", "stray", "restart", "refused"]
+         "long", "peer", "stray", "restart", "refused", "steered"]
     ),
     max_size=40,
 )  # fmt: skip
@@ -366,7 +388,7 @@
         elif step == "refused":
             if raw["Discovery"] == "subscribe":
                 world.listed_answer(False)
-        elif step in ("gone", "change", "whole"):
+        elif step in ("gone", "change", "whole", "steered"):
             getattr(world, step)()
         world.advance(world.now + TICK)
     world.advance(world.now + 3000.0)
--- /dev/null
+++ b/tests/test_steering.py
@@ -0,0 +1,226 @@
+"""What a plan and overrides do to picks, on the module alone: a few servers a zone, time told by the test."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+
+import pytest
+
+from poppypulley import Balancer, Settings
+from poppypulley.model import Arrival, Listing, Outcome, Refuse, Send, Steer
+from tests.helpers import of_type, raw_settings
+
+ZONES = ("a", "b", "c")
+PLAN = Steer(shares={0: 0.7, 1: 0.2, 2: 0.1})
+EASED = 5000.0
+
+
+class Play:
+    """A balancer with some servers in each of three zones, and what it sent where."""
+
+    def __init__(self, *classes, per_zone=2, seed=1, names="{n}{zone}") -> None:
+        limits = {"MaxAttempts": 2, "ParallelTries": False}
+        report = {"How": "inline", "Fields": ["inflight"]}  # what turns work away tells that it is no crowd
+        raw = raw_settings(*classes, FailureDomains=list(ZONES), PolicyLimits=limits, Report=report)
+        self.now, self.count, self.out = 0.0, 0, []
+        self.rng = random.Random(7)
+        self.sent, self.first, self.refused = Counter(), Counter(), Counter()
+        self.bad: dict[str, Outcome] = {}  # by server or zone
+        self.balancer = Balancer(self.now, Settings.parse(raw), seed)
+        self.servers = [
+            Listing(names.format(n=n, zone=zone), z, cell=z)
+            for z, zone in enumerate(ZONES)
+            for n in range(per_zone)
+        ]
+        self.balancer.server_list(self.now, "remembered", self.servers)
+
+    def steer(self, steer: Steer, wait: float = EASED) -> Play:
+        self.balancer.steer(self.now, steer)
+        self.now += wait
+        return self
+
+    def run(self, requests: int, gap: float = 10.0, band: int = 0, tenant: int = 0) -> Counter:
+        """So many requests on a beat; the zones of their first attempts."""
+        self.sent, self.first, self.refused = Counter(), Counter(), Counter()
+        for _ in range(requests):
+            self.now += gap
+            while self.out and self.out[0][0] <= self.now:
+                self.end(*heapq.heappop(self.out))
+            self.count += 1
+            arrival = Arrival(self.count, band, self.now + 1000.0, tenant)
+            self.carry(self.balancer.request(self.now, arrival), 0, band)
+        return self.first
+
+    def carry(self, actions: list, hop: int, band: int) -> None:
+        for send in of_type(actions, Send):
+            zone = send.server.strip("0123456789")
+            self.sent[zone] += 1
+            self.first[zone] += hop == 0
+            status = self.bad.get(send.server, self.bad.get(zone, Outcome.OK))
+            took = send.timeout if status == Outcome.TIMEOUT else self.rng.uniform(3.0, 7.0)
+            heapq.heappush(self.out, (self.now + took, send.request, hop, band, status, took))
+        self.refused[band] += len(of_type(actions, Refuse))
+
+    def end(self, at: float, request: int, hop: int, band: int, status: Outcome, took: float) -> None:
+        report = {"inflight": 1.0} if status == Outcome.FULL else None
+        told = self.balancer.outcome(at, request, hop, status, took, status == Outcome.OK, report)
+        self.carry(told, hop + 1, band)
+
+
+@pytest.mark.parametrize(
+    ("steer", "where", "wanted"),
+    [
+        (Steer(), {}, {}),
+        (PLAN, {}, PLAN.shares),
+        (PLAN._replace(class_shares={1: {2: 1.0}}), {"band": 1}, {2: 1.0}),
+        (PLAN._replace(class_shares={1: {2: 1.0}}), {}, PLAN.shares),
+        (PLAN._replace(class_shares={0: {2: 1.0}}, tenant_shares={5: {1: 1.0}}), {"tenant": 5}, {1: 1.0}),
+        (PLAN._replace(weight=0.5), {}, {0: 0.35, 1: 0.1, 2: 0.05}),
+        (Steer(shares={0: 0.4}), {}, {0: 0.4}),
+        (Steer(shares={0: 7.0, 1: 2.0, 2: 1.0, 9: float("nan")}), {}, PLAN.shares),
+        (Steer(shares={0: 0.5, 9: 0.5}), {}, {0: 0.5}),  # nobody is in zone 9
+        (Steer(shares={0: 1.0}, look=0.1), {}, {0: 0.9, 1: 0.05, 2: 0.05}),
+    ],
+)
+def test_first_attempts_keep_to_the_shares_within_noise(steer, where, wanted):
+    first = Play("safe", "safe").steer(steer).run(3000, **where)
+    rest = 1.0 - sum(wanted.values())  # by the present picks: a tenth to six of it for each zone
+    for number, zone in enumerate(ZONES):  # 3,000 draws: a standard deviation of 0.009 at most
+        share = first[zone] / 3000 - wanted.get(number, 0.0)
+        assert 0.1 * rest - 0.03 <= share <= 0.6 * rest + 0.03
+
+
+def test_no_look_with_what_may_not_be_repeated_or_has_no_time_to_spare():
+    play = Play("unsafe", "safe").steer(Steer(shares={0: 1.0}, look=1.0))
+    assert play.run(300) == {"a": 300}
+    play.bad = {"a": Outcome.OK}
+    for number in range(60):  # the usual answer takes a third of the aim from here on
+        play.now += 10.0
+        sent = of_type(play.balancer.request(play.now, Arrival(90000 + number, 1, play.now + 1000.0)), Send)
+        play.balancer.outcome(play.now + 70.0, 90000 + number, 0, Outcome.OK, 70.0, True)
+    assert sent[0].server[-1] == "a"
+
+
+@pytest.mark.parametrize(
+    ("bad", "most"),
+    [
+        ({"a": Outcome.TIMEOUT}, 0.45),
+        ({"a": Outcome.CONNECT_FAILED}, 0.45),
+        ({"a": Outcome.FULL}, 0.45),
+        ({"0a": Outcome.CONNECT_FAILED, "1a": Outcome.CONNECT_FAILED, "2a": Outcome.CONNECT_FAILED}, 0.6),
+    ],
+)
+def test_own_evidence_wins_over_the_plan(bad, most):
+    play = Play(per_zone=4).steer(Steer(shares={0: 1.0}))
+    assert play.run(200) == {"a": 200}
+    play.bad = bad
+    play.run(100)
+    first = play.run(400)
+    assert first["a"] / 400 < most
+    assert sum(first.values()) == 400, "refused because a plan says so"
+    play.bad = {}
+    play.run(4000)
+    assert play.run(400)["a"] > 360  # and the plan counts again
+
+
+def test_a_zone_that_loses_servers_keeps_no_more_than_their_part_of_its_share():
+    play = Play().steer(Steer(shares={0: 1.0}))
+    play.balancer.server_list(play.now, "all", play.servers[1:])
+    assert play.run(2000)["a"] / 2000 == pytest.approx(0.5 + 0.5 * 0.2, abs=0.04)
+
+
+@pytest.mark.parametrize(
+    ("steer", "classes", "bad", "held"),
+    [
+        (Steer(held_zones=frozenset({0})), "safe", {}, "a"),
+        (Steer(held_zones=frozenset({0}), shares={0: 1.0}), "safe", {}, "a"),
+        (Steer(held_zones=frozenset({0}), shares={0: 1.0}, look=1.0), "safe", {}, "a"),
+        (Steer(held_servers=frozenset(f"{n}a" for n in range(2))), "safe", {}, "a"),
+        # Others that fail do not bring it back, for first attempts or further ones.
+        (Steer(held_zones=frozenset({0})), "safe", {"b": Outcome.FULL, "c": Outcome.ERROR}, "a"),
+    ],
+)
+def test_what_is_held_off_is_never_sent_to(steer, classes, bad, held):
+    play = Play(classes).steer(steer, wait=0.0)  # a hold-off is not eased in
+    play.bad = bad
+    play.run(1000)
+    assert play.sent[held] == 0
+    assert bad or sum(play.sent.values()) == 1000
+
+
+def test_what_is_held_off_serves_where_it_is_all_there_is():
+    play = Play().steer(Steer(held_zones=frozenset({0, 1, 2})), wait=0.0)
+    assert sum(play.run(300).values()) == 300
+    play.steer(Steer(held_zones=frozenset({0})), wait=0.0)
+    assert set(play.run(300)) == {"b", "c"}
+    play.balancer.server_list(play.now, "all", play.servers[:2])
+    assert play.run(300) == {"a": 300}
+
+
+def test_a_request_bound_to_a_group_follows_its_rule_before_a_hold_off():
+    play = Play("keyed")
+    sent = of_type(play.balancer.request(0.0, Arrival(1, 0, 1000.0)), Send)[0]
+    play.steer(Steer(held_zones=frozenset({"abc".index(sent.server[-1])})), wait=0.0)
+    again = of_type(play.balancer.outcome(20.0, 1, 0, Outcome.ERROR, 20.0), Send)
+    assert again[0].server[-1] == sent.server[-1] and again[0].server != sent.server
+
+
+@pytest.mark.parametrize("names", ["{n:02}{zone}", "{zone}{n:02}"])  # a subset of all zones, or of one
+@pytest.mark.parametrize("shares", [{}, {0: 1.0}])
+def test_what_was_held_off_is_eased_back_in(shares, names):
+    play = Play(per_zone=8, names=names).steer(Steer(shares=shares, held_zones=frozenset({0})))
+    play.run(500)
+    play.balancer.steer(play.now, Steer(shares=shares))
+    parts = [play.run(500, gap=2.0)["a"] / 500 for _ in range(5)]  # a second each
+    whole = play.run(2500, gap=2.0)["a"] / 2500
+    for second, part in enumerate(parts):
+        ramp = min(
+            1.0, (second + 0.5) / 5.0
+        )  # of the requests may go there, and it may hold less than others
+        assert whole * ramp - 0.07 < part < ramp + 0.07, (second, parts)
+
+
+def test_shares_that_change_twice_within_the_time_are_eased_without_a_jump():
+    play = Play(per_zone=8).steer(Steer(shares={0: 1.0}))
+    play.balancer.steer(play.now, Steer(shares={1: 1.0}))
+    assert play.run(250)["b"] / 250 == pytest.approx(0.25, abs=0.07)
+    play.balancer.steer(play.now, Steer(shares={2: 1.0}))
+    soon = play.run(100, gap=2.0)
+    assert soon["a"] > 25 and soon["b"] > 25 and soon["c"] < 25
+    play.now += EASED
+    assert play.run(100) == {"c": 100}
+
+
+@pytest.mark.parametrize(
+    ("cap", "gap", "served"), [(20.0, 10.0, 200), (0.0, 10.0, 0), (0.5, 10.0, 5), (200.0, 10.0, 1000)]
+)
+def test_a_cap_refuses_what_is_over_it_and_that_class_alone(cap, gap, served):
+    play = Play("safe", "safe").steer(Steer(caps={0: cap}))
+    play.run(1000, gap)
+    assert sum(play.sent.values()) == pytest.approx(served, abs=6)
+    assert play.refused[0] == play.balancer._steering.capped == 1000 - sum(play.sent.values())
+    # A cap tells nothing of the servers: the throttle lets the other class pass.
+    assert play.balancer._throttle.drop_chance(play.now) == 0.0
+    assert sum(play.run(200, gap, band=1).values()) == 200
+
+
+def test_the_neutral_one_changes_no_draw():
+    sides = [Play(seed=3), Play(seed=3).steer(Steer(), wait=0.0)]
+    for play in sides:
+        play.bad = {"b": Outcome.FULL, "1a": Outcome.TIMEOUT}
+        play.run(500)
+    assert sides[0].sent == sides[1].sent
+    assert sides[0].balancer._rng.getstate() == sides[1].balancer._rng.getstate()
+
+
+def test_the_driver_hands_it_on_with_its_clock():
+    from fordtrestle.driver import Driver
+
+    seen = []
+    driver = object.__new__(Driver)
+    driver._clock = type("Clock", (), {"now": staticmethod(lambda: 42.0)})
+    driver._balancer = type("Module", (), {"steer": staticmethod(lambda *told: seen.append(told) or [])})
+    driver.steer(PLAN)
+    assert seen == [(42.0, PLAN)]
