--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -477,7 +477,8 @@
             self._throttle.add(now, 0.0)
             self._give_up(now, request)
             return
-        capped = self._steering.on and not request.attempts and self._steering.over_cap(now, request.band)
+        caps = self._steering.steer.caps
+        capped = caps and not request.attempts and self._steering.over_cap(now, request.band)
         drawn = [] if capped else self._pick(now, request) if self._steering.on else self._draw(now, request)
         if not drawn:
             self._give_up(now, request)
@@ -488,6 +489,9 @@
         """The time that an answer usually takes; 0 before the first."""
         return self._mean_work * self._pace.rate(0.0, 0.0) if self._pace.work else 0.0
 
+    def _spare(self, now: float, request: Request) -> bool:
+        return request.useful_until() - now > LOOK_USUAL * self._usual()
+
     def _too_heavy(self, now: float, request: Request) -> bool:
         """Whether, under strain, a request would take a server and still come too late."""
         if request.profile.late_worth > 0.0 or self._shed.level(now) <= SHED_IDLE or not self._pace.work:
@@ -499,10 +503,11 @@
         drawn: list[Server] = []
         luck = self._steering.settle(now)
         if not request.attempts and not (self._set.warm_keys and request.key is not None):
-            bears = self._repeatable(request.profile) and not request.large
-            bears = bears and request.useful_until() - now > LOOK_USUAL * self._usual()
-            resting = [server.zone for server in self._resting.values() if server.rest_until > now]
-            zone = self._steering.zone(now, request.band, request.tenant, bears, resting)
+            told = self._steering.steer
+            look = told.look > 0.0 and self._rng.random() < told.look * told.weight and not request.large
+            look = look and self._repeatable(request.profile) and self._spare(now, request)
+            resting = [s.zone for s in self._resting.values() if s.rest_until > now] if self._resting else []
+            zone = self._steering.zone(now, request.band, request.tenant, look, resting)
             drawn = [] if zone is None else self._draw(now, request, zone, luck)
         if luck and not (drawn := drawn or self._draw(now, request, None, luck)):
             # A subset may lie in what is still on its way back.
--- a/poppypulley/steering.py
+++ b/poppypulley/steering.py
@@ -5,7 +5,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from poppypulley.model import Steer
@@ -15,16 +15,14 @@
 
 MISS_MEMORY = 0.7  # a zone that misses more than the best other one is left to the present picks
 MISS_FADE_MS = 10000.0
-MISS_LEAST, MISS_SPAN = 0.2, 0.4  # a lone miss brings 0.3: it tells little of a zone
+MISS_IDLE, MISS_LEAST, MISS_SPAN = 0.01, 0.2, 0.4  # a lone miss brings 0.3: it tells little of a zone
 
 CAP_BURST_MS = 250.0  # of a cap's requests may come at once, or one
 LOOK_BELOW = 0.05  # a zone with less of the first attempts is looked at now and then
 
 
 @dataclass(slots=True)
-class Zone:
-    """What this sidecar sees of one zone itself."""
-
+class Zone:  # what this sidecar sees of one itself
     servers: int = 0
     most: int = 0  # servers since the plan came: its share is of so many
     misses: float = 0.0  # fading share
@@ -59,7 +57,7 @@
         shares = _weighted(steer.shares, weight)
         classes = {band: _weighted(told, weight) for band, told in steer.class_shares.items()}
         tenants = {tenant: _weighted(told, weight) for tenant, told in steer.tenant_shares.items()}
-        self.steer = Steer(shares, classes, tenants, *steer[3:])
+        self.on, self.steer = True, Steer(shares, classes, tenants, *steer[3:])
         before, held = last.held_zones | last.held_servers, steer.held_zones | steer.held_servers
         back = self._back | dict.fromkeys(before - held, now)
         self._back = {name: at for name, at in back.items() if name not in held}
@@ -69,7 +67,6 @@
             self._stages.append((now, self.steer))
             for zone in self._zones.values():
                 zone.most = zone.servers
-        self.on = True
         return held != before
 
     def listed(self, zones: list[int]) -> None:
@@ -81,31 +78,32 @@
 
     def among(self, zone: int, everyone: int) -> int:
         """Out of how many servers a sidecar chooses those of this zone that it sends to."""
-        return self._zones[zone].servers if any(any(steer[:3]) for _, steer in self._stages) else everyone
+        planned = any(any(steer[:3]) for _, steer in self._stages)
+        return self._zones[zone].servers if planned and zone in self._zones else everyone
 
     def learn(self, now: float, number: int, missed: float) -> None:
         """An outcome at a zone's server: missed if not served in time."""
-        if zone := self._zones.get(number):
+        if (zone := self._zones.get(number)) and (missed or zone.misses > MISS_IDLE):
             zone.misses, zone.at = MISS_MEMORY * zone.missed(now) + (1.0 - MISS_MEMORY) * missed, now
 
     def settle(self, now: float) -> float:
         """Forget what has been eased in; a request's luck if something is still on its way back, else 0."""
         while len(self._stages) > 1 and now - self._stages[1][0] >= EASE_MS:
             del self._stages[0]
-        self._back = {name: at for name, at in self._back.items() if now - at < EASE_MS}
+        self._back = self._back and {name: at for name, at in self._back.items() if now - at < EASE_MS}
         return 1.0 - self._rng.random() if self._back else 0.0
 
     def back(self, now: float, luck: float, server: str, zone: int) -> bool:
         """Whether a request of such luck may go there: ever more may where a hold-off has ended."""
         return now - max(self._back.get(server, -math.inf), self._back.get(zone, -math.inf)) >= luck * EASE_MS
 
-    def zone(self, now: float, band: int, tenant: int, bears: bool, resting: Iterable[int]) -> int | None:
-        """The zone to draw from for a first attempt, or None for the present picks. One that
-        `bears` it may be sent to a zone of low share; `resting` has the zone of each ejected server."""
+    def zone(self, now: float, band: int, tenant: int, look: bool, resting: list[int]) -> int | None:
+        """The zone to draw from for a first attempt, or None for the present picks; `look` has one of
+        low share looked at, and `resting` is the zone of each ejected server."""
         shares, chosen = self._shares(now, band, tenant), -1
         if not shares:
             return None
-        if bears and self._rng.random() < self.steer.look * self.steer.weight:
+        if look:
             low = [n for n, zone in self._zones.items() if zone.servers and shares.get(n, 0.0) < LOOK_BELOW]
             chosen = low[int(self._rng.random() * len(low))] if low else -1
         luck = self._rng.random() if chosen < 0 else math.inf
@@ -116,29 +114,30 @@
         zone = self._zones.get(chosen)
         if zone is None or not zone.servers:
             return None
-        others = [z.missed(now) for z in self._zones.values() if z.servers and z is not zone]
-        over = (zone.missed(now) - min(others, default=1.0) - MISS_LEAST) / MISS_SPAN
-        able = max(0, zone.servers - sum(number == chosen for number in resting)) / zone.most
-        keep = able * (1.0 - max(0.0, min(1.0, over)))
-        return chosen if self._rng.random() < keep else None
-
-    def _shares(self, now: float, band: int, tenant: int) -> dict[int, float]:
+        keep = (zone.servers - resting.count(chosen)) / zone.most
+        if zone.misses > MISS_LEAST:
+            others = [z.missed(now) for z in self._zones.values() if z.servers and z is not zone]
+            over = (zone.missed(now) - min(others, default=1.0) - MISS_LEAST) / MISS_SPAN
+            keep *= 1.0 - max(0.0, min(1.0, over))
+        return chosen if keep >= 1.0 or self._rng.random() < keep else None
+
+    def _shares(self, now: float, band: int, tenant: int) -> Mapping[int, float]:
         """The zones' shares of such requests now; what they leave of 1 is the present picks'."""
-        mixed: dict[int, float] = {}
+        old: Mapping[int, float] = {}
         for since, steer in self._stages:
             new = steer.tenant_shares.get(tenant, steer.class_shares.get(band, steer.shares))
-            part, old = min(1.0, (now - since) / EASE_MS), mixed
-            mixed = {n: old.get(n, 0.0) * (1.0 - part) + new.get(n, 0.0) * part for n in {**old, **new}}
-        return mixed
+            if (part := (now - since) / EASE_MS) < 1.0:
+                new = {n: old.get(n, 0.0) * (1.0 - part) + new.get(n, 0.0) * part for n in {**old, **new}}
+            old = new
+        return old
 
     def over_cap(self, now: float, band: int) -> bool:
         """Whether a request is one more than its class's cap lets through; if not, it counts."""
         cap = self.steer.caps.get(band, math.inf)
         if not 0.0 <= cap < math.inf:
             return False
-        most = max(1.0, cap * CAP_BURST_MS / 1000.0) if cap else 0.0
-        left, at = self._budgets.get(band, (most, now))
-        left = min(most, left + cap * (now - at) / 1000.0)
+        left, at = self._budgets.get(band, (math.inf, now))
+        left = min(max(1.0, cap * CAP_BURST_MS / 1000.0) if cap else 0.0, left + cap * (now - at) / 1000.0)
         self._budgets[band] = (left - (left >= 1.0), now)
         self.capped += left < 1.0
         return left < 1.0
