Give the lab a geography, and sidecars that are steered there

Experiments get a [geography] table: groups of applications with delays to each zone, changes of routes, and versions that steer by the true delays, by given shares, or hold a zone off. Both modes' networks delay by group and zone.

--- a/brassfall/lab/compiled.py
+++ b/brassfall/lab/compiled.py
@@ -27,7 +27,7 @@
     "brassfall/lab/sim/sidecar.py",
     "brassfall/lab/sim/world.py",
 )
-MODULE = ("balancer.py", "model.py", "shedding.py")
+MODULE = ("balancer.py", "model.py", "shedding.py", "steering.py")
 LIMIT_S = 600.0
 
 
--- a/brassfall/lab/day.py
+++ b/brassfall/lab/day.py
@@ -7,11 +7,12 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import numpy as np
 
+from brassfall.lab import geography
 from brassfall.lab.quantities import Span
 from brassfall.lab.spec import ANYONE, BRIEF, NEEDS, SERVERS, Experiment, Fault, Kind, RequestClass
 
@@ -68,6 +69,7 @@
 
     name: str
     zone: int
+    group: int
     share: float
     client_ms: float
     seed: int
@@ -75,10 +77,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ways:
-    """Delays one way between zones, in ms."""
+    """Delays one way from groups of sidecars to zones, in ms, and in which zone each group stands."""
 
-    between: tuple[tuple[float, ...], ...]
+    between: geography.Delays
     jitter: float
+    homes: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +131,7 @@
     classes: tuple[RequestClass, ...]
     noise: tuple[float, ...]  # by class
     ways: Ways
+    routes: tuple[tuple[float, geography.Delays], ...]  # `ways.between` from each time on
     habits: Habits
     troubles: tuple[Trouble, ...]
     arrivals: Arrivals
@@ -161,6 +165,11 @@
         arrivals = _replayed(told, recorded, classes)
     else:
         arrivals = _arrivals(told, load, servers, apps, classes, cvs)
+    ways = _ways(told, clients)
+    routes = [(0.0, ways.between)]
+    if told.geography is not None:
+        routes = geography.routes(told, told.geography, np.random.default_rng([seed, 4]))
+        ways = replace(ways, between=routes[0][1])
     return Day(
         seed=seed,
         lasts=float(told.experiment.lasts),
@@ -168,7 +177,8 @@
         apps=apps,
         classes=tuple(told.classes),
         noise=noise,
-        ways=_ways(told, clients),
+        ways=ways,
+        routes=tuple(routes),
         habits=habits,
         troubles=tuple(sorted(_troubles(told, luck, servers, apps), key=lambda t: (t.at, t.kind))),
         arrivals=arrivals,
@@ -248,7 +258,7 @@
 
 
 def _applications(told: Experiment, rng: np.random.Generator) -> list[Application]:
-    count, zones = told.fleet.sidecars, len(told.fleet.zones)
+    count, zones, homes = told.fleet.sidecars, len(told.fleet.zones), geography.homes(told)
     cv = told.clients.uneven.at(rng.random())
     skew = told.clients.zone_skew.at(rng.random())
     sigma = math.sqrt(math.log1p(cv * cv))
@@ -258,7 +268,8 @@
     return [
         Application(
             f"n{n}",
-            n % zones,
+            homes[n % len(homes)],
+            n % len(homes),
             float(loads[n]),
             told.network.client.at(rng.random()),
             int(rng.integers(2**32)),
@@ -271,7 +282,7 @@
     zones = range(len(told.fleet.zones))
     same, cross = told.network.same.at(rng.random()), told.network.cross.at(rng.random())
     between = tuple(tuple(same if a == b else cross for b in zones) for a in zones)
-    return Ways(between, told.network.jitter.at(rng.random()))
+    return Ways(between, told.network.jitter.at(rng.random()), geography.homes(told))
 
 
 # --- load --------------------------------------------------------------------------------------
@@ -396,7 +407,7 @@
 def wire_settings(told: Experiment, me: int, overlay: dict[str, Any]) -> dict[str, Any]:
     """What a sidecar is told of the site, in the form of the wire's `Setup`."""
     effects = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
-    links = told.fleet.connections
+    links, homes = told.fleet.connections, geography.homes(told)
     settings: dict[str, Any] = {
         "Balancers": told.fleet.sidecars,
         "Clients": {"MarksRetry": True},
@@ -405,7 +416,7 @@
         "FailureDomains": told.fleet.zones,
         "Goal": {"Whole": 0.75, "WorstClass": 0.2, "WorstTenant": 0.0, "WorstWindow": 0.05},
         "Kinds": [kind.name for kind in told.fleet.kinds],
-        "Locality": me % len(told.fleet.zones),
+        "Locality": homes[me % len(homes)],
         "Me": me,
         "OverShareWorth": 0.1,
         "PolicyLimits": {
--- /dev/null
+++ b/brassfall/lab/geography.py
@@ -0,0 +1,98 @@
+"""Far regions: delays from groups of applications to zones, and how sidecars are steered there. Pure code.
+
+A plan is drawn from the true delays (what an estimator could know at best), or given; it knows nothing
+of what goes wrong, only of changed routes, and of those after a lag.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+import numpy as np
+from scipy.optimize import linprog
+
+from brassfall.lab.spec import Experiment, Geography, Version
+from poppypulley import model
+
+if TYPE_CHECKING:
+    from brassfall.lab.day import Day
+
+Delays = tuple[tuple[float, ...], ...]  # ms one way, by group and zone
+
+
+def homes(told: Experiment) -> tuple[int, ...]:
+    """The zone in which each group's sidecars stand; without a geography each zone has its group."""
+    zones = told.fleet.zones
+    if told.geography is None:
+        return tuple(range(len(zones)))
+    return tuple(zones.index(group.zone) for group in told.geography.groups)
+
+
+def routes(told: Experiment, geography: Geography, rng: np.random.Generator) -> list[tuple[float, Delays]]:
+    """The delays from each time on (ms from the start), the first from 0."""
+    zones = told.fleet.zones
+    now = [[group.delays[zone].at(rng.random()) for zone in zones] for group in geography.groups]
+    found = [(0.0, _frozen(now))]
+    names = [group.name for group in geography.groups]
+    for change in sorted(geography.changes, key=lambda change: change.at):
+        for zone, delay in change.delays.items():
+            now[names.index(change.group)][zones.index(zone)] = delay.at(rng.random())
+        found.append((float(change.at), _frozen(now)))
+    return found
+
+
+def _frozen(rows: Sequence[Sequence[float]]) -> Delays:
+    return tuple(tuple(row) for row in rows)
+
+
+def plan(
+    delays: Delays, loads: Sequence[float], rooms: Sequence[float], floor: float
+) -> list[dict[int, float]]:
+    """Shares of each group over the zones by least delay, where zones have so much room.
+
+    Each zone with room keeps `floor` of every group. Falls to shares by room where nothing else fits.
+    """
+    groups, zones = len(loads), len(rooms)
+    load, room = np.array(loads) / sum(loads), np.array(rooms) / sum(loads)
+    cost = (np.array(delays) * load[:, None]).ravel()
+    each = np.kron(np.eye(groups), np.ones(zones))
+    held = np.kron(load, np.eye(zones))
+    least = [(floor if some > 0.0 else 0.0, 1.0) for some in rooms] * groups
+    found = linprog(cost, held, room, each, np.ones(groups), bounds=least, method="highs")
+    shares = np.tile(room / room.sum(), (groups, 1)) if found.x is None else found.x.reshape(groups, zones)
+    return [{zone: float(share) for zone, share in enumerate(row) if share > 1e-6} for row in shares]
+
+
+def steers(told: Experiment, version: Version, day: Day) -> list[tuple[float, int, model.Steer]]:
+    """What each group's sidecars are told, and when: (ms from the start, group, what)."""
+    if told.geography is None or not (version.steer != "off" or version.holds):
+        return []
+    geography, zones = told.geography, told.fleet.zones
+    times = {0.0}
+    times |= {at + geography.lag for at, _ in day.routes[1:]} if version.steer == "true" else set()
+    times |= {float(end) for hold in version.holds for end in (hold.begin, hold.end)}
+    made = []
+    for now in sorted(times):
+        held = frozenset(zones.index(hold.zone) for hold in version.holds if hold.begin <= now < hold.end)
+        for group, shares in enumerate(_shares(told, version, day, now)):
+            made.append((now, group, model.Steer(shares=shares, held_zones=held, look=version.look)))
+    return made
+
+
+def _shares(told: Experiment, version: Version, day: Day, now: float) -> list[dict[int, float]]:
+    assert told.geography is not None
+    geography, zones = told.geography, told.fleet.zones
+    if version.steer == "off":
+        return [{} for _ in geography.groups]
+    if version.steer == "fixed":
+        given = [version.shares.get(group.name, {}) for group in geography.groups]
+        return [{zones.index(zone): share for zone, share in row.items()} for row in given]
+    known = [delays for at, delays in day.routes if at == 0.0 or at + geography.lag <= now]
+    loads = [sum(app.share for app in day.apps if app.group == group) for group in range(len(known[-1]))]
+    capacity = [sum(s.capacity for s in day.servers if s.zone == zone) for zone in range(len(zones))]
+    used = float(day.arrivals.work.sum()) / day.lasts / sum(capacity)
+    # Where all is fuller than a plan may fill a zone, it spreads load nearly as capacity lies.
+    fill = max(geography.fill / used, 1.1) if used else 1.1
+    rooms = [fill * part / sum(capacity) for part in capacity]
+    return plan(known[-1], loads, rooms, geography.floor)
--- a/brassfall/lab/models/network.py
+++ b/brassfall/lab/models/network.py
@@ -19,23 +19,23 @@
     deaf: set[str] = field(default_factory=set)  # servers whose answers are lost
     slow: dict[str, float] = field(default_factory=dict)  # ms more, by server
 
-    def _way(self, here: int, there: int) -> float | None:
-        if here != there and (here in self.cut or there in self.cut):
+    def _way(self, group: int, there: int) -> float | None:
+        if not self.reaches(self.ways.homes[group], there):
             return None
-        return self.ways.between[here][there] * (1.0 + self.ways.jitter * self.chance())
+        return self.ways.between[group][there] * (1.0 + self.ways.jitter * self.chance())
 
-    def to_server(self, here: int, server: str, there: int) -> float | None:
-        """From a sidecar in one zone to a server."""
+    def to_server(self, group: int, server: str, there: int) -> float | None:
+        """From a sidecar of a group to a server in a zone."""
         if server in self.holes:
             return None
-        way = self._way(here, there)
+        way = self._way(group, there)
         return way if way is None or not self.slow else way + self.slow.get(server, 0.0)
 
-    def to_sidecar(self, server: str, here: int, there: int) -> float | None:
+    def to_sidecar(self, server: str, there: int, group: int) -> float | None:
         """An answer's way back."""
         if server in self.deaf:
             return None
-        return self.to_server(there, server, here)
+        return self.to_server(group, server, there)
 
     def reaches(self, here: int, there: int) -> bool:
         """Whether two zones hear of each other."""
--- a/brassfall/lab/play.py
+++ b/brassfall/lab/play.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from brassfall.lab import arrivals, day, judge, ledger, spec
+from brassfall.lab import arrivals, day, geography, judge, ledger, spec
 from brassfall.settings import SettingsError
 
 SLACK_MS = {"simulated": 30.0, "real": 120.0}  # for transit, where rules have time limits
@@ -97,7 +97,8 @@
     book = ledger.Book(folder)
     begun = time.process_time()
     kind = FLAWS[version.flaw][0] if version.flaw else Sidecar
-    world = World(drawn, lambda me: day.wire_settings(told, me, version.settings), book, kind)
+    steers = geography.steers(told, version, drawn)
+    world = World(drawn, lambda me: day.wire_settings(told, me, version.settings), book, kind, steers)
     Faults(world).set()
     world.begin()
     ready = time.process_time()
--- a/brassfall/lab/real/conductor.py
+++ b/brassfall/lab/real/conductor.py
@@ -18,6 +18,7 @@
 
 from brassfall.lab import ledger
 from brassfall.lab.day import Day, Machine, Trouble, wire_settings
+from brassfall.lab.geography import Delays
 from brassfall.lab.real import clients, gather, network, server
 from brassfall.lab.real.child import LATE_MS, clock, raise_descriptors
 from brassfall.lab.real.troupe import (
@@ -72,7 +73,7 @@
     lives: list[ledger.Life] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
     taps: dict[str, str] = field(default_factory=dict)
-    list_doors: list[str] = field(default_factory=list)
+    list_doors: dict[int, str] = field(default_factory=dict)  # by zone
     listens: dict[str, str] = field(default_factory=dict)
     list_port: int = 0
     lister: Actor | None = None
@@ -98,7 +99,7 @@
             self.listens[self.day.apps[number].name] = f"127.0.0.1:{free_port()}"
         await asyncio.gather(
             *(
-                self.start_sidecar(number, {**known, "endpoints": lists[app.zone]})
+                self.start_sidecar(number, {**known, "endpoints": lists[app.group]})
                 for number, app in enumerate(self.day.apps)
             )
         )
@@ -121,21 +122,23 @@
 
     async def _start_networks(self) -> None:
         zones = self.told.fleet.zones
-        for zone, _ in enumerate(zones):
-            mine = [app.name for app in self.day.apps if app.zone == zone]
+        for group, zone in enumerate(self.day.ways.homes):
+            mine = [app.name for app in self.day.apps if app.group == group]
             order = network.Order(
                 zone,
+                group,
                 zones,
                 self.day.ways,
                 self._list_at,
                 mine,
-                str(self.folder / "parts" / f"network-{zone}"),
+                str(self.folder / "parts" / f"network-{group}"),
             )
-            self.networks.append(await self.troupe.own(f"network {zones[zone]}", "lab", "network", order))
-        for actor in self.networks:
+            name = f"network {zones[zone]} {group}"
+            self.networks.append(await self.troupe.own(name, "lab", "network", order))
+        for actor, zone in zip(self.networks, self.day.ways.homes, strict=True):
             ready = await actor.report("ready")
             self.taps |= ready["taps"]
-            self.list_doors.append(ready["registry"])
+            self.list_doors.setdefault(zone, ready["registry"])
 
     async def start_server(self, host: Host, cold: bool) -> None:
         """Start a life of a server, and wait until it listens."""
@@ -254,6 +257,7 @@
             actor.send(t0=self.t0)
         faults = Faults(self)
         troubles = [asyncio.create_task(faults.play(trouble)) for trouble in self.day.troubles]
+        troubles += [asyncio.create_task(self._reroute(*route)) for route in self.day.routes[1:]]
         telling = asyncio.create_task(self._tell())
         sampling = asyncio.create_task(self._watch_sidecars())
         try:
@@ -272,6 +276,10 @@
                 raise PlayError(f"a fault could not be played: {error!r}")
         return reports
 
+    async def _reroute(self, at: float, between: Delays) -> None:
+        await self.until(at)
+        self.tell_networks(do="route", between=between)
+
     async def _done(self, actor: Actor) -> dict[str, Any]:
         while "done" not in actor.reports:
             if not actor.alive:
--- a/brassfall/lab/real/network.py
+++ b/brassfall/lab/real/network.py
@@ -1,4 +1,4 @@
-"""The network as one zone sees it: `python -m brassfall.lab.real.network`.
+"""The network as one zone sees it, or one group of its sidecars: `python -m brassfall.lab.real.network`.
 
 Between the sidecars of a zone and every server, and between the zone and the list service, all goes
 through proxies of this process, which can be cut, lose answers, swallow what comes, delay, or reset.
@@ -11,6 +11,7 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, cast
 
@@ -31,6 +32,7 @@
     """Which zone, and who is in it."""
 
     zone: int
+    group: int
     zones: list[str]
     ways: Ways
     registry: str
@@ -132,9 +134,9 @@
 class Gate:
     """The listening socket that stands for one server, or for the list service."""
 
-    def __init__(self, network: Network, here: int, name: str, target: str, there: int) -> None:
+    def __init__(self, network: Network, group: int, name: str, target: str, there: int) -> None:
         self.network = network
-        self.here, self.there = here, there
+        self.group, self.there = group, there
         self.name, self.target = name, target
         self.ways: set[Way] = set()
         self.port = 0
@@ -144,8 +146,8 @@
     def delay(self, answers: bool) -> float | None:
         """What bytes take through it now; None where they are swallowed."""
         if answers:
-            return self.network.to_sidecar(self.name, self.there, self.here)
-        return self.network.to_server(self.here, self.name, self.there)
+            return self.network.to_sidecar(self.name, self.there, self.group)
+        return self.network.to_server(self.group, self.name, self.there)
 
     async def open(self) -> int:
         """Listen; the port."""
@@ -204,7 +206,7 @@
         self.book = book
         self.network = Network(order.ways, random.random)
         self.gates: dict[str, Gate] = {}  # by address
-        self.list_gate = Gate(self.network, order.zone, "", order.registry, 0)
+        self.list_gate = Gate(self.network, order.group, "", order.registry, 0)
         self._down: set[str] = set()
         self._held: dict[str, dict[str, tuple[str, int]]] = {name: {} for name in order.sidecars}
 
@@ -234,7 +236,7 @@
         if found is None:
             zones = self.order.zones
             there = zones.index(row["zone"]) if row["zone"] in zones else 0
-            found = Gate(self.network, self.order.zone, row["name"], row["address"], there)
+            found = Gate(self.network, self.order.group, row["name"], row["address"], there)
             self.gates[row["address"]] = found
             await found.open()
             self._apply_blocks()
@@ -283,6 +285,9 @@
                 self.network.cut.add(told["zone"])
             case "mend":
                 self.network.cut.discard(told["zone"])
+            case "route":
+                between = tuple(tuple(row) for row in told["between"])
+                self.network.ways = replace(self.network.ways, between=between)
             case "hole":
                 self.network.holes |= names
             case "no-hole":
--- a/brassfall/lab/sim/sidecar.py
+++ b/brassfall/lab/sim/sidecar.py
@@ -67,11 +67,15 @@
 class Sidecar:
     """One sidecar. `life` counts its starts: what belongs to an earlier one is void."""
 
-    def __init__(self, world: World, number: int, name: str, zone: int, settings: dict[str, Any]) -> None:
+    def __init__(
+        self, world: World, number: int, name: str, zone: int, group: int, settings: dict[str, Any]
+    ) -> None:
         self.world = world
         self.number = number
         self.name = name
         self.zone = zone
+        self.group = group
+        self.steer: model.Steer | None = None  # what it was last told; it outlives a restart
         self.settings = model.Settings.parse(settings)
         self.idle_ms = self.settings.idle_close
         self.max_attempts = self.settings.max_attempts
@@ -110,6 +114,14 @@
         self._next = seed % 2**32
         self._balancer = Balancer(now, self.settings, seed)
         self.do(now, self._balancer.server_list(now, "remembered", list(self.held.values())))
+        if self.steer is not None:
+            self.steered(now, self.steer)
+
+    def steered(self, now: float, steer: model.Steer) -> None:
+        """Another plan, or other overrides."""
+        self.steer = steer
+        if self.up:
+            self.do(now, self._balancer.steer(now, steer))
 
     def kill(self, now: float) -> list[Try]:
         """Its process dies; the tries that it had not answered."""
--- a/brassfall/lab/sim/world.py
+++ b/brassfall/lab/sim/world.py
@@ -10,12 +10,14 @@
 import heapq
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from itertools import count
 from typing import Any
 
 from brassfall.lab import ledger
 from brassfall.lab.day import Day, Machine
+from brassfall.lab.geography import Delays
 from brassfall.lab.ledger import Book
 from brassfall.lab.models import client
 from brassfall.lab.models.client import BROKEN, SILENT, UNREACHED
@@ -37,6 +39,7 @@
     Sidecar,
 )
 from brassfall.registry.membership import Membership
+from poppypulley import model
 
 ANSWER_SLACK_MS = 20.0  # how long past its time a client still reads an answer
 AFTER_MS = 1500.0  # how long a day runs on after the last deadline
@@ -106,10 +109,12 @@
         settings: Callable[[int], dict[str, Any]],
         book: Book,
         sidecar: type[Sidecar] = Sidecar,
+        steers: Sequence[tuple[float, int, model.Steer]] = (),
     ) -> None:
         self.day = day
         self.book = book
         self.events = 0
+        self._steers = steers
         self._heap: list[tuple[float, int, Handler, Any]] = []
         self._count = count().__next__
         self._ids = count(1)
@@ -119,7 +124,8 @@
         self.network = Network(day.ways, self.rng.random)
         self.servers: dict[str, Host] = {m.name: Host(m.name, m) for m in day.servers}
         self.sidecars = [
-            sidecar(self, number, app.name, app.zone, settings(number)) for number, app in enumerate(day.apps)
+            sidecar(self, number, app.name, app.zone, app.group, settings(number))
+            for number, app in enumerate(day.apps)
         ]
         self._parked: dict[int, list[tuple[float, int, Handler, Any]]] = {}
         self._end = day.lasts + max(row.deadline for row in day.classes) + AFTER_MS
@@ -191,6 +197,18 @@
     def begin(self) -> None:
         """Start everybody, each with the whole list."""
         self.lists.begin()
+        for at, between in self.day.routes[1:]:
+            self.at(at, self._reroute, between)
+        for at, group, steer in self._steers:
+            self.at(at, self._steer, (group, steer))
+
+    def _reroute(self, now: float, between: Delays) -> None:
+        self.network.ways = replace(self.network.ways, between=between)
+
+    def _steer(self, now: float, told: tuple[int, model.Steer]) -> None:
+        for sidecar in self.sidecars:
+            if sidecar.group == told[0]:
+                sidecar.steered(now, told[1])
 
     def _close(self) -> None:
         for host in self.servers.values():
@@ -289,7 +307,7 @@
     def carry(self, now: float, sidecar: Sidecar, attempt: Attempt) -> None:
         """Bring an attempt to its server, over an idle connection or a new one."""
         host = attempt.server
-        way = self.network.to_server(sidecar.zone, host.name, host.zone)
+        way = self.network.to_server(sidecar.group, host.name, host.zone)
         if sidecar.connection(now, host):
             attempt.link = host.link
             if way is not None:
@@ -362,7 +380,7 @@
         host = attempt.server
         if status != RESET and attempt.link != host.link:
             return
-        way = self.network.to_sidecar(host.name, host.zone, attempt.sidecar.zone)
+        way = self.network.to_sidecar(host.name, host.zone, attempt.sidecar.group)
         if way is not None and not attempt.over:
             self.at(now + way, self._outcome, (attempt, status, report))
 
@@ -379,7 +397,7 @@
     def probe(self, now: float, sidecar: Sidecar, name: str) -> None:
         """Look whether a server is alive."""
         host = self.servers[name]
-        way = self.network.to_server(sidecar.zone, name, host.zone)
+        way = self.network.to_server(sidecar.group, name, host.zone)
         if way is None or (host.up and host.core.stopped):
             told = (sidecar.life, name, TIMEOUT, PROBE_TIMEOUT_MS)
         else:
--- a/brassfall/lab/spec.py
+++ b/brassfall/lab/spec.py
@@ -96,6 +96,32 @@
     jitter: Spread = Spread((0.13, 0.33))
 
 
+class Group(Told, frozen=True, kw_only=True):
+    """The applications of one site."""
+
+    name: Name
+    zone: Name  # where their sidecars stand
+    delays: dict[str, Span]  # one way, to the servers of each zone
+
+
+class Change(Told, frozen=True, kw_only=True):
+    """From a time on a group has other delays to some zones."""
+
+    at: Ms
+    group: Name
+    delays: dict[str, Span]
+
+
+class Geography(Told, frozen=True, kw_only=True):
+    """How far each group of applications is from each zone, in place of `network.same` and `cross`."""
+
+    groups: list[Group]
+    changes: list[Change] = []
+    lag: Ms = Ms(3000.0)  # until a plan by the true delays follows a change
+    fill: Part = 0.65  # of a zone's capacity, that such a plan may use
+    floor: Part = 0.02  # of every group, that it leaves to each zone
+
+
 class Clients(Told, frozen=True, kw_only=True):
     """What applications do."""
 
@@ -231,13 +257,25 @@
     cls: str | None = msgspec.field(name="class", default=None)
 
 
+class Hold(Told, frozen=True, kw_only=True):
+    """A zone that sidecars are told to hold off for a time."""
+
+    zone: Name
+    begin: Ms = msgspec.field(name="from")
+    end: Ms = msgspec.field(name="to")
+
+
 class Version(Told, frozen=True, kw_only=True):
-    """One of the programs to compare: a revision, other settings, or a seeded flaw."""
+    """One of the programs to compare: a revision, other settings, a seeded flaw, or steered otherwise."""
 
     name: Name
     revision: str | None = None
     settings: dict[str, Any] = {}  # laid over what sidecars are told
     flaw: str | None = None
+    steer: Literal["off", "true", "fixed"] = "off"  # by the true delays, or by the shares given here
+    shares: dict[str, dict[str, float]] = {}  # by group and zone
+    look: Part = 0.0
+    holds: list[Hold] = []
 
 
 class Head(Told, frozen=True, kw_only=True):
@@ -259,6 +297,7 @@
     load: Load
     fleet: Fleet = Fleet()
     network: Network = Network()
+    geography: Geography | None = None
     clients: Clients = Clients()
     lists: ListService = ListService()
     classes: list[RequestClass] = msgspec.field(default_factory=lambda: list(CLASSES))
@@ -324,6 +363,7 @@
     ):
         if not names or len(set(names)) != len(names):
             raise ValueError(f"{part}: names are wanted, each once")
+    _check_geography(told)
     for number, measure in enumerate(told.measure):
         _check_measure(f"measure[{number}]", measure, told)
     for number, fault in enumerate(told.faults):
@@ -334,6 +374,30 @@
     return told
 
 
+def _check_geography(told: Experiment) -> None:
+    zones, place = set(told.fleet.zones), told.geography
+    groups = [group.name for group in place.groups] if place is not None else []
+    if place is not None and (not groups or len(set(groups)) != len(groups)):
+        raise ValueError("geography.groups: names are wanted, each once")
+    for number, group in enumerate(place.groups if place is not None else ()):
+        if group.zone not in zones or set(group.delays) != zones:
+            raise ValueError(
+                f"geography.groups[{number}]: a zone and delays to {', '.join(zones)} are wanted"
+            )
+    if place is not None and told.experiment.mode == "real" and {g.zone for g in place.groups} != zones:
+        raise ValueError("geography.groups: in real mode a group stands in each zone")
+    for number, change in enumerate(place.changes if place is not None else ()):
+        if change.group not in groups or not set(change.delays) <= zones or change.at <= 0.0:
+            raise ValueError(f"geography.changes[{number}]: a time, a group and delays to zones are wanted")
+    for number, version in enumerate(told.versions):
+        at, steered = f"versions[{number}]", version.steer != "off" or version.holds
+        if steered and (place is None or told.experiment.mode == "real" or version.revision is not None):
+            raise ValueError(f"{at}: steered are simulated plays of this program that have a geography")
+        named = {zone for row in version.shares.values() for zone in row} | {h.zone for h in version.holds}
+        if not named <= zones or not set(version.shares) <= set(groups):
+            raise ValueError(f"{at}: shares and holds name groups and zones that there are")
+
+
 def _check_measure(at: str, measure: Measure, told: Experiment) -> None:
     if not measure.begin < measure.end <= told.experiment.lasts:
         lasts = told.experiment.lasts / 1000.0
