--- /dev/null
+++ b/brassfall/lab/geography.py
@@ -0,0 +1,36 @@
+"""Far regions: delays from groups of applications to zones. Pure code."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import numpy as np
+
+from brassfall.lab.spec import Experiment, Geography
+
+Delays = tuple[tuple[float, ...], ...]  # ms one way, by group and zone
+
+
+def homes(told: Experiment) -> tuple[int, ...]:
+    """The zone in which each group's sidecars stand; without a geography each zone has its group."""
+    zones = told.fleet.zones
+    if told.geography is None:
+        return tuple(range(len(zones)))
+    return tuple(zones.index(group.zone) for group in told.geography.groups)
+
+
+def routes(told: Experiment, geography: Geography, rng: np.random.Generator) -> list[tuple[float, Delays]]:
+    """The delays from each time on (ms from the start), the first from 0."""
+    zones = told.fleet.zones
+    now = [[group.delays[zone].at(rng.random()) for zone in zones] for group in geography.groups]
+    found = [(0.0, _frozen(now))]
+    names = [group.name for group in geography.groups]
+    for change in sorted(geography.changes, key=lambda change: change.at):
+        for zone, delay in change.delays.items():
+            now[names.index(change.group)][zones.index(zone)] = delay.at(rng.random())
+        found.append((float(change.at), _frozen(now)))
+    return found
+
+
+def _frozen(rows: Sequence[Sequence[float]]) -> Delays:
+    return tuple(tuple(row) for row in rows)
--- a/brassfall/lab/play.py
+++ b/brassfall/lab/play.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from brassfall.errors import BrassfallError
-from brassfall.lab import day, judge, ledger, spec
+from brassfall.lab import day, judge, ledger, spec, steers
 from brassfall.lab.arrivals import experiment
 from brassfall.settings import SettingsError
 
@@ -93,7 +93,8 @@
     book = ledger.Book(folder)
     begun = time.process_time()
     kind = FLAWS[version.flaw][0] if version.flaw else Sidecar
-    world = World(drawn, lambda me: day.wire_settings(told, me, version.settings), book, kind)
+    steering = steers.steers(told, version, drawn)
+    world = World(drawn, lambda me: day.wire_settings(told, me, version.settings), book, kind, steering)
     Faults(world).set()
     world.begin()
     ready = time.process_time()
--- a/brassfall/lab/real/conductor.py
+++ b/brassfall/lab/real/conductor.py
@@ -11,6 +11,7 @@
 
 from brassfall.lab import ledger
 from brassfall.lab.day import Day
+from brassfall.lab.geography import Delays
 from brassfall.lab.real import gather
 from brassfall.lab.real.child import LATE_MS, clock, raise_descriptors
 from brassfall.lab.real.faults import Faults
@@ -31,6 +32,7 @@
         actor.send(t0=stage.t0)
     faults = Faults(stage)
     troubles = [asyncio.create_task(faults.play(trouble)) for trouble in stage.day.troubles]
+    troubles += [asyncio.create_task(_reroute(stage, *route)) for route in stage.day.routes[1:]]
     telling = asyncio.create_task(_tell(stage))
     sampling = asyncio.create_task(_watch_sidecars(stage))
     try:
@@ -50,6 +52,11 @@
     return reports
 
 
+async def _reroute(stage: Stage, at: float, between: Delays) -> None:
+    await stage.until(at)
+    stage.tell_networks(do="route", between=between)
+
+
 async def _done(actor: Actor) -> dict[str, Any]:
     while "done" not in actor.reports:
         if not actor.alive:
