--- a/brassfall/lab/real/stage.py
+++ b/brassfall/lab/real/stage.py
@@ -65,7 +65,7 @@
     lives: list[ledger.Life] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
     taps: dict[str, str] = field(default_factory=dict)
-    list_doors: list[str] = field(default_factory=list)
+    list_doors: dict[int, str] = field(default_factory=dict)  # by zone
     listens: dict[str, str] = field(default_factory=dict)
     list_port: int = 0
     lister: Actor | None = None
@@ -91,7 +91,7 @@
             self.listens[self.day.apps[number].name] = f"127.0.0.1:{free_port()}"
         await asyncio.gather(
             *(
-                self.start_sidecar(number, {**known, "endpoints": lists[app.zone]})
+                self.start_sidecar(number, {**known, "endpoints": lists[app.group]})
                 for number, app in enumerate(self.day.apps)
             )
         )
@@ -114,21 +114,23 @@
 
     async def _start_networks(self) -> None:
         zones = self.told.fleet.zones
-        for zone, _ in enumerate(zones):
-            mine = [app.name for app in self.day.apps if app.zone == zone]
+        for group, zone in enumerate(self.day.ways.homes):
+            mine = [app.name for app in self.day.apps if app.group == group]
             order = network.Order(
                 zone,
+                group,
                 zones,
                 self.day.ways,
                 self._list_at,
                 mine,
-                str(self.folder / "parts" / f"network-{zone}"),
+                str(self.folder / "parts" / f"network-{group}"),
             )
-            self.networks.append(await self.troupe.own(f"network {zones[zone]}", "lab", "network", order))
-        for actor in self.networks:
+            name = f"network {zones[zone]} {group}"
+            self.networks.append(await self.troupe.own(name, "lab", "network", order))
+        for actor, zone in zip(self.networks, self.day.ways.homes, strict=True):
             ready = await actor.report("ready")
             self.taps |= ready["taps"]
-            self.list_doors.append(ready["registry"])
+            self.list_doors.setdefault(zone, ready["registry"])
 
     async def start_server(self, host: Host, cold: bool) -> None:
         """Start a life of a server, and wait until it listens."""
