--- a/brassfall/agreement/edges.py
+++ b/brassfall/agreement/edges.py
@@ -38,7 +38,7 @@
 
     life: str = ""  # of its process
     seq: int = 0  # grows with each report of that life
-    of: int = 0  # the life of the service whose permissions it takes
+    of: int | None = None  # the life of the service whose word it takes; 0 before the first answer
     held: int = 0
     prepared: int = 0  # acknowledged: from then on it acts on what is common to that one and the one before
     acting: int | str = 0  # an edition or "safe"
@@ -60,7 +60,7 @@
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as wrong:
         raise ReportError("no report", str(wrong)) from wrong
     for name in ("seq", "of", "held", "prepared", "list_index"):
-        if not 0 <= getattr(report, name) < 2**53:
+        if not 0 <= (getattr(report, name) or 0) < 2**53:
             raise ReportError("no report", f"{name} is out of range")
     if report.acting != "safe" and not (isinstance(report.acting, int) and 0 <= report.acting < 2**53):
         raise ReportError("no report", 'acting: an edition or "safe" is wanted')
@@ -120,13 +120,13 @@
         # restart costs no majority.
         goes_on = edge is not None and (same or now - edge.last_ms <= brief)
         allied = edge.allied_ms if edge is not None and goes_on else None
-        if report.of not in (0, self.life):
+        if report.of not in (None, 0, self.life):
             allied = None
-        elif allied is None and report.of:
+        elif allied is None and report.of != 0:
             # Who has had no answer yet has taken nobody's word, and may report to two.
             allied = now
         lost = None
-        if report.of > self.life:
+        if (report.of or 0) > self.life:
             asks_on = edge is not None and now - edge.last_ms <= brief and edge.lost_ms is not None
             lost = edge.lost_ms if edge is not None and asks_on else now
         self.edges[name] = Edge(name, now, report, allied, lost)
@@ -136,7 +136,7 @@
         """The latest life and edition known to those who take no word of this life, where they are more than
         half and have asked here for `span` ms all the same; else 0. What is absurd is not believed."""
         lost = [
-            max(edge.report.of, edge.report.held)
+            max(edge.report.of or 0, edge.report.held)
             for edge in self.edges.values()
             if edge.lost_ms is not None and now - edge.lost_ms >= span and now - edge.last_ms <= fresh
         ]
@@ -166,7 +166,7 @@
         """How many of the roster have taken this service's word for `season`, and last within `fresh`."""
         return sum(
             edge.allied_ms is not None
-            and edge.report.of == self.life
+            and edge.report.of in (None, self.life)  # who knows no lives takes whoever answers
             and edge.name in self.names
             and now - edge.allied_ms >= season
             and now - edge.last_ms <= fresh
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -443,7 +443,7 @@
             return f"objects to edition {report.objection.edition}: {report.objection.reason}"
         if report.held < kept.committed.number:
             return f"does not hold edition {kept.committed.number}"
-        if report.of not in (0, self.core.fleet.life):
+        if report.of not in (None, 0, self.core.fleet.life):
             return f"takes the word of another life of the service, {report.of}"
         if report.acting != kept.committed.number:
             return "acts on safe rules" if report.acting == "safe" else f"acts on edition {report.acting}"
--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -49,7 +49,7 @@
         self._caller = Caller(loop)
         self._every = EVERY_MS
         self._tasks: list[asyncio.Task[None]] = []
-        self._acted: tuple[int | str, int] | None = None
+        self._acted: tuple[int | str, tuple[int, ...]] | None = None
         self._failing = ""
         self.holder = Holder(os.urandom(8).hex(), check)
         self.measures: list[Measures] = []  # what else rides on the reports
@@ -92,12 +92,12 @@
         """Act on what holds now, if that is another than before."""
         stance = self.holder.stance(now)
         self.good_until = math.inf if stance.safe else now + self.holder.left_ms(now) / 1000.0
-        pending = stance.pending.number if stance.pending is not None else 0
-        if (stance.acting, pending) == self._acted:
+        told = tuple(edition.number for edition in stance.told)
+        if (stance.acting, told) == self._acted:
             return
         if self._acted is None or self._acted[0] != stance.acting:
             log(f"agreement: acting on {stance.acting}")
-        self._acted = (stance.acting, pending)
+        self._acted = (stance.acting, told)
         self.stamp = f"X-Edition: {stance.acting}\r\n".encode()
         self._act(stance)
 
@@ -177,9 +177,10 @@
         """Watch until the connection ends or falls silent; whether anything came."""
         host, port = address
         request = f"GET {PATH}?watch=1&from={self.holder.held} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        called = self._loop.time()
         async with asyncio.timeout(SILENT_S):
             _, channel = await self._loop.create_connection(
-                lambda: Channel(request.encode(), self._line), host, port
+                lambda: Channel(request.encode(), self._line, called), host, port
             )
         try:
             while (left := channel.heard_at + SILENT_S - self._loop.time()) > 0.0:
@@ -188,7 +189,7 @@
                     break
         finally:
             channel.close()
-        return channel.heard
+        return channel.taken
 
     def _line(self, line: bytes) -> None:
         told: Mapping[str, Any] = json.loads(line)
