Wire overrides through the service and the sidecars, and their picks to what holds now

The pure parts of overrides had no way in or out. /overrides is served over the durable table and goes into editions, times left ride on the answers to reports, the reconciler bars a sidecar that goes on acting on what is over. A sidecar makes one Steer of settings, overrides in force and the plan, looked at before each decision: shares, hold-offs, caps, and pins, which the module takes for the one zone that may serve a tenant.

--- a/brassfall/agreement/edges.py
+++ b/brassfall/agreement/edges.py
@@ -46,7 +46,10 @@
     list_index: int = 0
     list_age_ms: float | None = None
     overrides: list[str] | None = None  # acted on; None from a version without them
-    digest: str = ""
+    digest: str = ""  # of the ids and revisions of overrides acted on
+    told: int = 0  # the newest revision of overrides whose time left is known
+    retell: bool = False  # whether all times left are wanted anew
+    acted: dict[str, int] | None = None  # id to revision, as asked for
     group: str = ""
     region: str = ""
     leaving: bool = False  # its process ends: it will act on nothing more
@@ -59,7 +62,7 @@
         report = msgspec.json.decode(body or b"{}", type=Report)
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as wrong:
         raise ReportError("no report", str(wrong)) from wrong
-    for name in ("seq", "of", "held", "prepared", "list_index"):
+    for name in ("seq", "of", "held", "prepared", "list_index", "told"):
         if not 0 <= (getattr(report, name) or 0) < 2**53:
             raise ReportError("no report", f"{name} is out of range")
     if report.acting != "safe" and not (isinstance(report.acting, int) and 0 <= report.acting < 2**53):
--- a/brassfall/registry/calls.py
+++ b/brassfall/registry/calls.py
@@ -15,6 +15,7 @@
     "edges": "/edges",
     "overrides": "/overrides",
     "overrides-history": "/overrides",
+    "overrides-clock": "/overrides",
     "geo": "/geo",
 }
 
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -51,6 +51,19 @@
         """Keep a watch on a channel until it ends."""
 
 
+class Rider(Protocol):
+    """A part that rides on the reports."""
+
+    def reported(self, name: str, report: Report) -> dict[str, Any]:
+        """A report has come; what its answer tells."""
+
+    def gone(self, name: str) -> None:
+        """A sidecar has left the fleet."""
+
+    def findings(self) -> dict[str, list[str]]:
+        """What is wrong, by sidecar."""
+
+
 class UnwrittenError(Unavailable):
     """The disk took no edition: nothing has changed."""
 
@@ -109,6 +122,8 @@
     channel: Lines = field(init=False)
     core: Agreement = field(init=False)
     figures: Figures = field(default_factory=Figures)
+    barred: dict[str, str] = field(default_factory=dict)  # sidecars without permission, and why
+    riders: list[Rider] = field(default_factory=list)  # what else reports carry
     _tickets: count[int] = field(default_factory=count)
     _waiting: dict[int, asyncio.Future[int]] = field(default_factory=dict)
     _granted: dict[int, deciding.Granted] = field(default_factory=dict)
@@ -125,7 +140,7 @@
         fleet = Fleet(life=store.life, names={row.key for row in store.table.rows(ROSTER)})
         timing = Timing(agree_ms=self.settings.agree_ms)
         self._started = self._now()
-        self.core = Agreement(timing, self._started, kept, fleet)
+        self.core = Agreement(timing, self._started, kept, fleet, barred=self.barred)
         self.channel = Lines(store, self.line, watch_bytes, stuck_s)
         self.host.channels[PLACE] = self.channel
         self._spawn(self._tick())
@@ -342,6 +357,11 @@
         self.step(deciding.Publish(ticket, list_index=self.host.store.table.last(INSTANCES), **layers))
         return future
 
+    def layer(self) -> list[dict[str, Any]] | None:
+        """The overrides of the newest edition; None while one is on its way."""
+        kept = self.core.kept
+        return None if kept.pending is not None else kept.committed.overrides
+
     # --- /edges -----------------------------------------------------------------------
 
     async def _report(self, request: web.Request) -> web.Response:
@@ -357,6 +377,9 @@
         return answer(_encode(self._permission(name, report)))
 
     def _permission(self, name: str, report: Report) -> dict[str, Any]:
+        more: dict[str, Any] = {}
+        for rider in self.riders:
+            more |= rider.reported(name, report)
         ticket = next(self._tickets)
         self.step(Reported(ticket, name, report))
         granted = self._granted.pop(ticket)
@@ -373,6 +396,8 @@
             "life": self.core.fleet.life,
             "every_ms": self._every(),
             "why": granted.why,
+            "edges": max(1, len(self.core.fleet.names)),
+            **more,
         }
 
     def _every(self) -> float:
@@ -383,6 +408,8 @@
         if name not in self.core.fleet.names and name not in self.core.fleet.edges:
             raise Missing("no such sidecar", f"{name} has not reported to this service")
         self.step(deciding.Forget(name))
+        for rider in self.riders:
+            rider.gone(name)
         return answer(_encode({"name": name}))
 
     async def _edges(self, request: web.Request) -> web.Response:
@@ -392,6 +419,10 @@
         """Every sidecar, by its newest report, and the spread of their lists."""
         now, fleet, index = self._now(), self.core.fleet, self.host.store.table.last(INSTANCES)
         rows = [self._edge(name, now) for name in sorted(fleet.edges.keys() | fleet.names)]
+        found = [rider.findings() for rider in self.riders]
+        for row in rows:
+            more = [line for each in found for line in each.get(row["name"], ())]
+            row["behind"] = "; ".join([*([row["behind"]] if row["behind"] else []), *more])
         fresh = [
             row for row in rows if row["age_ms"] is not None and row["age_ms"] <= self.core.timing.over_ms
         ]
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -25,6 +25,7 @@
 from brassfall.registry.entries import INSTANCES
 from brassfall.registry.limits import Door, Rates, Shares
 from brassfall.registry.metrics import Metrics
+from brassfall.registry.overrides import Overrides
 from brassfall.registry.rules import PLACE, Rules
 from brassfall.registry.watches import AGED_S, BEAT_S, SLOTS, Channel, Form, chunk
 from brassfall.settings import RegistrySettings, address
@@ -64,6 +65,8 @@
         self.watching = Shares(limits.watches, limits.caller_share)
         self.channels: dict[str, Channel] = {}
         self.rules = Rules(self, settings.agreement)
+        self.overrides = Overrides(self, self.rules)
+        self.rules.riders.append(self.overrides)
         self.metrics = Metrics(self)
         self.refusals = 0
         self.turned_away = 0
@@ -90,6 +93,7 @@
             raise
         limits = self.settings.limits
         self.rules.start(limits.watch_bytes, limits.watch_stuck_ms / 1000.0)
+        await self.overrides.start()
         if self.store.fresh:
             self._gathering_until = time.monotonic() + self.settings.leases.gather_ms / 1000.0
         self._runner = web.AppRunner(self._application(), handler_cancellation=True)
@@ -128,6 +132,7 @@
         if self._runner is not None:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._runner.cleanup(), 5.0)
+        await self.overrides.close()
         await self.rules.close()
         await self.store.close()
 
@@ -212,6 +217,7 @@
                 web.delete(table, self._delete),
                 web.post(table + "/renew", self._renew_row),
                 *self.rules.routes(),
+                *self.overrides.routes(),
                 web.get("/health/live", self._live),
                 web.get("/health/ready", self._ready),
                 web.get("/metrics", self._metrics),
--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -7,12 +7,12 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from fordtrestle import config
 from fordtrestle.admin import Door
-from fordtrestle.config import Address, Config, ConfigError
+from fordtrestle.config import Address, Config, ConfigError, ServerList
 from fordtrestle.discovery import Discovery
 from fordtrestle.driver import Clock, Driver, log
 from fordtrestle.handover import Seat
@@ -20,6 +20,7 @@
 from fordtrestle.lifecycle import Lifecycle
 from fordtrestle.outbound import Pool
 from fordtrestle.peers import Peers
+from poppypulley.model import Listing, Steer
 
 if TYPE_CHECKING:
     from fordtrestle.fleet.part import Part
@@ -51,7 +52,7 @@
         self.door = Door(loop, self.life)
         self.driver = Driver(loop, clock, told)
         self.pool = Pool(loop, clock, told)
-        self.discovery = Discovery(loop, told, self.driver.server_list)
+        self.discovery = Discovery(loop, told, self._server_list)
         if told.registry:
             self.door.add("LIST", lambda: self.discovery.state)
         self.inbound = Inbound(loop, clock, told, self.driver, self.life)
@@ -68,6 +69,19 @@
         self.door.add("RULES", lambda: part.agent.state)
         return part
 
+    def _server_list(self, form: str, news: ServerList | None) -> None:
+        self.driver.server_list(form, news)
+        if self.part is not None:
+            self.part.listed(self._loop.time())
+
+    def steer(self, steer: Steer) -> None:
+        """Pick servers so from now on."""
+        self.driver.steer(steer)
+
+    def listings(self) -> Iterable[Listing]:
+        """The servers on the list held."""
+        return self.discovery.listings()
+
     @property
     def running(self) -> Config:
         """What this process runs on."""
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -14,6 +14,7 @@
 from fordtrestle.config import Address, Config, ServerList, parse_list
 from fordtrestle.driver import log
 from fordtrestle.fleet.lists import Age, Doubt, Held, Sources
+from poppypulley.model import Listing
 
 PATH = "/registry/instances"
 # An empty line comes every 2 s: a connection that misses two of them is broken.
@@ -215,6 +216,10 @@
         age = self._age.bound(self._loop.time())
         return {"list_index": self._version} | ({} if age is None else {"list_age_ms": age * 1000.0})
 
+    def listings(self) -> list[Listing]:
+        """The servers on the list held, in a fleet."""
+        return [] if self._held is None else self._held.listings()
+
     @property
     def _where(self) -> Address:
         return self._address if self._sources is None else self._sources.current
--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -210,6 +210,8 @@
 class Driver:
     """Runs one balancer."""
 
+    before: Callable[[], object] | None = None  # asked before each decision: what to act on
+
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, config: Config) -> None:
         self._loop = loop
         self._clock = clock
@@ -221,7 +223,6 @@
         self._last_answer = math.inf  # by when all has to be answered, once the process ends
         self._next_id = config.seed % 2**32
         self._balancer = Balancer(clock.now(), config.settings, config.seed)
-        self.before: Callable[[], object] | None = None  # asked before each decision: what to act on
         self._upstreams: Upstreams
         self._registry: Registry
         self._gossip: Gossip
--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -25,6 +25,7 @@
 PATH = "/rules"
 
 Measures = Callable[[], dict[str, Any]]
+Answered = Callable[[float, float, Mapping[str, Any]], None]
 
 
 class Agent:
@@ -37,7 +38,7 @@
         told: Agreement,
         addresses: tuple[Address, ...],
         check: Callable[[Edition], str],
-        act: Callable[[Stance], None],
+        act: Callable[[Stance, float], float],
         seed: int,
     ) -> None:
         self._loop = loop
@@ -49,11 +50,13 @@
         self._caller = Caller(loop)
         self._every = EVERY_MS
         self._tasks: list[asyncio.Task[None]] = []
-        self._acted: tuple[int | str, tuple[int, ...]] | None = None
+        self._acted: int | str | None = None
         self._failing = ""
         self.holder = Holder(os.urandom(8).hex(), check)
         self.measures: list[Measures] = []  # what else rides on the reports
+        self.answered: list[Answered] = []  # and on the answers: asked at, heard at, what it tells
         self.good_until = -math.inf  # until then, what was acted on last is what to act on
+        self.overrides: list[str] = []  # acted on now, by id
         self.stamp = b""  # for each request to a server: which edition decided where it goes
 
     def start(self) -> None:
@@ -89,28 +92,31 @@
         return self.stamp
 
     def refresh(self, now: float) -> None:
-        """Act on what holds now, if that is another than before."""
+        """Act on what holds now; `act` does that, and says until when it will hold."""
         stance = self.holder.stance(now)
         self.good_until = math.inf if stance.safe else now + self.holder.left_ms(now) / 1000.0
-        told = tuple(edition.number for edition in stance.told)
-        if (stance.acting, told) == self._acted:
-            return
-        if self._acted is None or self._acted[0] != stance.acting:
+        if self._acted != stance.acting:
             log(f"agreement: acting on {stance.acting}")
-        self._acted = (stance.acting, told)
-        self.stamp = f"X-Edition: {stance.acting}\r\n".encode()
-        self._act(stance)
+            self._acted = stance.acting
+            self.stamp = f"X-Edition: {stance.acting}\r\n".encode()
+        self.good_until = min(self.good_until, self._act(stance, now))
+
+    def renew(self) -> None:
+        """What is decided from now on goes by other rules, if under the same edition: what was picked
+        before and is not yet written is not to be sent."""
+        self.stamp = bytes(bytearray(self.stamp))
 
     @property
     def state(self) -> str:
         """For operators: one line of JSON."""
         now = self._loop.time()
+        self.at(now)
         stance = self.holder.stance(now)
         told: dict[str, Any] = {
             "held": self.holder.held,
             "acting": stance.acting,
             "permission_ms": round(self.holder.left_ms(now)),
-            "overrides": [],
+            "overrides": self.overrides,
             "at": "{}:{}".format(*self._sources.current),
             "failing": self._failing,
         }
@@ -135,6 +141,7 @@
 
     async def _ask(self) -> None:
         """One report, and what its answer brings."""
+        self.at(self._loop.time())
         body = self.holder.report(self._loop.time())
         seq = int(body["seq"])
         body |= {"group": self._told.group, "region": self._told.region}
@@ -148,6 +155,8 @@
             told["permission_ms"] = min(most, self._told.agree_ms) if isinstance(most, int | float) else most
         if not self.holder.answered(asked, seq, told):
             raise CallFailed("an earlier life of the service answers there")
+        for take in self.answered:
+            take(asked, self._loop.time(), told)
         every = told.get("every_ms", EVERY_MS)
         self._every = min(EVERY_MOST_MS, max(EVERY_MS, float(every)))
         if told.get("news") and self.holder.lacks(told):
@@ -164,13 +173,16 @@
     # --- the watch ------------------------------------------------------------------------
 
     async def _watch(self) -> None:
-        sources = Sources((self._sources.current, *self._sources.others), self._rng)
+        sources, why = Sources((self._sources.current, *self._sources.others), self._rng), ""
         while True:
             try:
                 if await self._watch_once(sources.current):
                     sources.worked()
+                    why = ""
             except (OSError, ValueError) as error:
-                log(f"agreement: the watch on rules fails: {error!r}")
+                if not why:
+                    log(f"agreement: the watch on rules fails: {error!r}; reports bring editions meanwhile")
+                why = repr(error)
             await asyncio.sleep(sources.failed())
 
     async def _watch_once(self, address: Address) -> bool:
--- a/fordtrestle/fleet/lists.py
+++ b/fordtrestle/fleet/lists.py
@@ -123,6 +123,10 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def listings(self) -> list[Listing]:
+        """The entries."""
+        return [entry for entry, _ in self._entries.values()]
+
     def take(self, news: ServerList) -> None:
         """What is believed from now on."""
         if news.whole:
--- a/fordtrestle/fleet/part.py
+++ b/fordtrestle/fleet/part.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 from typing import Any, Protocol
 
@@ -13,6 +13,8 @@
 from fordtrestle.fleet import rules
 from fordtrestle.fleet.agent import Agent
 from fordtrestle.fleet.holder import Edition, Stance
+from fordtrestle.fleet.steering import NEUTRAL, Steering
+from poppypulley.model import Listing, Steer
 
 
 class Process(Protocol):
@@ -29,6 +31,12 @@
     def adopt(self, told: Config) -> None:
         """Run on another configuration from now on; `ConfigError` if it can't take the place."""
 
+    def steer(self, steer: Steer) -> None:
+        """Pick servers so from now on."""
+
+    def listings(self) -> Iterable[Listing]:
+        """The servers on the list held."""
+
 
 class Part:
     """This process's part in the agreement."""
@@ -40,11 +48,15 @@
         self._environment = {**environment, "NODE_DISCOVERY": ""}
         self._file = process.running
         self._laid: Mapping[str, Any] = {}  # of an edition: what is laid over the file now
+        self._steer = NEUTRAL
         told = self._file
         assert told.agreement is not None
         self.agent = Agent(
             loop, told.name, told.agreement, told.registry, self._objection, self._act, told.seed
         )
+        self.steering = Steering(told.agreement, lambda: process.running.names, process.listings)
+        self.agent.measures.append(self.steering.report)
+        self.agent.answered.append(self.steering.answered)
 
     def stamp_at(self, loop: asyncio.AbstractEventLoop) -> Callable[[], bytes]:
         """What is asked before each decision, and at each send: under which edition it is made."""
@@ -70,7 +82,7 @@
 
     def _objection(self, edition: Edition) -> str:
         """Why this program can't act on an edition; empty where it can."""
-        why = rules.unknown(edition)
+        why = rules.unknown(edition) or self.steering.objection(edition)
         if why:
             return why
         try:
@@ -80,15 +92,25 @@
             return str(error)
         return ""
 
-    def _act(self, stance: Stance) -> None:
-        """Act on an edition, on the meet of two, or on safe rules."""
+    def _act(self, stance: Stance, now: float) -> float:
+        """Act on an edition, on the meet of two, or on safe rules; until when that holds by itself."""
         settings = rules.effective(stance)
         laid = rules.laid(settings)
-        if laid == self._laid:
-            return
-        try:
-            self._process.adopt(self._over(self._file, laid))
-        except ConfigError as error:
-            log(f"agreement: {error}; the settings before stay")
-            return
-        self._laid = laid
+        if laid != self._laid:
+            try:
+                self._process.adopt(self._over(self._file, laid))
+                self._laid = laid
+            except ConfigError as error:
+                log(f"agreement: {error}; the settings before stay. Look at the edition and at this file")
+        found = self.steering.found(stance, now)
+        self.agent.overrides = [name for name, _ in found.acted]
+        steer = self.steering.steer(stance, found, now)
+        if steer != self._steer:
+            self._steer = steer
+            self.agent.renew()
+            self._process.steer(steer)
+        return self.steering.next_end(now)
+
+    def listed(self, now: float) -> None:
+        """The list has changed: what is held off may be another set of servers."""
+        self.agent.refresh(now)
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -456,7 +456,7 @@
             return
         message = exchange.message(exchange.expires - now)
         if self.stamp is not None and exchange.watcher is not None:
-            if exchange.stamp != self.stamp():
+            if exchange.stamp is not self.stamp():
                 # It was decided on rules that hold no more: it is not sent, and decided anew.
                 self.loop.call_soon(exchange.end, Result(Outcome.MOOT))
                 self.free(connection)
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -856,6 +856,9 @@
     def _may_send(self, now: float, request: Request, server: Server) -> bool:
         if request.done or request.gone or not server.usable or now >= request.give_up_at:
             return False
+        pins = self._steering.steer.pins  # two zones that serve one tenant at once do harm
+        if pins and pins.get(request.tenant, server.zone) != server.zone:
+            return False
         limits = request.limits
         if len(request.attempts) >= limits.max_attempts or (request.out and not limits.parallel_tries):
             return False
--- a/poppypulley/model.py
+++ b/poppypulley/model.py
@@ -138,6 +138,7 @@
     caps: Mapping[int, float] = MappingProxyType({})  # class -> most requests/s; over it: refused locally
     weight: float = 1.0  # 0 to 1, how far shares count: a plan that ages fades to the present picks
     look: float = 0.0  # share of repeatable first attempts with time to spare for zones of low share
+    pins: Mapping[int, int] = MappingProxyType({})  # tenant -> the one zone that may serve it; -1 is none
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -57,9 +57,14 @@
 BODY, CONFIG, DRIVER = "fordtrestle.body", "fordtrestle.config", "fordtrestle.driver"
 FRAMING = "fordtrestle.framing"
 LIFECYCLE, LISTENER = "fordtrestle.lifecycle", "fordtrestle.listener"
+FLEET = "fordtrestle.fleet"
 MODEL, MODULE = "poppypulley.model", "poppypulley.Balancer"
 
 
+def fleet(*names: str) -> set[str]:
+    return {f"{FLEET}.{name}" for name in names}
+
+
 @pytest.mark.parametrize(
     ("name", "allowed"),
     [
@@ -77,15 +82,23 @@
         ("fleet/holder.py", set()),
         ("fleet/rules.py", {"fordtrestle.fleet.holder"}),
         ("fleet/calls.py", {CONFIG}),
-        (
-            "fleet/agent.py",
-            {CONFIG, DRIVER, "fordtrestle.discovery"}
-            | {f"fordtrestle.fleet.{n}" for n in ("calls", "holder", "lists")},
-        ),
+        ("fleet/agent.py", {CONFIG, DRIVER, "fordtrestle.discovery", *fleet("calls", "holder", "lists")}),
         ("fleet/deadlines.py", set()),
         ("fleet/overrides.py", {"fordtrestle.fleet.deadlines"}),
         ("fleet/delays.py", set()),
-        ("discovery.py", {CONFIG, DRIVER, "fordtrestle.fleet.lists"}),
+        ("fleet/steering.py", {CONFIG, MODEL, FLEET, *fleet("deadlines", "holder", "overrides", "rules")}),
+        (
+            "fleet/part.py",
+            {
+                CONFIG,
+                DRIVER,
+                MODEL,
+                FLEET,
+                "fordtrestle.config",
+                *fleet("agent", "holder", "rules", "steering"),
+            },
+        ),
+        ("discovery.py", {CONFIG, DRIVER, MODEL, "fordtrestle.fleet.lists"}),
         ("peers.py", {CONFIG, DRIVER}),
     ],
 )
