--- a/fordtrestle/fleet/calls.py
+++ b/fordtrestle/fleet/calls.py
@@ -16,6 +16,8 @@
 class CallFailed(Exception):
     """A call got no good answer; its text is one line. The caller asks again, elsewhere or later."""
 
+    action = "see that a list service runs at that address; without one this sidecar acts on safe rules"
+
     def __init__(self, why: str, status: int = 0, retry_after: float = 0.0) -> None:
         super().__init__(why)
         self.status = status
