--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -249,11 +249,7 @@
     """Check the agreement in simulated worlds of faults, by seed; 1 if a rule breaks or a flaw is missed."""
     from brassfall.lab.agreement import command
 
-    try:
-        raise typer.Exit(command.run(seeds, nodes, flaw, jobs, json, lambda text: typer.echo(text, err=True)))
-    except command.UsageError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(2) from None
+    raise typer.Exit(command.run(seeds, nodes, flaw, jobs, json, lambda text: typer.echo(text, err=True)))
 
 
 @lab.command("server")
--- a/brassfall/lab/agreement/rules.py
+++ b/brassfall/lab/agreement/rules.py
@@ -14,19 +14,20 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from brassfall.errors import BrassfallError
+
 SLACK_MS = 0.01  # of floating point, in sums of times
 NOBODY = ""
 
 
-class Broken(Exception):
-    """A rule that does not hold: `rule` is its name."""
+class Broken(BrassfallError):
+    """A rule of the agreement that does not hold in a simulated world."""
 
-    def __init__(self, rule: str, at_ms: float, what: str) -> None:
-        super().__init__(f"{rule} at {at_ms:.2f} ms: {what}")
-        self.rule, self.at_ms, self.what = rule, at_ms, what
+    action = "Report it with the number of sidecars and the seed: they play the same world again."
 
-    def __reduce__(self) -> tuple[Any, ...]:
-        return (Broken, (self.rule, self.at_ms, self.what))
+    def __init__(self, rule: str, at_ms: float, what: str) -> None:
+        super().__init__(f"{rule} at {at_ms:.2f} ms", what)
+        self.rule = rule
 
 
 def marks(edition: Any) -> tuple[int, int]:
