--- a/brassfall/lab/agreement/rules.py
+++ b/brassfall/lab/agreement/rules.py
@@ -14,19 +14,23 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from brassfall.errors import ExperimentError
+
 SLACK_MS = 0.01  # of floating point, in sums of times
 NOBODY = ""
 
 
-class Broken(Exception):
+class Broken(ExperimentError):
     """A rule that does not hold: `rule` is its name."""
 
-    def __init__(self, rule: str, at_ms: float, what: str) -> None:
-        super().__init__(f"{rule} at {at_ms:.2f} ms: {what}")
-        self.rule, self.at_ms, self.what = rule, at_ms, what
+    action = "Report the rule with its seed and faults: the same seed plays the same world again."
+
+    def __init__(self, rule: str, at_ms: float, how: str) -> None:
+        super().__init__(f"{rule} at {at_ms:.2f} ms", how)
+        self.rule, self.at_ms, self.how = rule, at_ms, how
 
     def __reduce__(self) -> tuple[Any, ...]:
-        return (Broken, (self.rule, self.at_ms, self.what))
+        return (Broken, (self.rule, self.at_ms, self.how))
 
 
 def marks(edition: Any) -> tuple[int, int]:
--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -158,7 +158,8 @@
 
     def _fails(self, why: str) -> None:
         if bool(why) != bool(self._failing):
-            log(f"agreement: {'reports fail: ' + why if why else 'reports are answered again'}")
+            said = f"reports fail: {why}; {CallFailed.action}" if why else "reports are answered again"
+            log(f"agreement: {said}")
         self._failing = why
 
     # --- the watch ------------------------------------------------------------------------
--- a/fordtrestle/fleet/calls.py
+++ b/fordtrestle/fleet/calls.py
@@ -16,6 +16,8 @@
 class CallFailed(Exception):
     """A call got no good answer; its text is one line. The caller asks again, elsewhere or later."""
 
+    action = "see that the list service runs at its address; until it answers, safe rules serve"
+
     def __init__(self, why: str, status: int = 0, retry_after: float = 0.0) -> None:
         super().__init__(why)
         self.status = status
