--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -243,7 +243,7 @@
     seeds: Annotated[int, typer.Option(min=1, help="How many worlds of each size.")] = 100,
     nodes: Annotated[str, typer.Option(help="Sizes, with commas.")] = "3,20,200",
     flaw: Annotated[str, typer.Option(help="A seeded defect to find instead, or `all`.")] = "",
-    jobs: Annotated[int, typer.Option(min=0, help="Processes; 0 for one a core.")] = 0,
+    jobs: Annotated[int, typer.Option(min=0, max=256, help="Processes; 0 for one a core.")] = 0,
     json: Json = False,
 ) -> None:
     """Check the agreement in simulated worlds of faults, by seed; 1 if a rule breaks or a flaw is missed."""
