Remember when a pair's delay changed, and let sixteen edges of a pair speak for all

An estimate from the evidence alone lost a change again while older rows were still held; 'follow' now goes on from the estimate before.

--- a/brassfall/geo/evidence.py
+++ b/brassfall/geo/evidence.py
@@ -12,17 +12,22 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
+from typing import TypeGuard
+from zlib import crc32
 
 WIDTH, LEAST_MS, BUCKETS = 1.05, 0.05, 287  # as fordtrestle.fleet.delays has them; a test holds them together
 WINDOWS = 16  # of one region that are kept of an edge
 LIVES = 3  # of one edge that are kept, the last heard
 EDGES_MOST = 5000
+EDGES_HEARD = 16  # of one pair: enough for most of them to be honest when a third is not
+SILENT_S = 10.0
 ROWS_MOST = 64  # of one report
 POINTS_MOST = 16  # of one sketch
 COUNT_MOST = 100_000  # of one point
 SPAN_MOST_MS = 3_600_000.0
 NAME_MOST = 128
 FORGET_S = 3600.0
+BUCKET_OF = {str(bucket): bucket for bucket in range(BUCKETS)}
 
 Points = tuple[tuple[int, int], ...]  # (bucket, count), by bucket
 Life = tuple[str, str]  # of an edge: its life, and the group it said it is of
@@ -67,51 +72,47 @@
     refused: Counter[str] = Counter()
     good = []
     for row in rows[:ROWS_MOST]:
-        reason = _wrong(row)
-        if reason:
-            refused[reason] += 1
-            continue
-        good.append((row["region"], row["window"], _points(row["shake"]), _points(row["first"])))
+        told = _sifted(row)
+        if isinstance(told, str):
+            refused[told] += 1
+        else:
+            good.append(told)
     if len(rows) > ROWS_MOST:
         refused["too many"] += len(rows) - ROWS_MOST
     return Sifted(tuple(good), dict(refused))
 
 
-def _wrong(row: object) -> str:
+def _sifted(row: object) -> tuple[str, int, Points, Points] | str:
+    """The row as it is kept, or what is wrong with it."""
     if not isinstance(row, Mapping):
         return "row"
-    if not _is_name(row.get("region")):
+    region, window, span = row.get("region"), row.get("window"), row.get("span_ms")
+    if not _is_name(region):
         return "region"
-    window, span = row.get("window"), row.get("span_ms")
     if not isinstance(window, int) or isinstance(window, bool) or not 0 <= window < 2**53:
         return "window"
     if not isinstance(span, int | float) or isinstance(span, bool) or not 0.0 < span <= SPAN_MOST_MS:
         return "span_ms"
-    for name in ("shake", "first"):
-        if not _is_sketch(row.get(name)):
-            return name
-    return "" if row["shake"] or row["first"] else "empty"
+    shake, first = _points(row.get("shake")), _points(row.get("first"))
+    if shake is None or first is None:
+        return "shake" if shake is None else "first"
+    return (region, window, shake, first) if shake or first else "empty"
 
 
-def _is_name(text: object) -> bool:
+def _is_name(text: object) -> TypeGuard[str]:
     return isinstance(text, str) and 0 < len(text) <= NAME_MOST
 
 
-def _is_sketch(counts: object) -> bool:
+def _points(counts: object) -> Points | None:
+    """A sketch as it is kept; None if it is none."""
     if not isinstance(counts, Mapping) or len(counts) > POINTS_MOST:
-        return False
-    for key, count in counts.items():
-        if not (isinstance(key, str) and key.isascii() and key.isdigit() and len(key) <= 3):
-            return False
-        if int(key) >= BUCKETS or type(count) is not int or not 0 < count <= COUNT_MOST:
-            return False
-    return True
-
-
-def _points(counts: Mapping[str, int]) -> Points:
-    together: Counter[int] = Counter()
-    for key, count in counts.items():
-        together[int(key)] += count  # "7" and "07" are one bucket
+        return None
+    together: dict[int, int] = {}
+    for key, number in counts.items():
+        bucket = BUCKET_OF.get(key) if isinstance(key, str) else None
+        if bucket is None or type(number) is not int or not 0 < number <= COUNT_MOST:
+            return None
+        together[bucket] = number
     return tuple(sorted(together.items()))
 
 
@@ -141,7 +142,9 @@
         shake, first = min((before.shake, before.first), (row.shake, row.first))
         row = Row(min(before.heard_s, row.heard_s), shake, first)
     made = {**track, window: row}
-    return {number: made[number] for number in sorted(made)[-WINDOWS:]}
+    if len(made) > WINDOWS:
+        del made[min(made)]
+    return made
 
 
 def _newest(tracks: Mapping[str, Track], most: int) -> Mapping[str, Track]:
@@ -173,17 +176,27 @@
     return state if len(kept) == len(state.edges) else replace(state, edges=kept)
 
 
-def by_pair(state: State) -> dict[tuple[str, str], dict[str, list[Row]]]:
-    """All rows by (group, region) and edge, oldest first; an edge's lives together count as one edge."""
+def by_pair(state: State, edges_most: int = EDGES_HEARD) -> dict[tuple[str, str], dict[str, list[Row]]]:
+    """Rows by (group, region) and edge, oldest first; an edge's lives together count as one edge.
+
+    Of a pair with very many edges some speak for all: the same ones each time, those that are silent last."""
     found: dict[tuple[str, str], dict[str, list[Row]]] = {}
     for edge, lives in state.edges.items():
         for (_, group), tracks in lives.items():
             for region, track in tracks.items():
                 found.setdefault((group, region), {}).setdefault(edge, []).extend(track.values())
-    for edges in found.values():
-        for edge, rows in edges.items():
-            edges[edge] = sorted(rows)[-WINDOWS:]
-    return found
+    return {pair: _speakers(edges, edges_most) for pair, edges in found.items()}
+
+
+def _speakers(edges: dict[str, list[Row]], most: int) -> dict[str, list[Row]]:
+    made = {edge: sorted(rows)[-WINDOWS:] for edge, rows in edges.items()}
+    if len(made) <= most:
+        return made
+    newest = max(rows[-1].heard_s for rows in made.values())
+    order = sorted(
+        made, key=lambda edge: (made[edge][-1].heard_s < newest - SILENT_S, crc32(edge.encode()), edge)
+    )
+    return {edge: made[edge] for edge in order[:most]}
 
 
 def count(points: Iterable[tuple[int, int]]) -> int:
--- a/brassfall/geo/levels.py
+++ b/brassfall/geo/levels.py
@@ -57,6 +57,7 @@
 Rows = Mapping[Pair, Edges]
 Trust = Mapping[str, float]  # from 0 to 1, by edge; 1 where it is not named
 NO_DOUBT: Trust = {}
+NEVER: Mapping[Pair, float] = {}
 Weighted = list[tuple[int, float]]
 
 
@@ -185,20 +186,26 @@
 # --- levels ------------------------------------------------------------------------------------------------
 
 
-def fresh(rows: Rows, now_s: float, trust: Trust = NO_DOUBT) -> dict[Pair, dict[str, list[Row]]]:
-    """The rows that still count: those since its change, where a pair has changed."""
-    moved = changes(rows, now_s, trust)
-    kept: dict[Pair, dict[str, list[Row]]] = {}
+def after(rows: Rows, since: Mapping[Pair, float]) -> dict[Pair, dict[str, Sequence[Row]]]:
+    """The rows of each pair that were heard after its last change."""
+    kept: dict[Pair, dict[str, Sequence[Row]]] = {}
     for pair, edges in rows.items():
-        since = moved[pair].since_s if pair in moved else -math.inf
-        each = {
-            edge: left for edge, told in edges.items() if (left := [r for r in told if r.heard_s > since])
-        }
-        if each:
-            kept[pair] = each
+        start = since.get(pair, -math.inf)
+        left = {edge: [row for row in told if row.heard_s > start] for edge, told in edges.items()}
+        if any(left.values()):
+            kept[pair] = {edge: told for edge, told in left.items() if told}
     return kept
 
 
+def fresh(
+    rows: Rows, now_s: float, trust: Trust = NO_DOUBT, since: Mapping[Pair, float] = NEVER
+) -> tuple[Rows, dict[Pair, float]]:
+    """The rows that still count, and when each pair changed last, as far as known (`since`) or seen now."""
+    kept = after(rows, since)
+    seen = {pair: moved.since_s for pair, moved in changes(kept, now_s, trust).items()}
+    return after(kept, seen), {pair: start for pair, start in since.items() if pair in rows} | seen
+
+
 def offsets(rows: Rows) -> tuple[dict[str, float], float | None]:
     """What first bytes have more than handshakes, in ms: by region, and over all (None: nobody knows)."""
     by_region: dict[str, list[tuple[float, float]]] = {}
--- a/brassfall/lab/geo.py
+++ b/brassfall/lab/geo.py
@@ -113,7 +113,7 @@
     near: dict[tuple[str, str], list[bool]] = {pair: [] for pair in picks}
     for second in range(WARM_S, WARM_S + WATCH_S):
         state = _heard(world, state, second, second + 1)
-        made = model.follow(state, second + 1.0, world.groups, world.regions, made.warm)
+        made = model.follow(state, second + 1.0, world.groups, world.regions, made)
         for p in made.pairs:
             pair = p.group, p.region
             if pair in near:
