Measure delays at sidecars, serve them, publish plans, and give editions their commands

The estimator had nothing to estimate from. A sidecar with a group notes handshakes of connections that requests open and first bytes of small answers, by region, and sends the sketches with its reports; the list service merges them, GET /geo tells each pair with interval and age, and where [registry.geo] says what a server can carry, one publisher under a fenced lease sends plans as editions, which sidecars act on with shares that fade.

--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -13,7 +13,7 @@
 import typer
 from typer.core import TyperGroup
 
-from brassfall import logs, settings
+from brassfall import fleet_commands, logs, settings
 from brassfall.errors import BrassfallError, SystemRefused, UsageError
 from brassfall.lab import geo_command
 
@@ -272,6 +272,9 @@
     raise typer.Exit(_run(told))
 
 
+fleet_commands.add(app, lambda work: _run(work), lambda text: _at(text))
+
+
 def main() -> None:
     """The entry point."""
     app()
--- a/brassfall/registry/client.py
+++ b/brassfall/registry/client.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Any, TypeVar
 
 import aiohttp
@@ -119,12 +119,14 @@
             self.state.ended(_now(), 0, chance)
 
 
-async def call(address: str, method: str, path: str, body: Any = None) -> Any:
+async def call(
+    address: str, method: str, path: str, body: Any = None, headers: Mapping[str, str] | None = None
+) -> Any:
     """One call and its JSON; `CallError` tells what the service said, or that there is none."""
     try:
         async with (
             aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_S)) as session,
-            session.request(method, f"http://{address}{path}", json=body) as answer,
+            session.request(method, f"http://{address}{path}", json=body, headers=headers) as answer,
         ):
             data = await answer.read()
     except UNANSWERED as error:
--- /dev/null
+++ b/brassfall/registry/geo.py
@@ -0,0 +1,215 @@
+"""The shell of geo steering: delays out of reports, `GET /geo`, and plans published as editions."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict, dataclass, field
+from typing import Any, Protocol
+
+import msgspec
+from aiohttp import web
+
+from brassfall.agreement.core import Kept
+from brassfall.agreement.edges import Report
+from brassfall.errors import Refused
+from brassfall.geo import evidence, publisher
+from brassfall.geo.model import Estimate, follow
+from brassfall.geo.plan import Plan, PlanError, from_json, plan
+from brassfall.logs import logger
+from brassfall.registry.calls import answer
+from brassfall.registry.entries import INSTANCES
+from brassfall.settings import GeoSettings
+from brassfall.table.core import Put
+from brassfall.table.store import Store
+
+TICK_S = 0.25
+FRESH_S = 1.0  # an estimate is told again for so long
+DEMAND_S = 10.0  # a sidecar that is silent for longer asks for nothing
+HOLDER = "list service"
+
+log = logger("geo")
+_encode = msgspec.json.Encoder().encode
+
+
+class Host(Protocol):
+    """What the list service lends."""
+
+    store: Store
+
+
+class Editions(Protocol):
+    """The agreement, as far as plans go through it."""
+
+    def kept(self) -> Kept:
+        """What is durable of the editions."""
+
+    def publish(self, **layers: Any) -> asyncio.Future[int]:
+        """Have an edition published."""
+
+
+@dataclass(slots=True)
+class Geo:
+    """Delays between client groups and regions, as this life of the service has heard of them."""
+
+    host: Host
+    editions: Editions
+    settings: GeoSettings
+    refused: int = 0  # rows of reports that were none
+    _state: evidence.State = field(default_factory=evidence.State)
+    _demand: dict[str, tuple[str, float, float]] = field(default_factory=dict)  # by edge: group, rate, when
+    _estimate: Estimate | None = None
+    _estimated_at: float = float("-inf")
+    _publisher: publisher.State = field(default_factory=publisher.State)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _thread: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(1, "geo"))
+
+    def start(self) -> None:
+        """Publish plans from now on, where the settings say what regions can carry."""
+        if self.settings.per_weight_per_s > 0.0:
+            self._spawn(self._tick())
+
+    async def close(self) -> None:
+        """Publish no more."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._thread.shutdown(cancel_futures=True)
+
+    def routes(self) -> list[web.RouteDef]:
+        """The paths."""
+        return [web.get("/geo", self._get)]
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # --- reports ------------------------------------------------------------------------
+
+    def reported(self, name: str, report: Report) -> dict[str, Any]:
+        """A sidecar's report: what it measured is added to the evidence."""
+        rows = report.measures.get("delays")
+        if rows:
+            now = time.monotonic()
+            sifted = evidence.sift(rows)
+            self.refused += sum(sifted.refused.values())
+            self._state = evidence.merge(self._state, name, report.life, report.group, rows, now)
+            answers = sum(evidence.count(first) for _, _, _, first in sifted.rows)
+            _, _, before = self._demand.get(name, ("", 0.0, now - 1.0))
+            self._demand[name] = (report.group, answers / max(0.25, now - before), now)
+        return {}
+
+    def gone(self, name: str) -> None:
+        """A sidecar has left the fleet."""
+        self._demand.pop(name, None)
+
+    def findings(self) -> dict[str, list[str]]:
+        """Nothing here is wrong with a single sidecar."""
+        return {}
+
+    # --- estimates ------------------------------------------------------------------------
+
+    async def _estimated(self) -> Estimate:
+        now = time.monotonic()
+        if self._estimate is None or now - self._estimated_at > FRESH_S:
+            self._state = evidence.forget(self._state, now)
+            groups = sorted({group for group, _, _ in self._demand.values() if group})
+            work = (self._state, now, groups, sorted(self._capacity()), self._estimate)
+            loop = asyncio.get_running_loop()
+            self._estimate = await loop.run_in_executor(self._thread, lambda: follow(*work))
+            self._estimated_at = now
+        return self._estimate
+
+    async def _get(self, request: web.Request) -> web.Response:
+        found = await self._estimated()
+        kept = self.editions.kept()
+        edition = kept.committed.number if kept.committed.plan is not None else 0
+        pairs = [asdict(pair) for pair in found.pairs]
+        return answer(_encode({"pairs": pairs, "plan_edition": edition, "plan": kept.committed.plan}))
+
+    def _capacity(self) -> Mapping[str, float]:
+        """What each region can carry, in requests/s: by the weights of its active servers."""
+        found: dict[str, float] = {}
+        for row in self.host.store.table.rows(INSTANCES):
+            if row.value["status"] == "active":
+                rate = self.settings.per_weight_per_s * row.value.get("weight", 1.0)
+                found[row.value["zone"]] = found.get(row.value["zone"], 0.0) + rate
+        return found
+
+    # --- plans ------------------------------------------------------------------------------
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            await self._step(publisher.Tick())
+
+    async def _step(self, event: publisher.Event) -> None:
+        self._publisher, actions = publisher.step(self._publisher, time.monotonic(), event)
+        for action in actions:
+            self._spawn(self._do(action))
+
+    async def _do(self, action: publisher.Action) -> None:
+        try:
+            match action:
+                case publisher.Take(asked):
+                    row = Put(
+                        table=publisher.TABLE,
+                        key=publisher.KEY,
+                        value={"holder": HOLDER},
+                        lease_ms=int(self._publisher.terms.lease_s * 1000.0),
+                        if_match=0,
+                    )
+                    result = await self.host.store.submit(row)
+                    granted = publisher.Granted(asked, result.index)
+                    await self._step(granted if result.done else publisher.Denied(asked))
+                case publisher.Renew(asked, version):
+                    held = self._fence() == version
+                    done = held and self.host.store.renew(publisher.TABLE, publisher.KEY, None).done
+                    await self._step(publisher.Granted(asked, version) if done else publisher.Denied(asked))
+                case publisher.ReadNewest():
+                    await self._step(self._newest())
+                case publisher.Make(before, follows):
+                    await self._step(publisher.Made(await self._make(before), follows))
+                case publisher.Publish(made, follows, fence):
+                    await self._publish(made, follows, fence)
+        except Refused as error:
+            log.warning("no plan", reason=str(error))
+            await self._step(publisher.Failed())
+
+    def _fence(self) -> int:
+        row = self.host.store.table.get(publisher.TABLE, publisher.KEY)
+        return row.version if row is not None else 0
+
+    def _newest(self) -> publisher.Read:
+        kept = self.editions.kept()
+        newest = kept.waiting or kept.pending or kept.committed
+        try:
+            told = from_json(newest.plan) if newest.plan is not None else None
+        except PlanError:
+            told = None  # of a version that writes plans in another way: made anew
+        return publisher.Read(told, kept.newest)
+
+    async def _make(self, before: Plan | None) -> Plan | None:
+        pairs = (await self._estimated()).pairs
+        if not pairs:
+            return None
+        told, now, demand = self.settings, time.monotonic(), dict[str, float]()
+        for group, rate, at in self._demand.values():
+            if group and now - at < DEMAND_S:
+                demand[group] = demand.get(group, 0.0) + rate
+        held = self.editions.kept().committed.settings.get("regions", {}).get("held", [])
+        price = {(p.group, p.region): told.crossing_ms for p in pairs if p.group != p.region}
+        capacity = self._capacity()
+        work = (pairs, demand, capacity, before, price, told.floor, told.most_moved, told.look, held)
+        return await asyncio.get_running_loop().run_in_executor(self._thread, lambda: plan(*work))
+
+    async def _publish(self, made: Plan, follows: int, fence: int) -> None:
+        if self._fence() != fence:
+            await self._step(publisher.Overtaken())
+            return
+        number = await self.editions.publish(plan=made.as_json(), if_match=follows)
+        log.info("plan", edition=number, moved=round(made.moved, 3))
+        await self._step(publisher.Accepted(number))
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -357,6 +357,10 @@
         self.step(deciding.Publish(ticket, list_index=self.host.store.table.last(INSTANCES), **layers))
         return future
 
+    def kept(self) -> Kept:
+        """What is durable of the editions."""
+        return self.core.kept
+
     def layer(self) -> list[dict[str, Any]] | None:
         """The overrides of the newest edition; None while one is on its way."""
         kept = self.core.kept
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -23,6 +23,7 @@
 from brassfall.registry.callers import HEAD_BYTES, QUIET, Callers, Connection, NoSuchPath, error, refusal
 from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES
+from brassfall.registry.geo import Geo
 from brassfall.registry.limits import Door, Rates, Shares
 from brassfall.registry.metrics import Metrics
 from brassfall.registry.overrides import Overrides
@@ -66,7 +67,8 @@
         self.channels: dict[str, Channel] = {}
         self.rules = Rules(self, settings.agreement)
         self.overrides = Overrides(self, self.rules)
-        self.rules.riders.append(self.overrides)
+        self.geo = Geo(self, self.rules, settings.geo)
+        self.rules.riders += [self.overrides, self.geo]
         self.metrics = Metrics(self)
         self.refusals = 0
         self.turned_away = 0
@@ -94,6 +96,7 @@
         limits = self.settings.limits
         self.rules.start(limits.watch_bytes, limits.watch_stuck_ms / 1000.0)
         await self.overrides.start()
+        self.geo.start()
         if self.store.fresh:
             self._gathering_until = time.monotonic() + self.settings.leases.gather_ms / 1000.0
         self._runner = web.AppRunner(self._application(), handler_cancellation=True)
@@ -132,6 +135,7 @@
         if self._runner is not None:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._runner.cleanup(), 5.0)
+        await self.geo.close()
         await self.overrides.close()
         await self.rules.close()
         await self.store.close()
@@ -218,6 +222,7 @@
                 web.post(table + "/renew", self._renew_row),
                 *self.rules.routes(),
                 *self.overrides.routes(),
+                *self.geo.routes(),
                 web.get("/health/live", self._live),
                 web.get("/health/ready", self._ready),
                 web.get("/metrics", self._metrics),
--- a/brassfall/settings.py
+++ b/brassfall/settings.py
@@ -17,6 +17,10 @@
 HOST = re.compile(r"(?=.{1,253}$)[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*\.?")
 
 
+# Figures that may be 0; all others are more.
+ZERO = ("caller_calls_per_s", "gather_ms", "per_weight_per_s", "crossing_ms", "floor", "look")
+
+
 class SettingsError(UsageError):
     """A file that can't be used; its text is one line with file, key and reason."""
 
@@ -67,6 +71,16 @@
     forget_ms: float = 86_400_000.0  # without a report: then it counts no more
 
 
+class GeoSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Steering by measured delays; delays are always measured, plans are published only on demand."""
+
+    per_weight_per_s: float = 0.0  # requests/s that a server of weight 1 can carry; 0: no plans
+    crossing_ms: float = 0.0  # what a region other than the group's own counts as farther
+    floor: float = 0.05  # of each group goes elsewhere than to its best region
+    most_moved: float = 0.2  # of a group's requests, an edition
+    look: float = 0.01  # of repeatable requests may look at regions without a share
+
+
 class Cluster(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Who the replicas are."""
 
@@ -85,6 +99,7 @@
     guard: GuardSettings = GuardSettings()
     leases: LeaseSettings = LeaseSettings()
     agreement: AgreementSettings = AgreementSettings()
+    geo: GeoSettings = GeoSettings()
     cluster: Cluster | None = None
 
 
@@ -138,8 +153,8 @@
         raise ValueError("registry.data: no folder is named")
     if settings.cluster is not None:
         raise ValueError("registry.cluster: this version runs one list service, without replicas")
-    for part in ("limits", "guard", "leases", "agreement"):
-        _positive(f"registry.{part}.", getattr(settings, part), zero=("caller_calls_per_s", "gather_ms"))
+    for part in ("limits", "guard", "leases", "agreement", "geo"):
+        _positive(f"registry.{part}.", getattr(settings, part), zero=ZERO)
     _positive("registry.", settings)
     for name, share in (
         ("limits.caller_share", settings.limits.caller_share),
--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -57,14 +57,16 @@
             self.door.add("LIST", lambda: self.discovery.state)
         self.inbound = Inbound(loop, clock, told, self.driver, self.life)
         self.peers = Peers(told, self.driver.peer_message)
-        self.part = self._part() if told.agreement is not None else None
+        self.part = self._part(told) if told.agreement is not None else None
 
-    def _part(self) -> Part:
+    def _part(self, told: Config) -> Part:
         """The part in the agreement, where the configuration has one; its code is loaded only then."""
         from fordtrestle.fleet.part import Part
 
         part = Part(self._loop, self, os.environ)
         part.agent.measures.append(self.discovery.told)
+        if told.agreement is not None and told.agreement.group:
+            self.pool.delays = part.delays
         self.driver.before = self.pool.stamp = part.stamp_at(self._loop)
         self.door.add("RULES", lambda: part.agent.state)
         return part
--- a/fordtrestle/fleet/part.py
+++ b/fordtrestle/fleet/part.py
@@ -12,6 +12,7 @@
 from fordtrestle.driver import log
 from fordtrestle.fleet import rules
 from fordtrestle.fleet.agent import Agent
+from fordtrestle.fleet.delays import Delays
 from fordtrestle.fleet.holder import Edition, Stance
 from fordtrestle.fleet.steering import NEUTRAL, Steering
 from poppypulley.model import Listing, Steer
@@ -55,7 +56,10 @@
             loop, told.name, told.agreement, told.registry, self._objection, self._act, told.seed
         )
         self.steering = Steering(told.agreement, lambda: process.running.names, process.listings)
+        self.delays = Delays(told.agreement.group, loop.time())
         self.agent.measures.append(self.steering.report)
+        if told.agreement.group:
+            self.agent.measures.append(lambda: {"measures": {"delays": self.delays.take(loop.time())}})
         self.agent.answered.append(self.steering.answered)
 
     def stamp_at(self, loop: asyncio.AbstractEventLoop) -> Callable[[], bytes]:
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -11,6 +11,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from fordtrestle import framing
 from fordtrestle.body import HELD_MOST, Body
@@ -36,6 +37,16 @@
 Done = Callable[[Result], None]
 
 
+class Measured(Protocol):
+    """Takes note of delays to regions, out of what passes anyway."""
+
+    def handshake(self, region: str, ms: float, cold: bool) -> None:
+        """A connection was opened in `ms`; a cold server tells of itself, not of the way."""
+
+    def first_byte(self, region: str, ms: float, spent_ms: float = 0.0) -> None:
+        """The first byte of an answer came after `ms`."""
+
+
 class Exchange:
     """One attempt or probe: from asking for a connection until its outcome."""
 
@@ -103,6 +114,7 @@
     name: str
     address: Address
     started: float = 0.0
+    region: str = ""  # the name of its zone
     closed_from: float = math.inf  # nothing is first written to it from then on
     idle: list[Connection] = field(default_factory=list)  # newest last
 
@@ -114,6 +126,7 @@
         self._pool = pool
         self.server = server
         self.idle_since = 0.0
+        self.sent_at = 0.0  # of a small request, until its answer begins, where delays are measured
         self._parser = framing.AnswerParser()
         self._transport: asyncio.Transport
         self._exchange: Exchange | None = None
@@ -222,6 +235,10 @@
             self._break()
             return
         self._heard_at = self._pool.loop.time()
+        if self.sent_at and self._pool.delays is not None:
+            spent = (self._heard_at - self.sent_at) * 1000.0
+            self._pool.delays.first_byte(self.server.region, spent)
+            self.sent_at = 0.0
         if self._parser.complete:
             self._answered(self._parser.keep_alive and not self._parser.extra and self._written)
         elif self._parser.status == 200 and self._parser.sink is None:
@@ -303,6 +320,7 @@
         self._clock = clock
         self.reload(config)
         settings = config.settings
+        self.delays: Measured | None = None  # likewise
         self.stamp: Callable[[], bytes] | None = None  # with a part in the agreement: what is acted on now
         self._fields = settings.report_fields if settings.report_how != "off" else ()
         self._probe_target = b"/stats" if self._fields else b"/health/live"
@@ -317,6 +335,8 @@
         """Other settings for what begins from now on."""
         self._connect_timeout = config.settings.connect_timeout / 1000.0
         self._idle_most = config.settings.idle_close * IDLE_SHARE
+        self._warm_up = config.settings.warm_up
+        self._regions = {number: name for name, number in config.names.zones.items()}
         self._grace = max(0.0, config.drain_grace - GRACE_MARGIN_MS)
 
     def share(self, part: float) -> None:
@@ -356,6 +376,7 @@
             if address is None:
                 return
             known = self._servers[entry.server] = Server(entry.server, address, started=entry.started)
+        known.region = self._regions.get(entry.zone, "")
         if (address or known.address, entry.started) != (known.address, known.started):
             # Guards against writing to what stood before a restart: a reset at best.
             self.close_idle(known.name)
@@ -463,6 +484,8 @@
                 return
             line, rest = message.split(b"\r\n", 1)
             message = b"%b\r\n%b%b" % (line, exchange.stamp, rest)
+        if self.delays is not None and exchange.body is None:
+            connection.sent_at = self.loop.time()
         connection.begin(exchange, message)
 
     def _open(self, server: Server, exchange: Exchange) -> None:
@@ -476,6 +499,7 @@
 
     async def _connect(self, server: Server, exchange: Exchange) -> None:
         """Open a connection for an exchange, which is gone if this is cancelled."""
+        begun = self.loop.time()
         try:
             async with asyncio.timeout(self._connect_timeout):
                 _, connection = await self.loop.create_connection(
@@ -487,6 +511,9 @@
             exchange.end(Result(Outcome.CONNECT_FAILED))
             return
         self._connections.add(connection)
+        if self.delays is not None:
+            cold = self._clock.now() - server.started < self._warm_up
+            self.delays.handshake(server.region, (self.loop.time() - begun) * 1000.0, cold)
         if exchange.ended or not connection.fresh():
             # A full server may take a connection and close it at once: nothing is written there.
             connection.abort()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -95,7 +95,7 @@
                 MODEL,
                 FLEET,
                 "fordtrestle.config",
-                *fleet("agent", "holder", "rules", "steering"),
+                *fleet("agent", "delays", "holder", "rules", "steering"),
             },
         ),
         ("discovery.py", {CONFIG, DRIVER, MODEL, "fordtrestle.fleet.lists"}),
@@ -124,6 +124,7 @@
     "brassfall.geo",
     "brassfall.registry",
     "brassfall.lab",
+    "brassfall.fleet_commands",
     "brassfall.cli",
 )
 PURE = (
