Begin lives on two copies of a table apart, where the clock is behind

Change: random low bits where the clock is ahead, up to 2^30 indexes left out where it is behind. The checker uses the same function.

--- a/brassfall/lab/agreement/program.py
+++ b/brassfall/lab/agreement/program.py
@@ -14,16 +14,15 @@
 
 from brassfall.agreement.core import Agreement, Timing
 from brassfall.agreement.edges import Fleet
+from brassfall.table.store import life_floor
 
 holder: Any = importlib.import_module("fordtrestle.fleet.holder")
 sidecar_rules: Any = importlib.import_module("fordtrestle.fleet.rules")
 
 
 def life(wall_ms: float, last: int, chance: random.Random) -> int:
-    """The number of a life of the service, as `brassfall/table` makes it out of the wall clock and the last
-    index that is durable."""
-    floor = (int(wall_ms) << 10) + chance.getrandbits(10)
-    return floor if floor > last else last + 1 + chance.getrandbits(30)
+    """The number of a life of the service, out of the wall clock and the last index that is durable."""
+    return life_floor(wall_ms / 1000.0, last, chance.getrandbits(30))
 
 
 def answered(held: Any, asked: float, received: float, seq: int, raw: Mapping[str, Any]) -> bool:
--- a/brassfall/table/store.py
+++ b/brassfall/table/store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
@@ -64,6 +65,17 @@
     return int(unix_s * 1000.0) << 10
 
 
+def life_floor(unix_s: float, last: int, drawn: int) -> int:
+    """The least index of a life that begins at a time, on a table whose last index is `last`; `drawn` are
+    30 random bits.
+
+    Where the clock is behind the table, the next index would do for this table alone: a second service that
+    is started on a copy of it by mistake would begin with an index that the first one tells for something
+    else. Some 2^30 are left out there, on an average half: as many as a clock passes in 9 minutes."""
+    floor = unix_floor(unix_s) + drawn % 1024
+    return floor if floor > last else last + 1 + drawn
+
+
 class Store:
     """One durable table within a running loop."""
 
@@ -96,7 +108,8 @@
         self.table = loaded.table
         self.fresh = not any(map(self.table.count, self.table.names))
         self._base_ms = self.table.at - self.now()
-        life = self.table.life(unix_floor(time.time()), self._at())
+        floor = life_floor(time.time(), self.table.index, secrets.randbits(30))
+        life = self.table.life(floor, self._at())
         await loop.run_in_executor(self._thread, self._log.append, [life])
         self.table.absorb([life])
         self.life = life.index
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -16,6 +16,7 @@
 from brassfall.agreement.edges import Fleet, Report
 from brassfall.lab.agreement import command, schedule
 from brassfall.lab.agreement.flaws import FLAWS
+from brassfall.table.store import life_floor, unix_floor
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -63,6 +64,12 @@
         json.loads(made.stdout)
 
 
+@pytest.mark.parametrize(("unix_s", "last"), [(1e9, 0), (1e9, unix_floor(2e9)), (1e9, unix_floor(1e9))])
+def test_lives_on_two_copies_of_a_table_are_apart(unix_s, last):
+    one, other = (life_floor(unix_s, last, drawn) for drawn in (5, 2**29 + 7))
+    assert min(one, other) > last and one != other
+
+
 # --- what the seeds found in the cores -------------------------------------------------------------------
 
 LIFE = 1 << 50
