--- a/fordtrestle/fleet/delays.py
+++ b/fordtrestle/fleet/delays.py
@@ -10,12 +10,13 @@
 
 import json
 from collections.abc import Iterator
-from math import log
+from math import inf, log
 
 WIDTH = 1.05  # of a bucket: a figure is known to 2.5% either way
 LEAST_MS, MOST_MS = 0.05, 60_000.0
 BUCKETS = 1 + int(log(MOST_MS / LEAST_MS) / log(WIDTH))
 REGIONS_MOST = 64
+FIRST_SPAN_S, SPAN_MOST_MS = 1.0, 3_600_000  # of a window: one whose start nobody timed, and the longest told
 REPORT_BYTES = 400  # rows beyond it wait, with what they have gathered, for the next report
 # A sketch is reported as one point for each of these parts of its counts: fine where readers look.
 RANKS = (0.1, 0.25, 0.5, 1.0)
@@ -62,20 +63,25 @@
 
     __slots__ = ("first", "shake", "since")
 
-    def __init__(self, since: float) -> None:
+    def __init__(self, since: float | None) -> None:
         self.shake: dict[int, int] = {}
         self.first: dict[int, int] = {}
         self.since = since
 
 
+def _waiting(item: tuple[str, _Region]) -> float:
+    since = item[1].since
+    return -inf if since is None else since
+
+
 class Delays:
     """One edge's sketches of its delays, by region; `group` is the client group that it belongs to."""
 
-    def __init__(self, group: str, now_s: float = 0.0) -> None:
+    def __init__(self, group: str) -> None:
         self.group = group
         self._regions: dict[str, _Region] = {}
         self._window = 0
-        self._opened = now_s
+        self._opened: float | None = None  # when the last report was; a clock's zero says nothing
 
     def handshake(self, region: str, ms: float, cold: bool) -> None:
         """A connection was opened in `ms`; a `cold` server (just started) tells of itself, not of the way."""
@@ -113,9 +119,10 @@
         return rows
 
     def _rows(self, now_s: float) -> Iterator[tuple[str, dict[str, object]]]:
-        for region, held in sorted(self._regions.items(), key=lambda item: item[1].since):
+        for region, held in sorted(self._regions.items(), key=_waiting):
             row: dict[str, object] = {"region": region, "window": self._window}
-            row["span_ms"] = max(1, round((now_s - held.since) * 1000.0))
+            span_s = FIRST_SPAN_S if held.since is None else now_s - held.since
+            row["span_ms"] = min(SPAN_MOST_MS, max(1, round(span_s * 1000.0)))
             row["shake"], row["first"] = thinned(held.shake), thinned(held.first)
             yield region, row
 
