--- a/fordtrestle/fleet/part.py
+++ b/fordtrestle/fleet/part.py
@@ -56,7 +56,7 @@
             loop, told.name, told.agreement, told.registry, self._objection, self._act, told.seed
         )
         self.steering = Steering(told.agreement, lambda: process.running.names, process.listings)
-        self.delays = Delays(told.agreement.group, loop.time())
+        self.delays = Delays(told.agreement.group)
         self.agent.measures.append(self.steering.report)
         if told.agreement.group:
             self.agent.measures.append(lambda: {"measures": {"delays": self.delays.take(loop.time())}})
