Ask for the list anew where the service is ahead, and show editions among the metrics

The spread of lists was told but not acted on: a watch that brings nothing though the service has a later list kept a sidecar behind until the watch fell silent. Answers to reports name the service's list; one that is ahead for over 2 s has the watch opened anew, and a list that may be over 10 s old is named in /edges. Editions, permissions, overrides and findings are among the metrics. A file that is read at SIGHUP and can't take the running one's place no longer becomes what editions are laid over.

--- a/brassfall/registry/metrics.py
+++ b/brassfall/registry/metrics.py
@@ -31,6 +31,9 @@
     def gathering(self) -> bool:
         """Whether a lost list is coming back."""
 
+    def figures(self) -> tuple[Mapping[str, tuple[str, float]], Mapping[str, tuple[str, float]]]:
+        """Of editions, overrides and delays: gauges and counters, each with what it tells."""
+
 
 class Metrics:
     """The metrics of one service."""
@@ -77,7 +80,8 @@
             "disk_failing": ("1 while commits fail", float(bool(store.figures.disk))),
             "gathering": ("1 while a lost list is being gathered", float(service.gathering)),
         }
-        for name, (text, value) in gauges.items():
+        more_gauges, more_counters = service.figures()
+        for name, (text, value) in {**gauges, **more_gauges}.items():
             yield GaugeMetricFamily(f"brassfall_{name}", text, value)
         figures = store.figures
         counters = {
@@ -99,5 +103,5 @@
             "connections_idled": ("Connections closed for idling", service.callers.idled),
             "malformed": ("Calls that were no HTTP", service.callers.malformed),
         }
-        for name, (text, value) in counters.items():
+        for name, (text, value) in {**counters, **more_counters}.items():
             yield CounterMetricFamily(f"brassfall_{name}", text, value)
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -31,6 +31,7 @@
 STATE = "state"
 PLACE = "/rules"  # among the channels of watches
 TICK_S = 0.05
+LIST_OLD_MS = 10_000.0  # a watch brings a word every 2 s, and is opened anew after 4.5 s of silence
 SWEEP_S = 60.0
 EVERY_MS, EVERY_MOST_MS, EVERY_FLEET = 750.0, 1500.0, 1000  # reports thin out from so many sidecars on
 
@@ -480,6 +481,9 @@
             return f"does not hold edition {kept.committed.number}"
         if report.of not in (None, 0, self.core.fleet.life):
             return f"takes the word of another life of the service, {report.of}"
+        age = report.list_age_ms
+        if age is not None and age > LIST_OLD_MS:
+            return f"its list may be {age / 1000.0:.1f} s old: it keeps it, and asks on"
         if report.acting != kept.committed.number:
             return "acts on safe rules" if report.acting == "safe" else f"acts on edition {report.acting}"
         return ""
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -475,6 +475,27 @@
             body=self.metrics.text(), headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"}
         )
 
+    def figures(self) -> tuple[dict[str, tuple[str, float]], dict[str, tuple[str, float]]]:
+        """Gauges and counters of editions, overrides and delays."""
+        rules = self.rules.status()
+        gauges = {
+            "edition": ("The edition in force", rules["edition"]),
+            "edition_prepared": ("The edition that is prepared; 0 is none", rules["prepared"]),
+            "permits": ("1 while sidecars can get permissions", float(rules["permits"] == "yes")),
+            "edges": ("Sidecars on the roster", rules["edges"]),
+            "edges_permitted": ("Sidecars that may act on an edition", rules["may_act"]),
+            "overrides": ("Overrides in force", len(self.overrides.book.active(self.overrides.now()))),
+            "findings": ("Sidecars that act on other overrides than are due", len(self.overrides.findings())),
+        }
+        counters = {
+            "reports": ("Reports answered", rules["reports"]),
+            "reports_refused": ("Reports that said nothing usable", rules["reports_refused"]),
+            "editions_harmful": ("Editions refused as harmful", rules["harmful_refused"]),
+            "editions_forced": ("Harmful editions that were forced", rules["harmful_forced"]),
+            "delays_refused": ("Rows of delays that were none", self.geo.refused),
+        }
+        return gauges, counters
+
     async def _status(self, request: web.Request) -> web.Response:
         return answer(_encode(self.status()))
 
--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -84,6 +84,15 @@
         """The servers on the list held."""
         return self.discovery.listings()
 
+    @property
+    def list_version(self) -> int:
+        """The version of the list held."""
+        return self.discovery.version
+
+    def ask_for_list(self) -> None:
+        """Ask for the list anew: what tells of changes has fallen behind."""
+        self.discovery.again()
+
     @property
     def running(self) -> Config:
         """What this process runs on."""
@@ -130,10 +139,12 @@
         The file has the last word on discovery, since the environment is still that of the start."""
         try:
             told = config.load({**environment, "NODE_DISCOVERY": ""})
-            self.adopt(told if self.part is None else self.part.file_read(told))
+            self.adopt(told if self.part is None else self.part.over(told))
         except ConfigError as error:
             log(f"reload: {error}; nothing is changed; mend the file and send SIGHUP again")
             return
+        if self.part is not None:
+            self.part.file_read(told)
         log(f"reload: done, classes {', '.join(self._told.names.classes)}")
 
     def adopt(self, told: Config) -> None:
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -268,6 +268,19 @@
             self._keep_watch() if self._pushed else self._watch_once(until)
         )
 
+    @property
+    def version(self) -> int:
+        """Of the list held."""
+        return self._version
+
+    def again(self) -> None:
+        """Open the watch anew, which has fallen behind; where the module asks, have the whole list."""
+        if self._pushed and self._watching is not None:
+            self._watching.cancel()
+            self._watching = self._loop.create_task(self._keep_watch())
+        else:
+            self.fetch()
+
     def fetch(self) -> None:
         """The module asks for the whole list once."""
         task = self._loop.create_task(self._fetch())
--- a/fordtrestle/fleet/part.py
+++ b/fordtrestle/fleet/part.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 from typing import Any, Protocol
@@ -17,6 +18,8 @@
 from fordtrestle.fleet.steering import NEUTRAL, Steering
 from poppypulley.model import Listing, Steer
 
+LIST_LATE_S = 2.0  # news of the list take far less on a watch that works
+
 
 class Process(Protocol):
     """The sidecar's process, as far as editions change it."""
@@ -38,6 +41,13 @@
     def listings(self) -> Iterable[Listing]:
         """The servers on the list held."""
 
+    @property
+    def list_version(self) -> int:
+        """The version of the list held."""
+
+    def ask_for_list(self) -> None:
+        """Ask for the list anew: what tells of changes has fallen behind."""
+
 
 class Part:
     """This process's part in the agreement."""
@@ -60,18 +70,35 @@
         self.agent.measures.append(self.steering.report)
         if told.agreement.group:
             self.agent.measures.append(lambda: {"measures": {"delays": self.delays.take(loop.time())}})
-        self.agent.answered.append(self.steering.answered)
+        self.agent.answered += [self.steering.answered, self._answered]
+        self._ahead_since = math.inf
 
     def stamp_at(self, loop: asyncio.AbstractEventLoop) -> Callable[[], bytes]:
         """What is asked before each decision, and at each send: under which edition it is made."""
         at, clock = self.agent.at, loop.time
         return lambda: at(clock())
 
-    def file_read(self, told: Config) -> Config:
-        """The file was read again: what to run on, with the edition laid over it; `ConfigError` if none."""
-        made = self._over(told, self._laid)
-        self._file = told
-        return made
+    def over(self, file: Config) -> Config:
+        """A file that was read again, with what is acted on laid over it; `ConfigError` if that is none."""
+        return self._over(file, self._laid)
+
+    def file_read(self, file: Config) -> None:
+        """This file is what editions are laid over from now on."""
+        self._file = file
+
+    def _answered(self, asked: float, heard: float, told: Mapping[str, Any]) -> None:
+        """The service's list is ahead of the one held for longer than news takes: the watch is of no use."""
+        ahead = told.get("list_index")
+        if not isinstance(ahead, int) or ahead <= self._process.list_version:
+            self._ahead_since = math.inf
+        elif heard - min(self._ahead_since, asked) < LIST_LATE_S:
+            self._ahead_since = min(self._ahead_since, asked)
+        else:
+            log(
+                f"agreement: the list is at {ahead}, and here at {self._process.list_version}: asked for anew"
+            )
+            self._ahead_since = math.inf
+            self._process.ask_for_list()
 
     def _over(self, file: Config, settings: Mapping[str, Any]) -> Config:
         """The file with settings of an edition laid over it; `ConfigError` if that is no configuration."""
