--- a/fordtrestle/admin.py
+++ b/fordtrestle/admin.py
@@ -62,7 +62,7 @@
         except Impossible as error:
             return f"error {error}"
         if said is not None:
-            return f"done {said}"
+            return said if said.startswith("{") else f"done {said}"  # JSON stands alone
         if name != "PING":
             log(f"operator: {name}, now {self._life.state.value}")
         return f"done {self._life.state.value}"
