Count requests given up by reason, and tell the counts at the operators' door

Which rule refused had to be found with a probe. The module counts each request that it gives up by reason (formula, level, heavy, room, line, failed), the driver those for which it had no room, and the new call REFUSALS at the door answers with all of them.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -44,6 +44,7 @@
         self.seat = Seat(os.environ.get("TMPDIR"), told.name) if told.inherited is not None else None
         self.door = Door(loop, self.life)
         self.driver = Driver(loop, clock, told)
+        self.door.add("REFUSALS", lambda: self.driver.refusals)
         self.pool = Pool(loop, clock, told)
         self.discovery = Discovery(loop, told, self.driver.server_list)
         if told.registry:
--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -219,6 +219,7 @@
         self._open = 0
         self._flowing = 0  # answers that are passed on as they come
         self._last_answer = math.inf  # by when all has to be answered, once the process ends
+        self._turned_off = 0  # for want of room for one more
         self._next_id = config.seed % 2**32
         self._balancer = Balancer(clock.now(), config.settings, config.seed)
         self._upstreams: Upstreams
@@ -239,6 +240,12 @@
         """How many requests have no whole answer."""
         return self._open + self._flowing
 
+    @property
+    def refusals(self) -> str:
+        """How many requests got an answer that no server gave, by reason, since the start."""
+        counts = {**self._balancer.given_up, "full": self._turned_off}
+        return " ".join(f"{why}={count}" for why, count in counts.items())
+
     @property
     def bands(self) -> set[int]:
         """The classes of the requests held."""
@@ -255,6 +262,7 @@
         """Take a request; its `call` gets one final answer. Its time runs from its last byte, which was
         read at `now`, or of which `body_read` tells."""
         if self._open >= self._max_open:
+            self._turned_off += 1
             call.refused(0.0)
             return None
         reading = call.reading
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -115,6 +115,9 @@
 FORGET_MS = 600000.0  # servers gone for longer are forgotten: sidecars run for months
 ASK_SPREAD_MS = 2500.0
 ASK_AGAIN_MS, ASK_MOST = 500.0, 0.2  # doubled up to this share of what may pass without an ask
+# Why a request is given up: the formula; the shed level beyond it; work too heavy to end in time; no server
+# that may be sent to; its key's line too long; no try left after a failure.
+REASONS = ("formula", "level", "heavy", "room", "line", "failed")
 WATCH = "watch"
 DUE = "due:"
 LATE = "late:"
@@ -244,6 +247,7 @@
     """The decisions of one sidecar: events in, actions out."""
 
     def __init__(self, now: float, settings: model.Settings, seed: int) -> None:
+        self.given_up = dict.fromkeys(REASONS, 0)  # what was answered without a server, by reason
         self._set = settings
         self._rng = random.Random(seed)
         self._throttle = Throttle()
@@ -324,7 +328,7 @@
         if self._set.warm_keys and key is not None:
             self._count_key(key)
         if self._too_heavy(now, request):
-            self._give_up(now, request)
+            self._give_up(now, request, "heavy")
         elif request.in_turn and key is not None:
             self._queue(now, request, key)
         else:
@@ -403,7 +407,7 @@
         elif token.startswith(LATE):
             request = self._requests.get(int(token[len(LATE) :]))
             if request is not None and not request.attempts:
-                self._give_up(now, request)
+                self._give_up(now, request, "line")
         elif token.startswith(TURN):
             self._advance(now, int(token[len(TURN) :]))
         elif token.startswith(CLOSE):
@@ -466,13 +470,14 @@
         if chance > 0.0 and self._rng.random() < chance:
             # What the level refuses beyond the formula tells nothing of the callee: counted as a request
             # it would close the window, which then refuses by itself, on no evidence but its own.
-            if drop >= self._shed.level(now) - SHED_IDLE:
+            formula = drop >= self._shed.level(now) - SHED_IDLE
+            if formula:
                 self._throttle.add(now, 0.0)
-            self._give_up(now, request)
+            self._give_up(now, request, "formula" if formula else "level")
             return
         drawn = self._draw(now, request)
         if not drawn:
-            self._give_up(now, request)
+            self._give_up(now, request, "room")
         else:
             self._send(now, request, min(drawn, key=lambda server: self._load(now, server)))
 
@@ -754,7 +759,7 @@
         if len(request.attempts) < request.limits.max_attempts and now < request.useful_until():
             self._try(now, request)
         else:
-            self._give_up(now, request)
+            self._give_up(now, request, "failed")
 
     def _timeout(self, now: float, request: Request) -> float:
         """How long to wait for an attempt before it is better spent elsewhere."""
@@ -779,7 +784,7 @@
         usual = self._usual()
         left = request.useful_until() - usual - now
         if left < usual * len(turn.line) and turn.line:
-            self._give_up(now, request)
+            self._give_up(now, request, "line")
             return
         turn.line.append(request)
         self._advance(now, key)
@@ -865,11 +870,12 @@
         self._open += 1
         self._out.append(model.Send(request.id, server.name, timeout))
 
-    def _give_up(self, now: float, request: Request) -> None:
+    def _give_up(self, now: float, request: Request, why: str) -> None:
         """The final answer where no attempt has served. A client whose retry would come past its
         use is told to stay away: that retry could only take a server from others."""
         if request.done or request.out:
             return
+        self.given_up[why] += 1
         limits = request.limits
         wait, most = COME_BACK * request.profile.objective, limits.max_retry_after * limits.retry_after
         wait = min(wait, most) if now + wait < request.useful_until() else most
