--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,6 +10,7 @@
 from fordtrestle import admin, inbound
 from fordtrestle.config import DOOR_CALLERS
 from fordtrestle.lifecycle import Impossible, Lifecycle, State
+from poppypulley.balancer import REASONS
 from tests.loopback import OK, PATIENCE_S, App, Upstream, loopback, running, until
 
 DOOR = {"operator": "127.0.0.1:0"}
@@ -65,6 +66,16 @@
         assert made.life.ready
 
 
+@loopback
+async def test_refusals_are_told_by_reason():
+    async with running(raw=DOOR) as made:
+        app = await App.connect(made.address)
+        assert (await app.ask()).start.split(" ")[1] in ("429", "503")  # no server is known
+        told = (await call(made, b"REFUSALS\n")).decode().split()
+        assert told[0] == "done" and "room=1" in told
+        assert [field.partition("=")[0] for field in told[1:]] == [*REASONS, "full"]
+
+
 @loopback
 async def test_half_a_line_is_no_call():
     async with running(raw=DOOR) as made:
