--- a/brassfall/lab/agreement/base.py
+++ b/brassfall/lab/agreement/base.py
@@ -33,6 +33,12 @@
         """Wall clock, Unix ms."""
         return EPOCH_MS + self.wall + true_ms * self.rate
 
+    def turn(self, true_ms: float, rate: float) -> None:
+        """Go on at another rate."""
+        self.offset += true_ms * (self.rate - rate)
+        self.wall += true_ms * (self.rate - rate)
+        self.rate = rate
+
 
 @dataclass(slots=True)
 class Net:
--- a/brassfall/lab/agreement/flaws.py
+++ b/brassfall/lab/agreement/flaws.py
@@ -351,7 +351,7 @@
     ),
     "one-promise": Flaw("a promise forgotten over the next", _sidecar(OneTold), ("burst",), (S1,)),
     "no-wait": Flaw("no wait after a restart", _service(NeverWaits), ("older copy", "cut"), (S1, S2, BACK)),
-    "no-drift": Flaw("rates of clocks left out", replace(REAL, timing=Tight()), ("cut",), (S1, S2)),
+    "no-drift": Flaw("rates of clocks left out", replace(REAL, timing=Tight()), ("drift",), (S1, S2)),
     "stale-taken": Flaw(
         "an overtaken report taken for news", replace(REAL, fleet=TakesStale), ("twin", "replay"), (S1, S2)
     ),
--- a/brassfall/lab/agreement/schedule.py
+++ b/brassfall/lab/agreement/schedule.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from brassfall.agreement.core import DRIFT
 from brassfall.lab.agreement.base import HOUR_MS, KINDS
 from brassfall.lab.agreement.service import Disk, Service
 from brassfall.lab.agreement.sidecar import Sidecar
@@ -223,6 +224,25 @@
     sidecar.judged()
 
 
+def drift(world: World) -> None:
+    """A service whose clock is as fast as may be, and sidecars with clocks as slow, cut off one by one while
+    an edition is prepared: so it waits for permissions that end as late as they can."""
+    now = world.kernel.now
+    world.services[0].clock.turn(now, 1.0 + DRIFT)
+    for sidecar in world.sidecars:
+        sidecar.clock.turn(now, 1.0 - DRIFT)
+    for number in range(4):
+        _later(world, 4000.0 * number, _cut_one, world)
+
+
+def _cut_one(world: World) -> None:
+    world.publish()
+    name = world.drawn.choice(world.sidecars).name
+    rows = {(name, number, kind) for number in (0, 1) for kind in KINDS}
+    world.kernel.net.cuts |= rows
+    _later(world, 3800.0, world.kernel.net.cuts.difference_update, rows)
+
+
 # --- the network ------------------------------------------------------------------------------------------
 
 
@@ -285,6 +305,7 @@
     "restart": (restart, (1, 2, 3)),
     "rolling": (rolling, (1,)),
     "join": (join, (1, 2)),
+    "drift": (drift, (1,)),
     "liar": (liar, (1,)),
     "cut": (cut, (1, 2, 4)),
     "rough": (rough, (1, 2)),
--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -254,15 +254,19 @@
         if not self.up:
             return False
         self._watchers[connection] = (watcher, 0.0)
-        self._send(connection, told(self.agreement.kept, self.life))
+        self._send(connection, self.state())
         return True
 
     def closed(self, connection: int) -> None:
         """The sidecar is gone."""
         self._watchers.pop(connection, None)
 
+    def state(self) -> dict[str, Any]:
+        """What is told to whoever asks now."""
+        return told(self.agreement.kept, self.life)
+
     def _tell(self) -> None:
-        raw = told(self.agreement.kept, self.life)
+        raw = self.state()
         for connection in list(self._watchers):
             self._send(connection, raw)
 
--- a/brassfall/lab/agreement/sidecar.py
+++ b/brassfall/lab/agreement/sidecar.py
@@ -188,8 +188,21 @@
             self._flight = 0
             if not counts:
                 self._report_at = (self._report_at + 1) % len(self.services)
+            elif self.holder.lacks(raw):
+                self._fetch(self.services[self._report_at])
             self._again(*REPORT_MS)
 
+    def _fetch(self, service: Service) -> None:
+        """Reports come through where the watch may not: editions come on their way, too."""
+        kernel = self.kernel
+
+        def arrives() -> None:
+            if service.up and not kernel.lost("answer", self.name, service.number):
+                kernel.after(kernel.delay(), self._do, "answer", self._news, service.state())
+
+        if not kernel.lost("report", self.name, service.number):
+            kernel.after(kernel.delay(), arrives)
+
     def _lied(self, raw: dict[str, Any], service: Service) -> dict[str, Any]:
         """Whatever may do the most harm."""
         chance, pending = self.kernel.random, 0
@@ -230,8 +243,10 @@
         self._do("watch", self._line, connection, raw)
 
     def _line(self, connection: int, raw: dict[str, Any]) -> None:
-        if connection != self._connection:
-            return
+        if connection == self._connection:
+            self._news(raw)
+
+    def _news(self, raw: dict[str, Any]) -> None:
         if raw["life"] >= self._of:
             more = raw.get("committed", raw)["edition"]
             self._known |= {raw["edition"]: raw["life"], more: raw["life"]}
