Let newcomers crowd a second service in the checker, and seed three defects of the roster

Three mends of the core had no defect that shows what they are for: newcomers enrolled by any service, a roster that shrinks with who leaves, edition 0 permitted unasked.

--- a/brassfall/lab/agreement/flaws.py
+++ b/brassfall/lab/agreement/flaws.py
@@ -13,6 +13,7 @@
 from brassfall.agreement.core import (
     Action,
     Agreement,
+    Enrol,
     Kept,
     Persist,
     Publish,
@@ -121,15 +122,27 @@
         return made
 
 
-class HaltsAlone(Agreement):
-    """Halts without the majority that a commit needs."""
+class EnrolsAnybody(Agreement):
+    """Whoever reports is on the roster from then on, whether or not this service may permit."""
 
-    def _moved(self, now: float, kept: Kept) -> Kept:
-        alone, self._alone = self._alone, lambda now: ""  # type: ignore[method-assign]
-        try:
-            return super()._moved(now, kept) if self.objections else kept
-        finally:
-            self._alone = alone  # type: ignore[method-assign]
+    def _enrol(self, now: float, name: str) -> list[Action]:
+        return [] if name in self.fleet.names else [Enrol(name)]
+
+
+class LetsGo(Agreement):
+    """A process that leaves takes its name along."""
+
+    def _reported(self, now: float, event: Reported) -> list[Action]:
+        made = super()._reported(now, event)
+        return [*made, *self._forget(event.name)] if event.report.leaving else made
+
+
+class PermitsNothing(Agreement):
+    """Permits what each one's own file says without being sure, since that was never published."""
+
+    def _count(self, now: float) -> str:
+        why = super()._count(now)
+        return "" if self.kept.committed.number == 0 and not why.startswith("2") else why
 
 
 class ForgetsObjections(Agreement):
@@ -384,6 +397,19 @@
     "safe-opens": Flaw(
         "safe rules open what is held", replace(REAL, effective=open_when_safe), ("cut",), (S1,)
     ),
+    "enrols-anybody": Flaw(
+        "newcomers of a second service make its majority",
+        _service(EnrolsAnybody),
+        ("crowd",),
+        (S1, S2),
+    ),
+    "lets-go": Flaw("who leaves shrinks the roster", _service(LetsGo), ("twin", "rolling"), (S1, S2)),
+    "permits-zero": Flaw(
+        "edition 0 permitted unasked",
+        _service(PermitsNothing),
+        ("older copy", "lost disk", "restart"),
+        (S1, S2),
+    ),
     "life-after-last": Flaw(
         "a life numbered by the last index", replace(REAL, life=life_after_last), ("twin",), (S4, S1, S2, S5)
     ),
--- a/brassfall/lab/agreement/schedule.py
+++ b/brassfall/lab/agreement/schedule.py
@@ -30,7 +30,7 @@
     the agreement does not promise to stand that (docs/agreement-defects.md)."""
     chance = world.kernel.random
     names = list(only or chance.sample(sorted(THEMES), chance.choice((1, 2, 3))))
-    if "twin" in names:
+    if "twin" in names or "crowd" in names:
         names = [name for name in names if name not in ("liar", "beside")]
     made = []
     for name in names:
@@ -134,6 +134,22 @@
     _later(world, chance.uniform(4000.0, 15_000.0), _one_stays, world)
 
 
+def crowd(world: World) -> None:
+    """A second service on a copy, seen by newcomers alone, who are more than all others."""
+    second = world.services[1]
+    if second.up:
+        return
+    second.disk = world.services[0].disk.copy()
+    second.start()
+    for sidecar in world.sidecars:
+        _cut(world, sidecar.name, 1)
+    for number in range(len(world.sidecars) + 1):
+        name = f"c{number}-{world.drawn.randrange(10**6)}"
+        _cut(world, name, 0)
+        _later(world, world.drawn.uniform(0.0, 2000.0), world.join, name)
+    _later(world, world.drawn.uniform(9000.0, 15_000.0), _one_stays, world)
+
+
 def _cut(world: World, name: str, service: int) -> None:
     world.kernel.net.cuts |= {(name, service, kind) for kind in KINDS}
 
@@ -299,6 +315,7 @@
     "older copy": (restored, (1, 2)),
     "disk": (disk, (1, 2)),
     "twin": (twin, (1,)),
+    "crowd": (crowd, (1,)),
     "wall clock": (jump, (1, 2)),
     "stop": (stop, (1, 2, 3)),
     "beside": (beside, (1, 2, 3)),
