--- a/brassfall/lab/agreement/schedule.py
+++ b/brassfall/lab/agreement/schedule.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from brassfall.agreement.core import DRIFT
 from brassfall.lab.agreement.base import HOUR_MS, KINDS
 from brassfall.lab.agreement.service import Disk, Service
 from brassfall.lab.agreement.sidecar import Sidecar
@@ -29,7 +30,7 @@
     the agreement does not promise to stand that (docs/agreement-defects.md)."""
     chance = world.kernel.random
     names = list(only or chance.sample(sorted(THEMES), chance.choice((1, 2, 3))))
-    if "twin" in names:
+    if "twin" in names or "crowd" in names:
         names = [name for name in names if name not in ("liar", "beside")]
     made = []
     for name in names:
@@ -133,6 +134,22 @@
     _later(world, chance.uniform(4000.0, 15_000.0), _one_stays, world)
 
 
+def crowd(world: World) -> None:
+    """A second service on a copy, seen by newcomers alone, who are more than all others."""
+    second = world.services[1]
+    if second.up:
+        return
+    second.disk = world.services[0].disk.copy()
+    second.start()
+    for sidecar in world.sidecars:
+        _cut(world, sidecar.name, 1)
+    for number in range(len(world.sidecars) + 1):
+        name = f"c{number}-{world.drawn.randrange(10**6)}"
+        _cut(world, name, 0)
+        _later(world, world.drawn.uniform(0.0, 2000.0), world.join, name)
+    _later(world, world.drawn.uniform(9000.0, 15_000.0), _one_stays, world)
+
+
 def _cut(world: World, name: str, service: int) -> None:
     world.kernel.net.cuts |= {(name, service, kind) for kind in KINDS}
 
@@ -223,6 +240,25 @@
     sidecar.judged()
 
 
+def drift(world: World) -> None:
+    """A service whose clock is as fast as may be, and sidecars with clocks as slow, cut off one by one while
+    an edition is prepared: so it waits for permissions that end as late as they can."""
+    now = world.kernel.now
+    world.services[0].clock.turn(now, 1.0 + DRIFT)
+    for sidecar in world.sidecars:
+        sidecar.clock.turn(now, 1.0 - DRIFT)
+    for number in range(4):
+        _later(world, 4000.0 * number, _cut_one, world)
+
+
+def _cut_one(world: World) -> None:
+    world.publish()
+    name = world.drawn.choice(world.sidecars).name
+    rows = {(name, number, kind) for number in (0, 1) for kind in KINDS}
+    world.kernel.net.cuts |= rows
+    _later(world, 3800.0, world.kernel.net.cuts.difference_update, rows)
+
+
 # --- the network ------------------------------------------------------------------------------------------
 
 
@@ -279,12 +315,14 @@
     "older copy": (restored, (1, 2)),
     "disk": (disk, (1, 2)),
     "twin": (twin, (1,)),
+    "crowd": (crowd, (1,)),
     "wall clock": (jump, (1, 2)),
     "stop": (stop, (1, 2, 3)),
     "beside": (beside, (1, 2, 3)),
     "restart": (restart, (1, 2, 3)),
     "rolling": (rolling, (1,)),
     "join": (join, (1, 2)),
+    "drift": (drift, (1,)),
     "liar": (liar, (1,)),
     "cut": (cut, (1, 2, 4)),
     "rough": (rough, (1, 2)),
