--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -261,6 +261,7 @@
     ttl_ms: int = 6000,
     work_ms: float = 5.0,
     ledger: Annotated[Path | None, typer.Option(help="Where each call is written down.")] = None,
+    advertise: Annotated[str, typer.Option(help="HOST:PORT that the list tells, of a proxy.")] = "",
 ) -> None:
     """One small real server that registers itself, until SIGTERM."""
     from brassfall.lab import transcriber
@@ -268,7 +269,7 @@
     logs.set_up()
     addresses = [_at(text, "--registry") for text in registry.split(",")]
     _at(listen, "--listen")
-    told = transcriber.run(_name(name), listen, addresses, zone, ttl_ms, work_ms, ledger)
+    told = transcriber.run(_name(name), listen, addresses, zone, ttl_ms, work_ms, ledger, advertise)
     raise typer.Exit(_run(told))
 
 
--- /dev/null
+++ b/brassfall/lab/editions/clients.py
@@ -0,0 +1,71 @@
+"""The applications of a play, one a sidecar: open loops of requests whose ids name the sidecar."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import aiohttp
+
+from brassfall.lab.editions.judge import Asked
+
+BUDGET_S = 2.0
+SLACK_S = 1.0  # past its budget a request has had its answer
+CLASSES = (("look", 0.6), ("book", 0.25), ("pay", 0.15))  # repeatable, keyed, unsafe to repeat
+
+
+def sidecar_of(call_id: str) -> int:
+    """The sidecar that a request was sent to."""
+    return int(call_id[:4], 16)
+
+
+class Client:
+    """The application of one sidecar."""
+
+    def __init__(self, number: int, address: str, rate: float, seed: int) -> None:
+        self._number = number
+        self._address = address
+        self._rate = rate
+        self._rng = random.Random(f"{seed} {number}")
+        self._count = 0
+        self.book: list[Asked] = []
+
+    async def play(self, until: float) -> None:
+        """Send until a time of the monotonic clock, and wait for the last answer."""
+        tasks: set[asyncio.Task[None]] = set()
+        limit = aiohttp.ClientTimeout(total=BUDGET_S + SLACK_S)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(timeout=limit, connector=connector) as session:
+            due = time.monotonic()
+            while (due := due + self._rng.expovariate(self._rate)) < until:
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                task = asyncio.create_task(self._ask(session))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+            await asyncio.gather(*tasks)
+
+    async def _ask(self, session: aiohttp.ClientSession) -> None:
+        self._count += 1
+        call_id = f"{self._number:04x}{self._count:012x}"
+        (name, _), *_ = self._rng.choices(CLASSES, [share for _, share in CLASSES])
+        headers = {"X-Call-Id": call_id, "X-Call-Class": name, "X-Budget": f"{BUDGET_S * 1000.0:.0f}m"}
+        if name == "book":
+            headers["Idempotency-Key"] = f"k{call_id}"
+        method = "GET" if name == "look" else "POST"
+        sent = time.monotonic()
+        how = await self._answer(session, method, f"http://{self._address}/{name}/1", headers)
+        self.book.append(Asked(call_id, self._number, sent, time.monotonic(), how))
+
+    @staticmethod
+    async def _answer(session: aiohttp.ClientSession, method: str, url: str, headers: dict[str, str]) -> str:
+        try:
+            async with session.request(method, url, headers=headers) as answer:
+                await answer.read()
+                return str(answer.status)
+        except TimeoutError:
+            return "silent"
+        except aiohttp.ClientConnectorError:
+            return "unreached"
+        except (aiohttp.ClientError, OSError):
+            return "broken"
--- /dev/null
+++ b/brassfall/lab/editions/command.py
@@ -0,0 +1,144 @@
+"""`brassfall lab run` for an experiment on editions: schedules side by side, each in a process."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shutil
+import sys
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from brassfall.lab.editions import report, spec
+from brassfall.lab.editions.play import Order, Result
+from brassfall.lab.real.troupe import ROOT
+from brassfall.settings import SettingsError, read_toml
+
+KIND = "editions"  # in an experiment file
+END_S = 15.0
+ELSEWHERE = "Name another folder in --out, or move what is there away."
+Say = Callable[[str], None]
+
+
+class Run:
+    """All schedules of one experiment."""
+
+    def __init__(self, told: spec.Experiment, file: Path, out: Path, say: Say) -> None:
+        self._told = told
+        self._file = file.resolve()
+        self._out = out.resolve()
+        self._say = say
+        self._running: set[asyncio.subprocess.Process] = set()
+        self.results: list[Result] = []
+        self.failed: dict[int, str] = {}
+
+    async def go(self) -> None:
+        """Play those that were not played yet."""
+        room = asyncio.Semaphore(self._told.side_by_side)
+        first = self._told.first_seed
+        try:
+            async with asyncio.TaskGroup() as group:
+                for seed in range(first, first + self._told.schedules):
+                    group.create_task(self._one(seed, room))
+        finally:
+            await self._end()
+
+    async def _one(self, seed: int, room: asyncio.Semaphore) -> None:
+        folder = self._out / "plays" / f"{seed}"
+        path = folder / "result.json"
+        if path.exists():
+            self.results.append(load(path))
+            return
+        async with room:
+            shutil.rmtree(folder, ignore_errors=True)
+            folder.mkdir(parents=True)
+            status, said = await self._play(Order(str(self._file), seed, str(folder)))
+        if status == 0 and path.exists():
+            self.results.append(load(path))
+            self._tell(self.results[-1])
+        else:
+            self.failed[seed] = said.splitlines()[-1] if said else f"ended with status {status}"
+            self._say(f"seed {seed} was not played: {self.failed[seed]}")
+
+    def _tell(self, result: Result) -> None:
+        verdict, done = result.verdict, len(self.results) + len(self.failed)
+        broken = ", ".join(f"{rule} {times}" for rule, times in verdict.broken.items())
+        broken = ", ".join(filter(None, (broken, *result.crashes))) or "all rules held"
+        self._say(
+            f"{done} of {self._told.schedules}: seed {result.seed}: {broken};"
+            f" two editions side by side for {verdict.contradiction_ms:.0f} ms at most"
+            + ("" if verdict.counts else "; does not count, the observer was late")
+        )
+
+    async def _play(self, order: Order) -> tuple[int, str]:
+        log = Path(order.folder) / "errors.txt"
+        with open(log, "wb") as errors:
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "brassfall.lab.editions.play"),
+                cwd=ROOT,
+                env=dict(os.environ),
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=errors,
+                start_new_session=True,  # a Ctrl-C comes to it from here, and only once
+            )
+        self._running.add(process)
+        assert process.stdin is not None
+        process.stdin.write(msgspec.json.encode(order) + b"\n")
+        status = await process.wait()
+        self._running.discard(process)
+        return status, log.read_text(errors="replace").strip()
+
+    async def _end(self) -> None:
+        """End what still runs: each ends its own processes first."""
+        for process in self._running:
+            if process.returncode is None:
+                process.terminate()
+        for process in list(self._running):
+            try:
+                async with asyncio.timeout(END_S):
+                    await process.wait()
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+
+
+def load(path: Path) -> Result:
+    """A result that was written down; `SettingsError` if it is none."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Result)
+    except (msgspec.MsgspecError, ValueError) as error:
+        action = "Take that file away, and run the experiment again: it plays what is missing."
+        raise SettingsError(str(path), str(error), action) from error
+
+
+def _lay_out(file: Path, out: Path) -> None:
+    """The folder of the results, with the experiment in it."""
+    kept = out / "experiment.toml"
+    text = file.read_text(encoding="utf-8")
+    if kept.exists() and read_toml(kept) != tomllib.loads(text):
+        raise SettingsError(str(out), "holds another experiment, or one that was changed since", ELSEWHERE)
+    if out.exists() and not kept.exists() and (not out.is_dir() or any(out.iterdir())):
+        raise SettingsError(str(out), "is not an empty folder, and holds no experiment", ELSEWHERE)
+    try:
+        out.mkdir(parents=True, exist_ok=True)
+        kept.write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(str(out), error.strerror or str(error), ELSEWHERE) from error
+
+
+async def run(file: Path, out: Path, say: Say) -> int:
+    """Run an experiment; 0 if every schedule was played and every rule held."""
+    told = spec.load(file)
+    _lay_out(file, out)
+    made = Run(told, file, out, say)
+    try:
+        await made.go()
+    finally:
+        report.write(told, made.results, made.failed, out)
+    say(f"report in {out / 'report.md'}")
+    good = not made.failed and all(result.passed or not result.verdict.counts for result in made.results)
+    return 0 if good else 1
--- /dev/null
+++ b/brassfall/lab/editions/judge.py
@@ -0,0 +1,218 @@
+"""Judges a play from servers' ledgers and clients' books alone: pure, and nobody's own word is taken.
+
+All times are seconds of the machine's one monotonic clock. What the observer can't tell is an
+*allowance*: the way from a sidecar to a server, and how late the observing processes ran.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+
+import msgspec
+
+SAFE = "safe"
+DOUBTFUL_S = 0.5  # an observer that ran later than this can accuse nobody
+TEXTS_MOST = 5  # of each rule; the rest is counted
+
+
+class Call(msgspec.Struct, frozen=True):
+    """One request as a server saw it."""
+
+    id: str
+    sidecar: int
+    server: str
+    zone: str
+    edition: int | str | None  # None: it bore no stamp
+    at: float
+    unsafe: bool = False
+    key: str = ""
+    ran: bool = True
+
+
+class Asked(msgspec.Struct, frozen=True):
+    """One request as its client saw it."""
+
+    id: str
+    sidecar: int
+    sent: float
+    end: float
+    how: str  # a status, "unreached", "broken" or "silent"
+
+
+class Away(msgspec.Struct, frozen=True):
+    """When a sidecar was stopped, or not there, by the play's own doing."""
+
+    sidecar: int
+    since: float
+    until: float
+
+
+class Terms(msgspec.Struct, frozen=True):
+    """What is judged against."""
+
+    agree_s: float
+    key_s: float  # how long a key keeps a repeat from being run again
+    held: Mapping[int, Sequence[str]]  # regions that each edition holds off
+    exclusive: bool = True  # whether this program acts on held regions
+    link_s: float = 0.0  # the longest way from a sidecar to a server
+    late_s: float = 0.0  # the most that the observer was late
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """A rule that did not hold."""
+
+    rule: str
+    text: str
+
+
+class Verdict(msgspec.Struct):
+    """What came of a play."""
+
+    findings: list[Finding] = []
+    broken: dict[str, int] = {}  # how often each rule was
+    counts: bool = True  # whether the observer was on time
+    contradiction_ms: float = (
+        0.0  # the longest, raw: from the first under the newer to the last under the older
+    )
+    held_ms: float = 0.0  # the latest send to a region, after another edition that holds it was acted on
+    sends: int = 0
+    safe: int = 0
+    safe_into_held: int = 0  # under safe rules, by sidecars that may not know of that edition
+    editions: int = 0
+    asked: int = 0
+    answers: dict[str, int] = {}
+    unknown: int = 0  # editions whose content the play never heard
+
+
+class _Book:
+    def __init__(self) -> None:
+        self.findings: list[Finding] = []
+        self.broken: Counter[str] = Counter()
+
+    def add(self, rule: str, text: str) -> None:
+        self.broken[rule] += 1
+        if self.broken[rule] <= TEXTS_MOST:
+            self.findings.append(Finding(rule, text))
+
+
+class _Life:
+    """One edition, by the requests under it."""
+
+    def __init__(self, calls: list[Call]) -> None:
+        self.calls = calls
+        self.first = calls[0]
+        self.last = calls[-1]
+
+
+def judge(calls: Iterable[Call], asked: Sequence[Asked], away: Sequence[Away], terms: Terms) -> Verdict:
+    """All rules, over one play."""
+    rows = sorted(calls, key=lambda call: call.at)
+    book, made = _Book(), Verdict(counts=terms.late_s <= DOUBTFUL_S)
+    under: dict[int, list[Call]] = defaultdict(list)
+    for call in rows:
+        if isinstance(call.edition, int):
+            under[call.edition].append(call)
+        elif call.edition != SAFE:
+            book.add("no-stamp", f"{call.id} reached {call.server} with the stamp {call.edition!r}")
+    lives = dict(sorted(((n, _Life(found)) for n, found in under.items()), key=lambda row: row[1].first.at))
+    made.sends, made.editions = len(rows), len(lives)
+    made.safe = sum(call.edition == SAFE for call in rows)
+    made.unknown = sum(number != 0 and number not in terms.held for number in lives)
+    made.contradiction_ms = _contradictions(lives, terms, book)
+    made.held_ms, made.safe_into_held = _held(rows, lives, terms, book)
+    _twice(rows, terms, book)
+    made.asked = len(asked)
+    made.answers = dict(sorted(Counter(row.how for row in asked).items()))
+    _lost(asked, away, terms, book)
+    made.findings, made.broken = book.findings, dict(book.broken)
+    return made
+
+
+def _contradictions(lives: Mapping[int, _Life], terms: Terms, book: _Book) -> float:
+    """The longest span in ms for which two editions were acted on side by side."""
+    worst, allowed = 0.0, terms.agree_s + terms.link_s + terms.late_s
+    ordered = list(lives.items())
+    for place, (older, before) in enumerate(ordered):
+        for newer, after in ordered[place + 1 :]:
+            span = before.last.at - after.first.at
+            if span <= 0.0:
+                break  # those that follow began later still
+            if len({c.sidecar for c in before.calls if c.at >= after.first.at} | {after.first.sidecar}) < 2:
+                continue
+            worst = max(worst, span)
+            if span > allowed:
+                last = before.last
+                book.add(
+                    "contradiction",
+                    f"sidecar {last.sidecar} acted on {older} {span * 1000.0:.0f} ms after sidecar"
+                    f" {after.first.sidecar} acted on {newer}",
+                )
+    return worst * 1000.0
+
+
+def _held(rows: Sequence[Call], lives: Mapping[int, _Life], terms: Terms, book: _Book) -> tuple[float, int]:
+    """How late in ms a region was sent to that another edition held; and how often under safe rules."""
+    worst, safe = 0.0, 0
+    allowed = terms.link_s + terms.late_s
+    for call in rows:
+        if isinstance(call.edition, int) and call.zone in terms.held.get(call.edition, ()):
+            if terms.exclusive:
+                text = f"{call.id} reached {call.zone} under {call.edition}, which holds it off"
+                book.add("held-by-own", text)
+            continue
+        found = _holder(call, lives, terms)
+        if found is None:
+            continue
+        if call.edition == SAFE:
+            safe += 1
+            continue
+        span = call.at - lives[found].first.at
+        worst = max(worst, span)
+        if span > allowed and terms.exclusive:
+            text = f"{call.id} reached {call.zone} under {call.edition}, {span * 1000.0:.0f} ms after {found}"
+            book.add("held-by-newer", f"{text}, which holds it off, was acted on")
+    return worst * 1000.0, safe
+
+
+def _holder(call: Call, lives: Mapping[int, _Life], terms: Terms) -> int | None:
+    """The edition newer than a send's own that others act on, and that holds its region off."""
+    begun = lives[call.edition].first.at if isinstance(call.edition, int) and call.edition in lives else None
+    found = None
+    for number, life in lives.items():
+        if life.first.at >= call.at:
+            break
+        if call.zone not in terms.held.get(number, ()):
+            found = None  # a later one opens it again, or says nothing of it
+        elif found is None and number != call.edition and (begun is None or life.first.at > begun):
+            found = number if life.first.sidecar != call.sidecar else None
+    return found
+
+
+def _twice(rows: Sequence[Call], terms: Terms, book: _Book) -> None:
+    """Requests that ran more often than their class allows."""
+    ids: dict[str, list[Call]] = defaultdict(list)
+    keys: dict[str, list[Call]] = defaultdict(list)
+    for call in rows:
+        if call.ran and call.unsafe:
+            ids[call.id].append(call)
+        if call.ran and call.key:
+            keys[call.key].append(call)
+    for name, found in ids.items():
+        if len(found) > 1:
+            book.add("run-twice", f"{name} ran on {', '.join(call.server for call in found)}")
+    for key, found in keys.items():
+        span = found[-1].at - found[0].at
+        if span > terms.key_s + terms.link_s + terms.late_s:
+            book.add("key-outlived", f"key {key} ran again after {span * 1000.0:.0f} ms")
+
+
+def _lost(asked: Sequence[Asked], away: Sequence[Away], terms: Terms, book: _Book) -> None:
+    """Requests without an end, at sidecars that were there all the time."""
+    spans: dict[int, list[Away]] = defaultdict(list)
+    for span in away:
+        spans[span.sidecar].append(span)
+    for row in asked:
+        excused = any(s.since <= row.end and row.sent <= s.until for s in spans[row.sidecar])
+        if row.how in ("silent", "broken", "unreached") and not excused:
+            book.add("lost", f"{row.id} to sidecar {row.sidecar}: {row.how} after {row.end - row.sent:.2f} s")
--- /dev/null
+++ b/brassfall/lab/editions/publisher.py
@@ -0,0 +1,111 @@
+"""Operators of a play: they publish, and an observer of the service keeps what each edition says.
+
+The content of an edition is taken from whoever published it, or, where that answer was lost, from the
+service; who acted on it when is never asked here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from typing import Any
+
+import aiohttp
+
+from brassfall.lab.editions.spec import Step
+
+PUT_S = 2.0
+POLL_S = 0.1
+STRANGE = "never-listed"  # a class that no file has
+RARE = "rare"  # a class that all files but one have
+
+
+class Publisher:
+    """All publishers, and the observer."""
+
+    def __init__(self, regions: list[str]) -> None:
+        self._regions = regions
+        self._marks = itertools.count(1)
+        self._held: list[str] = []
+        self.held: dict[int, tuple[str, ...]] = {}  # regions held, by edition
+        self.outcomes: dict[str, int] = {}  # of publishing
+        self.states: dict[int, str] = {}  # of editions, as told last
+        self._newest = 0
+        self._session: aiohttp.ClientSession
+
+    async def open(self) -> None:
+        """Begin."""
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=PUT_S))
+
+    async def close(self) -> None:
+        """End."""
+        await self._session.close()
+
+    @property
+    def preparing(self) -> bool:
+        """Whether an edition was published that is not decided, as far as is known here."""
+        return self.states.get(self._newest) == "prepared"
+
+    async def publish(self, service: str, step: Step) -> None:
+        """Carry out one step of the schedule."""
+        held = [self._regions[int(step.by)]] if step.by >= 0.0 else []
+        match step.do:
+            case "hold":
+                self._held = held
+                await self._put(service)
+            case "free":
+                await self._put(service)
+            case "objected":
+                await self._put(service, RARE)
+                await self._put(service)
+            case "two":
+                other = [self._regions[(int(step.by) + 1) % len(self._regions)]]
+                self._held = held
+                await asyncio.gather(self._put(service), self._put(service, held=other))
+            case "ten":
+                for number in range(10):
+                    self._held = [self._regions[number % len(self._regions)]] if number % 2 else []
+                    await self._put(service)
+                    await asyncio.sleep(0.08)
+
+    async def _put(self, service: str, name: str = "look", held: list[str] | None = None) -> None:
+        mark = next(self._marks)
+        held = self._held if held is None else held
+        row = {"Name": name, "Objective": 500.0 + mark % 400}
+        settings: dict[str, Any] = {"regions": {"held": held}, "Profiles": [row]}
+        headers = {"X-Request-Id": f"play-{mark}"}
+        outcome = "unanswered"
+        try:
+            async with self._session.put(f"http://{service}/rules", json=settings, headers=headers) as answer:
+                told = await answer.json(content_type=None)
+                outcome = str(answer.status)
+                if answer.status == 200:
+                    self._note(int(told["edition"]), settings, "prepared")
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            pass
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
+    def _note(self, number: int, settings: dict[str, Any], state: str) -> None:
+        self.held.setdefault(number, tuple(settings.get("regions", {}).get("held", ())))
+        if self.states.get(number) not in ("committed", "halted"):
+            self.states[number] = state
+        self._newest = max(self._newest, number)
+
+    async def observe(self, service: str) -> None:
+        """Ask a service for its state, again and again, until cancelled."""
+        while True:
+            try:
+                async with self._session.get(f"http://{service}/rules") as answer:
+                    told = await answer.json(content_type=None)
+                    for row in (told, told.get("committed")):
+                        if isinstance(row, dict) and "edition" in row:
+                            self._note(row["edition"], row.get("settings", {}), row.get("state", "committed"))
+            except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+                pass
+            await asyncio.sleep(POLL_S)
+
+
+def now() -> float:
+    """Seconds of the clock that all processes of the machine share."""
+    return time.monotonic()
--- /dev/null
+++ b/brassfall/lab/editions/report.py
@@ -0,0 +1,101 @@
+"""What an experiment on editions found, as lines of JSON and a page."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+
+from brassfall.lab.editions.play import Result
+from brassfall.lab.editions.spec import Experiment
+
+
+def write(told: Experiment, results: list[Result], failed: dict[int, str], out: Path) -> None:
+    """`schedules.jsonl` and `report.md`."""
+    lines = [msgspec.json.encode(result) for result in sorted(results, key=lambda row: row.seed)]
+    (out / "schedules.jsonl").write_bytes(b"".join(line + b"\n" for line in lines))
+    (out / "report.md").write_text(page(told, results, failed), encoding="utf-8")
+
+
+def page(told: Experiment, results: list[Result], failed: dict[int, str]) -> str:
+    """The page."""
+    counted = [result for result in results if result.verdict.counts]
+    parts = [
+        "# Editions among real processes\n",
+        f"{len(results)} schedules of {told.seconds:g} s, each with {told.sidecars} sidecars, one list"
+        f" service and {told.servers} servers in {len(told.regions)} regions;"
+        f" {len(results) - len(counted)} do not count, since the observer was late.\n",
+        _bounds(told, counted),
+        _faults(counted),
+        _findings(results),
+    ]
+    parts += [f"- seed {seed} was not played: {why}" for seed, why in sorted(failed.items())]
+    return "\n".join(parts) + "\n"
+
+
+def _bounds(told: Experiment, results: list[Result]) -> str:
+    verdicts = [result.verdict for result in results]
+    answers: Counter[str] = Counter()
+    for verdict in verdicts:
+        answers.update(verdict.answers)
+    broken: Counter[str] = Counter()
+    for verdict in verdicts:
+        broken.update(verdict.broken)
+    worst = max((verdict.contradiction_ms for verdict in verdicts), default=0.0)
+    held = max((verdict.held_ms for verdict in verdicts), default=0.0)
+    sends, safe = sum(v.sends for v in verdicts), sum(v.safe for v in verdicts)
+    late = max((result.late_ms for result in results), default=0.0)
+    rows = [
+        ("two editions acted on side by side, longest", f"{worst:.0f} ms", f"{told.agree_ms:.0f} ms"),
+        (
+            "a send to a region after others acted on an edition that holds it, latest",
+            f"{held:.0f} ms",
+            "0 ms, and the way" if told.exclusive else "not judged",
+        ),
+        ("sends under an edition that holds their region", str(broken["held-by-own"]), "0"),
+        ("unsafe requests run twice", str(broken["run-twice"]), "0"),
+        ("keyed requests run again past their key", str(broken["key-outlived"]), "0"),
+        ("requests lost", str(broken["lost"]), "0"),
+        ("sends without a stamp", str(broken["no-stamp"]), "0"),
+        ("sends in all", str(sends), ""),
+        ("of them under safe rules", f"{safe / max(1, sends):.1%}", ""),
+        (
+            "safe sends into a region that others hold",
+            str(sum(v.safe_into_held for v in verdicts)),
+            "not judged",
+        ),
+        ("editions acted on", str(sum(v.editions for v in verdicts)), ""),
+        ("of them with content never heard", str(sum(v.unknown for v in verdicts)), ""),
+        ("requests asked", str(sum(v.asked for v in verdicts)), ""),
+        ("their ends", ", ".join(f"{how} {count}" for how, count in sorted(answers.items())), ""),
+        ("the observer was late by at most", f"{late:.0f} ms", ""),
+    ]
+    lines = ["| | seen | bound |", "| --- | --- | --- |", *(f"| {a} | {b} | {c} |" for a, b, c in rows)]
+    return "\n".join(lines) + "\n"
+
+
+def _faults(results: list[Result]) -> str:
+    times: Counter[str] = Counter()
+    met: Counter[str] = Counter()
+    spans: dict[str, float] = {}
+    for result in results:
+        for event in result.events:
+            times[event.do] += 1
+            met[event.do] += event.prepared
+            spans[event.do] = max(spans.get(event.do, 0.0), result.verdict.contradiction_ms)
+    lines = [
+        "| fault | times | began while an edition was prepared | longest span in its schedules |",
+        "| --- | --- | --- | --- |",
+        *(f"| {do} | {times[do]} | {met[do]} | {spans[do]:.0f} ms |" for do in sorted(times)),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _findings(results: list[Result]) -> str:
+    lines = []
+    for result in sorted(results, key=lambda row: row.seed):
+        does = "" if result.verdict.counts else " (does not count)"
+        lines += [f"- seed {result.seed}{does}: {f.rule}: {f.text}" for f in result.verdict.findings]
+        lines += [f"- seed {result.seed}: {crash}" for crash in result.crashes]
+    return "\n".join(["## Findings\n", *(lines or ["None."])]) + "\n"
--- /dev/null
+++ b/brassfall/lab/editions/schedule.py
@@ -0,0 +1,74 @@
+"""What is published and what breaks, when: drawn by seed. Pure."""
+
+from __future__ import annotations
+
+import random
+from typing import get_args
+
+from brassfall.lab.editions.spec import Experiment, Fault, Publish, Step
+
+SETTLED_S = 8.5  # a service that starts permits nothing for 5.5 s; then the first edition takes effect
+REST_S = 3.5  # at the end nothing new breaks
+EVERY_S = (0.6, 2.4)  # between publishes
+MEETS_S = 0.8  # a fault begins at most so long after an edition was published
+PUBLISHES: tuple[Publish, ...] = ("hold", "hold", "hold", "free", "free", "objected", "two", "ten")
+
+
+def draw(told: Experiment, seed: int) -> list[Step]:
+    """The steps of one schedule, in order of time."""
+    if told.steps:
+        return sorted(told.steps, key=lambda step: step.at)
+    rng = random.Random(seed * 1_000_003 + 17)
+    steps = _publishes(told, rng)
+    kinds = list(get_args(Fault))
+    rng.shuffle(kinds)
+    room = told.seconds - SETTLED_S - REST_S
+    for number in range(told.faults):
+        at = SETTLED_S + room * (number + rng.random()) / told.faults
+        fault = _fault(told, rng, kinds[number % len(kinds)], at)
+        steps.append(fault)
+        if at > SETTLED_S + MEETS_S:
+            steps.append(_hold(told, rng, at - rng.uniform(0.01, MEETS_S)))
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _hold(told: Experiment, rng: random.Random, at: float) -> Step:
+    """One region held off, or none."""
+    return Step(at=at, do="hold", by=float(rng.randrange(-1, len(told.regions))))
+
+
+def _publishes(told: Experiment, rng: random.Random) -> list[Step]:
+    steps, at = [], 0.2
+    while at < told.seconds - REST_S / 2.0:
+        kind: Publish = rng.choice(PUBLISHES) if at > SETTLED_S else "hold"
+        by = float(rng.randrange(-1, len(told.regions)))
+        steps.append(Step(at=at, do=kind, by=by))
+        at += rng.uniform(*EVERY_S) + (2.0 if at < SETTLED_S else 0.0)
+    return steps
+
+
+def _fault(told: Experiment, rng: random.Random, kind: Fault, at: float) -> Step:
+    left = told.seconds - at - 1.0
+    who = sorted(rng.sample(range(told.sidecars), rng.randint(1, max(1, told.sidecars // 2))))
+    match kind:
+        case "kills":
+            return Step(at=at, do=kind, lasts=0.25, by=float(rng.randint(2, 4)))
+        case "kill" | "lost-disk" | "old-copy":
+            return Step(at=at, do=kind, lasts=rng.choice((0.0, 0.0, rng.uniform(0.2, 4.0))))
+        case "second":
+            half = sorted(rng.sample(range(told.sidecars), told.sidecars // 2))
+            return Step(at=at, do=kind, who=half, lasts=min(left, rng.uniform(4.0, 12.0)))
+        case "stop":
+            return Step(at=at, do=kind, who=who, lasts=min(left, rng.uniform(2.0, 10.0)))
+        case "crash":
+            return Step(at=at, do=kind, who=who, lasts=rng.uniform(0.0, 2.0))
+        case "roll":
+            return Step(at=at, do=kind, who=list(range(told.sidecars)))
+        case "slow-service":
+            return Step(at=at, do=kind, lasts=min(left, rng.uniform(3.0, 9.0)), by=rng.uniform(0.4, 4.0))
+        case "slow-links":
+            lasts = min(left, rng.uniform(3.0, 9.0))
+            return Step(at=at, do=kind, who=[rng.randrange(len(told.regions))], lasts=lasts, by=0.15)
+    if rng.random() < 0.3:
+        who = list(range(told.sidecars))
+    return Step(at=at, do=kind, who=who, lasts=min(left, rng.uniform(2.0, 9.0)))
--- /dev/null
+++ b/brassfall/lab/editions/spec.py
@@ -0,0 +1,79 @@
+"""What an experiment on editions is made of: TOML to typed values."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+
+from brassfall.settings import SettingsError, read_toml
+
+Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Few = Annotated[int, msgspec.Meta(ge=2, le=64)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=3600.0)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+
+Publish = Literal["hold", "free", "objected", "two", "ten"]
+Fault = Literal[
+    "kill",  # of the service
+    "kills",  # several in a row
+    "lost-disk",
+    "old-copy",  # of the disk
+    "second",  # a second service on a copy, and half of the sidecars there
+    "stop",  # of sidecars, SIGSTOP
+    "crash",  # of sidecars, SIGKILL, and new processes
+    "roll",  # SIGTERM to all, one after the other
+    "cut-reports",  # on their way to the service
+    "cut-answers",  # to reports
+    "cut-editions",  # reports pass, the watch does not
+    "cut-lists",
+    "slow-service",  # too slow to be of use
+    "slow-links",  # to the servers of one region
+]
+
+
+class Step(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Something that is done at a time of the play."""
+
+    at: Seconds
+    do: Publish | Fault
+    who: list[int] = []  # sidecars
+    lasts: Seconds = 0.0
+    by: float = 0.0  # a figure that the step needs: a delay in s, a place among regions
+
+
+class Experiment(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The file. Spans in seconds where no unit is named."""
+
+    kind: Literal["editions"]
+    mode: Literal["real"] = "real"
+    schedules: Count = 1
+    first_seed: int = 1
+    side_by_side: Count = 3
+    seconds: Annotated[float, msgspec.Meta(ge=12.0, le=3600.0)] = 32.0
+    sidecars: Few = 8
+    servers: Few = 6
+    regions: Annotated[list[Name], msgspec.Meta(min_length=2)] = msgspec.field(
+        default_factory=lambda: ["a", "b", "c"]
+    )
+    delay_ms: list[float] = msgspec.field(default_factory=lambda: [2.0, 8.0, 20.0])  # one way, by region
+    rate: Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)] = 12.0  # requests a second to each sidecar
+    agree_ms: Annotated[float, msgspec.Meta(ge=1000.0, le=60_000.0)] = 3000.0
+    faults: Annotated[int, msgspec.Meta(ge=0, le=100)] = 4
+    exclusive: bool = True  # judge held regions
+    steps: list[Step] = []  # in place of what would be drawn
+
+
+def load(path: Path) -> Experiment:
+    """Read a file; `SettingsError` says what is wrong with it."""
+    try:
+        told = msgspec.convert(read_toml(path), Experiment)
+    except msgspec.ValidationError as error:
+        raise SettingsError(str(path), str(error)) from error
+    if len(told.delay_ms) != len(told.regions):
+        raise SettingsError(f"{path}: delay_ms", f"{len(told.regions)} figures are wanted, one a region")
+    wrong = [step for step in told.steps if any(not 0 <= n < told.sidecars for n in step.who)]
+    if wrong:
+        raise SettingsError(f"{path}: steps", f"{wrong[0].do} at {wrong[0].at:g} s names no sidecar")
+    return told
--- a/brassfall/lab/transcriber.py
+++ b/brassfall/lab/transcriber.py
@@ -37,6 +37,7 @@
 
     name: str
     work_ms: float
+    zone: str = ""
     ledger: IO[bytes] | None = None
     in_work: int = 0
     leaving_at: float | None = None
@@ -75,6 +76,8 @@
             return
         row: dict[str, Any] = {
             "server": self.name,
+            "zone": self.zone,
+            "edition": request.headers.get("X-Edition"),
             "id": call_id,
             "class": request.path.split("/")[1],
             "key": request.headers.get("Idempotency-Key"),
@@ -93,13 +96,16 @@
     ttl_ms: int,
     work_ms: float,
     ledger: Path | None,
+    advertise: str = "",
 ) -> int:
-    """Serve until SIGTERM, then drain; the exit status."""
+    """Serve until SIGTERM, then drain; the exit status.
+
+    `advertise` is what the list tells in place of the own address: a proxy that stands before it."""
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     with open(ledger, "ab", buffering=0) if ledger is not None else open("/dev/null", "wb") as book:
-        server = Transcriber(name, work_ms, book if ledger is not None else None)
+        server = Transcriber(name, work_ms, zone, book if ledger is not None else None)
         app = web.Application()
         app.router.add_route("*", "/{rest:.*}", server.serve)
         runner = web.AppRunner(app, access_log=None, keepalive_timeout=15.0)
@@ -113,7 +119,7 @@
         host, port = runner.addresses[0][:2]
         entry = {
             "name": name,
-            "address": f"{host}:{port}",
+            "address": advertise or f"{host}:{port}",
             "zone": zone,
             "type": "",
             "group": 0,
