Try editions, overrides and geo of the list service as a process

The shells of /rules, /edges, /overrides and /geo had tests of their cores only: nothing held the wire, the disk and the order of events together.

--- /dev/null
+++ b/tests/test_rules_service.py
@@ -0,0 +1,331 @@
+"""The list service's editions, overrides and geo as a process: publishers, reports, watches, kills."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import json
+import signal
+import time
+
+import aiohttp
+import pytest
+
+from brassfall.registry import client
+from fordtrestle.fleet.delays import Delays
+from tests.loopback import bounded, until
+from tests.processes import Service
+from tests.test_registry_service import ENTRY, call
+
+SOON = {"agreement": {"agree_ms": 200}, "limits": {"caller_calls_per_s": 0}}
+UNREAD = (b"{", b"[1", b'{"seq":NaN}', b'{"seq":1e999}', b"\xff", b"[" * 50_000, b'"text"', b"null")
+
+
+def running(**changes):
+    """A test of a service with short permissions, which is killed at the end."""
+
+    def wrap(test):
+        @bounded(60.0)
+        async def run(tmp_path):
+            async with Service(tmp_path, **{**SOON, **changes}) as service:
+                await service.start()
+                async with aiohttp.ClientSession() as session:
+                    await test(service, functools.partial(call, session, service))
+
+        run.__name__ = test.__name__
+        return run
+
+    return wrap
+
+
+class Node:
+    """A sidecar by its reports; it objects to caps of a class `b`, and takes no editions while `deaf`."""
+
+    def __init__(self, ask, name, **more):
+        self.ask, self.name, self.more = ask, name, more
+        self.seq = self.of = self.held = self.prepared = 0
+        self.deaf, self.told, self.objection = False, {}, None
+
+    def body(self):
+        made = {"life": "p", "seq": self.seq, "of": self.of, "held": self.held, "prepared": self.prepared}
+        made["acting"] = self.told["edition"] if self.told.get("permission_ms") else "safe"
+        return made | ({"objection": self.objection} if self.objection else {}) | self.more
+
+    async def report(self):
+        self.seq += 1
+        status, self.told, _ = await self.ask("POST", f"/edges/{self.name}", self.body())
+        assert status == 200, self.told
+        self.of = self.told["life"]
+        if self.told["news"] and not self.deaf:
+            _, rules, _ = await self.ask("GET", "/rules")
+            self.held = rules["edition"]
+            if "b" in rules["settings"].get("caps", {}):
+                self.objection = {"edition": self.held, "reason": "no class 'b' is known here"}
+            elif rules["state"] == "prepared":
+                self.prepared = self.held
+        return self.told
+
+    async def go(self):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                await self.report()
+            await asyncio.sleep(0.02)
+
+    @contextlib.asynccontextmanager
+    async def reporting(self):
+        """Report all the time, and have a permission."""
+        task = asyncio.create_task(self.go())
+        try:
+            await until(lambda: self.told.get("permission_ms") or task.done())
+            yield self
+        finally:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+
+async def decided(ask, edition):
+    """What became of an edition."""
+    async with asyncio.timeout(15.0):
+        while True:
+            _, told, _ = await ask("GET", f"/rules?edition={edition}")
+            if told["state"] != "prepared":
+                return told
+            await asyncio.sleep(0.02)
+
+
+async def lines(service, kept):
+    with contextlib.suppress(client.CallError):
+        async for line in client.watch(service.listen, "/rules"):
+            kept.extend([json.loads(line)] if line else [])
+
+
+@bounded(60.0)
+async def test_an_edition_is_durable_when_answered_and_goes_on_after_a_kill(tmp_path):
+    # Nothing is committed within a permission's length of the start: the kill falls between the two.
+    async with Service(tmp_path, **SOON | {"agreement": {"agree_ms": 30_000}}) as service:
+        await service.start()
+        async with aiohttp.ClientSession() as session:
+            ask = functools.partial(call, session, service)
+            await Node(ask, "n0").report()
+            status, told, _ = await ask("PUT", "/rules", {"caps": {"look": 7}}, X_Request_Id="a")
+            number = told["edition"]
+            assert (status, (await ask("GET", "/rules"))[1]["state"]) == (200, "prepared")
+        await service.end(signal.SIGKILL)
+        service.write(**SOON)
+        await service.start()
+        async with aiohttp.ClientSession() as session:
+            ask = functools.partial(call, session, service)
+            _, edges, _ = await ask("GET", "/edges")
+            assert [(row["name"], row["age_ms"]) for row in edges["edges"]] == [("n0", None)]
+            assert "has not reported" in edges["edges"][0]["behind"]
+            # The roster is of this disk: without n0's word nothing is decided, however long it waits.
+            await asyncio.sleep(0.8)
+            assert (await ask("GET", "/rules"))[1]["state"] == "prepared"
+            assert "only 0 of 1" in (await ask("GET", "/edges"))[1]["permits"]
+            async with Node(ask, "n0").reporting():
+                found = await decided(ask, number)
+                assert (found["state"], found["settings"]) == ("committed", {"caps": {"look": 7}})
+                assert (await ask("PUT", "/rules", {}, X_Request_Id="a"))[1] == {"edition": number}
+
+
+@running()
+async def test_publishers_at_once_and_ten_in_a_second(service, ask):
+    async with Node(ask, "n0").reporting() as node:
+        first = (await ask("PUT", "/rules", {"caps": {"a": 1}}, If_Match="0"))[1]["edition"]
+        status, told, _ = await ask("PUT", "/rules", {}, If_Match="0")
+        assert (status, str(first) in told["reason"]) == (412, True)
+        await decided(ask, first)
+        node.deaf = True  # so that nine come while one is prepared
+        answers = [
+            await ask("PUT", "/rules", {"caps": {"a": n}}, If_Match=str(first + n - 1)) for n in range(1, 11)
+        ]
+        numbers = [told["edition"] for _, told, _ in answers]
+        assert numbers == list(range(first + 1, first + 11))
+        node.deaf = False
+        assert (await decided(ask, numbers[-1]))["settings"] == {"caps": {"a": 10}}
+        for number in numbers[1:-1]:
+            found = await decided(ask, number)
+            assert (found["state"], found["objections"][0]["reason"]) == (
+                "halted",
+                f"superseded by edition {number + 1}",
+            )
+
+
+@running()
+async def test_a_watch_tells_prepared_committed_and_who_halted(service, ask):
+    kept = []
+    watch = asyncio.create_task(lines(service, kept))
+    async with Node(ask, "n0").reporting():
+        good = (await ask("PUT", "/rules", {"caps": {"a": 1}}))[1]["edition"]
+        await decided(ask, good)
+        bad = (await ask("PUT", "/rules", {"caps": {"b": 1}}))[1]["edition"]
+        found = await decided(ask, bad)
+        await until(lambda: kept and kept[-1]["state"] == "halted")
+        row = {}
+        while row.get("acting") != good:  # without a permission now and then, where this machine is slow
+            row = (await ask("GET", "/edges"))[1]["edges"][0]
+    watch.cancel()
+    why = "no class 'b' is known here"
+    assert found["objections"] == [{"edge": "n0", "reason": why}]
+    states = [(line["edition"], line["state"]) for line in kept]
+    assert states == [
+        (0, "committed"),
+        (good, "prepared"),
+        (good, "committed"),
+        (bad, "prepared"),
+        (bad, "halted"),
+    ]
+    assert kept[-1]["objections"] == found["objections"]
+    assert kept[-1]["committed"]["settings"] == {"caps": {"a": 1}}  # beside it, what is in force
+    assert (row["held"], row["prepared"], row["overrides"]) == (bad, good, [])
+    assert row["behind"] == f"objects to edition {bad}: {why}"
+    assert 0 <= row["age_ms"] < 5000 and row["list_index"] == 0
+
+
+HARM = (
+    ({"regions": {"held": ["a", "b"]}}, "a, b"),
+    ({"caps": {"look": 0}}, "look"),
+    ({"tenants": {"acme": "c"}}, "acme"),
+    ({"tenants": {"acme": "a"}, "regions": {"held": ["a"]}}, "acme"),
+)
+
+
+@running()
+async def test_what_is_harmful_is_refused_unless_forced_and_counted(service, ask):
+    for name, zone in (("s1", "a"), ("s2", "b")):
+        await ask("PUT", f"/registry/instances/{name}", {**ENTRY, "zone": zone, "ttl_ms": 0})
+    for settings, said in HARM:
+        status, told, _ = await ask("PUT", "/rules", settings)
+        assert (status, said in told["reason"]) == (409, True), told
+    assert (await ask("GET", "/rules"))[1]["edition"] == 0
+    assert (await ask("PUT", "/rules", HARM[0][0], X_Force="1"))[0] == 200
+    told = (await ask("GET", "/status"))[1]["rules"]
+    assert (told["harmful_refused"], told["harmful_forced"]) == (len(HARM), 1)
+
+
+BAD = [
+    *(("PUT", "/rules", body, 400) for body in UNREAD),
+    ("PUT", "/rules", {"regions": {"held": "a"}}, 400),
+    ("PUT", "/rules", {"regions": {"open": []}}, 400),
+    ("PUT", "/rules", {"caps": {"a": -1}}, 400),
+    ("PUT", "/rules", {"caps": {"a": True}}, 400),
+    ("PUT", "/rules", {"tenants": {"": "a"}}, 400),
+    ("PUT", "/rules", {"shares": {"g": {"a": 0}}}, 400),
+    ("PUT", "/rules", {"floor": {"caps": {}}}, 400),
+    ("PUT", "/rules", {"Profiles": [{"Name": "a"}, {"Name": "a"}]}, 400),
+    ("PUT", "/rules", b" " * 2_000_000, 413),
+    ("GET", "/rules?edition=x", None, 400),
+    ("GET", "/rules?edition=99", None, 404),
+    *(("POST", "/edges/n1", body, 400) for body in UNREAD),
+    ("POST", "/edges/n1", {"seq": -1}, 400),
+    ("POST", "/edges/n1", {"seq": 2**60}, 400),
+    ("POST", "/edges/n1", {"held": 1.5}, 400),
+    ("POST", "/edges/n1", {"acting": "fast"}, 400),
+    ("POST", "/edges/n1", {"list_age_ms": -1}, 400),
+    ("POST", "/edges/n1", {"life": "x" * 65}, 400),
+    ("POST", "/edges/n1", {"overrides": ["x"] * 1001}, 400),
+    ("POST", "/edges/n1", {"objection": {"edition": 1, "reason": "x" * 2001}}, 400),
+    ("POST", "/edges/a%20b", {}, 400),
+    ("POST", "/edges/" + "x" * 300, {}, 400),
+    ("DELETE", "/edges/nobody", None, 404),
+    ("PUT", "/overrides/o1", b"{", 400),
+    ("PUT", "/overrides/o1", {"action": {"freeze": True}, "by": "a", "why": "b", "until_ms": 1}, 400),
+    ("GET", "/overrides/o1", None, 404),
+    *(
+        (method, f"/tables/{table}/state", value, 400)
+        for table in ("rules", "edges", "overrides", "overrides-history", "overrides-clock", "geo")
+        for method, value in (("PUT", 1), ("DELETE", None))
+    ),
+]  # fmt: skip
+
+
+@running()
+async def test_nonsense_is_refused_in_json_and_touches_nobody_else(service, ask):
+    async with Node(ask, "n0").reporting() as node:
+        for method, path, body, wanted in BAD:
+            status, told, _ = await ask(method, path, body)
+            assert (status, set(told)) == (wanted, {"error", "reason"}), (method, path, body, told)
+        # Odd measures and digests are dropped by who reads them; the report counts all the same.
+        odd = {
+            "measures": {"delays": [{"region": "a", "window": 1e99, "shake": {"x": -1}}, 7]},
+            "digest": "?",
+        }
+        assert (await ask("POST", "/edges/n2", {"life": "q", "seq": 1, **odd}))[0] == 200
+        old = node.body() | {"seq": 1}
+        for _ in range(2):  # replayed, and out of order: an answer, and no permission
+            status, told, _ = await ask("POST", "/edges/n0", old)
+            assert (status, told["permission_ms"], "later report" in told["why"]) == (200, 0.0, True)
+        told = await node.report()
+        assert told["permission_ms"] > 0.0
+    names = [row["name"] for row in (await ask("GET", "/edges"))[1]["edges"]]
+    assert names == ["n0", "n2"]
+    assert (await ask("GET", "/status"))[1]["rules"]["reports_refused"] >= 18
+    assert not [line for line in service.lines if line["event"] in ("fault", "?")]
+
+
+def lasting(ms, **more):
+    made = {"action": {"hold": {"region": "b"}}, "by": "ann", "why": "b loses packets"}
+    return {**made, "until_ms": int(time.time() * 1000.0) + ms, **more}
+
+
+@bounded(60.0)
+async def test_overrides_have_an_absolute_end_and_leave_the_edition_at_it(tmp_path):
+    async with Service(tmp_path, **SOON) as service:
+        await service.start()
+        async with aiohttp.ClientSession() as session:
+            ask = functools.partial(call, session, service)
+            status, short, _ = await ask("PUT", "/overrides/short", lasting(5_000))
+            assert (status, 0 < short["left_ms"] <= 5_000) == (200, True)
+            await ask("PUT", "/overrides/long", lasting(600_000, priority=3))
+            await ask("PUT", "/overrides/gone", lasting(600_000))
+            assert (await ask("DELETE", "/overrides/gone?by=ann&why=over"))[0] == 200
+            assert (await ask("GET", "/overrides/gone"))[0] == 404
+        await service.end(signal.SIGKILL)
+        await service.start()
+        async with aiohttp.ClientSession() as session:
+            ask = functools.partial(call, session, service)
+            _, told, _ = await ask("GET", "/overrides")
+            left = {row["id"]: row["left_ms"] for row in told["overrides"]}
+            assert left.keys() == {"short", "long"}
+            _, again, _ = await ask("GET", "/overrides/short")
+            # What time the kill and the start took is gone from it: nothing begins anew.
+            assert again["until_ms"] == short["until_ms"] and left["short"] < short["left_ms"] - 100
+            async with Node(ask, "n0").reporting() as node:
+                await until(lambda: "short" in node.told.get("left", {}))
+                assert 0 < node.told["left"]["short"]["left_ms"] <= left["short"]
+
+                async def carried():
+                    _, rules, _ = await ask("GET", "/rules")
+                    return (
+                        [row["id"] for row in rules["overrides"]] if rules["state"] == "committed" else None
+                    )
+
+                seen = []
+                async with asyncio.timeout(15.0):
+                    while ["long"] not in seen:
+                        seen += [now] if (now := await carried()) not in (None, *seen) else []
+                        await asyncio.sleep(0.02)
+                assert sorted(seen[-2]) == ["long", "short"]
+            assert [row["id"] for row in (await ask("GET", "/overrides"))[1]["overrides"]] == ["long"]
+
+
+@running()
+async def test_pairs_are_told_after_reports_with_sketches(service, ask):
+    for name, zone in (("s1", "a"), ("s2", "b")):
+        await ask("PUT", f"/registry/instances/{name}", {**ENTRY, "zone": zone, "ttl_ms": 0})
+    edge = Delays("west")
+    for _ in range(200):
+        edge.handshake("a", 20.0, False)
+        edge.first_byte("a", 20.5)
+    status, _, _ = await ask(
+        "POST", "/edges/n0", {"life": "p", "seq": 1, "group": "west", "measures": {"delays": edge.take(1.0)}}
+    )
+    _, told, _ = await ask("GET", "/geo")
+    pairs = {(row["group"], row["region"]): row for row in told["pairs"]}
+    assert (status, told["plan_edition"], pairs.keys()) == (200, 0, {("west", "a"), ("west", "b")})
+    near = pairs["west", "a"]
+    assert near["tried"] and near["low_ms"] <= near["delay_ms"] <= near["high_ms"]
+    assert near["delay_ms"] == pytest.approx(20.0, rel=0.1)
+    assert not pairs["west", "b"]["tried"]
