Let a plan age from the edition that stated it, not from any that carries it on

Each edition of settings or overrides made the plan in it look new, so a plan without a publisher would not have faded for as long as others published. An edition now names the one that stated its plan; a plan that is halted with its edition falls back with the age of the one in force. Seen by reading; the fading itself is tested with the module.

--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -347,15 +347,17 @@
         """With a new edition: prepared, or waiting until the one that is prepared is decided."""
         base = kept.waiting or kept.pending or kept.committed
         given = {name: getattr(draft, name) for name in LAYERS if getattr(draft, name) is not None}
+        # Numbers start above all of earlier lives: one told by a disk that was lost is used for no other.
+        number = max(kept.newest + 1, self.fleet.life)
         edition = msgspec.structs.replace(
             base,
-            # Numbers start above all of earlier lives: one told by a disk that was lost is used for no other.
-            number=max(kept.newest + 1, self.fleet.life),
+            number=number,
             life=self.fleet.life,
             follows=kept.newest,
             list_index=draft.list_index,
             forced=draft.forced,
             layers=sorted({*given, *(kept.waiting.layers if kept.waiting is not None else ())}),
+            plan_edition=number if "plan" in given else base.plan_edition,
             **given,
         )
         requests = {**kept.requests, draft.request_id: edition.number} if draft.request_id else kept.requests
@@ -396,6 +398,8 @@
             if waiting is not None:
                 # What it took over from the one that is halted, it takes from the one that is in force.
                 old = {name: getattr(kept.committed, name) for name in LAYERS if name not in waiting.layers}
+                if "plan" in old:
+                    old["plan_edition"] = kept.committed.plan_edition
                 waiting = msgspec.structs.replace(waiting, **old)
             halted = Halt(pending, reasons)
             return msgspec.structs.replace(kept, pending=waiting, waiting=None, halted=halted)
--- a/brassfall/agreement/document.py
+++ b/brassfall/agreement/document.py
@@ -61,6 +61,7 @@
     list_index: int = 0  # the version of the list that it goes with
     settings: dict[str, Any] = {}
     plan: dict[str, Any] | None = None
+    plan_edition: int = 0  # the one that stated the plan, which ages from there
     overrides: list[dict[str, Any]] = []
     forced: bool = False
     layers: list[str] = []  # which of settings, plan and overrides it states itself; the rest it took over
--- a/brassfall/registry/geo.py
+++ b/brassfall/registry/geo.py
@@ -126,9 +126,12 @@
     async def _get(self, request: web.Request) -> web.Response:
         found = await self._estimated()
         kept = self.editions.kept()
-        edition = kept.committed.number if kept.committed.plan is not None else 0
         pairs = [asdict(pair) for pair in found.pairs]
-        return answer(_encode({"pairs": pairs, "plan_edition": edition, "plan": kept.committed.plan}))
+        return answer(
+            _encode(
+                {"pairs": pairs, "plan_edition": kept.committed.plan_edition, "plan": kept.committed.plan}
+            )
+        )
 
     def _capacity(self) -> Mapping[str, float]:
         """What each region can carry, in requests/s: by the weights of its active servers."""
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -290,6 +290,7 @@
             "list_index": edition.list_index,
             "settings": edition.settings,
             "plan": edition.plan,
+            "plan_edition": edition.plan_edition,
             "overrides": edition.overrides,
         }
 
--- a/fordtrestle/fleet/holder.py
+++ b/fordtrestle/fleet/holder.py
@@ -26,6 +26,7 @@
     settings: Mapping[str, Any]
     plan: Mapping[str, Any] | None
     overrides: tuple[Mapping[str, Any], ...]
+    plan_edition: int = 0  # the one that stated the plan, which ages from there
 
 
 OWN_FILE = Edition(0, {}, None, ())
@@ -58,7 +59,7 @@
         raise ValueError("settings and plan are objects")
     if not isinstance(overrides, list) or not all(isinstance(row, Mapping) for row in overrides):
         raise ValueError("overrides are a list of objects")
-    return Edition(number, settings, plan or None, tuple(overrides))
+    return Edition(number, settings, plan or None, tuple(overrides), whole(raw, "plan_edition"))
 
 
 def whole(raw: Mapping[str, Any], name: str) -> int:
--- a/fordtrestle/fleet/steering.py
+++ b/fordtrestle/fleet/steering.py
@@ -34,7 +34,7 @@
         self._retell = False  # times left are to be told anew
         self._acted: tuple[tuple[str, int], ...] = ()
         self._layers: dict[int, tuple[tuple[Line, ...], tuple[str, ...]]] = {0: ((), ())}
-        self._plan: tuple[int, float] = (0, -math.inf)  # the edition that brought the newest plan, and when
+        self._plan: tuple[int, float] = (-1, -math.inf)  # the edition that stated the plan, and when it came
         self._frozen: Steer | None = None  # as it was when steering was frozen
 
     # --- reports ------------------------------------------------------------------------
@@ -163,8 +163,8 @@
         """How far shares count: settings' own always, a plan's less when no newer one comes."""
         if edition.plan is None or self._place.group in edition.settings.get("shares", {}):
             return 1.0
-        if edition.number != self._plan[0]:
-            self._plan = (edition.number, now)
+        if edition.plan_edition != self._plan[0]:
+            self._plan = (edition.plan_edition, now)
         limit = edition.plan.get("age_limit_ms", PLAN_AGE_MS)
         if isinstance(limit, bool) or not isinstance(limit, int | float) or not limit > 0.0:
             return 0.0
