--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -104,6 +104,7 @@
     "registry/membership.py",
     "lab/quantities.py",
     "lab/judge.py",
+    "lab/geography.py",
     "lab/models/client.py",
     "lab/models/server.py",
     "lab/models/network.py",
