--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -149,6 +149,7 @@
     "lab/judge.py",
     "lab/overrides/judge.py",
     "lab/overrides/parts.py",
+    "lab/geography.py",
     "lab/models/client.py",
     "lab/models/server.py",
     "lab/models/network.py",
