Have an edition call for the next report, and time editions by the size of the fleet

Publish to acted on by all took two rounds of reports, up to 2 s, since an acknowledgement and the question after a commit both waited for the next report in time.

--- /dev/null
+++ b/brassfall/agreement/pace.py
@@ -0,0 +1,21 @@
+"""How often a fleet of a size reports, and over what span it reports at once: pure, in ms.
+
+A report in time costs the service about 0.1 to 0.2 ms of one core, whoever sends it. So the steady rate is
+bounded from `EVERY_FLEET` sidecars on, and what an edition makes all report at once is spread.
+"""
+
+from __future__ import annotations
+
+EVERY_MS, EVERY_MOST_MS, EVERY_FLEET = 750.0, 1500.0, 1000  # reports thin out from so many sidecars on
+SPREAD_EACH_MS, SPREAD_LEAST_MS = 0.5, 100.0
+
+
+def every_ms(sidecars: int) -> float:
+    """The mean time between two reports of one of so many sidecars."""
+    return min(EVERY_MOST_MS, EVERY_MS * max(1.0, sidecars / EVERY_FLEET))
+
+
+def spread_ms(sidecars: int) -> float:
+    """Over what span their reports are spread when an edition makes all of them report soon: so that no more
+    than two in a ms come in, however many there are."""
+    return min(EVERY_MOST_MS, max(SPREAD_LEAST_MS, SPREAD_EACH_MS * sidecars))
--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import os
 import sys
 from collections.abc import Coroutine
 from pathlib import Path
@@ -252,6 +253,19 @@
     raise typer.Exit(command.run(seeds, nodes, flaw, jobs, json, lambda text: typer.echo(text, err=True)))
 
 
+@lab.command("editions-scale")
+def editions_scale(
+    out: Annotated[Path, typer.Option(help="Folder for rows and tables.")],
+    nodes: Annotated[str, typer.Option(help="Sizes, with commas.")] = "20,200,2000",
+    seeds: Annotated[int, typer.Option(min=1, help="How many fleets of each size.")] = 5,
+    jobs: Annotated[int, typer.Option(min=0, max=256, help="Processes; 0 for one a core.")] = 0,
+) -> None:
+    """How long an edition takes with the size of the fleet, in simulated time; 1 if one took no effect."""
+    from brassfall.lab.agreement import command, scale
+
+    raise typer.Exit(scale.run(command.sizes(nodes), seeds, jobs or os.cpu_count() or 1, out))
+
+
 @lab.command("server")
 def server_(
     name: str,
--- a/brassfall/lab/agreement/command.py
+++ b/brassfall/lab/agreement/command.py
@@ -212,6 +212,14 @@
     return "\n".join(lines)
 
 
+def sizes(text: str) -> list[int]:
+    """Numbers of sidecars with commas; `UsageError` if that is none."""
+    parts = text.split(",")
+    if not all(part.isdecimal() and 3 <= int(part) <= 2000 for part in parts):
+        raise UsageError(f"--nodes: {text!r}", "numbers from 3 to 2000 with commas are wanted")
+    return [int(part) for part in parts]
+
+
 def run(seeds: int, nodes: str, flaw: str, jobs: int, as_json: bool, say: Callable[[str], None]) -> int:
     """The command: prints what was found; its exit status."""
     if flaw:
@@ -224,9 +232,6 @@
             return 130
         print(json.dumps(rows) if as_json else table(rows))
         return 0 if all(row["found"] for row in rows) else 1
-    parts = nodes.split(",")
-    if not all(part.isdecimal() and 3 <= int(part) <= 2000 for part in parts):
-        raise UsageError(f"--nodes: {nodes!r}", "numbers from 3 to 2000 with commas are wanted")
-    summary, whole = check(seeds, [int(part) for part in parts], jobs, say)
+    summary, whole = check(seeds, sizes(nodes), jobs, say)
     print(json.dumps(summary.plain()) if as_json else text(summary))
     return 130 if not whole else 1 if summary.broken else 0
--- a/brassfall/lab/agreement/flaws.py
+++ b/brassfall/lab/agreement/flaws.py
@@ -323,6 +323,7 @@
 
 S1, S2, S3, S4, S5 = "S1 exclusive", "S2 contradiction", "S3 permission", "S4 content", "S5 halted"
 BACK, DURABLE, OBJECTED = "S4 back", "S5 durable", "S5 objected"
+ALIVE = "S6 liveness"
 FLAWS: dict[str, Flaw] = {
     "from-the-answer": Flaw(
         "a permission is counted from the answer", replace(REAL, answered=from_the_answer), ("rough",), (S3,)
@@ -361,7 +362,10 @@
     "permission-kept": Flaw(
         "a permission kept over a change of life", _sidecar(KeepsPermission), ("twin",), (S3,)
     ),
-    "hasty-write": Flaw("acted on before it is durable", _service(HastyWrites), ("disk",), (DURABLE, S5, S4)),
+    # Its service takes for decided what the disk refused: it may as well stand still on that for good.
+    "hasty-write": Flaw(
+        "acted on before it is durable", _service(HastyWrites), ("disk",), (DURABLE, S5, S4, ALIVE)
+    ),
     "halted-committed": Flaw("a halted edition committed", _service(CommitsHalted), (), (S5, OBJECTED)),
     "halted-layer": Flaw("what waits keeps a halted layer", _service(KeepsHaltedLayers), ("burst",), (S5,)),
     "objection-unheard": Flaw(
@@ -385,6 +389,9 @@
         "safe rules open what is held", replace(REAL, effective=open_when_safe), ("cut",), (S1,)
     ),
     "life-after-last": Flaw(
-        "a life numbered by the last index", replace(REAL, life=life_after_last), ("twin",), (S4, S1, S2, S5)
+        "a life numbered by the last index",
+        replace(REAL, life=life_after_last),
+        ("twin", "burst"),
+        (S4, S1, S2, S5),
     ),
 }
--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from brassfall.agreement import core
+from brassfall.agreement import core, pace
 from brassfall.agreement.document import Edition
 from brassfall.agreement.edges import ReportError, parse
 from brassfall.lab.agreement.base import Clock, Kernel
@@ -165,7 +165,10 @@
 
     def _answer(self, granted: core.Granted) -> dict[str, Any]:
         length, pending = granted.permission_ms, granted.pending
-        return {"edition": granted.edition, "permission_ms": length, "pending": pending, "life": self.life}
+        count = len(self.agreement.fleet.edges)
+        paces = {"every_ms": pace.every_ms(count), "spread_ms": pace.spread_ms(count)}
+        told = {"edition": granted.edition, "permission_ms": length, "pending": pending, "life": self.life}
+        return told | paces
 
     def publish(self, draft: core.Publish) -> None:
         """A publisher's call arrives."""
--- a/brassfall/lab/agreement/sidecar.py
+++ b/brassfall/lab/agreement/sidecar.py
@@ -7,11 +7,12 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from brassfall.agreement import pace
 from brassfall.lab.agreement.base import Kernel
 from brassfall.lab.agreement.rules import Profile
 from brassfall.lab.agreement.service import Service
 
-REPORT_MS = (500.0, 1000.0)
+JITTER = 1.0 / 3.0
 TIMEOUT_MS = 1000.0
 SILENT_MS = (2000.0, 3000.0)
 KNOWN_MOST = 12  # more than can be acted on by anybody within `agree_ms`
@@ -38,6 +39,10 @@
         self._watch_at = kernel.random.randrange(len(services))
         self._connection = 0
         self._flight = 0
+        self._every, self._spread = pace.every_ms(1), pace.spread_ms(1)
+        self._timer = 0  # the newest wait for a report: another that is due is void
+        self._due_at = math.inf  # when the next report goes out, true time
+        self._called = False
         self._known: dict[int, int] = {}  # the last editions told, each with the service's life that did
         self._of = self._permitted_by = 0
         self._until: dict[int, float] = {}  # true time by which an edition's permission is over at the latest
@@ -51,7 +56,7 @@
         """Begin to report and to watch."""
         self.judged()
         span = self.kernel.random.uniform(0.0, 500.0)
-        self.kernel.after(span, self._do, "timer", self._cycle)
+        self._wait(span)
         self.kernel.after(self.kernel.random.uniform(0.0, 100.0), self._do, "timer", self._open)
 
     # --- what it acts on -----------------------------------------------------------------------
@@ -125,10 +130,29 @@
     # --- reports -------------------------------------------------------------------------------------
 
     def _again(self, low: float, high: float) -> None:
-        span = self.kernel.random.uniform(low, high) / self.clock.rate
-        self.kernel.after(span, self._do, "timer", self._cycle)
+        self._wait(self.kernel.random.uniform(low, high) / self.clock.rate)
 
-    def _cycle(self) -> None:
+    def _wait(self, span: float) -> None:
+        self._timer += 1
+        self._due_at = self.kernel.now + span
+        self.kernel.after(span, self._do, "timer", self._cycle, self._timer)
+
+    def _soon(self) -> None:
+        """An edition calls for a report: it takes the place of the one that waits, if that is later."""
+        if self._called or not self.holder.urgent:
+            return
+        if self._flight:
+            self._called = True  # once that one is answered, if it is still called for
+            return
+        span = self.kernel.random.uniform(0.0, self._spread) / self.clock.rate
+        if self.kernel.now + span < self._due_at:
+            self._called = True
+            self._wait(span)
+
+    def _cycle(self, timer: int) -> None:
+        if timer != self._timer:
+            return
+        self._called = False
         kernel, service = self.kernel, self.services[self._report_at]
         asked = self.seconds()
         raw = self.holder.report(asked)
@@ -188,7 +212,11 @@
             self._flight = 0
             if not counts:
                 self._report_at = (self._report_at + 1) % len(self.services)
-            self._again(*REPORT_MS)
+            self._every, self._spread = raw["every_ms"], raw["spread_ms"]
+            self._again(self._every * (1.0 - JITTER), self._every * (1.0 + JITTER))
+            if counts and self._called:
+                self._called = False
+                self._soon()
 
     def _lied(self, raw: dict[str, Any], service: Service) -> dict[str, Any]:
         """Whatever may do the most harm."""
@@ -238,4 +266,5 @@
             while len(self._known) > KNOWN_MOST:
                 del self._known[min(self._known)]
         self.holder.news(raw)
+        self._soon()
         self.judged()
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from brassfall.agreement import core as deciding
-from brassfall.agreement import document
+from brassfall.agreement import document, pace
 from brassfall.agreement.core import Agreement, Event, Kept, Reported, Timing
 from brassfall.agreement.document import DocumentError, Edition, HarmfulError
 from brassfall.agreement.edges import Edge, Fleet, Report, ReportError, parse
@@ -32,7 +32,6 @@
 PLACE = "/rules"  # among the channels of watches
 TICK_S = 0.05
 SWEEP_S = 60.0
-EVERY_MS, EVERY_MOST_MS, EVERY_FLEET = 750.0, 1500.0, 1000  # reports thin out from so many sidecars on
 
 log = logger("rules")
 _encode = msgspec.json.Encoder().encode
@@ -398,15 +397,13 @@
             "news": newest > report.held or index > report.list_index,
             "pending": granted.pending,
             "life": self.core.fleet.life,
-            "every_ms": self._every(),
+            "every_ms": pace.every_ms(len(self.core.fleet.edges)),
+            "spread_ms": pace.spread_ms(len(self.core.fleet.edges)),
             "why": granted.why,
             "edges": max(1, len(self.core.fleet.names)),
             **more,
         }
 
-    def _every(self) -> float:
-        return min(EVERY_MOST_MS, EVERY_MS * max(1.0, len(self.core.fleet.edges) / EVERY_FLEET))
-
     async def _forget(self, request: web.Request) -> web.Response:
         name = entries.name(request.match_info["name"])
         if name not in self.core.fleet.names and name not in self.core.fleet.edges:
--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import math
 import os
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 from fordtrestle.config import Address, Agreement
@@ -18,6 +19,7 @@
 from fordtrestle.fleet.lists import Sources
 
 EVERY_MS, EVERY_MOST_MS = 750.0, 10_000.0
+SPREAD_MS, SPREAD_MOST_MS = 100.0, 10_000.0  # a report that an edition calls for comes within this
 JITTER = 1.0 / 3.0  # of that: from 0.5 to 1 s
 CALL_S = 1.0  # a service that takes longer for an answer is of no use: a permission is counted from asking
 LEAVE_S = 0.3
@@ -48,7 +50,8 @@
         self._rng = random.Random(seed)
         self._sources = Sources(addresses, self._rng)
         self._caller = Caller(loop)
-        self._every = EVERY_MS
+        self._every, self._spread = EVERY_MS, SPREAD_MS
+        self._called = asyncio.Event()  # an edition calls for a report before the next is due
         self._tasks: list[asyncio.Task[None]] = []
         self._acted: int | str | None = None
         self._failing = ""
@@ -127,17 +130,31 @@
     async def _report(self) -> None:
         while True:
             wait = self._every / 1000.0 * (1.0 + JITTER * (2.0 * self._rng.random() - 1.0))
+            pause: Callable[[float], Awaitable[None]] = asyncio.sleep
             try:
                 await self._ask()
                 self._sources.worked()
                 self._fails("")
+                pause = self._pause
             except CallFailed as error:
                 self._fails(str(error))
                 again = self._sources.failed(error.retry_after)
                 wait = again if error.retry_after else min(again, AGAIN_S * (1.0 + self._rng.random()))
             except (ValueError, TypeError) as error:
                 self._fails(f"an answer that is none: {error}")
-            await asyncio.sleep(wait)
+            await pause(wait)
+
+    async def _pause(self, wait: float) -> None:
+        """Wait for the next report. One that an edition calls for comes sooner, and in this one's place:
+        the service decides when all have acknowledged, and each acts when its report has asked after that.
+        Spread over a time that grows with the fleet, as the service tells, or all would come at once."""
+        if not self.holder.urgent:
+            self._called.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait):
+                await self._called.wait()
+                await asyncio.sleep(self._spread / 1000.0 * self._rng.random())
+        self._called.clear()
 
     async def _ask(self) -> None:
         """One report, and what its answer brings."""
@@ -159,10 +176,11 @@
             take(asked, self._loop.time(), told)
         every = told.get("every_ms", EVERY_MS)
         self._every = min(EVERY_MOST_MS, max(EVERY_MS, float(every)))
+        self._spread = min(SPREAD_MOST_MS, max(SPREAD_MS, float(told.get("spread_ms", SPREAD_MS))))
         if told.get("news") and self.holder.lacks(told):
             # Reports come through where the watch may not: then editions come on their way, too.
             news = await self._caller.call(self._sources.current, "GET", PATH, CALL_S)
-            self.holder.news(news)
+            self._heard(news)
         self.refresh(self._loop.time())
 
     def _fails(self, why: str) -> None:
@@ -171,6 +189,11 @@
             log(f"agreement: {said}")
         self._failing = why
 
+    def _heard(self, told: Any) -> None:
+        self.holder.news(told)
+        if self.holder.urgent:
+            self._called.set()
+
     # --- the watch ------------------------------------------------------------------------
 
     async def _watch(self) -> None:
@@ -206,6 +229,6 @@
 
     def _line(self, line: bytes) -> None:
         told: Mapping[str, Any] = json.loads(line)
-        self.holder.news(told)
+        self._heard(told)
         # The meet of two editions is acted on before the acknowledgement is told.
         self.refresh(self._loop.time())
--- a/fordtrestle/fleet/holder.py
+++ b/fordtrestle/fleet/holder.py
@@ -80,6 +80,7 @@
         self._asked = 0  # the edition that is prepared, as told last
         self._seq = 0
         self._of = 0  # the service's life whose word is taken
+        self._in_force = 0  # the edition that was committed last, as a line of the watch told
         self._pending = 0  # promised: the edition acknowledged last, not yet decided as far as known
         self._promised_at = 0  # the report that told so
         self._permitted = 0
@@ -101,6 +102,9 @@
             if edition is not None:
                 self._take(edition)
                 self._heed(edition, life)
+        in_force = told if raw.get("state") == "committed" else committed
+        if in_force is not None:
+            self._in_force = in_force.number
         if raw.get("state") == "halted":
             # A service put back to an old copy may prepare it once more.
             self._told.pop(told.number, None)
@@ -134,6 +138,14 @@
         if number > self._pending:
             self._pending, self._promised_at = number, self._seq + 1
 
+    @property
+    def urgent(self) -> bool:
+        """Whether others wait for what the next report tells, or it asks for an edition that is in force:
+        an acknowledgement or an objection not yet told, or a commit that nothing was permitted of."""
+        untold = self._pending > self._permitted and self._promised_at > self._seq
+        objects = self._asked > self._permitted and self._asked in self._objections
+        return untold or objects or self._in_force > self._permitted
+
     # --- reports and permissions ------------------------------------------------------
 
     def report(self, now: float) -> dict[str, Any]:
--- /dev/null
+++ b/tests/test_agreement_agent.py
@@ -0,0 +1,72 @@
+"""The sidecar's agent against a list service of the test's own, which tells it to report rarely."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from aiohttp import web
+
+from fordtrestle.config import Address, Agreement
+from fordtrestle.fleet.agent import Agent
+
+RARELY_MS, SOON_S = 9_000.0, 3.0  # a report in time would come after 6 s or more
+
+
+class Service:
+    """Answers reports, and tells what the test hands it to the one watch."""
+
+    def __init__(self) -> None:
+        self.reports: asyncio.Queue[dict] = asyncio.Queue()
+        self.lines: asyncio.Queue[dict] = asyncio.Queue()
+        self.edition = 1
+
+    async def report(self, request):
+        self.reports.put_nowait(await request.json())
+        pending = 2 if self.edition == 1 else 0
+        told = {"edition": self.edition, "permission_ms": 2700.0, "list_index": 0, "news": False}
+        return web.json_response(told | {"pending": pending, "life": 1, "every_ms": RARELY_MS})
+
+    async def rules(self, request):
+        answer = web.StreamResponse()
+        await answer.prepare(request)
+        while (line := await self.lines.get()) is not None:
+            await answer.write(json.dumps(line).encode() + b"\n")
+        return answer
+
+    async def reported(self):
+        return await asyncio.wait_for(self.reports.get(), SOON_S)
+
+
+async def _called():
+    service, app = Service(), web.Application()
+    app.add_routes([web.post("/edges/{name}", service.report), web.get("/rules", service.rules)])
+    runner = web.AppRunner(app, shutdown_timeout=0.0)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    at = Address("127.0.0.1", site._server.sockets[0].getsockname()[1])
+    told = Agreement(3000.0, "", "", {})
+    agent = Agent(
+        asyncio.get_running_loop(), "e1", told, (at,), lambda edition: "", lambda *_: float("inf"), 1
+    )
+    agent.start()
+    seen = []
+    try:
+        seen.append(await service.reported())
+        service.lines.put_nowait({"edition": 2, "life": 1, "state": "prepared", "committed": {"edition": 1}})
+        seen.append(await service.reported())
+        service.edition = 2
+        service.lines.put_nowait({"edition": 2, "life": 1, "state": "committed"})
+        seen.append(await service.reported())
+        while agent.holder.stance(0.0).edition.number != 2:
+            await asyncio.sleep(0)
+    finally:
+        agent.close()
+        service.lines.put_nowait(None)
+        await runner.cleanup()
+    return [(row["prepared"], row["held"]) for row in seen]
+
+
+def test_an_edition_calls_for_a_report_when_it_is_prepared_and_when_it_is_committed():
+    assert asyncio.run(_called()) == [(0, 0), (2, 2), (2, 2)]
