Look for outlived lives ten times a second, not at each report

Each report looked at all sidecars to see whether they take only the word of a later life: at 2,000 of them 36 us a report, 9.3 us with one look in 100 ms (in memory, one core, one play each).

--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -198,6 +198,7 @@
     _persisting: tuple[Kept, list[Published]] | None = None
     _left: dict[str, tuple[float, str]] = field(default_factory=dict)  # names whose process said it ends
     _queue: list[Publish] = field(default_factory=list)
+    _looked: float = -math.inf  # for those who take only the word of a later life
     _taken: int = 0  # the life that this run has taken
     _counted: tuple[float, str] = (-math.inf, "")
     _look_again: float = -math.inf
@@ -379,7 +380,9 @@
         life, span = self.fleet.life, self.timing.season_ms
         # The low bits of a life are drawn: so two services on one copy do not raise it to the same number.
         more = 1 + life % 2**20
-        beyond = self.fleet.outlived(now, span, self.timing.over_ms)
+        beyond = 0
+        if now - self._looked > COUNTED_MS:  # a look costs as much as there are sidecars
+            self._looked, beyond = now, self.fleet.outlived(now, span, self.timing.over_ms)
         if beyond:
             return _anew(kept, max(beyond, kept.life) + more)
         # What an earlier run took is its own, and never this one's.
