--- a/poppypulley/steering.py
+++ b/poppypulley/steering.py
@@ -15,7 +15,7 @@
 
 MISS_MEMORY = 0.7  # a zone that misses more than the best other one is left to the present picks
 MISS_FADE_MS = 10000.0
-MISS_IDLE, MISS_LEAST, MISS_SPAN = 0.01, 0.2, 0.4  # a lone miss brings 0.3: it tells little of a zone
+MISS_IDLE, MISS_LEAST, MISS_SPAN = 0.01, 0.1, 0.3  # a lone miss brings 0.3: two thirds stay away
 
 CAP_BURST_MS = 250.0  # of a cap's requests may come at once, or one
 LOOK_BELOW = 0.05  # a zone with less of the first attempts is looked at now and then
