Leave a service that is gone for one with a lower life, after 12 s in which none else answers

Cause: sidecars that had taken the word of a later life stayed on safe rules, beside a majority that was restarted and took a service whose disk was lost under a clock put back: only a majority makes that service raise its life. Change: the holder goes on like a process that has just begun, and keeps clear of what it knew until it is permitted again.

--- a/brassfall/lab/agreement/sidecar.py
+++ b/brassfall/lab/agreement/sidecar.py
@@ -31,6 +31,7 @@
         self.newer = newer
         self.clock = kernel.clock()
         self.holder = kernel.program.holder(life, self._check)
+        self._told_life = life
         self.profile: Profile | None = None
         self.highest = 0
         self.dead = self.stopped = self.liar = False
@@ -196,6 +197,12 @@
             self._until[edition] = max(self._until.get(edition, -math.inf), over)
         now = self.seconds()
         counts = self.kernel.program.answered(self.holder, asked, now, seq, raw)
+        if self.holder.life != self._told_life:
+            # It goes on like a process that has just begun: so it is another observer.
+            self._told_life = self.holder.life
+            self._of = self._permitted_by = self.highest = 0
+            self._until, self._known = {}, {}
+            self.kernel.met["sidecars that took a lower life's word again"] += 1
         if counts:
             if later:
                 # Whoever takes another service's word acts on nothing that the one before permitted.
--- a/fordtrestle/fleet/holder.py
+++ b/fordtrestle/fleet/holder.py
@@ -15,6 +15,7 @@
 
 SAFE = "safe"
 DOCUMENTS_MOST = 4
+STRAY_S = 12.0  # more than twice the time that a service needs to count a majority
 TOLD_MOST = 32  # editions that came while nothing was permitted: more than `agree_ms` has room for
 
 
@@ -74,7 +75,7 @@
     """Editions held, what is promised, and the permission."""
 
     def __init__(self, life: str, check: Callable[[Edition], str]) -> None:
-        self._life = life
+        self.life = life  # as it is told; another one follows where this begins anew
         self._check = check  # why this program can't act on an edition; empty where it can
         self._documents: dict[int, Edition] = {0: OWN_FILE}
         self._objections: dict[int, str] = {}
@@ -87,6 +88,7 @@
         self._permitted = 0
         self._by = 0  # the service's life that permitted it
         self._until = -math.inf
+        self._stray = -math.inf  # since when none but an earlier life of the service answers
         self._told: dict[int, tuple[Edition, int]] = {}  # after the permitted one; the report that knew first
 
     # --- what is told ---------------------------------------------------------------
@@ -154,7 +156,7 @@
         self._seq += 1
         stance = self.stance(now)
         made: dict[str, Any] = {
-            "life": self._life,
+            "life": self.life,
             "seq": self._seq,
             "of": self._of,
             "held": max(self._documents),
@@ -177,7 +179,9 @@
         if isinstance(length, bool) or not isinstance(length, int | float) or not 0.0 <= length < 1e7:
             raise ValueError("permission_ms: an amount is wanted")
         if life < self._of:
+            self._strays(asked)
             return False
+        self._stray = -math.inf
         if life > self._of:
             # What is promised to the one before may be unknown to this one: nothing of it is kept.
             self._of, self._until = life, -math.inf
@@ -188,6 +192,22 @@
             self._permit(edition, asked + length / 1000.0, seq, pending)
         return True
 
+    def _strays(self, asked: float) -> None:
+        """The service whose word is taken is gone, it seems, and one with a lower life is there, for as long
+        as its clock is behind: after `STRAY_S` this goes on like a process that has just begun, except that
+        it acts on nothing that what it knew forbids until it has a permission again."""
+        if self._stray == -math.inf:
+            self._stray = asked
+        if asked - self._stray < STRAY_S:
+            return
+        known = [self._documents[self._permitted], *(edition for edition, _ in self._told.values())]
+        self.life = f"{self.life.partition('+')[0]}+{self._of % 10**6}"
+        self._documents, self._objections = {0: OWN_FILE}, {}
+        self._told = {edition.number: (edition, 0) for edition in known if edition.number}
+        self._asked = self._seq = self._of = self._by = 0
+        self._pending = self._promised_at = self._permitted = 0
+        self._until = self._stray = -math.inf
+
     def _permit(self, edition: int, until: float, seq: int, pending: int) -> None:
         if edition < self._permitted or (edition == self._permitted and until <= self._until):
             # An answer that was overtaken; or a service that has forgotten what it had permitted.
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -122,6 +122,23 @@
     assert held.stance(0.4).acting == "safe"
 
 
+def test_a_service_that_is_gone_for_good_is_left_for_one_with_a_lower_life():
+    held, effective = holder()
+    held.news(line(6, "committed", {"t": "a"}))
+    held.answered(0.0, held.report(0.0)["seq"], answer(6))
+    lower = answer(5, life=LIFE - 1)
+    for now in (3.0, 8.0, 14.9):
+        assert not held.answered(now, held.report(now)["seq"], lower)
+    assert held.report(14.9)["of"] == LIFE
+    held.answered(15.0, held.report(15.0)["seq"], lower)
+    fresh = held.report(15.5)
+    assert (fresh["of"], fresh["seq"], fresh["life"]) == (0, 1, held.life) and held.life != "p1"
+    assert effective(held.stance(15.5))["tenants"] == {"t": ""}  # what it knew holds until it is permitted
+    held.news(line(5, "committed", {"t": "b"}, life=LIFE - 1))
+    assert held.answered(15.5, fresh["seq"], lower)
+    assert effective(held.stance(15.6))["tenants"] == {"t": "b"}
+
+
 def agreement(names, kept, now=1e6):
     return Agreement(Timing(), now, kept, Fleet(LIFE, set(names)))
 
