Ease a region in when its servers come back, in the service's plans too

The plan could ease a region in, but the service gave it a returned region's whole capacity at once. It now remembers since when each region has servers: a tenth of the capacity at first, all of it after 30 s; a service that has just started takes all for old.

--- a/brassfall/geo/plan.py
+++ b/brassfall/geo/plan.py
@@ -101,6 +101,12 @@
     return min(1.0, EASE_FROM + (1.0 - EASE_FROM) * max(0.0, back_s) / EASE_S)
 
 
+def opened(before: Mapping[str, float], capacity: Mapping[str, float], now_s: float) -> dict[str, float]:
+    """Since when each region has had capacity, by what was known before; for ever, where nothing was."""
+    is_open = [region for region, each in capacity.items() if each > 0.0]
+    return {region: before.get(region, now_s if before else -math.inf) for region in is_open}
+
+
 @dataclass(frozen=True, slots=True)
 class _Task:
     """All as arrays: groups by regions."""
--- a/brassfall/registry/geo.py
+++ b/brassfall/registry/geo.py
@@ -17,7 +17,7 @@
 from brassfall.errors import Refused
 from brassfall.geo import evidence, publisher
 from brassfall.geo.model import Estimate, follow
-from brassfall.geo.plan import Plan, PlanError, from_json, plan
+from brassfall.geo.plan import Plan, PlanError, ease, from_json, opened, plan
 from brassfall.logs import logger
 from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES
@@ -62,6 +62,7 @@
     _demand: dict[str, tuple[str, float, float]] = field(default_factory=dict)  # by edge: group, rate, when
     _estimate: Estimate | None = None
     _estimated_at: float = float("-inf")
+    _opened: dict[str, float] = field(default_factory=dict)  # since when regions have servers
     _publisher: publisher.State = field(default_factory=publisher.State)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _thread: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(1, "geo"))
@@ -206,6 +207,10 @@
         held = self.editions.kept().committed.settings.get("regions", {}).get("held", [])
         price = {(p.group, p.region): told.crossing_ms for p in pairs if p.group != p.region}
         capacity = self._capacity()
+        self._opened = opened(self._opened, capacity, now)
+        capacity = {
+            region: each * ease(now - self._opened[region]) for region, each in capacity.items() if each > 0.0
+        }
         work = (pairs, demand, capacity, before, price, told.floor, told.most_moved, told.look, held)
         return await asyncio.get_running_loop().run_in_executor(self._thread, lambda: plan(*work))
 
--- a/tests/test_geo.py
+++ b/tests/test_geo.py
@@ -356,6 +356,19 @@
     assert loop.load(back[-1].shares)[lost] == pytest.approx(loads[lost], abs=0.15)
 
 
+def test_a_region_is_eased_in_only_after_it_was_away():
+    first = plan.opened({}, {"a": 5.0, "b": 5.0}, 100.0)
+    assert [plan.ease(100.0 - first[region]) for region in "ab"] == [
+        1.0,
+        1.0,
+    ]  # a service that has just started
+    away = plan.opened(first, {"a": 5.0, "b": 0.0}, 110.0)
+    back = plan.opened(away, {"a": 5.0, "b": 5.0}, 120.0)
+    assert plan.opened(back, {"a": 5.0, "b": 5.0}, 125.0) == back
+    assert plan.ease(125.0 - back["a"]) == 1.0
+    assert plan.ease(125.0 - back["b"]) == pytest.approx(0.25)
+
+
 def test_held_regions_get_nothing_and_with_none_open_there_are_no_shares():
     loop = steered.draw(3)
     made = editions(loop, None, 2, held=("r0",))
