--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -643,8 +643,9 @@
         if warmth >= 1.0:
             return True
         # Only the sidecars whose subset holds the server send to it: theirs is the others' part too.
-        seen = min(1.0, self._reach() / max(1, self._steering.among(server.zone, len(self._ring))))
-        part = warmth * min(SPEED_MOST, server.kind_pace.speed) / (self._most_servers * seen)
+        seen = min(1.0, self._reach() / max(1, len(self._ring)))
+        usual = max(1.0 / (self._most_servers * seen), self._steering.usual(server.zone))
+        part = warmth * min(SPEED_MOST, server.kind_pace.speed) * usual
         share = self._rate(now) * part * self._set.fall_multiple * COLD_SHARE
         gained = share * (now - server.budget_at)
         server.budget = min(max(1.0, share * self._set.overload_for), server.budget + gained)
--- a/poppypulley/steering.py
+++ b/poppypulley/steering.py
@@ -76,10 +76,10 @@
             zone.servers = zones.count(number)
             zone.most = max(zone.most, zone.servers)
 
-    def among(self, zone: int, everyone: int) -> int:
-        """Out of how many servers a sidecar chooses those of this zone that it sends to."""
-        planned = any(any(steer[:3]) for _, steer in self._stages)
-        return self._zones[zone].servers if planned and zone in self._zones else everyone
+    def usual(self, number: int) -> float:
+        """The part of this sidecar's requests that the plan brings to each server of a zone."""
+        zone = self._zones.get(number)
+        return self.steer.shares.get(number, 0.0) / zone.servers if zone and zone.servers else 0.0
 
     def learn(self, now: float, number: int, missed: float) -> None:
         """An outcome at a zone's server: missed if not served in time."""
