--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -412,11 +412,13 @@
 
     def _agreed(self, now: float, number: int) -> bool:
         """Whether everybody who may act on the edition before has acknowledged this one."""
-        if now < self._look_again or self._alone(now):
+        if now < self._look_again:
             return False
-        holding = self.fleet.holding(now)
         # A look costs as much as there are sidecars: many that report at once are looked at together.
-        self._look_again = now + LOOK_MS * len(holding)
+        self._look_again = now + LOOK_MS * len(self.fleet.edges)
+        if self._alone(now):
+            return False
+        holding = self.fleet.holding(now)
         return all(holder.prepared == number for holder in holding.values())
 
     def _durable(self) -> list[Action]:
