Leave one region open between editions that hold different ones

Between editions a sidecar sends to no region that any of them holds. The service refuses, as it does what is harmful, an edition that with all those that sidecars may still act on (in force, prepared, waiting, and before, while permissions for it run) would leave no region with servers open; forced or later it is taken. A sidecar that hears of such a set all the same (two services, forced editions) heeds its own edition first, then the others in order of number, for as long as a region is left.

--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -198,6 +198,7 @@
     _persisting: tuple[Kept, list[Published]] | None = None
     _left: dict[str, tuple[float, str]] = field(default_factory=dict)  # names whose process said it ends
     _queue: list[Publish] = field(default_factory=list)
+    _before: dict[int, Edition] = field(default_factory=dict)  # of which permissions may run still
     _taken: int = 0  # the life that this run has taken
     _counted: tuple[float, str] = (-math.inf, "")
     _look_again: float = -math.inf
@@ -223,6 +224,13 @@
         """A name is on the durable roster."""
         self.fleet.names.add(name)
 
+    def current(self, now: float) -> list[Edition]:
+        """All that somebody may act on by now, or soon will: in force, before that, prepared, waiting."""
+        holding = {holder.edition for holder in self.fleet.holding(now).values()}
+        self._before = {number: edition for number, edition in self._before.items() if number in holding}
+        next_ones = (self.kept.pending, self.kept.waiting)
+        return [*self._before.values(), self.kept.committed, *(e for e in next_ones if e is not None)]
+
     # --- who may permit ------------------------------------------------------------------
 
     def may_permit(self, now: float) -> str:
@@ -423,6 +431,7 @@
             self.objections = {}
         if kept.committed.number != before.committed.number:
             self._note(kept.committed.number, "committed")
+            self._before[before.committed.number] = before.committed
         if kept.halted is not None and kept.halted != before.halted:
             self._note(kept.halted.edition.number, "halted")
         self._counted = (-math.inf, "")
--- a/brassfall/agreement/document.py
+++ b/brassfall/agreement/document.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
 from typing import Any
 
@@ -84,13 +84,22 @@
     return ""
 
 
-def harm(settings: Mapping[str, Any], regions: frozenset[str]) -> str:
+def harm(
+    settings: Mapping[str, Any], regions: frozenset[str], others: Iterable[Mapping[str, Any]] = ()
+) -> str:
     """What valid settings would do that no operator can want, as one line; empty where nothing.
 
-    `regions` are those of the servers listed now. Refused unless forced."""
-    held = settings.get("regions", {}).get("held", [])
-    if regions and regions <= set(held):
+    `regions` are those of the servers listed now, `others` the settings that sidecars may act on until these
+    are in force everywhere. Refused unless forced."""
+    held = _held(settings)
+    if regions and regions <= held:
         return f"all regions with servers would be held: {', '.join(sorted(regions))}"
+    # Until then nothing is sent to what any of them holds: so one region has to be open in all of them.
+    if held and regions and regions <= held.union(*map(_held, others)):
+        return (
+            f"while {', '.join(sorted(held))} would be held, editions that sidecars may still act on hold all"
+            " others: none would be open until this one is in force; open one first, or wait for those"
+        )
     caps = settings.get("caps", {})
     none = sorted(name for name, most in caps.items() if most == 0)
     if none:
@@ -103,6 +112,10 @@
     return ""
 
 
+def _held(settings: Mapping[str, Any]) -> set[str]:
+    return set(settings.get("regions", {}).get("held", ()))
+
+
 def _deep(value: Any, left: int) -> bool:
     if left == 0:
         return True
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -340,7 +340,8 @@
         return answer(_encode({"edition": number}))
 
     def _harmless(self, settings: dict[str, Any], forced: bool) -> None:
-        harm = document.harm(settings, self._regions())
+        others = [edition.settings for edition in self.core.current(self._now())]
+        harm = document.harm(settings, self._regions(), others)
         if harm and not forced:
             self.figures.harmful += 1
             raise HarmfulError("edition refused", harm)
--- a/fordtrestle/fleet/overrides.py
+++ b/fordtrestle/fleet/overrides.py
@@ -239,14 +239,17 @@
     return {name: one[name] if one.get(name) == other.get(name) else NOBODY for name in {**one, **other}}
 
 
-def met(one: Effective, other: Effective) -> Effective:
+def met(one: Effective, other: Effective, regions: frozenset[str] = frozenset()) -> Effective:
     """What to act on between two editions: of the first, with only those exclusive parts that both allow,
-    and the least of what must not add up to more."""
+    and the least of what must not add up to more.
+
+    `regions` are those with servers. Together the two never hold all of them: then the first alone counts."""
+    held = one.held_regions | other.held_regions
     caps = {cls: min(found.get(cls, math.inf) for found in (one.caps, other.caps)) for cls in other.caps}
     return replace(
         one,
         tenant_pins=_agreed(one.tenant_pins, other.tenant_pins),
-        held_regions=one.held_regions | other.held_regions,
+        held_regions=one.held_regions if regions and regions <= held else held,
         caps={**one.caps, **caps},
     )
 
--- a/fordtrestle/fleet/steering.py
+++ b/fordtrestle/fleet/steering.py
@@ -81,8 +81,10 @@
     def found(self, stance: Stance, now: float) -> Effective:
         """Settings and overrides in force, together; between editions what all of them allow."""
         found = self._effective(stance.edition, now)
-        for edition in stance.told:
-            found = overrides.met(found, self._effective(edition, now))
+        regions = self._served()
+        # In order: what comes next may be acted on by others first, where not all of them can be heeded.
+        for edition in sorted(stance.told, key=lambda edition: edition.number):
+            found = overrides.met(found, self._effective(edition, now), regions)
         if stance.safe:
             floor = stance.edition.settings.get("floor", {})
             found = overrides.safe(found, floor.get("tenants", {}), rules.SAFE_PART)
@@ -96,6 +98,11 @@
             now, settings, lines, self._deadlines, self._place, self._known(), self._edges
         )
 
+    def _served(self) -> frozenset[str]:
+        """The regions of the servers that may be sent to."""
+        numbers = {entry.zone for entry in self._listings() if entry.state == "active"}
+        return frozenset(name for name, number in self._names().zones.items() if number in numbers)
+
     def _settings(self, edition: Edition) -> Mapping[str, Any]:
         shares = edition.settings.get("shares", {})
         planned = (edition.plan or {}).get("shares", {})
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from brassfall.agreement.core import Agreement, Enrol, Kept, Reported, Timing
+from brassfall.agreement import document
+from brassfall.agreement.core import Agreement, Durable, Enrol, Kept, Publish, Reported, Timing
 from brassfall.agreement.document import Edition
 from brassfall.agreement.edges import Fleet, Report
 from brassfall.lab.agreement import command, schedule
@@ -150,3 +151,29 @@
     assert asked and asked[0] > later
     lied = agreement(("a", "b", "c"), Kept())
     assert not [a for a in reports(lied, ("a", "b"), 2**53 - 1, 1e6, 8) if hasattr(a, "kept")]
+
+
+def test_no_edition_leaves_no_region_open_while_another_may_still_be_acted_on():
+    def held(*regions):
+        return {"regions": {"held": list(regions)}}
+
+    names, regions, number = ("a", "b", "c"), frozenset("xyz"), LIFE
+    core = agreement(names, Kept(committed=Edition(1, settings=held("x")), newest=1))
+    reports(core, names, LIFE, 1e6, 9)
+    now = 1e6 + 9000.0
+    core.step(now, Publish(1, settings=held("y")))
+    core.step(now, Durable())
+    for name in names:
+        core.step(now + 1.0, Reported(0, name, Report("p", 99, LIFE, held=number, prepared=number)))
+    core.step(now + 1.0, Durable())
+
+    def harm(at, *more):
+        others = [edition.settings for edition in core.current(at)]
+        return document.harm(held(*more), regions, others)
+
+    # What was acknowledged is in force, and permissions for the one before run still.
+    assert [edition.number for edition in core.current(now + 2.0)] == [1, number]
+    assert [bool(harm(now + 2.0, *more)) for more in ("", "x", "y", "z")] == [False, False, False, True]
+    over = now + 2.0 + core.timing.over_ms
+    assert [edition.number for edition in core.current(over)] == [number]
+    assert not harm(over, "z") and harm(over, "x", "z")
