Judge held regions in the schedules of faults, on addresses of each play's own

Sidecars act on held regions by now. Two plays side by side took each other's ports: a sidecar that was followed by another found its port used, and requests reached a stranger. Each play has a loopback address of its own now, and ports below those that the system gives away.

--- a/brassfall/lab/editions/faults.py
+++ b/brassfall/lab/editions/faults.py
@@ -121,7 +121,7 @@
 
     def _turn(self, who: list[int], name: str) -> None:
         for number in who:
-            self.stage.doors[number].turn(("127.0.0.1", self.stage.ports[name]))
+            self.stage.doors[number].turn((self.stage.host, self.stage.ports[name]))
 
     async def _roll(self, step: Step) -> None:
         """One after the other, quickly: each begins while the one before starts."""
--- a/brassfall/lab/editions/play.py
+++ b/brassfall/lab/editions/play.py
@@ -49,6 +49,7 @@
     states: dict[str, int]  # how many editions ended so
     late_ms: float
     crashes: list[str]
+    held: dict[int, tuple[str, ...]]  # regions, by edition
     cut: int  # how often something met a cut
 
     @property
@@ -101,6 +102,7 @@
         _states(publisher),
         lateness.most,
         crashes,
+        publisher.held,
         sum(door.held for door in stage.doors),
     )
 
--- a/brassfall/lab/editions/proxies.py
+++ b/brassfall/lab/editions/proxies.py
@@ -41,9 +41,9 @@
         self.held = 0  # how often something met a cut
         self.address = ""
 
-    async def start(self) -> None:
+    async def start(self, host: str) -> None:
         """Listen."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._accept, host, 0)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
@@ -181,10 +181,10 @@
         self._ends: set[Link] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> None:
+    async def start(self, host: str) -> None:
         """Listen."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accepted, "127.0.0.1", 0)
+        self._server = await loop.create_server(self._accepted, host, 0)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
--- a/brassfall/lab/editions/stage.py
+++ b/brassfall/lab/editions/stage.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import os
 import shutil
 import signal
 import sys
@@ -24,15 +26,22 @@
     PlayError,
     Troupe,
     environment,
-    free_port,
     run_command,
 )
 
+FIRST_PORT = 20_001
 KEY_MS = 1500.0
 SETTLE_S = 1.0  # after a pause or a start: what came meanwhile is served by then
 LEAVE_S = 10.0  # from SIGTERM; then SIGKILL
 
 
+def own_host() -> str:
+    """An address of loopback that no other play has, nor any connection that goes out. With ports below those
+    that the system gives away, each is free still when the process that had it is followed by another."""
+    pid = os.getpid()
+    return f"127.{64 + (pid >> 16) % 64}.{(pid >> 8) % 256}.{pid % 254 + 1}"
+
+
 def settings(told: Experiment, number: int) -> dict[str, Any]:
     """A sidecar's own file. One of them has no class `rare`: it objects to what names it."""
     rows: list[dict[str, Any]] = [
@@ -69,9 +78,11 @@
         self.told = told
         self.folder = folder
         self.troupe = troupe
-        self.doors = [Door(("127.0.0.1", 9)) for _ in range(told.sidecars)]
+        self.host = own_host()
+        self._ports = itertools.count(FIRST_PORT)
+        self.doors = [Door((self.host, 9)) for _ in range(told.sidecars)]
         self.ways = [Way(self._delay(number)) for number in range(told.servers)]
-        self.listens = [f"127.0.0.1:{free_port()}" for _ in range(told.sidecars)]
+        self.listens = [f"{self.host}:{next(self._ports)}" for _ in range(told.sidecars)]
         self.sidecars: list[Actor | None] = [None] * told.sidecars
         self._replacing = [asyncio.Lock() for _ in range(told.sidecars)]
         self.away: list[Away] = []
@@ -85,8 +96,8 @@
         """All of it, until each sidecar serves."""
         await self.service("main")
         for door in self.doors:
-            door.turn(("127.0.0.1", self.ports["main"]))
-            await door.start()
+            door.turn((self.host, self.ports["main"]))
+            await door.start(self.host)
         await asyncio.gather(*(self._server(number) for number in range(self.told.servers)))
         for number in range(self.told.sidecars):
             await self.sidecar(number)
@@ -100,15 +111,15 @@
 
     def at(self, name: str) -> str:
         """Where a service listens."""
-        return f"127.0.0.1:{self.ports[name]}"
+        return f"{self.host}:{self.ports[name]}"
 
     async def service(self, name: str) -> None:
         """Start one on its disk, as it is."""
-        port = self.ports.setdefault(name, free_port())
+        port = self.ports.setdefault(name, next(self._ports))
         file = self.folder / f"service-{name}.toml"
         lines = [
             "[registry]",
-            f'listen = "127.0.0.1:{port}"',
+            f'listen = "{self.host}:{port}"',
             f"data = {json.dumps(str(self.disk(name)))}",
             "[registry.agreement]",
             f"agree_ms = {self.told.agree_ms}",
@@ -136,8 +147,8 @@
 
     async def _server(self, number: int) -> None:
         way, name = self.ways[number], f"s{number}"
-        await way.start()
-        listen = f"127.0.0.1:{free_port()}"
+        await way.start(self.host)
+        listen = f"{self.host}:{next(self._ports)}"
         host, _, port = listen.rpartition(":")
         way.upstream = (host, int(port))
         region = self.told.regions[number % len(self.told.regions)]
--- a/tests/test_edition_chaos.py
+++ b/tests/test_edition_chaos.py
@@ -121,7 +121,6 @@
         kind="editions",
         seconds=34.0,
         rate=8.0,
-        exclusive=False,  # until sidecars act on held regions
         steps=steps(
             (0.1, "hold", {"by": -1.0}),
             (4.0, "hold", {"by": 1.0}),
