Let no answer and no fault end a sidecar's reports, and tell the end while one is out

A review of the agent found three faults of one kind. An exception other than two kinds (a KeyError, an OverflowError from a huge every_ms) ended the task that reports, unseen, and the sidecar was on safe rules until a restart; the watch likewise. A fault in acting on an edition was raised before each decision, outside of the guard around the module, so that every request failed. A service that answers nonsense was asked for ever, though another address had a good one. All are caught and told now, and the next address is asked.

A process that ends cancelled its tasks and told its end on the same connection at once; the call that was cut short then closed that connection, so the end was not told while a report was out (a commit then waits 2.7 s for a process that is gone). The tasks are awaited first. Seven tests failed before.

--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -8,6 +8,7 @@
 import math
 import os
 import random
+import traceback
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -23,6 +24,7 @@
 JITTER = 1.0 / 3.0  # of that: from 0.5 to 1 s
 CALL_S = 1.0  # a service that takes longer for an answer is of no use: a permission is counted from asking
 LEAVE_S = 0.3
+FAULT_S = 1.0  # after a fault in acting on an edition, until it is tried again
 AGAIN_S = 0.1  # after a failed report, where no other wait is told
 PATH = "/rules"
 
@@ -70,7 +72,10 @@
 
     async def leave(self) -> None:
         """Say that this process acts on nothing more, and end."""
+        tasks = self._tasks
         self.close()
+        # A call that is cut short closes the connection, and would take this one along.
+        await asyncio.gather(*tasks, return_exceptions=True)
         told: dict[str, Any] = self.holder.report(self._loop.time()) | {"leaving": True}
         try:
             await self._caller.call(self._sources.current, "POST", f"/edges/{self._name}", LEAVE_S, told)
@@ -102,7 +107,12 @@
             log(f"agreement: acting on {stance.acting}")
             self._acted = stance.acting
             self.stamp = f"X-Edition: {stance.acting}\r\n".encode()
-        self.good_until = min(self.good_until, self._act(stance, now))
+        try:
+            until = self._act(stance, now)
+        except Exception:  # asked before each decision: a fault here would fail every request
+            log(f"agreement: {traceback.format_exc()}what was acted on before stays; report it")
+            until = now + FAULT_S
+        self.good_until = min(self.good_until, until)
 
     def renew(self) -> None:
         """What is decided from now on goes by other rules, if under the same edition: what was picked
@@ -140,8 +150,9 @@
                 self._fails(str(error))
                 again = self._sources.failed(error.retry_after)
                 wait = again if error.retry_after else min(again, AGAIN_S * (1.0 + self._rng.random()))
-            except (ValueError, TypeError) as error:
-                self._fails(f"an answer that is none: {error}")
+            except Exception as error:  # without reports, this sidecar would be on safe rules for good
+                self._fails(f"an answer that is none: {error!r}")
+                wait = min(wait, self._sources.failed())
             await pause(wait)
 
     async def _pause(self, wait: float) -> None:
@@ -203,7 +214,7 @@
                 if await self._watch_once(sources.current):
                     sources.worked()
                     why = ""
-            except (OSError, ValueError) as error:
+            except Exception as error:  # one that ends would never be opened again
                 if not why:
                     log(f"agreement: the watch on rules fails: {error!r}; reports bring editions meanwhile")
                 why = repr(error)
--- a/tests/test_agreement_agent.py
+++ b/tests/test_agreement_agent.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 
+import pytest
 from aiohttp import web
 
 from fordtrestle.config import Address, Agreement
@@ -70,3 +71,76 @@
 
 def test_an_edition_calls_for_a_report_when_it_is_prepared_and_when_it_is_committed():
     assert asyncio.run(_called()) == [(0, 0), (2, 2), (2, 2)]
+
+
+async def _served(handler):
+    app = web.Application()
+    app.add_routes([web.post("/edges/{name}", handler)])
+    runner = web.AppRunner(app, shutdown_timeout=0.0)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    return runner, Address("127.0.0.1", site._server.sockets[0].getsockname()[1])
+
+
+def _agent(addresses, act):
+    told = Agreement(3000.0, "", "", {})
+    return Agent(asyncio.get_running_loop(), "e1", told, addresses, lambda edition: "", act, 1)
+
+
+async def _astray(answer, act):
+    """Two services; whichever is asked first always gives this answer. Whether the other is asked, too."""
+    asked, other = [], asyncio.Event()
+
+    async def report(request):
+        asked.append(request.url.port)
+        if request.url.port == asked[0]:
+            return web.Response(text=answer)
+        other.set()
+        return web.json_response({"edition": 0, "permission_ms": 0.0})
+
+    served = [await _served(report) for _ in range(2)]
+    agent = _agent(tuple(at for _, at in served), act)
+    agent.start()
+    try:
+        await asyncio.wait_for(other.wait(), SOON_S)
+        agent.at(agent.good_until)
+        return agent.state
+    finally:
+        agent.close()
+        for runner, _ in served:
+            await runner.cleanup()
+
+
+def _faulty(*_):
+    raise KeyError("a fault")
+
+
+@pytest.mark.parametrize("answer", ["[]", '{"permission_ms": "x"}', '{"every_ms": 1%s}' % ("0" * 400)])
+@pytest.mark.parametrize("act", [lambda *_: float("inf"), _faulty])
+def test_an_answer_that_is_none_or_a_fault_here_ends_no_reports(answer, act):
+    assert json.loads(asyncio.run(_astray(answer, act)))["acting"] == "safe"
+
+
+async def _left():
+    reports, go_on = asyncio.Queue(), asyncio.Event()
+
+    async def report(request):
+        reports.put_nowait(await request.json())
+        await go_on.wait()
+        return web.json_response({})
+
+    runner, at = await _served(report)
+    agent = _agent((at,), lambda *_: float("inf"))
+    agent.start()
+    try:
+        await asyncio.wait_for(reports.get(), SOON_S)  # it is not answered
+        await agent.leave()
+        return await asyncio.wait_for(reports.get(), SOON_S)
+    finally:
+        go_on.set()
+        await runner.cleanup()
+
+
+def test_the_end_of_a_process_is_told_while_a_report_is_out():
+    assert asyncio.run(_left())["leaving"]
