Object to an edition whose keys have a form that this sidecar can't read

The check of an edition looked at the names of its keys alone. One with {"regions": {"held": null}}, or a plan whose shares are no numbers (a service of another version), was acknowledged by all, and then raised in Steering.found before each decision; one that was objected to did the same, since the meet of editions covers it too.

--- a/fordtrestle/fleet/holder.py
+++ b/fordtrestle/fleet/holder.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
+from fordtrestle.fleet import forms
+
 SAFE = "safe"
 DOCUMENTS_MOST = 4
 TOLD_MOST = 32  # editions that came while nothing was permitted: more than `agree_ms` has room for
@@ -27,6 +29,7 @@
     plan: Mapping[str, Any] | None
     overrides: tuple[Mapping[str, Any], ...]
     plan_edition: int = 0  # the one that stated the plan, which ages from there
+    unread: str = ""  # the parts that were left out since their form is not known here
 
 
 OWN_FILE = Edition(0, {}, None, ())
@@ -59,7 +62,12 @@
         raise ValueError("settings and plan are objects")
     if not isinstance(overrides, list) or not all(isinstance(row, Mapping) for row in overrides):
         raise ValueError("overrides are a list of objects")
-    return Edition(number, settings, plan or None, tuple(overrides), whole(raw, "plan_edition"))
+    strange = forms.unread(settings)
+    settings = {key: value for key, value in settings.items() if key not in strange}
+    if plan and not forms.plan_read(plan):
+        plan, strange = None, strange | {"plan"}
+    unread = ", ".join(sorted(strange))
+    return Edition(number, settings, plan or None, tuple(overrides), whole(raw, "plan_edition"), unread)
 
 
 def whole(raw: Mapping[str, Any], name: str) -> int:
--- a/fordtrestle/fleet/part.py
+++ b/fordtrestle/fleet/part.py
@@ -121,6 +121,10 @@
             config.successor(self._process.running, self._over(self._file, laid), self._process.busy)
         except ConfigError as error:
             return str(error)
+        except (
+            Exception
+        ) as error:  # said, it halts the edition; unsaid, every sidecar would act on safe rules
+            return f"a fault in this program, report it: {error!r}"
         return ""
 
     def _act(self, stance: Stance, now: float) -> float:
--- a/fordtrestle/fleet/rules.py
+++ b/fordtrestle/fleet/rules.py
@@ -24,6 +24,8 @@
 
 def unknown(edition: Edition) -> str:
     """Why this version can't act on an edition at all; empty where it can."""
+    if edition.unread:
+        return f"{edition.unread}: this version of the program does not know this form"
     strange = sorted(edition.settings.keys() - KNOWN)
     return f"{strange[0]}: this version of the program does not know this key" if strange else ""
 
--- a/tests/test_agreement_agent.py
+++ b/tests/test_agreement_agent.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
 
 import pytest
 from aiohttp import web
 
 from fordtrestle.config import Address, Agreement
+from fordtrestle.fleet import rules
 from fordtrestle.fleet.agent import Agent
+from fordtrestle.fleet.holder import Holder, Stance
+from fordtrestle.fleet.steering import Steering
 
 RARELY_MS, SOON_S = 9_000.0, 3.0  # a report in time would come after 6 s or more
 
@@ -144,3 +148,35 @@
 
 def test_the_end_of_a_process_is_told_while_a_report_is_out():
     assert asyncio.run(_left())["leaving"]
+
+
+NAMES = SimpleNamespace(zones={"a": 0}, classes={"c": SimpleNamespace(band=0)}, tenants={"t": 0})
+STRANGE = [
+    {"settings": {key: value}}
+    for key, value in [
+        *(
+            (key, value)
+            for key in ("regions", "tenants", "caps", "shares", "floor")
+            for value in (None, 5, [1])
+        ),
+        ("regions", {"held": [[]]}),
+        ("tenants", {"t": None}),
+        ("caps", {"c": "x"}),
+        ("shares", {"g": {"a": "x"}}),
+        ("floor", {"regions": 5}),
+        ("floor", {"tenants": 5}),
+    ]
+] + [{"plan": {"shares": value}} for value in (5, {"g": 5}, {"g": {"a": None}})]
+
+
+@pytest.mark.parametrize("strange", STRANGE, ids=json.dumps)
+def test_an_edition_of_another_form_is_objected_to_and_breaks_no_decision(strange):
+    holder = Holder("l", rules.unknown)
+    holder.news({"edition": 5, "state": "prepared", "committed": {"edition": 4}, **strange})
+    assert "does not know this form" in holder.report(0.0)["objection"]["reason"]
+    steering = Steering(Agreement(3000.0, "g", "a", {}), lambda: NAMES, list)
+    (_, odd), now = holder.stance(0.0).told, 1.0
+    for safe in (True, False):
+        for stance in (Stance(safe, odd, ()), Stance(safe, holder.stance(0.0).edition, (odd,))):
+            rules.effective(stance)
+            steering.steer(stance, steering.found(stance, now), now)
