--- a/fordtrestle/fleet/overrides.py
+++ b/fordtrestle/fleet/overrides.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
@@ -251,11 +251,12 @@
     )
 
 
-def safe(found: Effective, pins: Mapping[str, str], part: float) -> Effective:
+def safe(found: Effective, pins: Mapping[str, str], held: Iterable[str], part: float) -> Effective:
     """What to act on without a permission: overrides in force, but for what another may have been given
-    meanwhile. `pins` are of the document's floor, `part` is what is taken of a cap."""
+    meanwhile. `pins` and regions `held` are of the document's floor, `part` is what is taken of a cap."""
     return replace(
         found,
+        held_regions=found.held_regions | set(held),
         tenant_pins={tenant: pins.get(tenant, NOBODY) for tenant in found.tenant_pins},
         caps={cls: rate * part for cls, rate in found.caps.items()},
     )
--- a/fordtrestle/fleet/steering.py
+++ b/fordtrestle/fleet/steering.py
@@ -85,7 +85,8 @@
             found = overrides.met(found, self._effective(edition, now))
         if stance.safe:
             floor = stance.edition.settings.get("floor", {})
-            found = overrides.safe(found, floor.get("tenants", {}), rules.SAFE_PART)
+            held = floor.get("regions", {}).get("held", ())
+            found = overrides.safe(found, floor.get("tenants", {}), held, rules.SAFE_PART)
         self._acted = found.acted
         return found
 
--- a/tests/test_overrides_parts.py
+++ b/tests/test_overrides_parts.py
@@ -496,7 +496,7 @@
     met = edge.met(one, other)
     assert met.tenant_pins == {"t1": rules.NOBODY, "t2": "b"} and met.held_regions == frozenset("ab")
     assert (met.caps, met.shares, met.acted) == ({"c1": 10.0}, one.shares, one.acted)
-    safe = edge.safe(one, {"t2": "c"}, 0.5)
+    safe = edge.safe(one, {"t2": "c"}, (), 0.5)
     assert safe.tenant_pins == {"t1": rules.NOBODY, "t2": "c"} and safe.caps == {"c1": 10.0}
     assert safe.held_regions == one.held_regions
     settings = {
