Refuse a floor that would hold all regions

Since a floor's held regions count for whoever has no permission, one that together with the settings leaves no region with servers would have the whole fleet refuse everything once the service is down: harmful (409) unless forced, with a row in the table of harmful settings.

--- a/brassfall/agreement/document.py
+++ b/brassfall/agreement/document.py
@@ -92,6 +92,9 @@
     held = settings.get("regions", {}).get("held", [])
     if regions and regions <= set(held):
         return f"all regions with servers would be held: {', '.join(sorted(regions))}"
+    floor = settings.get("floor", {}).get("regions", {}).get("held", [])
+    if regions and regions <= {*held, *floor}:
+        return f"whoever has no permission would hold all regions with servers: {', '.join(sorted(regions))}"
     caps = settings.get("caps", {})
     none = sorted(name for name, most in caps.items() if most == 0)
     if none:
--- a/tests/test_rules_service.py
+++ b/tests/test_rules_service.py
@@ -186,6 +186,7 @@
 
 HARM = (
     ({"regions": {"held": ["a", "b"]}}, "a, b"),
+    ({"regions": {"held": ["a"]}, "floor": {"regions": {"held": ["b"]}}}, "a, b"),
     ({"caps": {"look": 0}}, "look"),
     ({"tenants": {"acme": "c"}}, "acme"),
     ({"tenants": {"acme": "a"}, "regions": {"held": ["a"]}}, "acme"),
