Show an edition, and an override that ends while the sidecar is stopped, in the demonstration

The demonstration had nothing of what a fleet agrees on. Now its sidecar has the key fleet.agreement: one edition takes effect, an override holds region b off and ends while the sidecar is stopped by SIGSTOP, and at the end the servers' own ledgers say how many requests came under which edition.

--- a/brassfall/lab/demo.py
+++ b/brassfall/lab/demo.py
@@ -1,7 +1,8 @@
 """`brassfall demo`: a small fleet on loopback, and what it does when parts of it fail.
 
 A list service, three servers that register themselves, one sidecar by the command that the platform
-runs, and a client. Every process is ended at the end, by its id, also on Ctrl-C.
+runs, and a client. One edition takes effect, and one override ends while the sidecar is stopped: what the
+servers write down says who acted on what. Every process is ended at the end, by its id, also on Ctrl-C.
 """
 
 from __future__ import annotations
@@ -14,10 +15,12 @@
 import socket
 import sys
 import tempfile
+import time
 import tomllib
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 
@@ -31,7 +34,12 @@
     "PolicyLimits": {"MaxAttempts": 3, "MayCancel": True, "ConnectTimeout": 250.0},
     "Rules": {"StopSendingWithin": 500.0},
     "Discovery": "automatic",
+    "FailureDomains": ["a", "b"],
 }
+ZONES = {"s1": "a", "s2": "b", "s3": "b"}
+AGREE_MS = 1500  # half the default, so that the demonstration is short
+HELD_S, STOPPED_S = 4.0, 2.0  # how long the override lasts, and how long the sidecar is stopped over its end
+BACK_S = 4.0  # within that, traffic has begun to come back: it is eased in over 5 s
 
 
 class DemoError(ExperimentError):
@@ -48,6 +56,7 @@
         self._say = say
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._logs: list[asyncio.Task[None]] = []
+        self._door = _free_port()
 
     async def run(self) -> None:
         """Start all, send, break things, send again; `DemoError` if something is not as it should be."""
@@ -60,18 +69,23 @@
         say = self._say
         port = _free_port()
         config = self._folder / "registry.toml"
-        config.write_text(f'[registry]\nlisten = "127.0.0.1:{port}"\ndata = "{self._folder / "data"}"\n')
+        config.write_text(
+            f'[registry]\nlisten = "127.0.0.1:{port}"\ndata = "{self._folder / "data"}"\n'
+            f"[registry.agreement]\nagree_ms = {AGREE_MS}\n"
+        )
         service = f"127.0.0.1:{port}"
         say(f"list service on {service}")
         await self._brassfall("service", "registry", "serve", "--config", str(config))
-        for name in ("s1", "s2", "s3"):
-            words = ("lab", "server", name, "--registry", service, "--ttl-ms", "2000")
-            listen = await self._brassfall(name, *words)
-            say(f"server {name} on {listen}")
+        for name, zone in ZONES.items():
+            words = ("lab", "server", name, "--registry", service, "--ttl-ms", "2000", "--zone", zone)
+            listen = await self._brassfall(name, *words, "--ledger", str(self._ledger(name)))
+            say(f"server {name} in region {zone} on {listen}")
         await self._listed(service, 3)
         address = await self._sidecar(service)
         say(f"sidecar on {address}")
         await self._send(address, 60, "all three up")
+        await self._edition(service)
+        await self._override(service, address)
         say("the list service is killed: the sidecar goes on with the list that it holds")
         await self._kill("service")
         await self._send(address, 60, "no list service")
@@ -85,9 +99,92 @@
         served = await self._send(address, 60, "s3 has left")
         if "s3" in served:
             raise DemoError("s3 was sent to after it had left")
+        self._saw()
         say("it works")
 
-    async def _send(self, address: str, count: int, when: str) -> Counter[str]:
+    # --- an edition, and an override that ends while the sidecar is stopped ---------------
+
+    async def _edition(self, service: str) -> None:
+        """Publish an edition, and wait until the sidecar acts on it."""
+        settings = {"Profiles": [{"Name": "look", "Objective": 400.0}]}
+        number = (await client.call(service, "PUT", "/rules", settings))["edition"]
+        begun = time.monotonic()
+        await self._until("the edition was not acted on", lambda told: told["acting"] == number)
+        took = time.monotonic() - begun
+        self._say(
+            f"edition {number} is committed, and the sidecar acts on it, {took:.1f} s after it was published"
+        )
+
+    async def _override(self, service: str, address: str) -> None:
+        """Hold region b off for a while, and stop the sidecar over the end of that."""
+        hold = {"action": {"hold": {"region": "b"}}, "by": "demo", "why": "to show it"}
+        until = time.time() + HELD_S
+        await client.call(service, "PUT", "/overrides/demo", {**hold, "until_ms": int(until * 1000.0)})
+        await self._until("the override was not acted on", lambda told: told["overrides"] == ["demo"])
+        since, left = time.monotonic(), until - time.time()
+        self._say(f"an override holds region b off, {left:.1f} s are left")
+        await self._send(address, 30, "b held off")
+        self._say(f"the sidecar is stopped for {STOPPED_S:g} s, over the override's end")
+        self._processes["sidecar"].send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(max(STOPPED_S, until + 0.2 - time.time()))
+        finally:
+            self._processes["sidecar"].send_signal(signal.SIGCONT)
+        went_on = time.monotonic()
+        told = await self._rules()
+        if told["overrides"]:
+            raise DemoError("an override was acted on past its end", f"the sidecar said {told}")
+        self._say("  it goes on: with its first word it acts on no override any more")
+        while not any(row["at"] > went_on for row in self._rows("b")):
+            if time.monotonic() - went_on > 2.0 * BACK_S:
+                raise DemoError("no traffic came back to region b", "its override has ended")
+            await self._send(address, 10, "", quiet=True)
+            await asyncio.sleep(0.2)
+        between = [row for row in self._rows("b") if since < row["at"] < went_on]
+        if between:
+            raise DemoError("region b was sent to while it was held off", f"{len(between)} requests")
+        back = min(row["at"] for row in self._rows("b") if row["at"] > went_on) - went_on
+        self._say(f"  region b's ledgers: no request while it was held off, the first one {back:.1f} s after")
+
+    async def _until(self, what: str, good: Callable[[Any], bool]) -> None:
+        """Wait until the sidecar's door says so."""
+        begun = time.monotonic()
+        while not good(await self._rules()):
+            if time.monotonic() - begun > READY_S:
+                raise DemoError(what, f"not within {READY_S:g} s")
+            await asyncio.sleep(0.02)
+
+    async def _rules(self) -> Any:
+        """What the sidecar says that it acts on."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._door)
+        try:
+            writer.write(b"RULES\n")
+            async with asyncio.timeout(READY_S):
+                return json.loads(await reader.read())
+        finally:
+            writer.close()
+
+    def _ledger(self, name: str) -> Path:
+        return self._folder / f"{name}.jsonl"
+
+    def _rows(self, zone: str = "") -> list[dict[str, Any]]:
+        """What servers have written down, of one region or of all."""
+        names = [name for name, stands in ZONES.items() if zone in ("", stands)]
+        return [json.loads(line) for name in names for line in self._ledger(name).open("rb")]
+
+    def _saw(self) -> None:
+        """Which editions the servers were sent requests under."""
+        self._say("what the servers' ledgers saw, by the edition that each request named:")
+        rows = self._rows()
+        for name in ZONES:
+            found = Counter(str(row["edition"]) for row in rows if row["server"] == name)
+            self._say(
+                f"  {name}: " + ", ".join(f"{times} under {edition}" for edition, times in found.items())
+            )
+        if any(row["edition"] is None for row in rows):
+            raise DemoError("a request named no edition")
+
+    async def _send(self, address: str, count: int, when: str, quiet: bool = False) -> Counter[str]:
         served: Counter[str] = Counter()
         async with aiohttp.ClientSession() as session:
             for number in range(count):
@@ -96,7 +193,8 @@
                     body = (await answer.read()).decode()
                 served[body.split(" ")[0] if answer.status == 200 else f"status {answer.status}"] += 1
         told = ", ".join(f"{name} {times}" for name, times in sorted(served.items()))
-        self._say(f"  {when}: {count} requests, answered by {told}")
+        if not quiet:
+            self._say(f"  {when}: {count} requests, answered by {told}")
         if any(name.startswith("status") for name in served):
             raise DemoError("a request was not served")
         return served
@@ -135,7 +233,10 @@
         config = self._folder / "sidecar.json"
         known = {"index": 0, "snapshot": True, "endpoints": []}
         told = {"name": "n1", "listen": address, "seed": "1", "known": known, "settings": SETTINGS}
-        config.write_text(json.dumps({**told, "fleet": {"registry": [service]}}))
+        told["operator"] = f"127.0.0.1:{self._door}"
+        place, agreement = {"group": "a", "region": "a"}, {"agree_ms": AGREE_MS}
+        fleet = {"registry": [service], "place": place, "agreement": agreement}
+        config.write_text(json.dumps({**told, "fleet": fleet}))
         kept = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
         log = (self._folder / "sidecar.log").open("wb")
         self._processes["sidecar"] = await asyncio.create_subprocess_exec(
