Try that a send which waits heeds what was acknowledged meanwhile

A request that waited for its connection was tried against a committed edition only, and a renewed stamp under the same edition could go without a test failing: now a pin that a prepared edition takes away counts, too.

--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -247,8 +247,16 @@
         assert (await side.ask()).body == b"done"
 
 
+CHANGED = (
+    ({"regions": {"held": ["west"]}}, "committed", {"regions": {"held": ["east"]}}, ["6"]),
+    # Acknowledged, and not yet in force: from then on nobody serves the tenant until it is.
+    ({"tenants": {"globex": "east"}}, "prepared", {"tenants": {"globex": "west"}}, []),
+)
+
+
+@pytest.mark.parametrize(("before", "state", "after", "sent"), CHANGED)
 @loopback
-async def test_what_waits_for_its_connection_is_not_sent_under_an_edition_that_went():
+async def test_what_waits_for_its_connection_is_not_sent_under_rules_that_went(before, state, after, sent):
     east, west = await Upstream().start(), await Upstream().start()
     limits = {**SETTINGS["PolicyLimits"], "ConnectTimeout": 5000.0}
     async with fleet(east, west, zones=("east", "west"), PolicyLimits=limits) as side:
@@ -261,16 +269,16 @@
                 await gate.wait()
             return await connect(factory, host, port)
 
-        side.rules.publish(5, settings={"regions": {"held": ["west"]}})
+        side.rules.publish(5, settings=before)
         await side.acting(5)
         loop.create_connection = gated
         side.app.send()
         await until(lambda: waiting)
-        side.rules.publish(6, settings={"regions": {"held": ["east"]}})
-        await side.acting(6)
+        side.rules.publish(6, state, after)
+        await until(lambda: 6 in (side.state()["acting"], side.report["prepared"]))
         gate.set()
-        assert (await side.app.answer()).body == b"done"
-        assert (editions(east), editions(west)) == ([], ["6"])
+        assert ((await side.app.answer()).body == b"done") == bool(sent)
+        assert (editions(east), editions(west)) == ([], sent)
 
 
 async def raw_bytes(agreement):
