--- a/brassfall/agreement/document.py
+++ b/brassfall/agreement/document.py
@@ -95,6 +95,9 @@
     held = _held(settings)
     if regions and regions <= held:
         return f"all regions with servers would be held: {', '.join(sorted(regions))}"
+    floor = settings.get("floor", {}).get("regions", {}).get("held", [])
+    if regions and regions <= {*held, *floor}:
+        return f"whoever has no permission would hold all regions with servers: {', '.join(sorted(regions))}"
     # Until then nothing is sent to what any of them holds: so one region has to be open in all of them.
     if held and regions and regions <= held.union(*map(_held, others)):
         return (
