Judge overrides in the schedules of faults: none past its end, no tenant in two regions

Each schedule pins a tenant to another region than its editions do, for 2 to 7 s, every other pin extended shortly before its end; a request of that tenant that reaches the region under an edition which says otherwise shows, from outside, who acts on an override and until when.

--- a/brassfall/lab/editions/clients.py
+++ b/brassfall/lab/editions/clients.py
@@ -13,6 +13,7 @@
 BUDGET_S = 2.0
 SLACK_S = 1.0  # past its budget a request has had its answer
 CLASSES = (("look", 0.6), ("book", 0.25), ("pay", 0.15))  # repeatable, keyed, unsafe to repeat
+TENANTS, TENANT_SHARES = ("t1", "t2"), (0.35, 0.65)
 
 
 def sidecar_of(call_id: str) -> int:
@@ -20,6 +21,11 @@
     return int(call_id[:4], 16)
 
 
+def tenant_of(call_id: str) -> str:
+    """The tenant that a request is of."""
+    return TENANTS[int(call_id[4], 16)]
+
+
 class Client:
     """The application of one sidecar."""
 
@@ -47,9 +53,11 @@
 
     async def _ask(self, session: aiohttp.ClientSession) -> None:
         self._count += 1
-        call_id = f"{self._number:04x}{self._count:012x}"
+        tenant = self._rng.choices(TENANTS, TENANT_SHARES)[0]
+        call_id = f"{self._number:04x}{TENANTS.index(tenant):01x}{self._count:011x}"
         (name, _), *_ = self._rng.choices(CLASSES, [share for _, share in CLASSES])
         headers = {"X-Call-Id": call_id, "X-Call-Class": name, "X-Budget": f"{BUDGET_S * 1000.0:.0f}m"}
+        headers["X-Caller"] = tenant
         if name == "book":
             headers["Idempotency-Key"] = f"k{call_id}"
         method = "GET" if name == "look" else "POST"
--- a/brassfall/lab/editions/faults.py
+++ b/brassfall/lab/editions/faults.py
@@ -6,10 +6,11 @@
 import shutil
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import get_args
 
 from brassfall.lab.editions.proxies import ANSWER, ASK, EDITIONS, LISTS, REPORT
 from brassfall.lab.editions.publisher import Publisher, now
-from brassfall.lab.editions.spec import Step
+from brassfall.lab.editions.spec import Publish, Step
 from brassfall.lab.editions.stage import Stage
 
 CUTS = {
@@ -41,7 +42,7 @@
 
     async def take(self, step: Step) -> None:
         """Carry out one step, to its end."""
-        if step.do in ("hold", "free", "objected", "two", "ten"):
+        if step.do in get_args(Publish):
             await self.publisher.publish(self.stage.at("main"), step)
             return
         event = Event(step.do, now(), self.publisher.preparing)
--- a/brassfall/lab/editions/judge.py
+++ b/brassfall/lab/editions/judge.py
@@ -13,6 +13,8 @@
 
 SAFE = "safe"
 DOUBTFUL_S = 0.5  # an observer that ran later than this can accuse nobody
+LATE_S = 0.5  # an override may be acted on so long after its end
+BACK_S = 0.5  # two editions take longer: nobody goes to another region and back in that time
 TEXTS_MOST = 5  # of each rule; the rest is counted
 
 
@@ -28,6 +30,7 @@
     unsafe: bool = False
     key: str = ""
     ran: bool = True
+    tenant: str = ""
 
 
 class Asked(msgspec.Struct, frozen=True):
@@ -48,12 +51,23 @@
     until: float
 
 
+class Pin(msgspec.Struct, frozen=True):
+    """An override that pins a tenant to a region, as it was asked for."""
+
+    tenant: str
+    region: str
+    since: float  # when it was asked for
+    until: float
+
+
 class Terms(msgspec.Struct, frozen=True):
     """What is judged against."""
 
     agree_s: float
     key_s: float  # how long a key keeps a repeat from being run again
     held: Mapping[int, Sequence[str]]  # regions that each edition holds off
+    homes: Mapping[int, Mapping[str, str]] = {}  # the region of each tenant that an edition pins
+    pins: Sequence[Pin] = ()
     exclusive: bool = True  # whether this program acts on held regions
     link_s: float = 0.0  # the longest way from a sidecar to a server
     late_s: float = 0.0  # the most that the observer was late
@@ -76,6 +90,8 @@
         0.0  # the longest, raw: from the first under the newer to the last under the older
     )
     held_ms: float = 0.0  # the latest send to a region, after another edition that holds it was acted on
+    override_ms: float | None = None  # the latest that a pin was acted on, from its end on
+    pinned: int = 0  # sends that a pin decided
     sends: int = 0
     safe: int = 0
     safe_into_held: int = 0  # under safe rules, by sidecars that may not know of that edition
@@ -121,6 +137,8 @@
     made.unknown = sum(number != 0 and number not in terms.held for number in lives)
     made.contradiction_ms = _contradictions(lives, terms, book)
     made.held_ms, made.safe_into_held = _held(rows, lives, terms, book)
+    made.override_ms, made.pinned = _pins(rows, terms, book)
+    _apart([call for call in rows if _home(call, terms)], terms, book)
     _twice(rows, terms, book)
     made.asked = len(asked)
     made.answers = dict(sorted(Counter(row.how for row in asked).items()))
@@ -189,6 +207,54 @@
     return found
 
 
+def _home(call: Call, terms: Terms) -> str:
+    """The region that a send's edition pins its tenant to, if it does."""
+    found = terms.homes.get(call.edition, {}) if isinstance(call.edition, int) else {}
+    return found.get(call.tenant, "")
+
+
+def _pins(rows: Sequence[Call], terms: Terms, book: _Book) -> tuple[float | None, int]:
+    """The latest in ms that a pin was acted on after its end (less than 0: before it), and how many sends."""
+    latest, count = None, 0
+    for call in rows:
+        if _home(call, terms) in ("", call.zone):
+            continue
+        begun = [p for p in terms.pins if (p.tenant, p.region) == (call.tenant, call.zone)]
+        begun = [p for p in begun if p.since <= call.at]
+        count += 1
+        if not begun:
+            text = f"{call.id} of {call.tenant} reached {call.zone} under {call.edition}, which says another"
+            book.add("astray", text)
+            continue
+        over = call.at - max(pin.until for pin in begun)
+        latest = over if latest is None else max(latest, over)
+        if over > LATE_S + terms.link_s + terms.late_s:
+            book.add(
+                "override-late", f"{call.id} reached {call.zone} {over * 1000.0:.0f} ms after the pin's end"
+            )
+    return None if latest is None else latest * 1000.0, count
+
+
+def _apart(rows: Sequence[Call], terms: Terms, book: _Book) -> None:
+    """Whether a pinned tenant was served by two regions at once: to another one and back, in no time."""
+    apart = terms.link_s + terms.late_s
+    last: dict[str, list[Call]] = defaultdict(list)  # of each tenant: the last of each run in one region
+    for call in rows:
+        runs = last[call.tenant]
+        if runs and runs[-1].zone == call.zone:
+            runs[-1] = call
+            continue
+        runs.append(call)
+        if len(runs) < 3:
+            continue
+        one, other = runs[-3], runs[-2]
+        del runs[:-2]
+        between = min(other.at - one.at, call.at - other.at)
+        if one.zone == call.zone and call.at - one.at < BACK_S and between > apart:
+            text = f"{call.tenant} was served by {one.zone} at {one.at:.3f} ({one.id}) and {call.at:.3f}"
+            book.add("two-regions", f"{text} ({call.id}), and by {other.zone} at {other.at:.3f} ({other.id})")
+
+
 def _twice(rows: Sequence[Call], terms: Terms, book: _Book) -> None:
     """Requests that ran more often than their class allows."""
     ids: dict[str, list[Call]] = defaultdict(list)
--- a/brassfall/lab/editions/play.py
+++ b/brassfall/lab/editions/play.py
@@ -89,6 +89,8 @@
             agree_s=told.agree_ms / 1000.0,
             key_s=KEY_MS / 1000.0,
             held=publisher.held,
+            homes=publisher.homes,
+            pins=publisher.pins,
             exclusive=told.exclusive,
             link_s=max(way.delay_s for way in stage.ways) + _slowest(told, seed),
             late_s=lateness.most / 1000.0,
@@ -168,6 +170,7 @@
         unsafe=row["class"] == "pay",
         key=row["key"] or "",
         ran=row["ran"],
+        tenant=clients.tenant_of(row["id"]),
     )
 
 
--- a/brassfall/lab/editions/publisher.py
+++ b/brassfall/lab/editions/publisher.py
@@ -13,11 +13,13 @@
 
 import aiohttp
 
+from brassfall.lab.editions.judge import Pin
 from brassfall.lab.editions.spec import Step
 
 PUT_S = 2.0
 POLL_S = 0.1
-STRANGE = "never-listed"  # a class that no file has
+TENANT = "t1"  # which editions pin to the first region, unless they hold that
+EXTENDED_S = 1.5
 RARE = "rare"  # a class that all files but one have
 
 
@@ -29,6 +31,8 @@
         self._marks = itertools.count(1)
         self._held: list[str] = []
         self.held: dict[int, tuple[str, ...]] = {}  # regions held, by edition
+        self.homes: dict[int, dict[str, str]] = {}  # of tenants, by edition
+        self.pins: list[Pin] = []
         self.outcomes: dict[str, int] = {}  # of publishing
         self.states: dict[int, str] = {}  # of editions, as told last
         self._newest = 0
@@ -69,11 +73,43 @@
                     await self._put(service)
                     await asyncio.sleep(0.08)
 
+            case "pin":
+                await self._pin(service, self._regions[int(step.by)], step.lasts)
+
+    async def _pin(self, service: str, region: str, lasts: float) -> None:
+        """Pin the tenant by an override; every other one is extended shortly before its end."""
+        mark = next(self._marks)
+        await self._override(service, mark, region, lasts)
+        if mark % 2:
+            await asyncio.sleep(0.7 * lasts)
+            await self._override(service, mark, region, 0.3 * lasts + EXTENDED_S)
+
+    async def _override(self, service: str, mark: int, region: str, lasts: float) -> None:
+        body = {
+            "action": {"pin": {"region": region}},
+            "match": {"tenant": TENANT},
+            "by": "play",
+            "why": "a schedule says so",
+            "until_ms": round((time.time() + lasts) * 1000.0),
+        }
+        # Whether it is answered or not, it may have been taken.
+        self.pins.append(Pin(TENANT, region, now(), now() + lasts))
+        outcome = "unanswered"
+        try:
+            async with self._session.put(f"http://{service}/overrides/o{mark}", json=body) as answer:
+                await answer.read()
+                outcome = str(answer.status)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            pass
+        self.outcomes[f"pin {outcome}"] = self.outcomes.get(f"pin {outcome}", 0) + 1
+
     async def _put(self, service: str, name: str = "look", held: list[str] | None = None) -> None:
         mark = next(self._marks)
         held = self._held if held is None else held
         row = {"Name": name, "Objective": 500.0 + mark % 400}
-        settings: dict[str, Any] = {"regions": {"held": held}, "Profiles": [row]}
+        home = self._regions[0]
+        tenants = {} if home in held else {TENANT: home}
+        settings: dict[str, Any] = {"regions": {"held": held}, "Profiles": [row], "tenants": tenants}
         headers = {"X-Request-Id": f"play-{mark}"}
         outcome = "unanswered"
         try:
@@ -88,6 +124,7 @@
 
     def _note(self, number: int, settings: dict[str, Any], state: str) -> None:
         self.held.setdefault(number, tuple(settings.get("regions", {}).get("held", ())))
+        self.homes.setdefault(number, dict(settings.get("tenants", {})))
         if self.states.get(number) not in ("committed", "halted"):
             self.states[number] = state
         self._newest = max(self._newest, number)
--- a/brassfall/lab/editions/report.py
+++ b/brassfall/lab/editions/report.py
@@ -44,6 +44,7 @@
         broken.update(verdict.broken)
     worst = max((verdict.contradiction_ms for verdict in verdicts), default=0.0)
     held = max((verdict.held_ms for verdict in verdicts), default=0.0)
+    override = max((v.override_ms for v in verdicts if v.override_ms is not None), default=None)
     sends, safe = sum(v.sends for v in verdicts), sum(v.safe for v in verdicts)
     late = max((result.late_ms for result in results), default=0.0)
     rows = [
@@ -54,6 +55,10 @@
             "0 ms, and the way" if told.exclusive else "not judged",
         ),
         ("sends under an edition that holds their region", str(broken["held-by-own"]), "0"),
+        ("an override acted on after its end, latest", _ms(override), "500 ms"),
+        ("sends that an override decided", str(sum(v.pinned for v in verdicts)), ""),
+        ("sends of a pinned tenant elsewhere", str(broken["astray"]), "0"),
+        ("a pinned tenant served by two regions at once", str(broken["two-regions"]), "0"),
         ("unsafe requests run twice", str(broken["run-twice"]), "0"),
         ("keyed requests run again past their key", str(broken["key-outlived"]), "0"),
         ("requests lost", str(broken["lost"]), "0"),
@@ -75,6 +80,10 @@
     return "\n".join(lines) + "\n"
 
 
+def _ms(span: float | None) -> str:
+    return "never" if span is None else f"{span:.0f} ms"
+
+
 def _faults(results: list[Result]) -> str:
     times: Counter[str] = Counter()
     met: Counter[str] = Counter()
--- a/brassfall/lab/editions/schedule.py
+++ b/brassfall/lab/editions/schedule.py
@@ -19,7 +19,7 @@
     if told.steps:
         return sorted(told.steps, key=lambda step: step.at)
     rng = random.Random(seed * 1_000_003 + 17)
-    steps = _publishes(told, rng)
+    steps = [*_publishes(told, rng), *_pins(told, rng)]
     kinds = list(get_args(Fault))
     rng.shuffle(kinds)
     room = told.seconds - SETTLED_S - REST_S
@@ -47,6 +47,16 @@
     return steps
 
 
+def _pins(told: Experiment, rng: random.Random) -> list[Step]:
+    """Overrides, one after the other; some are extended before their end."""
+    steps, at = [], SETTLED_S + rng.uniform(0.0, 2.0)
+    while (lasts := rng.uniform(2.0, 7.0)) + at < told.seconds - 1.0:
+        by = float(rng.randrange(1, len(told.regions)))
+        steps.append(Step(at=at, do="pin", lasts=lasts, by=by))
+        at += lasts + rng.uniform(1.5, 4.0)
+    return steps
+
+
 def _fault(told: Experiment, rng: random.Random, kind: Fault, at: float) -> Step:
     left = told.seconds - at - 1.0
     who = sorted(rng.sample(range(told.sidecars), rng.randint(1, max(1, told.sidecars // 2))))
--- a/brassfall/lab/editions/spec.py
+++ b/brassfall/lab/editions/spec.py
@@ -14,7 +14,7 @@
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=3600.0)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 
-Publish = Literal["hold", "free", "objected", "two", "ten"]
+Publish = Literal["hold", "free", "objected", "two", "ten", "pin"]  # pin: a tenant, by an override
 Fault = Literal[
     "kill",  # of the service
     "kills",  # several in a row
--- a/brassfall/lab/editions/stage.py
+++ b/brassfall/lab/editions/stage.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 
+from brassfall.lab.editions.clients import TENANTS
 from brassfall.lab.editions.judge import Away
 from brassfall.lab.editions.proxies import Door, Way
 from brassfall.lab.editions.publisher import RARE, now
@@ -62,6 +63,7 @@
         "Profiles": rows,
         "FailureDomains": told.regions,
         "Kinds": ["any"],
+        "Tenants": [{"Name": name, "AllowancePerS": 1000.0} for name in TENANTS],
         "Discovery": "automatic",
         "PolicyLimits": {"MaxAttempts": 3, "MayCancel": True, "ConnectTimeout": 400.0},
         "Rules": {"StopSendingWithin": 500.0},
@@ -191,7 +193,8 @@
 
     async def serving(self, number: int) -> None:
         """Wait until a request through a sidecar is answered by a server."""
-        headers = {"X-Call-Id": f"{number:04x}{2**40:012x}", "X-Call-Class": "look", "X-Budget": "1000m"}
+        headers = {"X-Call-Id": f"{number:04x}1{2**40:011x}", "X-Call-Class": "look", "X-Budget": "1000m"}
+        headers["X-Caller"] = TENANTS[-1]
         limit = aiohttp.ClientTimeout(total=1.5)
         async with aiohttp.ClientSession(timeout=limit) as session:
             for _ in range(int(READY_S / 0.05)):
--- a/tests/test_edition_chaos.py
+++ b/tests/test_edition_chaos.py
@@ -9,8 +9,10 @@
 import pytest
 
 from brassfall.lab.editions import judge, play, schedule, spec
-from brassfall.lab.editions.judge import SAFE, Asked, Away, Call
+from brassfall.lab.editions.judge import SAFE, Asked, Away, Call, Pin
 
+HOMES = {1: {"t": "a"}, 2: {"t": "a"}, 3: {"t": "a"}}
+PINS = [Pin("t", "c", 2.0, 6.0)]
 HELD = {1: (), 2: ("b",), 3: ()}
 REGIONS = ("a", "b", "c")
 
@@ -63,7 +65,26 @@
     calls.append(Call("x", 3, "sa", "a", None, 4.0))
 
 
+def pinned(at, zone, name="x", edition=1):
+    return Call(name, 1, f"s{zone}", zone, edition, at, tenant="t")
+
+
+def override_late(rng, calls, asked, first):
+    calls += [pinned(5.9, "c"), pinned(6.8, "c", "y")]
+
+
+def astray(rng, calls, asked, first):
+    calls.append(pinned(rng.uniform(0.0, 1.9), "c"))
+
+
+def two_regions(rng, calls, asked, first):
+    calls += [pinned(4.0, "c"), pinned(4.15, "a", "y"), pinned(4.3, "c", "z")]
+
+
 WRONGS = {
+    "override-late": override_late,
+    "astray": astray,
+    "two-regions": two_regions,
     "contradiction": late_contradiction,
     "held-by-own": own_held,
     "held-by-newer": held_by_newer,
@@ -75,7 +96,16 @@
 
 
 def judged(calls, asked, away=(), **terms):
-    told = {"agree_s": 3.0, "key_s": 1.5, "held": HELD, "link_s": 0.02, "late_s": 0.05, **terms}
+    told = {
+        "agree_s": 3.0,
+        "key_s": 1.5,
+        "held": HELD,
+        "homes": HOMES,
+        "pins": PINS,
+        "link_s": 0.02,
+        "late_s": 0.05,
+        **terms,
+    }
     return judge.judge(calls, asked, list(away), judge.Terms(**told))
 
 
@@ -93,12 +123,15 @@
     calls, asked, first = good(random.Random(7))
     # Under safe rules a sidecar may know nothing of the newer edition; and what comes late was sent in time.
     calls += [
+        *(pinned(at, "c") for at in (2.1, 4.0, 6.4)),
+        pinned(6.45, "a"),
         Call("x", 1, "sb", "b", SAFE, first[2] + 4.0),
         Call("y", 1, "sa", "a", 1, first[2] + 3.05),
     ]
     asked.append(Asked("z", 3, 5.0, 8.0, "silent"))
     made = judged(calls, asked, [Away(3, 4.0, 7.0)])
     assert made.broken == {} and made.safe_into_held == 1 and 3040.0 < made.contradiction_ms < 3060.0
+    assert made.pinned == 3 and made.override_ms == pytest.approx(400.0)
     assert made.counts and not judged(calls, asked, late_s=0.6).counts
 
 
@@ -125,7 +158,8 @@
             (0.1, "hold", {"by": -1.0}),
             (4.0, "hold", {"by": 1.0}),
             (4.2, "kill", {}),
-            (11.5, "two", {"by": 0.0}),
+            (11.0, "pin", {"by": 1.0, "lasts": 3.0}),
+            (11.5, "two", {"by": 1.0}),
             (11.8, "stop", {"who": [2, 5], "lasts": 4.0}),
             (14.0, "hold", {"by": 2.0}),
             (16.0, "cut-editions", {"who": [1, 3, 6], "lasts": 3.0}),
@@ -141,5 +175,5 @@
     if not result.verdict.counts:
         pytest.skip(f"the observer was {result.late_ms:.0f} ms late: this machine can't tell")
     assert result.verdict.findings == [] and result.crashes == []
-    assert result.verdict.editions >= 4 and result.verdict.unknown == 0
+    assert result.verdict.pinned and result.verdict.editions >= 4 and result.verdict.unknown == 0
     assert {event.do for event in result.events if event.prepared} >= {"kill", "stop"}
