--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -201,6 +201,7 @@
     _taken: int = 0  # the life that this run has taken
     _counted: tuple[float, str] = (-math.inf, "")
     _look_again: float = -math.inf
+    _lost_again: float = -math.inf
 
     def step(self, now: float, event: Event) -> list[Action]:
         """Take in what happened; what to do about it. `now` in monotonic ms."""
@@ -377,7 +378,11 @@
         life, span = self.fleet.life, self.timing.season_ms
         # The low bits of a life are drawn: so two services on one copy do not raise it to the same number.
         more = 1 + life % 2**20
-        beyond = self.fleet.outlived(now, span, self.timing.over_ms)
+        beyond = 0
+        if now >= self._lost_again:
+            # As in `_agreed`: at each report, this cost 2,000 sidecars' reports most of their time.
+            self._lost_again = now + LOOK_MS * len(self.fleet.edges)
+            beyond = self.fleet.outlived(now, span, self.timing.over_ms)
         if beyond:
             return _anew(kept, max(beyond, kept.life) + more)
         # What an earlier run took is its own, and never this one's.
@@ -405,11 +410,13 @@
 
     def _agreed(self, now: float, number: int) -> bool:
         """Whether everybody who may act on the edition before has acknowledged this one."""
-        if now < self._look_again or self._alone(now):
+        if now < self._look_again:
             return False
-        holding = self.fleet.holding(now)
         # A look costs as much as there are sidecars: many that report at once are looked at together.
-        self._look_again = now + LOOK_MS * len(holding)
+        self._look_again = now + LOOK_MS * len(self.fleet.edges)
+        if self._alone(now):
+            return False
+        holding = self.fleet.holding(now)
         return all(holder.prepared == number for holder in holding.values())
 
     def _durable(self) -> list[Action]:
--- a/brassfall/agreement/edges.py
+++ b/brassfall/agreement/edges.py
@@ -16,6 +16,9 @@
 from brassfall.errors import Refused
 
 TEXT_MOST = 200
+# What a report may leave out that goes on from the one before it on its connection: it is as it was there.
+KEPT = {"life", "of", "held", "prepared", "acting", "list_index", "list_age_ms"}
+KEPT |= {"overrides", "digest", "told", "group", "region"}
 OVERRIDES_MOST = 1000
 APART = 3 * 3_600_000 << 10  # of lives numbered by wall clocks that are an hour wrong, either way, and some
 
@@ -56,12 +59,34 @@
     measures: dict[str, Any] = {}
 
 
+Raw = dict[str, Any]  # a report as it came
+
+
 def parse(body: bytes) -> Report:
-    """Read a report; `ReportError` says what is wrong with it."""
+    """Read a whole report; `ReportError` says what is wrong with it."""
+    return read(body, None)[0]
+
+
+def read(body: bytes, before: Raw | None) -> tuple[Report, Raw]:
+    """Read a report, and what a next one may go on from; `ReportError` says what is wrong with it.
+
+    One that names another by `after` goes on from that, which has to be the one `before`: never from a
+    guess, or what a process acknowledged would be taken for what another did."""
     try:
-        report = msgspec.json.decode(body or b"{}", type=Report)
+        raw = msgspec.json.decode(body or b"{}", type=Raw)
+        after = raw.pop("after", None)
+        if after is not None:
+            if before is None or after != before.get("seq"):
+                raise ReportError("no report", "it goes on from one that did not come on its connection")
+            raw = {name: value for name, value in before.items() if name in KEPT} | raw
+        report = msgspec.convert(raw, Report)
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as wrong:
         raise ReportError("no report", str(wrong)) from wrong
+    _sound(report)
+    return report, raw
+
+
+def _sound(report: Report) -> None:
     for name in ("seq", "of", "held", "prepared", "list_index", "told"):
         if not 0 <= (getattr(report, name) or 0) < 2**53:
             raise ReportError("no report", f"{name} is out of range")
@@ -75,7 +100,6 @@
         raise ReportError("no report", "a text is too long")
     if len(report.overrides or ()) > OVERRIDES_MOST:
         raise ReportError("no report", f"overrides: more than {OVERRIDES_MOST}")
-    return report
 
 
 @dataclass(slots=True)
--- a/brassfall/agreement/pace.py
+++ b/brassfall/agreement/pace.py
@@ -19,3 +19,10 @@
     """Over what span their reports are spread when an edition makes all of them report soon: so that no more
     than two in a ms come in, however many there are."""
     return min(EVERY_MOST_MS, max(SPREAD_LEAST_MS, SPREAD_EACH_MS * sidecars))
+
+
+def told(sidecars: int, enrolled: int) -> dict[str, float]:
+    """What an answer to a report tells of it; what a sidecar takes for granted is left out."""
+    found = {"every_ms": every_ms(sidecars), "spread_ms": spread_ms(sidecars), "edges": max(1, enrolled)}
+    usual = {"every_ms": EVERY_MS, "spread_ms": SPREAD_LEAST_MS, "edges": 1}
+    return {name: value for name, value in found.items() if value != usual[name]}
--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -266,6 +266,23 @@
     raise typer.Exit(scale.run(command.sizes(nodes), seeds, jobs or os.cpu_count() or 1, out))
 
 
+@lab.command("editions-cost")
+def editions_cost(
+    out: Annotated[Path, typer.Option(help="Folder for the results.")],
+    parts: Annotated[str, typer.Option(help="Of wire, load and request, with commas.")] = "wire,load,request",
+    seconds: Annotated[float, typer.Option(min=1.0, help="How long wire and load are measured.")] = 30.0,
+    pairs: Annotated[int, typer.Option(min=1, help="How often requests take turns.")] = 9,
+    count: Annotated[int, typer.Option(min=100, help="Requests of each turn.")] = 4000,
+) -> None:
+    """What the agreement costs real processes, in bytes, processor time and memory; in some minutes."""
+    from brassfall.lab.agreement import cost
+
+    def say(text: str) -> None:
+        typer.echo(text, err=True)
+
+    _run(cost.run(cost.chosen(parts), seconds, pairs, count, out, say))
+
+
 @lab.command("server")
 def server_(
     name: str,
--- a/brassfall/geo/evidence.py
+++ b/brassfall/geo/evidence.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
-from typing import TypeGuard
+from typing import Any, NamedTuple, TypeGuard
 from zlib import crc32
 
 WIDTH, LEAST_MS, BUCKETS = 1.05, 0.05, 287  # as fordtrestle.fleet.delays has them; a test holds them together
@@ -65,6 +65,16 @@
     return float(LEAST_MS * WIDTH ** (bucket + 0.5))
 
 
+class Heard(NamedTuple):
+    """What can be used of one report."""
+
+    edge: str
+    life: str
+    group: str
+    rows: tuple[tuple[str, int, Points, Points], ...]
+    now_s: float
+
+
 def sift(rows: object) -> Sifted:
     """What of a report can be used; never raises, whatever was sent."""
     if not isinstance(rows, Sequence) or isinstance(rows, str | bytes):
@@ -93,7 +103,7 @@
         return "window"
     if not isinstance(span, int | float) or isinstance(span, bool) or not 0.0 < span <= SPAN_MOST_MS:
         return "span_ms"
-    shake, first = _points(row.get("shake")), _points(row.get("first"))
+    shake, first = _points(row.get("shake", {})), _points(row.get("first", {}))
     if shake is None or first is None:
         return "shake" if shake is None else "first"
     return (region, window, shake, first) if shake or first else "empty"
@@ -118,21 +128,29 @@
 
 def merge(state: State, edge: str, life: str, group: str, rows: object, now_s: float) -> State:
     """The state with a report added; the same state where it holds nothing new or nothing usable."""
-    if not (_is_name(edge) and _is_name(life) and _is_name(group) and math.isfinite(now_s)):
-        return state
-    good = sift(rows).rows
-    if not good:
-        return state
-    lives = dict(state.edges.get(edge, {}))
+    return gathered(state, [Heard(edge, life, group, sift(rows).rows, now_s)])
+
+
+def gathered(state: State, many: Iterable[Heard]) -> State:
+    """The state with reports added in their order, as by `merge`: what there is of edges is copied once."""
+    edges = dict(state.edges)
+    good = [heard for heard in many if _add(edges, heard)]
+    return replace(state, edges=edges) if good else state
+
+
+def _add(edges: dict[str, Any], heard: Heard) -> bool:
+    edge, life, group, rows, now_s = heard
+    if not (rows and _is_name(edge) and _is_name(life) and _is_name(group) and math.isfinite(now_s)):
+        return False
+    lives = dict(edges.get(edge, {}))
     tracks = dict(lives.get((life, group), {}))
-    for region, window, shake, first in good:
+    for region, window, shake, first in rows:
         tracks[region] = _with(tracks.get(region, {}), window, Row(now_s, shake, first))
     lives[life, group] = _newest(tracks, ROWS_MOST)
-    edges = dict(state.edges)
     edges[edge] = _newest_lives(lives)
     if len(edges) > EDGES_MOST:
         del edges[min(edges, key=lambda name: (last_heard(edges[name]), name))]
-    return replace(state, edges=edges)
+    return True
 
 
 def _with(track: Track, window: int, row: Row) -> Track:
--- a/brassfall/registry/calls.py
+++ b/brassfall/registry/calls.py
@@ -20,6 +20,18 @@
 }
 
 
+class Brief(web.Response):
+    """A small answer that comes about once a second on each connection, to a program of this house: it has
+    only the header that frames it. Others say who answers, when, and in what form (120 bytes)."""
+
+
+async def shorten(request: web.Request, response: web.StreamResponse) -> None:
+    """Called by aiohttp before each head is sent."""
+    if isinstance(response, Brief):
+        for name in ("Server", "Date", "Content-Type"):
+            response.headers.popall(name, None)
+
+
 def answer(body: bytes, status: int = 200) -> web.Response:
     """JSON that is encoded already."""
     return web.Response(body=body, status=status, content_type="application/json")
--- a/brassfall/registry/geo.py
+++ b/brassfall/registry/geo.py
@@ -28,6 +28,7 @@
 TICK_S = 0.25
 FRESH_S = 1.0  # an estimate is told again for so long
 DEMAND_S = 10.0  # a sidecar that is silent for longer asks for nothing
+HEARD_MOST = 256  # reports that are added to the evidence at once
 HOLDER = "list service"
 
 log = logger("geo")
@@ -59,6 +60,7 @@
     settings: GeoSettings
     refused: int = 0  # rows of reports that were none
     _state: evidence.State = field(default_factory=evidence.State)
+    _heard: list[evidence.Heard] = field(default_factory=list)  # not yet part of it
     _demand: dict[str, tuple[str, float, float]] = field(default_factory=dict)  # by edge: group, rate, when
     _estimate: Estimate | None = None
     _estimated_at: float = float("-inf")
@@ -96,7 +98,9 @@
             now = time.monotonic()
             sifted = evidence.sift(rows)
             self.refused += sum(sifted.refused.values())
-            self._state = evidence.merge(self._state, name, report.life, report.group, rows, now)
+            self._heard.append(evidence.Heard(name, report.life, report.group, sifted.rows, now))
+            if len(self._heard) >= HEARD_MOST:
+                self._gather()
             answers = sum(evidence.count(first) for _, _, _, first in sifted.rows)
             _, _, before = self._demand.get(name, ("", 0.0, now - 1.0))
             self._demand[name] = (report.group, answers / max(0.25, now - before), now)
@@ -110,11 +114,17 @@
         """Nothing here is wrong with a single sidecar."""
         return {}
 
+    def _gather(self) -> None:
+        # Each adding copies what there is of edges: of thousands, not at each report.
+        self._state = evidence.gathered(self._state, self._heard)
+        self._heard = []
+
     # --- estimates ------------------------------------------------------------------------
 
     async def _estimated(self) -> Estimate:
         now = time.monotonic()
         if self._estimate is None or now - self._estimated_at > FRESH_S:
+            self._gather()
             self._state = evidence.forget(self._state, now)
             groups = sorted({group for group, _, _ in self._demand.values() if group})
             work = (self._state, now, groups, sorted(self._capacity()), self._estimate)
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -16,10 +16,11 @@
 from brassfall.agreement import document, pace
 from brassfall.agreement.core import Agreement, Event, Kept, Reported, Timing
 from brassfall.agreement.document import DocumentError, Edition, HarmfulError
-from brassfall.agreement.edges import Edge, Fleet, Report, ReportError, parse
+from brassfall.agreement.edges import Edge, Fleet, Report, ReportError, read
 from brassfall.errors import Missing, Stale, Unavailable
 from brassfall.logs import logger
 from brassfall.registry import calls, entries
+from brassfall.registry.callers import Connection
 from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES
 from brassfall.registry.watches import Channel, Form, chunk
@@ -370,14 +371,14 @@
     async def _report(self, request: web.Request) -> web.Response:
         name = entries.name(request.match_info["name"])
         try:
-            report = parse(await self.host.body(request))
+            report = _read(request, name, await self.host.body(request))
         except ReportError:
             self.figures.refused_reports += 1
             raise
         if name not in self.core.fleet.edges and len(self.core.fleet.edges) >= self.settings.edges_most:
             self.figures.refused_reports += 1
             raise Unavailable("no place", f"all {self.settings.edges_most} sidecars are known", retry_s=10.0)
-        return answer(_encode(self._permission(name, report)))
+        return calls.Brief(body=_encode(self._permission(name, report)))
 
     def _permission(self, name: str, report: Report) -> dict[str, Any]:
         more: dict[str, Any] = {}
@@ -395,12 +396,11 @@
             "permission_ms": granted.permission_ms,
             "list_index": index,
             "news": newest > report.held or index > report.list_index,
-            "pending": granted.pending,
-            "life": self.core.fleet.life,
-            "every_ms": pace.every_ms(len(self.core.fleet.edges)),
-            "spread_ms": pace.spread_ms(len(self.core.fleet.edges)),
-            "why": granted.why,
-            "edges": max(1, len(self.core.fleet.names)),
+            # The rest is left out where it is as a sidecar takes it to be.
+            **({"life": self.core.fleet.life} if report.of != self.core.fleet.life else {}),
+            **({"pending": granted.pending} if granted.pending else {}),
+            **({"why": granted.why} if granted.why else {}),
+            **pace.told(len(self.core.fleet.edges), len(self.core.fleet.names)),
             **more,
         }
 
@@ -495,3 +495,13 @@
             "harmful_refused": self.figures.harmful,
             "harmful_forced": self.figures.forced,
         }
+
+
+def _read(request: web.Request, name: str, body: bytes) -> Report:
+    """A report may go on from the one before of its name, on the same connection alone."""
+    connection = request.protocol
+    assert isinstance(connection, Connection)
+    (whose, before), connection.report = connection.report, ("", {})
+    report, raw = read(body, before if whose == name else None)
+    connection.report = (name, raw)
+    return report
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -206,6 +206,7 @@
 
     def _application(self) -> web.Application:
         app = web.Application(middlewares=[self._call], client_max_size=self.settings.limits.body_bytes)
+        app.on_response_prepare.append(calls.shorten)
         one, table = "/registry/instances/{name}", "/tables/{table}/{key}"
         app.router.add_routes(
             [
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -20,6 +20,7 @@
 # An empty line comes every 2 s: a connection that misses two of them is broken.
 # What is missed in silence counts as told 6 s after it began: the call that follows has to fit in, too.
 SILENT_S = 4.5
+AGE_STEP_S = 4.0  # a list's age is told in steps: two beats of its watch
 FETCH_S = 4.5  # the same, from the call on
 # A connection comes up at once or was lost on its way: the system asks again only 1, 3 and 7 s later.
 CONNECT_S = 1.0
@@ -214,7 +215,13 @@
     def told(self) -> dict[str, float]:
         """The list held, for a report: its version, and an upper bound on its age where there is one."""
         age = self._age.bound(self._loop.time())
-        return {"list_index": self._version} | ({} if age is None else {"list_age_ms": age * 1000.0})
+        if age is None or not math.isfinite(age):
+            return {"list_index": self._version}
+        # What is finer than the beat tells nothing, and costs bytes in each report.
+        return {
+            "list_index": self._version,
+            "list_age_ms": round(math.ceil(age / AGE_STEP_S) * AGE_STEP_S * 1000.0),
+        }
 
     def listings(self) -> list[Listing]:
         """The servers on the list held, in a fleet."""
--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -25,6 +25,9 @@
 LEAVE_S = 0.3
 AGAIN_S = 0.1  # after a failed report, where no other wait is told
 PATH = "/rules"
+# What a report leaves out where it is as in the one before on the same connection.
+KEPT = {"life", "of", "held", "prepared", "acting", "list_index", "list_age_ms"}
+KEPT |= {"overrides", "digest", "told", "group", "region"}
 
 Measures = Callable[[], dict[str, Any]]
 Answered = Callable[[float, float, Mapping[str, Any]], None]
@@ -55,6 +58,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._acted: int | str | None = None
         self._failing = ""
+        self._before: dict[str, Any] = {}  # the report that was answered last
         self.holder = Holder(os.urandom(8).hex(), check)
         self.measures: list[Measures] = []  # what else rides on the reports
         self.answered: list[Answered] = []  # and on the answers: asked at, heard at, what it tells
@@ -165,9 +169,12 @@
         for measure in self.measures:
             body |= measure()
         path = f"/edges/{self._name}"
-        told = await self._caller.call(self._sources.current, "POST", path, CALL_S, body)
+        news = self._shortened(body) if self._caller.holds(self._sources.current) else body
+        told = await self._caller.call(self._sources.current, "POST", path, CALL_S, news)
         asked = self._caller.asked_at
+        self._before = body
         if isinstance(told, dict):
+            told.setdefault("life", body["of"])  # left out where it is the one that the report named
             most = told.get("permission_ms", 0.0)
             told["permission_ms"] = min(most, self._told.agree_ms) if isinstance(most, int | float) else most
         if not self.holder.answered(asked, seq, told):
@@ -183,6 +190,14 @@
             self._heard(news)
         self.refresh(self._loop.time())
 
+    def _shortened(self, body: dict[str, Any]) -> dict[str, Any]:
+        """The report without what the service knows by the one before."""
+        before = self._before
+        if not before.keys() & KEPT <= body.keys():
+            return body  # what was told is told no more: only a whole report can say that
+        changed = {k: v for k, v in body.items() if k not in KEPT or k not in before or before[k] != v}
+        return changed | {"after": before["seq"]}
+
     def _fails(self, why: str) -> None:
         if bool(why) != bool(self._failing):
             said = f"reports fail: {why}; {CallFailed.action}" if why else "reports are answered again"
--- a/fordtrestle/fleet/calls.py
+++ b/fordtrestle/fleet/calls.py
@@ -58,13 +58,19 @@
             self.close()
             raise CallFailed(f"{address.host}:{address.port} answers no JSON") from error
 
+    def holds(self, address: Address) -> bool:
+        """Whether the next call goes out on the connection of the last one."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing() and address == self._address
+
     async def _ask(self, address: Address, method: str, path: str, body: Any) -> tuple[int, bytes]:
-        if self._transport is None or self._transport.is_closing() or address != self._address:
+        if not self.holds(address):
             self.close()
             self._address = address
             transport, _ = await self._loop.create_connection(lambda: self, address.host, address.port)
             self._transport = transport
         data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
+        assert self._transport is not None
         head = f"{method} {path} HTTP/1.1\r\nHost: {address.host}:{address.port}\r\n"
         length = f"Content-Length: {len(data)}\r\n" if method != "GET" else ""
         self._parser = httptools.HttpResponseParser(self)
--- a/fordtrestle/fleet/delays.py
+++ b/fordtrestle/fleet/delays.py
@@ -17,6 +17,7 @@
 BUCKETS = 1 + int(log(MOST_MS / LEAST_MS) / log(WIDTH))
 REGIONS_MOST = 64
 REPORT_BYTES = 400  # rows beyond it wait, with what they have gathered, for the next report
+EVERY_S = 4.0  # a region's row comes no sooner after the one before: a row with more figures costs the same
 # A sketch is reported as one point for each of these parts of its counts: fine where readers look.
 RANKS = (0.1, 0.25, 0.5, 1.0)
 
@@ -113,10 +114,13 @@
         return rows
 
     def _rows(self, now_s: float) -> Iterator[tuple[str, dict[str, object]]]:
-        for region, held in sorted(self._regions.items(), key=lambda item: item[1].since):
+        due = [item for item in self._regions.items() if now_s - item[1].since >= EVERY_S]
+        for region, held in sorted(due, key=lambda item: item[1].since):
             row: dict[str, object] = {"region": region, "window": self._window}
             row["span_ms"] = max(1, round((now_s - held.since) * 1000.0))
-            row["shake"], row["first"] = thinned(held.shake), thinned(held.first)
+            for name, counts in (("shake", held.shake), ("first", held.first)):
+                if counts:
+                    row[name] = thinned(counts)
             yield region, row
 
     def _begin(self, region: str) -> _Region | None:
--- a/fordtrestle/fleet/part.py
+++ b/fordtrestle/fleet/part.py
@@ -59,9 +59,13 @@
         self.delays = Delays(told.agreement.group, loop.time())
         self.agent.measures.append(self.steering.report)
         if told.agreement.group:
-            self.agent.measures.append(lambda: {"measures": {"delays": self.delays.take(loop.time())}})
+            self.agent.measures.append(lambda: self._delays(loop.time()))
         self.agent.answered.append(self.steering.answered)
 
+    def _delays(self, now: float) -> dict[str, Any]:
+        rows = self.delays.take(now)
+        return {"measures": {"delays": rows}} if rows else {}
+
     def stamp_at(self, loop: asyncio.AbstractEventLoop) -> Callable[[], bytes]:
         """What is asked before each decision, and at each send: under which edition it is made."""
         at, clock = self.agent.at, loop.time
