--- a/fordtrestle/fleet/delays.py
+++ b/fordtrestle/fleet/delays.py
@@ -18,6 +18,7 @@
 REGIONS_MOST = 64
 FIRST_SPAN_S, SPAN_MOST_MS = 1.0, 3_600_000  # of a window: one whose start nobody timed, and the longest told
 REPORT_BYTES = 400  # rows beyond it wait, with what they have gathered, for the next report
+EVERY_S = 2.0  # a region's row comes no sooner after the one before: a row with more figures costs the same
 # A sketch is reported as one point for each of these parts of its counts: fine where readers look.
 RANKS = (0.1, 0.25, 0.5, 1.0)
 
@@ -119,11 +120,14 @@
         return rows
 
     def _rows(self, now_s: float) -> Iterator[tuple[str, dict[str, object]]]:
-        for region, held in sorted(self._regions.items(), key=_waiting):
+        due = [item for item in self._regions.items() if now_s - _waiting(item) >= EVERY_S]
+        for region, held in sorted(due, key=_waiting):
             row: dict[str, object] = {"region": region, "window": self._window}
             span_s = FIRST_SPAN_S if held.since is None else now_s - held.since
             row["span_ms"] = min(SPAN_MOST_MS, max(1, round(span_s * 1000.0)))
-            row["shake"], row["first"] = thinned(held.shake), thinned(held.first)
+            for name, counts in (("shake", held.shake), ("first", held.first)):
+                if counts:
+                    row[name] = thinned(counts)
             yield region, row
 
     def _begin(self, region: str) -> _Region | None:
--- a/fordtrestle/fleet/part.py
+++ b/fordtrestle/fleet/part.py
@@ -69,10 +69,14 @@
         self.delays = Delays(told.agreement.group)
         self.agent.measures.append(self.steering.report)
         if told.agreement.group:
-            self.agent.measures.append(lambda: {"measures": {"delays": self.delays.take(loop.time())}})
+            self.agent.measures.append(lambda: self._delays(loop.time()))
         self.agent.answered += [self.steering.answered, self._answered]
         self._ahead_since = math.inf
 
+    def _delays(self, now: float) -> dict[str, Any]:
+        rows = self.delays.take(now)
+        return {"measures": {"delays": rows}} if rows else {}
+
     def stamp_at(self, loop: asyncio.AbstractEventLoop) -> Callable[[], bytes]:
         """What is asked before each decision, and at each send: under which edition it is made."""
         at, clock = self.agent.at, loop.time
