Let no fault end the ticks of rules and overrides

One exception in a tick ended its task, and nobody saw it: editions were then decided on by reports alone, no override left the edition at its end, the reconciler named nothing and the clock's mark stood still, until a restart of the service. A fault is logged with its traceback now, and the next tick comes.

--- a/brassfall/logs.py
+++ b/brassfall/logs.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import sys
+from collections.abc import Iterator
 
 import msgspec
 import structlog
@@ -29,3 +31,12 @@
     """The log of one part of the program."""
     made: structlog.typing.FilteringBoundLogger = structlog.get_logger(part=part)
     return made
+
+
+@contextlib.contextmanager
+def faults(log: structlog.typing.FilteringBoundLogger) -> Iterator[None]:
+    """Log what is raised within, and go on: for tasks whose end nobody would see."""
+    try:
+        yield
+    except Exception:
+        log.exception("fault")
--- a/brassfall/registry/overrides.py
+++ b/brassfall/registry/overrides.py
@@ -15,7 +15,7 @@
 
 from brassfall.agreement.edges import Report
 from brassfall.errors import Unavailable
-from brassfall.logs import logger
+from brassfall.logs import faults, logger
 from brassfall.overrides import book as books
 from brassfall.overrides import document, history
 from brassfall.overrides import reconciler as comparing
@@ -197,9 +197,10 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            self._step(books.Tick())
-            self._compare(comparing.Look())
-            self._published()
+            with faults(log):
+                self._step(books.Tick())
+                self._compare(comparing.Look())
+                self._published()
             if self._due:
                 await self._mark()  # while nothing can be prolonged, time need not be kept
 
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -18,7 +18,7 @@
 from brassfall.agreement.document import DocumentError, Edition, HarmfulError
 from brassfall.agreement.edges import Edge, Fleet, Report, ReportError, parse
 from brassfall.errors import Missing, Stale, Unavailable
-from brassfall.logs import logger
+from brassfall.logs import faults, logger
 from brassfall.registry import calls, entries
 from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES
@@ -244,10 +244,11 @@
         swept = self._now()
         while True:
             await asyncio.sleep(TICK_S)
-            self.step(deciding.Tick())
-            if self._now() - swept > SWEEP_S * 1000.0:
-                swept = self._now()
-                self._sweep(swept)
+            with faults(log):
+                self.step(deciding.Tick())
+                if self._now() - swept > SWEEP_S * 1000.0:
+                    swept = self._now()
+                    self._sweep(swept)
 
     def _sweep(self, now: float) -> None:
         """Take off the roster whoever has not been heard of for very long."""
