Forget whoever is gone in all parts, and those who never were on the roster

A name that left by itself or was silent for long was taken off the roster, but the riders (overrides, geo) were told only of those whom an operator had forgotten: a group without any sidecar went on being estimated. A process killed before it was on the roster (6 s) kept its place among the sidecars known for ever: with names that are new at each start, 10,000 of them turn all others away. And what each life was granted was dropped only when an edition was decided or the status asked for: a process that restarts at each report added one a second.

--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -175,6 +175,9 @@
                     self._spawn(self._persist(kept))
                 case deciding.Enrol(name, on):
                     self._enrol(name, on)
+                    if not on:
+                        for rider in self.riders:
+                            rider.gone(name)
                 case deciding.Granted(ticket):
                     self._granted[ticket] = action
                 case deciding.Published(ticket, edition):
@@ -251,13 +254,17 @@
                     self._sweep(swept)
 
     def _sweep(self, now: float) -> None:
-        """Take off the roster whoever has not been heard of for very long."""
+        """Take off the roster whoever has not been heard of for very long, and forget who never was on it:
+        each takes a place among those that may report."""
         fleet, limit = self.core.fleet, now - self.settings.forget_ms
-        for name in list(fleet.names):
+        fleet.holding(now)  # drops what is over: a life each report must not add up between two editions
+        for name in [*fleet.edges.keys() | fleet.names]:
             edge = fleet.edges.get(name)
             if (edge.last_ms if edge is not None else self._started) < limit:
                 log.warning("forgotten", name=name, reason="no report for too long")
                 self.step(deciding.Forget(name))
+                for rider in self.riders:
+                    rider.gone(name)
 
     # --- /rules -----------------------------------------------------------------------
 
--- a/tests/test_rules_shell.py
+++ b/tests/test_rules_shell.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from brassfall.agreement.core import Forget
+from brassfall.agreement.edges import Report
 from brassfall.registry.server import Service
-from brassfall.settings import RegistrySettings
+from brassfall.settings import AgreementSettings, RegistrySettings
 from tests.loopback import bounded, until
 
 
@@ -24,3 +26,23 @@
         await until(lambda: len(calls) > 1)
     finally:
         await made.close()
+
+
+@bounded(30.0)
+async def test_who_is_gone_is_forgotten_by_all_parts(tmp_path):
+    made = service(tmp_path, agreement=AgreementSettings(forget_ms=0.0))
+    await made.start()
+    try:
+        rules, now = made.rules, made.rules._now()
+        row = {"region": "a", "window": 1, "span_ms": 500.0, "shake": {}, "first": {"100": 5}}
+        for name, life in (("on", "p"), ("on", "q"), ("off", "p"), ("left", "p")):
+            rules._permission(name, Report(life=life, seq=1, group="g", measures={"delays": [row]}))
+        await until(lambda: rules.core.fleet.names == {"on", "off", "left"})
+        rules.core.fleet.names.discard("off")  # it never became one of the roster
+        assert set(made.geo._demand) == {"on", "off", "left"} == set(rules.core.fleet.edges)
+        rules.step(Forget("left"))
+        assert set(made.geo._demand) == {"on", "off"}
+        rules._sweep(now + 1e9)
+        assert (made.geo._demand, rules.core.fleet.edges, rules.core.fleet.holders) == ({}, {}, {})
+    finally:
+        await made.close()
