Count what was not sent for other rules as no attempt, and stamp what was decided

It counts as none now, and its server may be drawn again.

The stamp is that of the decision, so the comparison at the write finds it.

--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -99,6 +99,8 @@
 class Watcher(Protocol):
     """Is told what becomes of an exchange."""
 
+    stamp: bytes  # the edition under which its server was picked; empty where there are none
+
     def written(self) -> None:
         """A large request has been written whole."""
 
@@ -174,6 +176,7 @@
     hop: int
     sent: float
     wait: float  # for an answer, once all is written
+    stamp: bytes = b""  # the edition under which its server was picked, where there are any
     out: bool = True
     exchange: Exchange | None = None
     timeout: asyncio.TimerHandle | None = None
@@ -189,6 +192,8 @@
 
     def ended(self, result: Result) -> None:
         """Its one outcome."""
+        if result.outcome == Outcome.MOOT:
+            self.driver.attempt_unsent(self)
         self.driver.attempt_ended(self, result)
 
 
@@ -210,7 +215,7 @@
 class Driver:
     """Runs one balancer."""
 
-    before: Callable[[], object] | None = None  # asked before each decision: what to act on
+    before: Callable[[], bytes] | None = None  # asked before each decision: the stamp of what to act on
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, config: Config) -> None:
         self._loop = loop
@@ -221,6 +226,7 @@
         self._open = 0
         self._flowing = 0  # answers that are passed on as they come
         self._last_answer = math.inf  # by when all has to be answered, once the process ends
+        self._decided = b""  # the stamp of the decision that is carried out
         self._turned_off = 0  # for want of room for one more
         self._next_id = config.seed % 2**32
         self._balancer = Balancer(clock.now(), config.settings, config.seed)
@@ -372,6 +378,12 @@
         self._ask(request, self._balancer.answer_started, request.id, attempt.hop)
         return request.call.more
 
+    def attempt_unsent(self, attempt: Attempt) -> None:
+        """The rules changed before it was written: it is none of those that its request may have."""
+        if attempt.out:
+            attempt.request.max_attempts += 1
+            self._ask(None, self._balancer.unsent, attempt.request.id, attempt.hop)
+
     def attempt_ended(self, attempt: Attempt, result: Result) -> None:
         """The one outcome of an attempt; the first OK answers its request."""
         if not attempt.out:
@@ -423,10 +435,10 @@
         """Give the module an event and carry out what it decides.
 
         Guards against a fault in it: that fails the request at hand, never the process."""
-        if self.before is not None:
-            self.before()
+        decided = b"" if self.before is None else self.before()
         try:
             for action in event(self._clock.now(), *args):
+                self._decided = decided  # a send may have had other rules taken meanwhile
                 self._act(action)
         except Exception:
             log(traceback.format_exc())
@@ -478,7 +490,7 @@
         now = self._clock.now()
         left = request.call.budget if request.call.reading else request.give_up_at - now
         wait = min(action.timeout, left) if action.timeout > 0.0 else left
-        attempt = Attempt(self, request, len(request.attempts), now, wait)
+        attempt = Attempt(self, request, len(request.attempts), now, wait, self._decided)
         request.attempts.append(attempt)
         request.out += 1
         gone = request.call.body is not None and request.call.body.gone
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -350,8 +350,7 @@
     def send(self, server: str, call: Call, expires: float, watcher: Watcher) -> Exchange:
         """Begin an attempt on an idle connection, the newest first, or on a new one."""
         exchange = Exchange(call.wire, expires, watcher.ended, watcher, call.body)
-        if self.stamp is not None:
-            exchange.stamp = self.stamp()
+        exchange.stamp = watcher.stamp
         return self._begin(server, exchange)
 
     def probe(self, server: str, done: Done) -> Exchange:
--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -6,6 +6,7 @@
 import contextlib
 import copy
 import json
+import math
 import time
 
 import pytest
@@ -254,11 +255,15 @@
 )
 
 
+@pytest.mark.parametrize("tries", [1, 3])
 @pytest.mark.parametrize(("before", "state", "after", "sent"), CHANGED)
 @loopback
-async def test_what_waits_for_its_connection_is_not_sent_under_rules_that_went(before, state, after, sent):
+async def test_what_waits_for_its_connection_is_not_sent_under_rules_that_went(
+    before, state, after, sent, tries
+):
     east, west = await Upstream().start(), await Upstream().start()
-    limits = {**SETTINGS["PolicyLimits"], "ConnectTimeout": 5000.0}
+    # What was not sent counts as no attempt: with a single one, it is decided anew all the same.
+    limits = {**SETTINGS["PolicyLimits"], "ConnectTimeout": 5000.0, "MaxAttempts": tries}
     async with fleet(east, west, zones=("east", "west"), PolicyLimits=limits) as side:
         loop, gate, waiting = asyncio.get_running_loop(), asyncio.Event(), []
         connect = loop.create_connection
@@ -281,6 +286,28 @@
         assert (editions(east), editions(west)) == ([], sent)
 
 
+@loopback
+async def test_what_was_decided_before_a_stop_is_not_sent_after_it():
+    east, west = await Upstream().start(), await Upstream().start()
+    async with fleet(east, west, zones=("east", "west")) as side:
+        side.rules.publish(5, settings={"tenants": {"globex": "east"}})
+        await side.acting(5)
+        await side.ask()  # a connection is open
+        driver, part = side.sidecar.driver, side.sidecar.part
+        request = driver._balancer.request
+
+        def stopped(*args):
+            """The permission ends between the decision and the send."""
+            actions = request(*args)
+            part.agent.holder._until = part.agent.good_until = -math.inf
+            return actions
+
+        side.rules.open.clear()
+        driver._balancer.request = stopped
+        assert (await side.ask()).body != b"done"
+        assert (editions(east), editions(west)) == (["5"], [])
+
+
 async def raw_bytes(agreement):
     """All that a server is sent for three requests, but for the edition."""
     kept = bytearray()
