Act on caps and shifts of a class from the file that brings it

A file read again at SIGHUP may add a class, or give one another number; what the edition in force says of it (caps, shifts) went by the names before until the next report was answered, up to 10 s in a large fleet, or until the permission ended where none was. What is acted on is made anew with the file. The test failed before.

--- a/fordtrestle/fleet/part.py
+++ b/fordtrestle/fleet/part.py
@@ -56,6 +56,7 @@
         self, loop: asyncio.AbstractEventLoop, process: Process, environment: Mapping[str, str]
     ) -> None:
         self._process = process
+        self._now = loop.time
         self._environment = {**environment, "NODE_DISCOVERY": ""}
         self._file = process.running
         self._laid: Mapping[str, Any] = {}  # of an edition: what is laid over the file now
@@ -83,8 +84,10 @@
         return self._over(file, self._laid)
 
     def file_read(self, file: Config) -> None:
-        """This file is what editions are laid over from now on."""
+        """This file is what editions are laid over from now on. Classes may have other numbers by it: what
+        is capped or shifted is said anew."""
         self._file = file
+        self.agent.refresh(self._now())
 
     def _answered(self, asked: float, heard: float, told: Mapping[str, Any]) -> None:
         """The service's list is ahead of the one held for longer than news takes: the watch is of no use."""
--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -223,6 +223,20 @@
         assert (await tries(), figures()) == (3, [900.0, 900.0, 900.0])
 
 
+@loopback
+async def test_a_class_that_a_file_brings_is_capped_at_once(tmp_path):
+    async with fleet(await Upstream().start()) as side:
+        side.rules.publish(5, settings={"caps": {"gaze": 7.0}})
+        await side.acting(5)
+        raw = copy.deepcopy(dict(side.sidecar.part._file.agreement.raw))
+        raw["settings"]["Profiles"].append(raw["settings"]["Profiles"][0] | {"Name": "gaze"})
+        file = tmp_path / "sidecar.json"
+        file.write_text(json.dumps(raw))
+        assert not side.sidecar.part._steer.caps
+        side.sidecar.reload({"NODE_CONFIG": str(file)})  # no report comes between
+        assert list(side.sidecar.part._steer.caps.values()) == [7.0]
+
+
 OBJECTED = (
     ({"Profiles": [{"Name": "none", "Objective": 1.0}]}, {}, "no class 'none'"),
     ({"Profiles": [{"Name": "look", "Objective": "soon"}]}, {}, "Objective"),
