Take the last word of a process that ends for no version without overrides

A report that says no more than that its process ends has nothing on overrides. The reconciler took it for one of a version that knows none: with an override in force for longer than news takes, each sidecar that was restarted was named to the operator ("upgrade it or take it out of traffic"), until its next process reported. Parts that ride on reports are not asked about such a one. The test failed before.

--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -392,7 +392,7 @@
 
     def _permission(self, name: str, report: Report) -> dict[str, Any]:
         more: dict[str, Any] = {}
-        for rider in self.riders:
+        for rider in () if report.leaving else self.riders:  # it says nothing of what it acted on
             more |= rider.reported(name, report)
         ticket = next(self._tickets)
         self.step(Reported(ticket, name, report))
--- a/tests/test_rules_shell.py
+++ b/tests/test_rules_shell.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from brassfall.agreement.core import Forget
 from brassfall.agreement.edges import Report
+from brassfall.overrides import book as books
+from brassfall.overrides import reconciler as comparing
+from brassfall.overrides.document import parse
 from brassfall.registry.server import Service
 from brassfall.settings import AgreementSettings, RegistrySettings
 from tests.loopback import bounded, until
@@ -28,6 +32,18 @@
         await made.close()
 
 
+async def _overridden(made):
+    """An override is in force, for longer than news takes."""
+    now = made.overrides.now()
+    document = {"action": {"freeze": True}, "by": "a", "why": "b", "until_ms": now + 60_000}
+    call = lambda number: books.Put(number, "o", parse("o", msgspec.json.encode(document), now))  # noqa: E731
+    await made.overrides._call(call)
+    made.overrides._compare(comparing.Due(made.overrides.book.active(now)))
+    seen = made.overrides.reconciler._seen
+    for key, (rev, at, *rest) in seen.items():
+        seen[key] = (rev, at - 60_000, *rest)
+
+
 @bounded(30.0)
 async def test_who_is_gone_is_forgotten_by_all_parts(tmp_path):
     made = service(tmp_path, agreement=AgreementSettings(forget_ms=0.0))
@@ -40,6 +56,9 @@
         await until(lambda: rules.core.fleet.names == {"on", "off", "left"})
         rules.core.fleet.names.discard("off")  # it never became one of the roster
         assert set(made.geo._demand) == {"on", "off", "left"} == set(rules.core.fleet.edges)
+        await _overridden(made)
+        rules._permission("left", Report(life="p", seq=2, leaving=True))
+        assert made.overrides.findings() == {}  # it is no version without overrides
         rules.step(Forget("left"))
         assert set(made.geo._demand) == {"on", "off"}
         rules._sweep(now + 1e9)
