Note no end of a process that the service has never heard of

A report that says that its process ends was noted for its name, known or not; the note goes only once the service permits, and twenty a second at most. Reports under names without end (nothing bounds those that are no sidecar's) grew the table as long as they came. The test failed before.

--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -263,7 +263,8 @@
         if report.leaving:
             # Its name stays for a while: most often another process of it follows.
             self.fleet.release(name, report.life)
-            self._left[name] = (now, report.life)
+            if name in self.fleet.names or name in self.fleet.edges:  # else there is nothing to take off
+                self._left[name] = (now, report.life)
             return [self._answer(event, "it is leaving")]
         if not self.fleet.heard(now, name, report, self.timing.over_ms):
             return [self._answer(event, "a later report of this process came before")]
--- a/tests/test_rules_shell.py
+++ b/tests/test_rules_shell.py
@@ -59,6 +59,8 @@
         await _overridden(made)
         rules._permission("left", Report(life="p", seq=2, leaving=True))
         assert made.overrides.findings() == {}  # it is no version without overrides
+        rules._permission("nobody", Report(life="p", seq=1, leaving=True))
+        assert list(rules.core._left) == ["left"]  # names without end leave nothing behind
         rules.step(Forget("left"))
         assert set(made.geo._demand) == {"on", "off"}
         rules._sweep(now + 1e9)
