Count how long an override lasts by the clock of the service, not of who types it

`override add` made until_ms of for_s by the wall clock of the operator's machine. The service tells its time with the list of overrides, and ends them by it. The test failed before, with a date in place of the time told.

--- a/brassfall/fleet_commands.py
+++ b/brassfall/fleet_commands.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Any
@@ -117,18 +116,15 @@
         file: Annotated[Path, typer.Argument(help="One override, as TOML.")], at: At, json: Json = False
     ) -> None:
         """Start or extend an override. The file may have `for_s` in place of `until_ms`."""
-        from brassfall.registry import client
-
         told = settings.read_toml(file)
         name = told.pop("id", None)
         if not isinstance(name, str) or not name:
             raise OverrideFileError(f"{file}", "id: a name is wanted")
         lasts = told.pop("for_s", None)
-        if lasts is not None:
-            if isinstance(lasts, bool) or not isinstance(lasts, int | float) or not 0 < lasts <= 86_400:
-                raise OverrideFileError(f"{file}", "for_s: seconds, up to a day, are wanted")
-            told["until_ms"] = int((time.time() + lasts) * 1000.0)
-        made = run(client.call(address(at), "PUT", f"/overrides/{name}", told))
+        number = isinstance(lasts, int | float) and not isinstance(lasts, bool)
+        if lasts is not None and not (number and 0 < lasts <= 86_400):
+            raise OverrideFileError(f"{file}", "for_s: seconds, up to a day, are wanted")
+        made = run(_add(address(at), name, told, lasts))
         _show(at, made, json, lambda: f"override {name}: {made['left_ms'] / 1000.0:.1f} s left")
 
     @override.command()
@@ -162,6 +158,19 @@
     return override
 
 
+async def _add(at: str, name: str, told: dict[str, Any], lasts: float | None) -> Any:
+    from brassfall.registry import client
+
+    if lasts is not None:
+        # Counted by the service's clock, which says when it ends: the one here may be wrong by hours.
+        listed = await client.call(at, "GET", "/overrides")
+        now = listed.get("now_ms") if isinstance(listed, dict) else None
+        if not isinstance(now, int | float):
+            raise client.CallError(at, "it does not say what time it has", client.ANOTHER)
+        told["until_ms"] = int(now + lasts * 1000.0)
+    return await client.call(at, "PUT", f"/overrides/{name}", told)
+
+
 def _geo(run: Run, address: Callable[[str], str]) -> typer.Typer:
     geo = typer.Typer(no_args_is_help=True, help="Delays from client groups to regions.")
 
--- a/tests/test_rules_shell.py
+++ b/tests/test_rules_shell.py
@@ -4,12 +4,15 @@
 
 import msgspec
 import pytest
+from typer.testing import CliRunner
 
+from brassfall import cli
 from brassfall.agreement.core import Forget
 from brassfall.agreement.edges import Report
 from brassfall.overrides import book as books
 from brassfall.overrides import reconciler as comparing
 from brassfall.overrides.document import parse
+from brassfall.registry import client
 from brassfall.registry.server import Service
 from brassfall.settings import AgreementSettings, RegistrySettings
 from tests.loopback import bounded, until
@@ -67,3 +70,17 @@
         assert (made.geo._demand, rules.core.fleet.edges, rules.core.fleet.holders) == ({}, {}, {})
     finally:
         await made.close()
+
+
+def test_how_long_an_override_lasts_is_counted_by_the_clock_of_the_service(tmp_path, monkeypatch):
+    sent = []
+
+    async def call(at, method, path, body=None, headers=None):
+        sent.append((method, path, body))
+        return {"now_ms": 5_000_000, "left_ms": 1}
+
+    monkeypatch.setattr(client, "call", call)
+    file = tmp_path / "override.toml"
+    file.write_text('id = "o"\nfor_s = 600\n')
+    assert CliRunner().invoke(cli.app, ["override", "add", str(file), "--at", "127.0.0.1:1"]).exit_code == 0
+    assert sent[-1] == ("PUT", "/overrides/o", {"until_ms": 5_600_000})
