--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -18,7 +18,7 @@
 from brassfall.agreement.document import DocumentError, Edition, HarmfulError
 from brassfall.agreement.edges import Edge, Fleet, Report, ReportError, read
 from brassfall.errors import Missing, Stale, Unavailable
-from brassfall.logs import logger
+from brassfall.logs import faults, logger
 from brassfall.registry import calls, entries
 from brassfall.registry.callers import Connection
 from brassfall.registry.calls import answer
@@ -176,6 +176,9 @@
                     self._spawn(self._persist(kept))
                 case deciding.Enrol(name, on):
                     self._enrol(name, on)
+                    if not on:
+                        for rider in self.riders:
+                            rider.gone(name)
                 case deciding.Granted(ticket):
                     self._granted[ticket] = action
                 case deciding.Published(ticket, edition):
@@ -245,19 +248,24 @@
         swept = self._now()
         while True:
             await asyncio.sleep(TICK_S)
-            self.step(deciding.Tick())
-            if self._now() - swept > SWEEP_S * 1000.0:
-                swept = self._now()
-                self._sweep(swept)
+            with faults(log):
+                self.step(deciding.Tick())
+                if self._now() - swept > SWEEP_S * 1000.0:
+                    swept = self._now()
+                    self._sweep(swept)
 
     def _sweep(self, now: float) -> None:
-        """Take off the roster whoever has not been heard of for very long."""
+        """Take off the roster whoever has not been heard of for very long, and forget who never was on it:
+        each takes a place among those that may report."""
         fleet, limit = self.core.fleet, now - self.settings.forget_ms
-        for name in list(fleet.names):
+        fleet.holding(now)  # drops what is over: a life each report must not add up between two editions
+        for name in [*fleet.edges.keys() | fleet.names]:
             edge = fleet.edges.get(name)
             if (edge.last_ms if edge is not None else self._started) < limit:
                 log.warning("forgotten", name=name, reason="no report for too long")
                 self.step(deciding.Forget(name))
+                for rider in self.riders:
+                    rider.gone(name)
 
     # --- /rules -----------------------------------------------------------------------
 
@@ -385,7 +393,7 @@
 
     def _permission(self, name: str, report: Report) -> dict[str, Any]:
         more: dict[str, Any] = {}
-        for rider in self.riders:
+        for rider in () if report.leaving else self.riders:  # it says nothing of what it acted on
             more |= rider.reported(name, report)
         ticket = next(self._tickets)
         self.step(Reported(ticket, name, report))
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -390,6 +390,13 @@
         self._forget(now, request)
         return self._take()
 
+    def unsent(self, now: float, request_id: int, hop: int) -> list[model.Action]:
+        """An attempt whose end follows was never sent, since the rules changed: it counts as none."""
+        if request := self._requests.get(request_id):
+            request.limits = request.limits.one_more_attempt()
+            request.attempts[hop].stale = True
+        return self._take()
+
     def answer_started(self, now: float, request_id: int, hop: int) -> list[model.Action]:
         """An answer has begun: it belongs to the client, other copies are moot. How long it takes
         from here on tells of its size and its reader, not of a server that has stalled."""
