--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -64,8 +64,11 @@
 def check(file: Path) -> None:
     """Is this configuration good? It may be a list service's, or an experiment."""
     from brassfall.lab import spec
+    from brassfall.lab.editions import spec as editions
 
-    if spec.is_experiment(file):
+    if editions.is_one(file):
+        editions.load(file)
+    elif spec.is_experiment(file):
         spec.load(file)
     else:
         settings.load(file)
--- a/brassfall/lab/editions/command.py
+++ b/brassfall/lab/editions/command.py
@@ -17,7 +17,6 @@
 from brassfall.lab.real.troupe import ROOT
 from brassfall.settings import SettingsError, read_toml
 
-KIND = "editions"  # in an experiment file
 END_S = 15.0
 ELSEWHERE = "Name another folder in --out, or move what is there away."
 Say = Callable[[str], None]
--- a/brassfall/lab/editions/faults.py
+++ b/brassfall/lab/editions/faults.py
@@ -39,6 +39,7 @@
     stage: Stage
     publisher: Publisher
     events: list[Event] = field(default_factory=list)
+    _restarting: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def take(self, step: Step) -> None:
         """Carry out one step, to its end."""
@@ -93,6 +94,10 @@
 
     async def _restart(self, step: Step) -> None:
         """Kill the service, and start it on its disk, on none, or on an old one."""
+        async with self._restarting:
+            await self._restart_alone(step)
+
+    async def _restart_alone(self, step: Step) -> None:
         stage, old = self.stage, self.stage.folder / "old"
         await stage.kill("main")
         if step.do in ("lost-disk", "old-copy"):
--- a/brassfall/lab/editions/play.py
+++ b/brassfall/lab/editions/play.py
@@ -129,12 +129,15 @@
     applications = [
         clients.Client(number, listen, told.rate, seed) for number, listen in enumerate(stage.listens)
     ]
-    async with asyncio.TaskGroup() as group:
-        for application in applications:
-            group.create_task(application.play(begun + told.seconds))
-        group.create_task(_copy(stage, begun))
-        for step in steps:
-            group.create_task(_step(faults, step, begun))
+    try:
+        async with asyncio.TaskGroup() as group:
+            for application in applications:
+                group.create_task(application.play(begun + told.seconds))
+            group.create_task(_copy(stage, begun))
+            for step in steps:
+                group.create_task(_step(faults, step, begun))
+    except ExceptionGroup as errors:
+        raise errors.exceptions[0] from errors
     return [application.book for application in applications]
 
 
--- a/brassfall/lab/editions/spec.py
+++ b/brassfall/lab/editions/spec.py
@@ -9,6 +9,7 @@
 
 from brassfall.settings import SettingsError, read_toml
 
+KIND = "editions"
 Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 Few = Annotated[int, msgspec.Meta(ge=2, le=64)]
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=3600.0)]
@@ -65,6 +66,11 @@
     steps: list[Step] = []  # in place of what would be drawn
 
 
+def is_one(path: Path) -> bool:
+    """Whether a file is such an experiment; `SettingsError` if it can't be read."""
+    return read_toml(path).get("kind") == KIND
+
+
 def load(path: Path) -> Experiment:
     """Read a file; `SettingsError` says what is wrong with it."""
     try:
--- a/brassfall/lab/runner.py
+++ b/brassfall/lab/runner.py
@@ -23,7 +23,8 @@
 
 from brassfall.lab import compiled, day, report, spec
 from brassfall.lab.arrivals import experiment
-from brassfall.lab.editions import command as editions
+from brassfall.lab.editions import command
+from brassfall.lab.editions import spec as editions
 from brassfall.lab.play import Order, Result
 from brassfall.lab.sim.flaws import FLAWS
 from brassfall.settings import SettingsError, read_toml
@@ -240,8 +241,8 @@
 
 async def run(file: Path, out: Path, say: Say) -> int:
     """Run an experiment; the exit status. `SettingsError` before anything has started."""
-    if read_toml(file).get("kind") == editions.KIND:
-        return await editions.run(file, out, say)
+    if editions.is_one(file):
+        return await command.run(file, out, say)
     prepared = prepare(file, out, say)
     results = await prepared.go()
     report.write(prepared.told, results, out)
