Heed what comes next before what an old copy of the service tells

Where the editions heard of hold all regions together, a sidecar heeds its own, then others in order of number. Older ones come last now: who tells them permits nothing for a season.

--- a/fordtrestle/fleet/steering.py
+++ b/fordtrestle/fleet/steering.py
@@ -82,8 +82,10 @@
         """Settings and overrides in force, together; between editions what all of them allow."""
         found = self._effective(stance.edition, now)
         regions = self._served()
-        # In order: what comes next may be acted on by others first, where not all of them can be heeded.
-        for edition in sorted(stance.told, key=lambda edition: edition.number):
+        # Where not all of them can be heeded, what others may act on first goes first: what comes next, and
+        # then what is older. That a service with an old copy tells, and permits only after a season.
+        here = stance.edition.number
+        for edition in sorted(stance.told, key=lambda other: (other.number < here, other.number)):
             found = overrides.met(found, self._effective(edition, now), regions)
         if stance.safe:
             floor = stance.edition.settings.get("floor", {})
--- a/tests/test_overrides_parts.py
+++ b/tests/test_overrides_parts.py
@@ -15,9 +15,11 @@
 from brassfall.overrides.clock import SteadyClock
 from brassfall.overrides.document import BadOverride, layer, listed, parse, times
 from brassfall.overrides.history import History, Ring
-from fordtrestle.fleet import deadlines, rules
+from fordtrestle import config
+from fordtrestle.fleet import deadlines, holder, rules, steering
 from fordtrestle.fleet import overrides as edge
 from fordtrestle.fleet.deadlines import Deadlines
+from poppypulley import model
 
 NOW = 1_800_000_000_000
 HOUR = 3_600_000
@@ -514,6 +516,28 @@
     assert edge.rules_of({}, "g2") == edge.Rules()
 
 
+@pytest.mark.parametrize(
+    ("told", "held"),
+    [
+        ({6: "b"}, "ab"),
+        ({6: "b", 7: "c"}, "ab"),  # together they hold all: nobody acts on 7 before 6
+        ({3: "b", 4: "c", 6: "c"}, "ac"),  # of a service on an old copy: it permits nothing for a season
+        ({3: "b"}, "ab"),
+        ({6: "a", 7: "abc", 8: "c"}, "ac"),
+    ],
+)
+def test_between_editions_that_hold_all_regions_those_that_come_next_are_heeded(told, held):
+    def edition(number, names):
+        return holder.Edition(number, {"regions": {"held": list(names)}}, None, ())
+
+    names = config.Names({}, {}, {"a": 0, "b": 1, "c": 2, "empty": 3}, {})
+    listed = [model.Listing(f"s{zone}", zone) for zone in range(3)]
+    agreement = config.Agreement(3000.0, "", "", {})
+    made = steering.Steering(agreement, lambda: names, lambda: listed)
+    stance = holder.Stance(False, edition(5, "a"), tuple(edition(*row) for row in reversed(told.items())))
+    assert made.found(stance, 0.0).held_regions == frozenset(held)
+
+
 @pytest.mark.parametrize(
     ("raw", "why"),
     [
