--- a/brassfall/lab/agreement/schedule.py
+++ b/brassfall/lab/agreement/schedule.py
@@ -86,15 +86,16 @@
 
 
 def crash(world: World) -> None:
-    """Killed whenever something is written, for some seconds, and once now."""
+    """Killed while something is written, within some seconds: asked, durable or told; or just now."""
     service = world.services[0]
-    service.faults.crash = 0.6
+    service.faults.crash = 0.8
 
     def over() -> None:
         service.faults.crash = 0.0
 
-    _later(world, 3000.0, over)
-    _restart(world)
+    _later(world, 5000.0, over)
+    if world.drawn.random() < 0.3:
+        _restart(world)
 
 
 def lost(world: World) -> None:
--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -211,10 +211,10 @@
         self._writing.append(action)
         kernel.at(self._free, self._written, self._run)
         if isinstance(action, core.Persist) and kernel.random.random() < faults.crash:
-            # Anywhere between what was asked, what is durable, and what was told of it.
-            self.kernel.at(
-                kernel.now + kernel.random.uniform(0.0, 2.0 * took + 10.0), self._killed, self._run
-            )
+            # Between asked and durable, between durable and told, or while it is told.
+            span = self._free - kernel.now
+            when = kernel.random.choice((kernel.random.uniform(0.0, span), span + 1e-3, span + 5.0))
+            kernel.after(when, self._killed, self._run)
 
     def _killed(self, run: int) -> None:
         if run == self._run:
