--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -126,6 +126,11 @@
         for connection, (watcher, _) in watchers.items():
             self.kernel.after(self.kernel.delay(), watcher.broken, connection, False)
 
+    def retire(self) -> None:
+        """End for good: whoever would start it again does not."""
+        self.crash()
+        self._run += 1
+
     def phase(self) -> str:
         """What the agreement is doing just now."""
         if not self.up:
--- a/brassfall/lab/agreement/world.py
+++ b/brassfall/lab/agreement/world.py
@@ -146,13 +146,12 @@
             if sidecar.liar:
                 self.sidecars.remove(sidecar)
                 sidecar.end()
-        up = [service for service in self.services if service.up]
         lives = [service.life for service in self.services]
         self.survivor = self.services[0] if lives[0] >= lives[1] else self.services[1]
         for service in self.services:
             service.faults.fail = service.faults.slow = service.faults.crash = 0.0
-            if service in up and service is not self.survivor:
-                service.crash()
+            if service is not self.survivor:
+                service.retire()
         if not self.survivor.up:
             self.survivor.start()
 
