--- a/brassfall/fleet_commands.py
+++ b/brassfall/fleet_commands.py
@@ -97,14 +97,19 @@
 
     headers = ({"X-Force": "1"} if force else {}) | ({} if follows is None else {"If-Match": str(follows)})
     made = await client.call(at, "PUT", "/rules", told, headers)
-    while wait:
-        state = await client.call(at, "GET", f"/rules?edition={made['edition']}")
-        if state["state"] == "halted":
-            why = "; ".join(f"{row['edge']}: {row['reason']}".strip(": ") for row in state["objections"])
-            raise HaltedError(f"edition {made['edition']} was halted", why)
-        if state["state"] == "committed":
-            return {**made, "state": "committed"}
-        await asyncio.sleep(POLL_S)
+    try:
+        while wait:
+            state = await client.call(at, "GET", f"/rules?edition={made['edition']}")
+            if state["state"] == "halted":
+                why = "; ".join(f"{row['edge']}: {row['reason']}".strip(": ") for row in state["objections"])
+                raise HaltedError(f"edition {made['edition']} was halted", why)
+            if state["state"] == "committed":
+                return {**made, "state": "committed"}
+            await asyncio.sleep(POLL_S)
+    except (KeyError, TypeError) as error:
+        raise client.CallError(
+            at, f"what came is not what was asked for: {error!r}", client.ANOTHER
+        ) from error
     return made
 
 
--- a/tests/test_rules_shell.py
+++ b/tests/test_rules_shell.py
@@ -84,3 +84,15 @@
     file.write_text('id = "o"\nfor_s = 600\n')
     assert CliRunner().invoke(cli.app, ["override", "add", str(file), "--at", "127.0.0.1:1"]).exit_code == 0
     assert sent[-1] == ("PUT", "/overrides/o", {"until_ms": 5_600_000})
+
+
+def test_another_program_that_answers_a_publisher_is_said_to_be_one(tmp_path, monkeypatch):
+    async def call(at, method, path, body=None, headers=None):
+        return {"edition": 1} if method == "PUT" else []
+
+    monkeypatch.setattr(client, "call", call)
+    file = tmp_path / "settings.toml"
+    file.write_text("[caps]\nlook = 5\n")
+    words = ["rules", "publish", str(file), "--at", "127.0.0.1:1", "--wait"]
+    done = CliRunner().invoke(cli.app, words)
+    assert (isinstance(done.exception, SystemExit), "Another program" in done.output) == (True, True)
