--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -48,6 +48,9 @@
                 path = message.start.split(" ")[1]
                 if path.startswith("/edges/"):
                     body = json.loads(message.body)
+                    if "after" in body:  # what is as it was in that report is left out
+                        kept = {k: v for k, v in self.reports[-1].items() if k in agent.KEPT}
+                        body = kept | body
                     self.reports.append(body)
                     await asyncio.sleep(self.late_s)
                     await self.open.wait()
