Spread the requests of the schedules over all regions, and cut sidecars off in all ways

Editions now share each group's requests evenly over the regions, and a further fault cuts sidecars off from the service both ways.

--- a/brassfall/lab/editions/faults.py
+++ b/brassfall/lab/editions/faults.py
@@ -14,10 +14,11 @@
 from brassfall.lab.editions.stage import Stage
 
 CUTS = {
-    "cut-reports": (REPORT, ASK),
-    "cut-answers": (REPORT, ANSWER),
-    "cut-editions": (EDITIONS, ANSWER),
-    "cut-lists": (LISTS, ANSWER),
+    "cut-reports": [(REPORT, ASK)],
+    "cut-answers": [(REPORT, ANSWER)],
+    "cut-editions": [(EDITIONS, ANSWER)],
+    "cut-lists": [(LISTS, ANSWER)],
+    "cut-off": [(kind, way) for kind in (REPORT, EDITIONS, LISTS) for way in (ASK, ANSWER)],
 }
 BETWEEN_S = 0.15  # two sidecars of a rolling restart
 
@@ -81,12 +82,12 @@
                 for way in ways:
                     way.more_s = 0.0
             case _:
-                kind, direction = CUTS[step.do]
-                for number in step.who:
-                    stage.doors[number].cut(kind, direction)
+                cuts = [(stage.doors[number], *cut) for number in step.who for cut in CUTS[step.do]]
+                for door, kind, direction in cuts:
+                    door.cut(kind, direction)
                 await asyncio.sleep(step.lasts)
-                for number in step.who:
-                    stage.doors[number].heal(kind, direction)
+                for door, kind, direction in cuts:
+                    door.heal(kind, direction)
 
     @staticmethod
     async def _all(step: Step, work: Callable[[int], Awaitable[None]]) -> None:
--- a/brassfall/lab/editions/publisher.py
+++ b/brassfall/lab/editions/publisher.py
@@ -19,6 +19,7 @@
 PUT_S = 2.0
 POLL_S = 0.1
 TENANT = "t1"  # which editions pin to the first region, unless they hold that
+GROUPS = ("g0", "g1", "g2", "g3")  # of clients, by their sidecars
 EXTENDED_S = 1.5
 RARE = "rare"  # a class that all files but one have
 
@@ -109,7 +110,14 @@
         row = {"Name": name, "Objective": 500.0 + mark % 400}
         home = self._regions[0]
         tenants = {} if home in held else {TENANT: home}
-        settings: dict[str, Any] = {"regions": {"held": held}, "Profiles": [row], "tenants": tenants}
+        # Evenly over all regions, or the near one would take nearly everything, and hide who holds what.
+        shares = dict.fromkeys(GROUPS, dict.fromkeys(self._regions, 1.0))
+        settings: dict[str, Any] = {
+            "regions": {"held": held},
+            "Profiles": [row],
+            "tenants": tenants,
+            "shares": shares,
+        }
         headers = {"X-Request-Id": f"play-{mark}"}
         outcome = "unanswered"
         try:
--- a/brassfall/lab/editions/spec.py
+++ b/brassfall/lab/editions/spec.py
@@ -29,6 +29,7 @@
     "cut-answers",  # to reports
     "cut-editions",  # reports pass, the watch does not
     "cut-lists",
+    "cut-off",  # from the service, in all ways
     "slow-service",  # too slow to be of use
     "slow-links",  # to the servers of one region
 ]
--- a/brassfall/lab/editions/stage.py
+++ b/brassfall/lab/editions/stage.py
@@ -18,7 +18,7 @@
 from brassfall.lab.editions.clients import TENANTS
 from brassfall.lab.editions.judge import Away
 from brassfall.lab.editions.proxies import Door, Way
-from brassfall.lab.editions.publisher import RARE, now
+from brassfall.lab.editions.publisher import GROUPS, RARE, now
 from brassfall.lab.editions.spec import Experiment
 from brassfall.lab.real.troupe import (
     READY_S,
@@ -169,7 +169,10 @@
         folder = self.folder / f"sidecar-{number}"
         folder.mkdir(exist_ok=True)
         file = folder / "config.json"
-        place = {"group": f"g{number % 4}", "region": self.told.regions[number % len(self.told.regions)]}
+        place = {
+            "group": GROUPS[number % len(GROUPS)],
+            "region": self.told.regions[number % len(self.told.regions)],
+        }
         fleet = {
             "registry": [self.doors[number].address],
             "place": place,
