Ask less at each send and each report, and let large fleets enrol before they are timed

A small body is read without a timer. In the lab 2,000 names are written to the roster one by one, which was still going on when the first edition was timed: fleets have 12 ms a sidecar for it.

--- a/brassfall/lab/agreement/scale.py
+++ b/brassfall/lab/agreement/scale.py
@@ -28,6 +28,7 @@
 from brassfall.lab.agreement.sidecar import Sidecar
 
 WARM_MS, GAP_MS = 12_000.0, 10_000.0
+ENROL_MS = 12.0  # and so long for each sidecar: the roster is written one by one
 FAULT_MS = 6_000.0  # how long a fault of an edition lasts, from just before it is published
 CONDITIONS = ("healthy", "one stopped", "a third cut", "service killed", "slow link", "slow disk")
 
@@ -106,7 +107,7 @@
 
     def play(self) -> list[Row]:
         """Every condition in turn, as often as the task says; what came of each edition."""
-        self.kernel.run(WARM_MS)
+        self.kernel.run(WARM_MS + ENROL_MS * self.task.nodes)
         self._edition("warm")
         return [self._edition(name) for _ in range(self.task.rounds) for name in CONDITIONS]
 
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -282,6 +282,8 @@
         """The whole body of a call; `TimeoutError` where it does not come in time."""
         if not request.can_read_body:
             return b""
+        if request.content.is_eof():
+            return await request.read()  # it came with the head, as small ones do
         async with asyncio.timeout(BODY_S):
             return await request.read()
 
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -482,8 +482,7 @@
                 self.loop.call_soon(exchange.end, Result(Outcome.MOOT))
                 self.free(connection)
                 return
-            after = message.index(b"\n") + 1
-            message = b"%b%b%b" % (message[:after], exchange.stamp, message[after:])
+            message = message.replace(b"\r\n", b"\r\n" + exchange.stamp, 1)
         if self.delays is not None and exchange.body is None:
             connection.sent_at = self.loop.time()
         connection.begin(exchange, message)
