--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -198,10 +198,11 @@
     _persisting: tuple[Kept, list[Published]] | None = None
     _left: dict[str, tuple[float, str]] = field(default_factory=dict)  # names whose process said it ends
     _queue: list[Publish] = field(default_factory=list)
+    _looked: float = -math.inf  # for those who take only the word of a later life
+    _before: dict[int, Edition] = field(default_factory=dict)  # of which permissions may run still
     _taken: int = 0  # the life that this run has taken
     _counted: tuple[float, str] = (-math.inf, "")
     _look_again: float = -math.inf
-    _lost_again: float = -math.inf
 
     def step(self, now: float, event: Event) -> list[Action]:
         """Take in what happened; what to do about it. `now` in monotonic ms."""
@@ -224,6 +225,13 @@
         """A name is on the durable roster."""
         self.fleet.names.add(name)
 
+    def current(self, now: float) -> list[Edition]:
+        """All that somebody may act on by now, or soon will: in force, before that, prepared, waiting."""
+        holding = {holder.edition for holder in self.fleet.holding(now).values()}
+        self._before = {number: edition for number, edition in self._before.items() if number in holding}
+        next_ones = (self.kept.pending, self.kept.waiting)
+        return [*self._before.values(), self.kept.committed, *(e for e in next_ones if e is not None)]
+
     # --- who may permit ------------------------------------------------------------------
 
     def may_permit(self, now: float) -> str:
@@ -255,7 +263,8 @@
         if report.leaving:
             # Its name stays for a while: most often another process of it follows.
             self.fleet.release(name, report.life)
-            self._left[name] = (now, report.life)
+            if name in self.fleet.names or name in self.fleet.edges:  # else there is nothing to take off
+                self._left[name] = (now, report.life)
             return [self._answer(event, "it is leaving")]
         if not self.fleet.heard(now, name, report, self.timing.over_ms):
             return [self._answer(event, "a later report of this process came before")]
@@ -348,15 +357,17 @@
         """With a new edition: prepared, or waiting until the one that is prepared is decided."""
         base = kept.waiting or kept.pending or kept.committed
         given = {name: getattr(draft, name) for name in LAYERS if getattr(draft, name) is not None}
+        # Numbers start above all of earlier lives: one told by a disk that was lost is used for no other.
+        number = max(kept.newest + 1, self.fleet.life)
         edition = msgspec.structs.replace(
             base,
-            # Numbers start above all of earlier lives: one told by a disk that was lost is used for no other.
-            number=max(kept.newest + 1, self.fleet.life),
+            number=number,
             life=self.fleet.life,
             follows=kept.newest,
             list_index=draft.list_index,
             forced=draft.forced,
             layers=sorted({*given, *(kept.waiting.layers if kept.waiting is not None else ())}),
+            plan_edition=number if "plan" in given else base.plan_edition,
             **given,
         )
         requests = {**kept.requests, draft.request_id: edition.number} if draft.request_id else kept.requests
@@ -379,10 +390,8 @@
         # The low bits of a life are drawn: so two services on one copy do not raise it to the same number.
         more = 1 + life % 2**20
         beyond = 0
-        if now >= self._lost_again:
-            # As in `_agreed`: at each report, this cost 2,000 sidecars' reports most of their time.
-            self._lost_again = now + LOOK_MS * len(self.fleet.edges)
-            beyond = self.fleet.outlived(now, span, self.timing.over_ms)
+        if now - self._looked > COUNTED_MS:  # a look costs as much as there are sidecars
+            self._looked, beyond = now, self.fleet.outlived(now, span, self.timing.over_ms)
         if beyond:
             return _anew(kept, max(beyond, kept.life) + more)
         # What an earlier run took is its own, and never this one's.
@@ -401,6 +410,8 @@
             if waiting is not None:
                 # What it took over from the one that is halted, it takes from the one that is in force.
                 old = {name: getattr(kept.committed, name) for name in LAYERS if name not in waiting.layers}
+                if "plan" in old:
+                    old["plan_edition"] = kept.committed.plan_edition
                 waiting = msgspec.structs.replace(waiting, **old)
             halted = Halt(pending, reasons)
             return msgspec.structs.replace(kept, pending=waiting, waiting=None, halted=halted)
@@ -430,6 +441,7 @@
             self.objections = {}
         if kept.committed.number != before.committed.number:
             self._note(kept.committed.number, "committed")
+            self._before[before.committed.number] = before.committed
         if kept.halted is not None and kept.halted != before.halted:
             self._note(kept.halted.edition.number, "halted")
         self._counted = (-math.inf, "")
--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -65,8 +65,11 @@
 def check(file: Path) -> None:
     """Is this configuration good? It may be a list service's, or an experiment."""
     from brassfall.lab import spec
+    from brassfall.lab.editions import spec as editions
 
-    if spec.is_experiment(file):
+    if editions.is_one(file):
+        editions.load(file)
+    elif spec.is_experiment(file):
         spec.load(file)
     else:
         settings.load(file)
@@ -292,6 +295,7 @@
     ttl_ms: int = 6000,
     work_ms: float = 5.0,
     ledger: Annotated[Path | None, typer.Option(help="Where each call is written down.")] = None,
+    advertise: Annotated[str, typer.Option(help="HOST:PORT that the list tells, of a proxy.")] = "",
 ) -> None:
     """One small real server that registers itself, until SIGTERM."""
     from brassfall.lab import transcriber
@@ -299,7 +303,7 @@
     logs.set_up()
     addresses = [_at(text, "--registry") for text in registry.split(",")]
     _at(listen, "--listen")
-    told = transcriber.run(_name(name), listen, addresses, zone, ttl_ms, work_ms, ledger)
+    told = transcriber.run(_name(name), listen, addresses, zone, ttl_ms, work_ms, ledger, advertise)
     raise typer.Exit(_run(told))
 
 
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -18,7 +18,7 @@
 from brassfall.agreement.document import DocumentError, Edition, HarmfulError
 from brassfall.agreement.edges import Edge, Fleet, Report, ReportError, read
 from brassfall.errors import Missing, Stale, Unavailable
-from brassfall.logs import logger
+from brassfall.logs import faults, logger
 from brassfall.registry import calls, entries
 from brassfall.registry.callers import Connection
 from brassfall.registry.calls import answer
@@ -32,6 +32,7 @@
 STATE = "state"
 PLACE = "/rules"  # among the channels of watches
 TICK_S = 0.05
+LIST_OLD_MS = 10_000.0  # a watch brings a word every 2 s, and is opened anew after 4.5 s of silence
 SWEEP_S = 60.0
 
 log = logger("rules")
@@ -175,6 +176,9 @@
                     self._spawn(self._persist(kept))
                 case deciding.Enrol(name, on):
                     self._enrol(name, on)
+                    if not on:
+                        for rider in self.riders:
+                            rider.gone(name)
                 case deciding.Granted(ticket):
                     self._granted[ticket] = action
                 case deciding.Published(ticket, edition):
@@ -244,19 +248,24 @@
         swept = self._now()
         while True:
             await asyncio.sleep(TICK_S)
-            self.step(deciding.Tick())
-            if self._now() - swept > SWEEP_S * 1000.0:
-                swept = self._now()
-                self._sweep(swept)
+            with faults(log):
+                self.step(deciding.Tick())
+                if self._now() - swept > SWEEP_S * 1000.0:
+                    swept = self._now()
+                    self._sweep(swept)
 
     def _sweep(self, now: float) -> None:
-        """Take off the roster whoever has not been heard of for very long."""
+        """Take off the roster whoever has not been heard of for very long, and forget who never was on it:
+        each takes a place among those that may report."""
         fleet, limit = self.core.fleet, now - self.settings.forget_ms
-        for name in list(fleet.names):
+        fleet.holding(now)  # drops what is over: a life each report must not add up between two editions
+        for name in [*fleet.edges.keys() | fleet.names]:
             edge = fleet.edges.get(name)
             if (edge.last_ms if edge is not None else self._started) < limit:
                 log.warning("forgotten", name=name, reason="no report for too long")
                 self.step(deciding.Forget(name))
+                for rider in self.riders:
+                    rider.gone(name)
 
     # --- /rules -----------------------------------------------------------------------
 
@@ -289,6 +298,7 @@
             "list_index": edition.list_index,
             "settings": edition.settings,
             "plan": edition.plan,
+            "plan_edition": edition.plan_edition,
             "overrides": edition.overrides,
         }
 
@@ -339,7 +349,8 @@
         return answer(_encode({"edition": number}))
 
     def _harmless(self, settings: dict[str, Any], forced: bool) -> None:
-        harm = document.harm(settings, self._regions())
+        others = [edition.settings for edition in self.core.current(self._now())]
+        harm = document.harm(settings, self._regions(), others)
         if harm and not forced:
             self.figures.harmful += 1
             raise HarmfulError("edition refused", harm)
@@ -382,7 +393,7 @@
 
     def _permission(self, name: str, report: Report) -> dict[str, Any]:
         more: dict[str, Any] = {}
-        for rider in self.riders:
+        for rider in () if report.leaving else self.riders:  # it says nothing of what it acted on
             more |= rider.reported(name, report)
         ticket = next(self._tickets)
         self.step(Reported(ticket, name, report))
@@ -477,6 +488,9 @@
             return f"does not hold edition {kept.committed.number}"
         if report.of not in (None, 0, self.core.fleet.life):
             return f"takes the word of another life of the service, {report.of}"
+        age = report.list_age_ms
+        if age is not None and age > LIST_OLD_MS:
+            return f"its list may be {age / 1000.0:.1f} s old: it keeps it, and asks on"
         if report.acting != kept.committed.number:
             return "acts on safe rules" if report.acting == "safe" else f"acts on edition {report.acting}"
         return ""
--- a/fordtrestle/fleet/overrides.py
+++ b/fordtrestle/fleet/overrides.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
@@ -239,23 +239,27 @@
     return {name: one[name] if one.get(name) == other.get(name) else NOBODY for name in {**one, **other}}
 
 
-def met(one: Effective, other: Effective) -> Effective:
+def met(one: Effective, other: Effective, regions: frozenset[str] = frozenset()) -> Effective:
     """What to act on between two editions: of the first, with only those exclusive parts that both allow,
-    and the least of what must not add up to more."""
+    and the least of what must not add up to more.
+
+    `regions` are those with servers. Together the two never hold all of them: then the first alone counts."""
+    held = one.held_regions | other.held_regions
     caps = {cls: min(found.get(cls, math.inf) for found in (one.caps, other.caps)) for cls in other.caps}
     return replace(
         one,
         tenant_pins=_agreed(one.tenant_pins, other.tenant_pins),
-        held_regions=one.held_regions | other.held_regions,
+        held_regions=one.held_regions if regions and regions <= held else held,
         caps={**one.caps, **caps},
     )
 
 
-def safe(found: Effective, pins: Mapping[str, str], part: float) -> Effective:
+def safe(found: Effective, pins: Mapping[str, str], held: Iterable[str], part: float) -> Effective:
     """What to act on without a permission: overrides in force, but for what another may have been given
-    meanwhile. `pins` are of the document's floor, `part` is what is taken of a cap."""
+    meanwhile. `pins` and regions `held` are of the document's floor, `part` is what is taken of a cap."""
     return replace(
         found,
+        held_regions=found.held_regions | set(held),
         tenant_pins={tenant: pins.get(tenant, NOBODY) for tenant in found.tenant_pins},
         caps={cls: rate * part for cls, rate in found.caps.items()},
     )
--- a/fordtrestle/fleet/steering.py
+++ b/fordtrestle/fleet/steering.py
@@ -34,7 +34,7 @@
         self._retell = False  # times left are to be told anew
         self._acted: tuple[tuple[str, int], ...] = ()
         self._layers: dict[int, tuple[tuple[Line, ...], tuple[str, ...]]] = {0: ((), ())}
-        self._plan: tuple[int, float] = (0, -math.inf)  # the edition that brought the newest plan, and when
+        self._plan: tuple[int, float] = (-1, -math.inf)  # the edition that stated the plan, and when it came
         self._frozen: Steer | None = None  # as it was when steering was frozen
 
     # --- reports ------------------------------------------------------------------------
@@ -81,11 +81,16 @@
     def found(self, stance: Stance, now: float) -> Effective:
         """Settings and overrides in force, together; between editions what all of them allow."""
         found = self._effective(stance.edition, now)
-        for edition in stance.told:
-            found = overrides.met(found, self._effective(edition, now))
+        regions = self._served()
+        # Where not all of them can be heeded, what others may act on first goes first: what comes next, and
+        # then what is older. That a service with an old copy tells, and permits only after a season.
+        here = stance.edition.number
+        for edition in sorted(stance.told, key=lambda other: (other.number < here, other.number)):
+            found = overrides.met(found, self._effective(edition, now), regions)
         if stance.safe:
             floor = stance.edition.settings.get("floor", {})
-            found = overrides.safe(found, floor.get("tenants", {}), rules.SAFE_PART)
+            held = floor.get("regions", {}).get("held", ())
+            found = overrides.safe(found, floor.get("tenants", {}), held, rules.SAFE_PART)
         self._acted = found.acted
         return found
 
@@ -96,6 +101,11 @@
             now, settings, lines, self._deadlines, self._place, self._known(), self._edges
         )
 
+    def _served(self) -> frozenset[str]:
+        """The regions of the servers that may be sent to."""
+        numbers = {entry.zone for entry in self._listings() if entry.state == "active"}
+        return frozenset(name for name, number in self._names().zones.items() if number in numbers)
+
     def _settings(self, edition: Edition) -> Mapping[str, Any]:
         shares = edition.settings.get("shares", {})
         planned = (edition.plan or {}).get("shares", {})
@@ -163,8 +173,8 @@
         """How far shares count: settings' own always, a plan's less when no newer one comes."""
         if edition.plan is None or self._place.group in edition.settings.get("shares", {}):
             return 1.0
-        if edition.number != self._plan[0]:
-            self._plan = (edition.number, now)
+        if edition.plan_edition != self._plan[0]:
+            self._plan = (edition.plan_edition, now)
         limit = edition.plan.get("age_limit_ms", PLAN_AGE_MS)
         if isinstance(limit, bool) or not isinstance(limit, int | float) or not limit > 0.0:
             return 0.0
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -27,7 +27,7 @@
 FAULTS = frozenset((ERROR, TIMEOUT, CONNECT_FAILED, RESET))
 
 LATE_ACCEPT = 0.5  # an answer past its aim shows a service that is falling behind
-DUE_STRAIN = 0.5  # an attempt past its aim counts half at most, and half if it ends unanswered
+DUE_STRAIN = 1.0  # an attempt past its aim is the freshest news of a crowd; it counts so much at most
 SHARE_GAIN = 8.0  # times the share of attempts past their aim, or turned away without a report
 AIM_ROUNDING_MS = 1.0  # sums are rounded: an attempt that ends at its aim is looked at before that
 STOOD_STILL_MS = 100.0  # a timer later than this shows a stall of one's own; a tick is far less
@@ -117,6 +117,9 @@
 FORGET_MS = 600000.0  # servers gone for longer are forgotten: sidecars run for months
 ASK_SPREAD_MS = 2500.0
 ASK_AGAIN_MS, ASK_MOST = 500.0, 0.2  # doubled up to this share of what may pass without an ask
+# Why a request is given up: the formula; the shed level beyond it; work too heavy to end in time; no server
+# that may be sent to; its key's line too long; no try left after a failure.
+REASONS = ("formula", "level", "heavy", "room", "line", "failed")
 WATCH = "watch"
 DUE = "due:"
 LATE = "late:"
@@ -247,6 +250,7 @@
     """The decisions of one sidecar: events in, actions out."""
 
     def __init__(self, now: float, settings: model.Settings, seed: int) -> None:
+        self.given_up = dict.fromkeys(REASONS, 0)  # what was answered without a server, by reason
         self._set = settings
         self._rng = random.Random(seed)
         self._throttle = Throttle()
@@ -335,7 +339,7 @@
         if self._set.warm_keys and key is not None:
             self._count_key(key)
         if self._too_heavy(now, request):
-            self._give_up(now, request)
+            self._give_up(now, request, "heavy")
         elif request.in_turn and key is not None:
             self._queue(now, request, key)
         else:
@@ -386,6 +390,13 @@
         self._forget(now, request)
         return self._take()
 
+    def unsent(self, now: float, request_id: int, hop: int) -> list[model.Action]:
+        """An attempt whose end follows was never sent, since the rules changed: it counts as none."""
+        if request := self._requests.get(request_id):
+            request.limits = request.limits.one_more_attempt()
+            request.attempts[hop].stale = True
+        return self._take()
+
     def answer_started(self, now: float, request_id: int, hop: int) -> list[model.Action]:
         """An answer has begun: it belongs to the client, other copies are moot. How long it takes
         from here on tells of its size and its reader, not of a server that has stalled."""
@@ -414,7 +425,7 @@
         elif token.startswith(LATE):
             request = self._requests.get(int(token[len(LATE) :]))
             if request is not None and not request.attempts:
-                self._give_up(now, request)
+                self._give_up(now, request, "line")
         elif token.startswith(TURN):
             self._advance(now, int(token[len(TURN) :]))
         elif token.startswith(CLOSE):
@@ -477,15 +488,16 @@
         if chance > 0.0 and self._rng.random() < chance:
             # What the level refuses beyond the formula tells nothing of the callee: counted as a request
             # it would close the window, which then refuses by itself, on no evidence but its own.
-            if drop >= self._shed.level(now) - SHED_IDLE:
+            formula = drop >= self._shed.level(now) - SHED_IDLE
+            if formula:
                 self._throttle.add(now, 0.0)
-            self._give_up(now, request)
+            self._give_up(now, request, "formula" if formula else "level")
             return
         caps = self._steering.steer.caps
         capped = caps and not request.attempts and self._steering.over_cap(now, request.band)
         drawn = [] if capped else self._pick(now, request) if self._steering.on else self._draw(now, request)
         if not drawn:
-            self._give_up(now, request)
+            self._give_up(now, request, "room")
         else:
             self._send(now, request, min(drawn, key=lambda server: self._load(now, server)))
 
@@ -649,8 +661,9 @@
         if warmth >= 1.0:
             return True
         # Only the sidecars whose subset holds the server send to it: theirs is the others' part too.
-        seen = min(1.0, self._reach() / max(1, self._steering.among(server.zone, len(self._ring))))
-        part = warmth * min(SPEED_MOST, server.kind_pace.speed) / (self._most_servers * seen)
+        seen = min(1.0, self._reach() / max(1, len(self._ring)))
+        usual = max(1.0 / (self._most_servers * seen), self._steering.usual(server.zone))
+        part = warmth * min(SPEED_MOST, server.kind_pace.speed) * usual
         share = self._rate(now) * part * self._set.fall_multiple * COLD_SHARE
         gained = share * (now - server.budget_at)
         server.budget = min(max(1.0, share * self._set.overload_for), server.budget + gained)
@@ -799,7 +812,7 @@
         if len(request.attempts) < request.limits.max_attempts and now < request.useful_until():
             self._try(now, request)
         else:
-            self._give_up(now, request)
+            self._give_up(now, request, "failed")
 
     def _timeout(self, now: float, request: Request) -> float:
         """How long to wait for an attempt before it is better spent elsewhere."""
@@ -824,7 +837,7 @@
         usual = self._usual()
         left = request.useful_until() - usual - now
         if left < usual * len(turn.line) and turn.line:
-            self._give_up(now, request)
+            self._give_up(now, request, "line")
             return
         turn.line.append(request)
         self._advance(now, key)
@@ -915,11 +928,12 @@
         self._open += 1
         self._out.append(model.Send(request.id, server.name, timeout))
 
-    def _give_up(self, now: float, request: Request) -> None:
+    def _give_up(self, now: float, request: Request, why: str) -> None:
         """The final answer where no attempt has served. A client whose retry would come past its
         use is told to stay away: that retry could only take a server from others."""
         if request.done or request.out:
             return
+        self.given_up[why] += 1
         limits = request.limits
         wait, most = COME_BACK * request.profile.objective, limits.max_retry_after * limits.retry_after
         wait = min(wait, most) if now + wait < request.useful_until() else most
--- a/poppypulley/steering.py
+++ b/poppypulley/steering.py
@@ -15,7 +15,7 @@
 
 MISS_MEMORY = 0.7  # a zone that misses more than the best other one is left to the present picks
 MISS_FADE_MS = 10000.0
-MISS_IDLE, MISS_LEAST, MISS_SPAN = 0.01, 0.2, 0.4  # a lone miss brings 0.3: it tells little of a zone
+MISS_IDLE, MISS_LEAST, MISS_SPAN = 0.01, 0.1, 0.3  # a lone miss brings 0.3: two thirds stay away
 
 CAP_BURST_MS = 250.0  # of a cap's requests may come at once, or one
 LOOK_BELOW = 0.05  # a zone with less of the first attempts is looked at now and then
@@ -76,10 +76,10 @@
             zone.servers = zones.count(number)
             zone.most = max(zone.most, zone.servers)
 
-    def among(self, zone: int, everyone: int) -> int:
-        """Out of how many servers a sidecar chooses those of this zone that it sends to."""
-        planned = any(any(steer[:3]) for _, steer in self._stages)
-        return self._zones[zone].servers if planned and zone in self._zones else everyone
+    def usual(self, number: int) -> float:
+        """The part of this sidecar's requests that the plan brings to each server of a zone."""
+        zone = self._zones.get(number)
+        return self.steer.shares.get(number, 0.0) / zone.servers if zone and zone.servers else 0.0
 
     def learn(self, now: float, number: int, missed: float) -> None:
         """An outcome at a zone's server: missed if not served in time."""
