--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -256,10 +256,15 @@
 
     def _sweep(self, now: float) -> None:
         """Take off the roster whoever has not been heard of for very long, and forget who never was on it:
-        each takes a place among those that may report."""
+        each takes a place among those that may report.
+
+        Names of the roster only where this service may permit: else a minority would make itself a majority."""
+        alone = not self.core.may_permit(now)
         fleet, limit = self.core.fleet, now - self.settings.forget_ms
         fleet.holding(now)  # drops what is over: a life each report must not add up between two editions
         for name in [*fleet.edges.keys() | fleet.names]:
+            if name in fleet.names and not alone:
+                continue
             edge = fleet.edges.get(name)
             if (edge.last_ms if edge is not None else self._started) < limit:
                 log.warning("forgotten", name=name, reason="no report for too long")
