Have the tests' own services and sidecars speak the shorter form

The stand-in services of tests go on from the report before, and their sidecars take what an answer leaves out for what it was, as the real ones do.

--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -12,6 +12,7 @@
 import pytest
 
 from fordtrestle.fleet import agent
+from fordtrestle.fleet.agent import KEPT
 from tests.loopback import (
     OK,
     SETTINGS,
@@ -43,11 +44,16 @@
         self.open.set()
 
     async def _serve(self, reader, writer):
+        before = {}
         with contextlib.suppress(ConnectionError):
             while (message := await read_message(reader)) is not None:
                 path = message.start.split(" ")[1]
                 if path.startswith("/edges/"):
                     body = json.loads(message.body)
+                    if body.get("after") is not None:  # it says what differs from the one before
+                        assert body["after"] == before["seq"]
+                        body = {name: value for name, value in before.items() if name in KEPT} | body
+                    before = body
                     self.reports.append(body)
                     await asyncio.sleep(self.late_s)
                     await self.open.wait()
