--- a/brassfall/lab/agreement/scale.py
+++ b/brassfall/lab/agreement/scale.py
@@ -89,6 +89,7 @@
     all_ms: float | None = None
     news_ms: float | None = None
     news_all_ms: float | None = None
+    taken: bool = True  # not so where the service was killed before the publication was durable
 
 
 class Fleet:
@@ -125,7 +126,7 @@
         kernel.run(at + FAULT_MS)
         self._heal()
         kernel.run(at + FAULT_MS + GAP_MS)
-        return self._measured(condition, at, away)
+        return self._measured(condition, at, away, newest)
 
     def _kill(self) -> None:
         self.service.crash()
@@ -138,8 +139,10 @@
         for sidecar in self.sidecars:
             sidecar.resume()
 
-    def _measured(self, condition: str, at: float, away: set[str]) -> Row:
+    def _measured(self, condition: str, at: float, away: set[str], before: int) -> Row:
         number = self.service.agreement.kept.committed.number
+        if self.service.agreement.kept.newest == before:
+            return Row(self.task.nodes, self.task.seed, condition, taken=False)
         began = {s.name: self.judge.began.get((number, s.name), math.inf) - at for s in self.sidecars}
         heard = {s.name: s.heard.get(number, math.inf) - at for s in self.sidecars}
         first = min(heard.values())
@@ -207,7 +210,7 @@
     lines = [head, "|" + "---|" * 11]
     for nodes in sorted({row.nodes for row in rows}):
         for name in CONDITIONS:
-            some = [row for row in rows if (row.nodes, row.condition) == (nodes, name)]
+            some = [row for row in rows if row.taken and (row.nodes, row.condition) == (nodes, name)]
             news = max(row.news_ms or math.inf for row in some)
             all_news = max(row.news_all_ms or math.inf for row in some)
             reached, late = _points([row.reached_ms for row in some]), _points([row.all_ms for row in some])
@@ -251,4 +254,4 @@
     (out / "report.md").write_text(report)
     print(report)
     late = [one for one in mended if one.missing]
-    return 0 if all(row.all_ms is not None for row in rows) and not late else 1
+    return 0 if all(row.all_ms is not None for row in rows if row.taken) and not late else 1
