--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -258,7 +258,7 @@
         """Take off the roster whoever has not been heard of for very long, and forget who never was on it:
         each takes a place among those that may report.
 
-        Names of the roster only where this service may permit: else a minority would make itself a majority."""
+        Names of the roster only where it may permit: else a minority would make itself a majority."""
         alone = not self.core.may_permit(now)
         fleet, limit = self.core.fleet, now - self.settings.forget_ms
         fleet.holding(now)  # drops what is over: a life each report must not add up between two editions
--- a/tests/test_rules_shell.py
+++ b/tests/test_rules_shell.py
@@ -7,7 +7,7 @@
 from typer.testing import CliRunner
 
 from brassfall import cli
-from brassfall.agreement.core import Forget
+from brassfall.agreement.core import Agreement, Forget
 from brassfall.agreement.edges import Report
 from brassfall.overrides import book as books
 from brassfall.overrides import reconciler as comparing
@@ -48,7 +48,7 @@
 
 
 @bounded(30.0)
-async def test_who_is_gone_is_forgotten_by_all_parts(tmp_path):
+async def test_who_is_gone_is_forgotten_by_all_parts(tmp_path, monkeypatch):
     made = service(tmp_path, agreement=AgreementSettings(forget_ms=0.0))
     await made.start()
     try:
@@ -67,6 +67,9 @@
         rules.step(Forget("left"))
         assert set(made.geo._demand) == {"on", "off"}
         rules._sweep(now + 1e9)
+        assert rules.core.fleet.names == {"on"}  # of the roster none goes while another may be the one
+        monkeypatch.setattr(Agreement, "may_permit", lambda *_: "")
+        rules._sweep(now + 1e9)
         assert (made.geo._demand, rules.core.fleet.edges, rules.core.fleet.holders) == ({}, {}, {})
     finally:
         await made.close()
