--- a/fordtrestle/fleet/delays.py
+++ b/fordtrestle/fleet/delays.py
@@ -18,7 +18,7 @@
 REGIONS_MOST = 64
 FIRST_SPAN_S, SPAN_MOST_MS = 1.0, 3_600_000  # of a window: one whose start nobody timed, and the longest told
 REPORT_BYTES = 400  # rows beyond it wait, with what they have gathered, for the next report
-EVERY_S = 2.0  # a region's row comes no sooner after the one before: a row with more figures costs the same
+EVERY_S = 2.5  # a region's row comes no sooner after the one before: one with more figures costs as much
 # A sketch is reported as one point for each of these parts of its counts: fine where readers look.
 RANKS = (0.1, 0.25, 0.5, 1.0)
 
