Lose answers of servers in the schedules, and take the greater number for the newer edition

No schedule gave a sidecar cause to send anything a second time. Numbers decide now, as nobody may go back.

--- a/brassfall/lab/editions/faults.py
+++ b/brassfall/lab/editions/faults.py
@@ -81,6 +81,13 @@
                 await asyncio.sleep(step.lasts)
                 for way in ways:
                     way.more_s = 0.0
+            case "lost-answers":
+                ways = stage.ways[step.who[0] :: len(stage.told.regions)]
+                for way in ways:
+                    way.loses = True
+                await asyncio.sleep(step.lasts)
+                for way in ways:
+                    way.loses = False
             case _:
                 cuts = [(stage.doors[number], *cut) for number in step.who for cut in CUTS[step.do]]
                 for door, kind, direction in cuts:
--- a/brassfall/lab/editions/judge.py
+++ b/brassfall/lab/editions/judge.py
@@ -131,7 +131,7 @@
             under[call.edition].append(call)
         elif call.edition != SAFE:
             book.add("no-stamp", f"{call.id} reached {call.server} with the stamp {call.edition!r}")
-    lives = dict(sorted(((n, _Life(found)) for n, found in under.items()), key=lambda row: row[1].first.at))
+    lives = {number: _Life(found) for number, found in sorted(under.items())}
     made.sends, made.editions = len(rows), len(lives)
     made.safe = sum(call.edition == SAFE for call in rows)
     made.unknown = sum(number != 0 and number not in terms.held for number in lives)
@@ -150,12 +150,13 @@
 def _contradictions(lives: Mapping[int, _Life], terms: Terms, book: _Book) -> float:
     """The longest span in ms for which two editions were acted on side by side."""
     worst, allowed = 0.0, terms.agree_s + terms.link_s + terms.late_s
+    # The newer has the greater number, whenever it was first seen: nobody may go back.
     ordered = list(lives.items())
     for place, (older, before) in enumerate(ordered):
         for newer, after in ordered[place + 1 :]:
             span = before.last.at - after.first.at
             if span <= 0.0:
-                break  # those that follow began later still
+                continue
             if len({c.sidecar for c in before.calls if c.at >= after.first.at} | {after.first.sidecar}) < 2:
                 continue
             worst = max(worst, span)
@@ -195,14 +196,14 @@
 
 def _holder(call: Call, lives: Mapping[int, _Life], terms: Terms) -> int | None:
     """The edition newer than a send's own that others act on, and that holds its region off."""
-    begun = lives[call.edition].first.at if isinstance(call.edition, int) and call.edition in lives else None
+    own = call.edition if isinstance(call.edition, int) else -1
     found = None
     for number, life in lives.items():
-        if life.first.at >= call.at:
-            break
+        if number <= own or life.first.at >= call.at:
+            continue
         if call.zone not in terms.held.get(number, ()):
             found = None  # a later one opens it again, or says nothing of it
-        elif found is None and number != call.edition and (begun is None or life.first.at > begun):
+        elif found is None:
             found = number if life.first.sidecar != call.sidecar else None
     return found
 
--- a/brassfall/lab/editions/proxies.py
+++ b/brassfall/lab/editions/proxies.py
@@ -125,8 +125,9 @@
 class Link(asyncio.Protocol):
     """One end of a connection through a link; each byte comes out at the other end after the delay."""
 
-    def __init__(self, delay: Callable[[], float]) -> None:
+    def __init__(self, delay: Callable[[], float], loses: Callable[[], bool]) -> None:
         self._delay = delay
+        self._loses = loses
         self._loop = asyncio.get_running_loop()
         self._due = 0.0
         self._early: list[bytes] = []
@@ -144,7 +145,11 @@
             transport.close()
 
     def data_received(self, data: bytes) -> None:
-        """Pass it on, later."""
+        """Pass it on, later; or lose it, and the connection."""
+        if self._loses():
+            if self.transport is not None:
+                self.transport.abort()
+            return
         self._due = max(self._due, self._loop.time() + self._delay())
         if self.other is not None:
             self._loop.call_at(self._due, self.other.put, data)
@@ -175,6 +180,9 @@
     def __init__(self, delay_s: float) -> None:
         self.delay_s = delay_s
         self.more_s = 0.0
+        self.loses = False  # each third answer: the server has done what it was asked
+        self.lost = 0
+        self._answers = 0
         self.upstream: tuple[str, int] | None = None  # once it is known
         self.address = ""
         self._server: asyncio.Server
@@ -197,8 +205,14 @@
     def _delay(self) -> float:
         return self.delay_s + self.more_s
 
+    def _lose(self) -> bool:
+        self._answers += 1
+        lost = self.loses and self._answers % 3 == 0
+        self.lost += lost
+        return lost
+
     def _accepted(self) -> Link:
-        near, far = Link(self._delay), Link(self._delay)
+        near, far = Link(self._delay, lambda: False), Link(self._delay, self._lose)
         near.other, far.other = far, near
         self._ends |= {near, far}
         task = asyncio.get_running_loop().create_task(self._connect(near, far))
--- a/brassfall/lab/editions/schedule.py
+++ b/brassfall/lab/editions/schedule.py
@@ -64,7 +64,7 @@
         case "kills":
             return Step(at=at, do=kind, lasts=0.25, by=float(rng.randint(2, 4)))
         case "kill" | "lost-disk" | "old-copy":
-            return Step(at=at, do=kind, lasts=rng.choice((0.0, 0.0, rng.uniform(0.2, 4.0))))
+            return Step(at=at, do=kind, lasts=min(left, rng.choice((0.0, 0.0, rng.uniform(0.2, 4.0)))))
         case "second":
             half = sorted(rng.sample(range(told.sidecars), told.sidecars // 2))
             return Step(at=at, do=kind, who=half, lasts=min(left, rng.uniform(4.0, 12.0)))
@@ -76,9 +76,9 @@
             return Step(at=at, do=kind, who=list(range(told.sidecars)))
         case "slow-service":
             return Step(at=at, do=kind, lasts=min(left, rng.uniform(3.0, 9.0)), by=rng.uniform(0.4, 4.0))
-        case "slow-links":
-            lasts = min(left, rng.uniform(3.0, 9.0))
-            return Step(at=at, do=kind, who=[rng.randrange(len(told.regions))], lasts=lasts, by=0.15)
+        case "slow-links" | "lost-answers":
+            lasts, by = min(left, rng.uniform(3.0, 9.0)), 0.15 if kind == "slow-links" else 0.0
+            return Step(at=at, do=kind, who=[rng.randrange(len(told.regions))], lasts=lasts, by=by)
     if rng.random() < 0.3:
         who = list(range(told.sidecars))
     return Step(at=at, do=kind, who=who, lasts=min(left, rng.uniform(2.0, 9.0)))
--- a/brassfall/lab/editions/spec.py
+++ b/brassfall/lab/editions/spec.py
@@ -32,6 +32,7 @@
     "cut-off",  # from the service, in all ways
     "slow-service",  # too slow to be of use
     "slow-links",  # to the servers of one region
+    "lost-answers",  # of the servers of one region: each third, and its connection
 ]
 
 
--- a/tests/test_edition_chaos.py
+++ b/tests/test_edition_chaos.py
@@ -158,6 +158,7 @@
             (0.1, "hold", {"by": -1.0}),
             (4.0, "hold", {"by": 1.0}),
             (4.6, "kill", {}),
+            (9.0, "lost-answers", {"who": [0], "lasts": 20.0}),
             (11.0, "pin", {"by": 1.0, "lasts": 7.5}),
             (11.5, "two", {"by": 1.0}),
             (11.8, "stop", {"who": [2, 5], "lasts": 4.0}),
