Follow the plan of true delays to its file in the tests of the lab's geography

The split of the lab's circle moved it to steers.py on one side while the tests were written on the other; four cases failed on that.

--- a/tests/test_geography.py
+++ b/tests/test_geography.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from brassfall.lab import day, geography, ledger, play, runner, spec
+from brassfall.lab import day, ledger, play, runner, spec, steers
 from brassfall.lab.play import Order
 from brassfall.settings import SettingsError
 from tests.processes import ROOT
@@ -65,7 +65,7 @@
     ],
 )
 def test_a_plan_takes_the_least_delay_that_there_is_room_for(loads, rooms, wanted):
-    made = geography.plan(((1.0, 50.0), (50.0, 1.0)), loads, rooms, 0.02)
+    made = steers.plan(((1.0, 50.0), (50.0, 1.0)), loads, rooms, 0.02)
     assert made == [pytest.approx(row, abs=0.005) for row in wanted]
 
 
