Hold the tasks of editions, overrides and delays in one place, which tells of those that fail

Three parts of the list service each had the same lines for their tasks, and a fault in one of them (the ticks of plans, a write of the roster) was told only when the task was collected, if at all. One class holds them, ends them with their part, and logs a failure at once; the test of it fails without that. The tests of the service's shells, its command, layout and errors pass.

--- a/brassfall/registry/geo.py
+++ b/brassfall/registry/geo.py
@@ -21,6 +21,7 @@
 from brassfall.logs import logger
 from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES
+from brassfall.registry.tasks import Tasks
 from brassfall.settings import GeoSettings
 from brassfall.table.core import Put
 from brassfall.table.store import Store
@@ -66,30 +67,23 @@
     _estimated_at: float = float("-inf")
     _opened: dict[str, float] = field(default_factory=dict)  # since when regions have servers
     _publisher: publisher.State = field(default_factory=publisher.State)
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _tasks: Tasks = field(default_factory=Tasks)
     _thread: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(1, "geo"))
 
     def start(self) -> None:
         """Publish plans from now on, where the settings say what regions can carry."""
         if self.settings.per_weight_per_s > 0.0:
-            self._spawn(self._tick())
+            self._tasks.spawn(self._tick())
 
     async def close(self) -> None:
         """Publish no more."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.end()
         self._thread.shutdown(cancel_futures=True)
 
     def routes(self) -> list[web.RouteDef]:
         """The paths."""
         return [web.get("/geo", self._get)]
 
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     # --- reports ------------------------------------------------------------------------
 
     def reported(self, name: str, report: Report) -> dict[str, Any]:
@@ -163,7 +157,7 @@
     async def _step(self, event: publisher.Event) -> None:
         self._publisher, actions = publisher.step(self._publisher, time.monotonic(), event)
         for action in actions:
-            self._spawn(self._do(action))
+            self._tasks.spawn(self._do(action))
 
     async def _do(self, action: publisher.Action) -> None:
         try:
--- a/brassfall/registry/overrides.py
+++ b/brassfall/registry/overrides.py
@@ -23,6 +23,7 @@
 from brassfall.overrides.document import Override
 from brassfall.registry import entries
 from brassfall.registry.calls import answer
+from brassfall.registry.tasks import Tasks
 from brassfall.table.core import Command, Delete, Put
 from brassfall.table.store import Store
 
@@ -67,7 +68,7 @@
     clock: SteadyClock = field(init=False)
     _calls: count[int] = field(default_factory=count)
     _waiting: dict[int, asyncio.Future[Override | None]] = field(default_factory=dict)
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _tasks: Tasks = field(default_factory=Tasks)
     _due: tuple[Override, ...] = ()
     _publishing: bool = False
     _again_at: float = 0.0  # when what did not take effect is published once more
@@ -95,13 +96,11 @@
             log.error("unreadable", override=key, action="End it with `override end`, and write it anew.")
         self.reconciler.restore(row.value for row in past)
         await self._mark()
-        self._spawn(self._tick())
+        self._tasks.spawn(self._tick())
 
     async def close(self) -> None:
         """Decide no more."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.end()
 
     def routes(self) -> list[web.RouteDef]:
         """The paths."""
@@ -123,9 +122,9 @@
             match action:
                 case books.Store(ticket, override):
                     row = Put(table=books.TABLE, key=override.id, value=action.value)
-                    self._spawn(self._written(ticket, row))
+                    self._tasks.spawn(self._written(ticket, row))
                 case books.Drop(ticket, name):
-                    self._spawn(self._written(ticket, Delete(table=books.TABLE, key=name)))
+                    self._tasks.spawn(self._written(ticket, Delete(table=books.TABLE, key=name)))
                 case history.History():
                     self._note(action)
                 case books.Publish(overrides):
@@ -167,7 +166,7 @@
         rows: list[Command] = [Put(table=history.TABLE, key=action.key, value=action.value)]
         if action.drop:
             rows.append(Delete(table=history.TABLE, key=action.drop))
-        self._spawn(self._write(rows))
+        self._tasks.spawn(self._write(rows))
 
     async def _write(self, rows: Iterable[Command]) -> str:
         """Why rows could not be made durable; empty where they are."""
@@ -189,11 +188,6 @@
             value = {"mark": mark, "at": at, "boot": _boot()}
             await self._write([Put(table=CLOCK, key=MARK, value=value)])
 
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -216,7 +210,7 @@
         self._publishing = True
         self._again_at = time.monotonic() + self._again_s
         self._again_s = min(AGAIN_MOST_S, 2.0 * self._again_s)
-        self._spawn(self._publish(due))
+        self._tasks.spawn(self._publish(due))
 
     async def _publish(self, due: list[dict[str, Any]]) -> None:
         try:
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
 from typing import Any, Protocol
@@ -23,6 +23,7 @@
 from brassfall.registry.callers import Connection
 from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES
+from brassfall.registry.tasks import Tasks
 from brassfall.registry.watches import Channel, Form, chunk
 from brassfall.settings import AgreementSettings
 from brassfall.table.core import Delete, Put
@@ -129,7 +130,7 @@
     _waiting: dict[int, asyncio.Future[int]] = field(default_factory=dict)
     _granted: dict[int, deciding.Granted] = field(default_factory=dict)
     _enrolling: set[str] = field(default_factory=set)
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _tasks: Tasks = field(default_factory=Tasks)
     _encoded: tuple[Any, bytes] | None = None
     _started: float = 0.0
 
@@ -144,13 +145,11 @@
         self.core = Agreement(timing, self._started, kept, fleet, barred=self.barred)
         self.channel = Lines(store, self.line, watch_bytes, stuck_s)
         self.host.channels[PLACE] = self.channel
-        self._spawn(self._tick())
+        self._tasks.spawn(self._tick())
 
     async def close(self) -> None:
         """Decide no more."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.end()
 
     def routes(self) -> list[web.RouteDef]:
         """The paths."""
@@ -173,7 +172,7 @@
         for action in self.core.step(self._now(), event):
             match action:
                 case deciding.Persist(kept):
-                    self._spawn(self._persist(kept))
+                    self._tasks.spawn(self._persist(kept))
                 case deciding.Enrol(name, on):
                     self._enrol(name, on)
                     if not on:
@@ -200,11 +199,6 @@
         else:
             future.set_exception(result)
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _persist(self, kept: Kept) -> None:
         before = self.core.kept
         try:
@@ -230,7 +224,7 @@
         if on and name in self._enrolling:
             return
         self._enrolling.add(name)
-        self._spawn(self._write_name(name, on))
+        self._tasks.spawn(self._write_name(name, on))
 
     async def _write_name(self, name: str, on: bool) -> None:
         try:
--- /dev/null
+++ b/brassfall/registry/tasks.py
@@ -0,0 +1,37 @@
+"""The tasks of one part of the service: held while they run, ended with it, and heard if they fail."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from brassfall.logs import logger
+
+log = logger("tasks")
+
+
+class Tasks:
+    """The loop holds tasks weakly, and tells of a failed one only when it is collected: here, at once."""
+
+    def __init__(self) -> None:
+        self._running: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Do it beside the rest."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._running.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        self._running.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            log.error("fault", exc_info=error)
+
+    async def end(self) -> None:
+        """End all that run."""
+        running = list(self._running)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
--- a/tests/test_rules_shell.py
+++ b/tests/test_rules_shell.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+
 import msgspec
 import pytest
 from typer.testing import CliRunner
 
-from brassfall import cli
+from brassfall import cli, logs
 from brassfall.agreement.core import Agreement, Forget
 from brassfall.agreement.edges import Report
 from brassfall.overrides import book as books
@@ -14,6 +17,7 @@
 from brassfall.overrides.document import parse
 from brassfall.registry import client
 from brassfall.registry.server import Service
+from brassfall.registry.tasks import Tasks
 from brassfall.settings import AgreementSettings, RegistrySettings
 from tests.loopback import bounded, until
 
@@ -99,3 +103,25 @@
     words = ["rules", "publish", str(file), "--at", "127.0.0.1:1", "--wait"]
     done = CliRunner().invoke(cli.app, words)
     assert (isinstance(done.exception, SystemExit), "Another program" in done.output) == (True, True)
+
+
+@bounded(30.0)
+async def test_a_task_that_fails_is_told_and_those_that_run_end_with_their_part(capsys):
+    async def fails():
+        raise KeyError("a fault")
+
+    held, ended = Tasks(), asyncio.Event()
+
+    async def waits():
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ended.set()
+
+    logs.set_up()
+    held.spawn(fails())
+    held.spawn(waits())
+    await asyncio.sleep(0.0)
+    await held.end()
+    told = json.loads(capsys.readouterr().err.splitlines()[0])
+    assert (told["event"], "a fault" in told["exception"], ended.is_set()) == ("fault", True, True)
