Take only whole lines from discovery for a sign of life, and bound what never becomes one

Cause: `Channel.data_received` renewed `heard_at` at any byte. A line that never ended kept a watch, or a call, open for ever while its bytes dripped (a half line, spaces, an object over many lines, a head), and a head or half a line followed by silence counted its 4.5 s anew. What came of a head was not bounded at all. Ruled out: a watch open before, half a line and then only silence: it is over in time as it was.

Change: silence runs from the last whole line (or the call), put off by a second for 512 KiB of one that is under way, so that a long list on a slow way is let through. Bytes since the last whole line are bounded by 4 MiB wherever they are, heads too, and a long line is no longer split anew with each chunk.

--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -30,6 +30,7 @@
 AGE_STEP_S = 4.0  # a list's age is told in steps: two beats of its watch
 CLOCK_STEP_S = 0.001  # less is left only by rounding
 LINE_MOST = 4 * 1024 * 1024
+LINE_RATE = 512 * 1024.0  # a second for so many bytes of a line that is not whole yet
 MOVED_S = 4.0  # after a move, what the new address has counts as told
 HELD = "X-Held-Index"  # tells our own list service which version an asker of the whole list has
 LOOK_S = 1.0  # at the age of the list
@@ -68,7 +69,8 @@
         self._loop = asyncio.get_running_loop()
         self.taken = False  # the call was: what follows is an answer
         self.lived = False  # a whole line came: what discovery had then is told
-        self.heard_at = called_at
+        self.heard_at = called_at  # the last whole line, or the call
+        self._since = 0  # bytes that came after that
         self.broken = self._loop.create_future()
         self.complete = False
         self.silent = False  # it was given up for that
@@ -80,12 +82,22 @@
         self.asked_at = self._loop.time()
         transport.write(self._request)
 
+    @property
+    def due_at(self) -> float:
+        """When the next whole line has to have come. Bytes that drip put it off no further than their
+        number allows: a long list on a slow way is let through, a line that never ends is not."""
+        return self.heard_at + SILENT_S + self._since / LINE_RATE
+
     def data_received(self, data: bytes) -> None:
         """A part of the answer; what is no HTTP, no list or refused ends the connection."""
-        self.heard_at = self._loop.time()
+        if self.broken.done():
+            return
+        self._since += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._since > LINE_MOST:
+                raise ValueError("a line is too long")
+        except (ValueError, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             cause = error.__context__ or error
             if not isinstance(cause, Doubted) or cause.first:
                 log(f"discovery: {cause}; {getattr(cause, 'action', ASKED_AGAIN)}")
@@ -126,12 +138,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser: whole lines are passed on, empty ones show only that it lives."""
-        self._buffer += data
-        if len(self._buffer) > LINE_MOST:
-            raise ValueError("a line is too long")
-        *whole, rest = self._buffer.split(b"\n")
-        self._buffer = rest
-        for line in whole:
+        first, *rest = data.split(b"\n")
+        self._buffer += first
+        for part in rest:
+            line, self._buffer = self._buffer, bytearray(part)
             self._take(line)
 
     def on_message_complete(self) -> None:
@@ -152,8 +162,6 @@
             on_one_line = not self._object and text.startswith(b"{") and text.endswith(b"}")
             self._object += text
             self._depth += text.count(b"{") - text.count(b"}")
-            if len(self._object) > LINE_MOST:
-                raise ValueError("a line is too long")
             if not on_one_line and self._depth > 0:
                 return
         else:
@@ -161,6 +169,7 @@
         if self._object:
             self._give()
         self.lived = True
+        self.heard_at, self._since = self._loop.time(), 0
         if self.age is not None and self._told:
             self.age.confirmed(self.asked_at, self._loop.time(), self._empties)
 
@@ -357,7 +366,7 @@
             channel.age = self._age
         try:
             # Guards against a machine that is cut off: its connections stay open and silent.
-            while (left := channel.heard_at + SILENT_S - self._loop.time()) > CLOCK_STEP_S:
+            while (left := channel.due_at - self._loop.time()) > CLOCK_STEP_S:
                 await asyncio.wait((channel.broken,), timeout=left)
                 if channel.broken.done():
                     break
--- a/tests/test_crossings_discovery.py
+++ b/tests/test_crossings_discovery.py
@@ -13,7 +13,7 @@
 import looptime
 import pytest
 
-from fordtrestle import config
+from fordtrestle import config, discovery
 from fordtrestle.__main__ import Sidecar
 from tests.loopback import entry, listed, told
 
@@ -240,6 +240,11 @@
     "refused",
     "lost",
     "mute",
+    "head",
+    "half",
+    "drip",
+    "drip_lines",
+    "drip_head",
     "full",
     "full_at_once",
     "broken",
@@ -272,3 +277,74 @@
                 worst = max(worst, await late(deed, fate, length, seed, how, 60_000.0, [again]))
     print(f"{again}, {how}: {worst:.2f} s")
     assert worst <= TOLD_S - SPARE_S
+
+
+@pytest.mark.parametrize("deed", ["half_after", "drip_after"])
+@pytest.mark.parametrize("how", ["automatic", "subscribe"])
+@timed
+async def test_a_line_that_never_ends_does_not_keep_an_open_watch_alive(deed, how):
+    """It began just before the change, which no beat before that told."""
+    place = Place()
+    started = Started(place, how)
+    await started.has(45)
+    await asyncio.sleep(7.3)
+    place.silence()
+    place.version = 50
+    since, wire = now(), place.wires[-1]
+    wire.feed(chunk(line(50)[:-9]))
+    there = asyncio.create_task(started.has(50))
+    while not there.done():
+        await asyncio.sleep(0.25)
+        if deed == "drip_after":
+            wire.feed(chunk(b" "))
+    assert await there - since <= TOLD_S - SPARE_S - 1.0
+    assert len(place.calls) == 2
+    started.close()
+
+
+@timed
+async def test_a_long_list_on_a_slow_way_is_let_through():
+    """Its bytes come for longer than silence may last."""
+    place = Place()
+
+    async def slowly(wire):
+        rows = [entry(f"s{i:06}") for i in range(20_000)]
+        data = HEAD + chunk(json.dumps(listed(50, *rows)).encode() + b"\n")
+        assert len(data) < discovery.LINE_MOST
+        for at in range(0, len(data), 65_536):
+            await asyncio.sleep(0.12)
+            wire.feed(data[at : at + 65_536])
+        await wire.beat()
+
+    place.news = slowly
+    started, begun = Started(place, "automatic"), now()
+    async with asyncio.timeout(60.0):
+        while started.discovery.version != 50:
+            await asyncio.sleep(0.1)
+    assert discovery.SILENT_S + 1.0 < now() - begun < 10.0
+    assert len(place.calls) == 1
+    started.close()
+
+
+@pytest.mark.parametrize("flood", [b" ", b'{"index": 50,\n "more": 1,\n', b"X-More: 1\r\n"])
+@timed
+async def test_what_never_becomes_a_list_holds_no_more_memory_than_one(flood, capsys):
+    place, fed = Place(), 0
+
+    async def floods(wire):
+        nonlocal fed
+        head = flood.startswith(b"X-")
+        wire.feed(HEAD[:-2] if head else HEAD)
+        piece = flood * (65_536 // len(flood))
+        while wire.open:
+            wire.feed(piece if head else chunk(piece))
+            fed += len(piece)
+            await asyncio.sleep(0)
+
+    place.news = floods
+    started = Started(place, "automatic")
+    await asyncio.sleep(0.01)
+    assert len(place.calls) == 1
+    assert fed < discovery.LINE_MOST + 3 * 65_536
+    assert "discovery: a line is too long" in capsys.readouterr().err
+    started.close()
