End a call with one plain line, whatever is spoilt in its list, and ask again

Cause, seen by a table of 22 spoilt lists on a watch and on a call for the whole list: (1) `_fetch` and `_changed` caught no OverflowError and no RecursionError: deep nesting, 1e999 or a weight of 400 digits ended the task with a traceback, the module heard nothing and never asked again, and a watch did not ask for the whole list after it; (2) `"endpoints": ""` or `{}` was taken for a whole list without servers, "false" for a whole list, a name of another type for a server, and a lone surrogate reached the module as a traceback with the list half taken; (3) a call for the whole list logged two lines, quoted without a limit what had come, and held any number of lists in memory; (4) an exception of another kind, such as a host name that can't be one, ended the chain of calls where discovery is asked. Ruled out: bad UTF-8, NaN, unknown status, names twice.

Change: all of these are a spoilt list or a failed call, one line of at most 200 characters of reason; the list held stays, and discovery is asked again as after any failure. A call for the whole list takes one list.

--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -332,7 +332,11 @@
 
     Entries that are none are left out where `bad` is given, and named there, each with its reason."""
     entries, addresses = [], {}
-    for row in raw["endpoints"]:
+    rows, whole, version = raw["endpoints"], raw.get("snapshot"), int(raw["index"])
+    # Guards against a whole list without servers where there is only something of another type.
+    if not isinstance(rows, list) or not isinstance(whole, bool | None) or version < 0:
+        raise ValueError("index, snapshot and endpoints: a number, true or false, and a list are wanted")
+    for row in rows:
         try:
             entry = _listing(row, names)
             if row.get("address"):
@@ -345,7 +349,7 @@
             bad[_name_of(row)] = repr(error)
             continue
         entries.append(entry)
-    return ServerList(int(raw["index"]), bool(raw.get("snapshot")), entries, addresses)
+    return ServerList(version, bool(whole), entries, addresses)
 
 
 def _name_of(row: Any) -> str:
@@ -356,8 +360,11 @@
     state = row.get("status", "active")
     if state not in STATES:
         raise ValueError(f"status {state!r} is not known")
+    name = row["name"]
+    if not isinstance(name, str) or not name or not name.isprintable():
+        raise ValueError(f"name {name!r} is none")
     return model.Listing(
-        server=str(row["name"]),
+        server=name,
         zone=names.zones.get(row.get("zone", ""), 0),
         kind=names.kinds.get(row.get("type", ""), 0),
         cell=int(row.get("group") or 0),
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -35,10 +35,19 @@
 HELD = "X-Held-Index"  # tells our own list service which version an asker of the whole list has
 LOOK_S = 1.0  # at the age of the list
 
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError)
+SAID_MOST = 200  # characters of a reason in the log: it may quote what came
+
 News = Callable[[str, ServerList | None], None]
 ASKED_AGAIN = "see that it runs at its address; it is asked again by itself, and the list held serves"
 
 
+def say(error: BaseException) -> None:
+    """One plain line on why a call is over."""
+    why = f"{error.args[0]!r} is missing" if isinstance(error, KeyError) and error.args else str(error)
+    log(f"discovery: {' '.join(why.split())[:SAID_MOST]}; {getattr(error, 'action', ASKED_AGAIN)}")
+
+
 class Doubted(ValueError):
     """A list that can't be right; the first of its kind is worth a line in the log."""
 
@@ -73,6 +82,7 @@
         self._since = 0  # bytes that came after that
         self.broken = self._loop.create_future()
         self.complete = False
+        self.spoilt = False  # what came was no list, and the log has it
         self.silent = False  # it was given up for that
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -100,7 +110,8 @@
         except (ValueError, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             cause = error.__context__ or error
             if not isinstance(cause, Doubted) or cause.first:
-                log(f"discovery: {cause}; {getattr(cause, 'action', ASKED_AGAIN)}")
+                say(cause)
+            self.spoilt = True
             self.close()
 
     def eof_received(self) -> bool:
@@ -322,7 +333,7 @@
             try:
                 channel = await self._watch()
             except Exception as error:  # a dead watch would go on sending to servers that drain
-                log(f"discovery: {error!r}")
+                say(error)
             self._called.set()
             if self._sources is not None:
                 await asyncio.sleep(self._sources.failed(self._retry_after))
@@ -338,9 +349,17 @@
         return failures
 
     async def _watch_once(self, until: float = -math.inf) -> None:
-        """Watch until the module has to hear that it is over. It has a time of its own until it asks
-        again, for which what a silent watch misses does not wait, nor what was told by a move: a call
-        that has told nothing by `until` is made again, too."""
+        """Watch until the module has to hear that it is over."""
+        try:
+            await self._watch_until(until)
+        except Exception as error:  # a module that hears nothing would never ask again
+            say(error)
+        self._watching = None
+        self._news("refused", None)
+
+    async def _watch_until(self, until: float) -> None:
+        """The module has a time of its own until it asks again, for which what a silent watch misses does
+        not wait, nor what was told by a move: a call that has told nothing by `until` is made again, too."""
         failures = 0
         channel = await self._watch()
         while self._sources is None:
@@ -354,8 +373,6 @@
             pause = self._sources.failed(self._retry_after)
             # The module has a time of its own until it asks again; it begins once that may be.
             await asyncio.sleep(pause if self._retry_after else 0.0)
-        self._watching = None
-        self._news("refused", None)
 
     async def _watch(self) -> Channel | None:
         """Watch until the connection ends or falls silent; the connection, if one came up."""
@@ -378,8 +395,14 @@
 
     async def _fetch(self) -> None:
         got: list[bytes] = []
+
+        def one(line: bytes) -> None:
+            if got:
+                raise ValueError("more than one list")
+            got.append(line)
+
         until = self._loop.time() + FETCH_S
-        channel = await self._open(PATH, got.append)
+        channel = await self._open(PATH, one)
         if channel is not None:
             try:
                 await asyncio.wait((channel.broken,), timeout=max(0.0, until - self._loop.time()))
@@ -388,11 +411,12 @@
         try:
             if channel is None or not channel.complete:
                 raise ValueError("the call failed")
-            news = self._parse(b"\n".join(got))
+            news = self._parse(b"".join(got))
             if self._held is None and news.version < self._version:
                 raise ValueError("the list is older than the one held")
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            log(f"discovery: {error}; {getattr(error, 'action', ASKED_AGAIN)}")
+        except MALFORMED as error:
+            if channel is None or not channel.spoilt:
+                say(error)
             if self._sources is not None:
                 self._sources.failed(channel.retry_after if channel is not None else 0.0)
             self._news("refused", None)
@@ -411,7 +435,7 @@
                 _, channel = await self._loop.create_connection(
                     lambda: Channel(request, on_line, called_at), address.host, address.port
                 )
-        except OSError:
+        except (OSError, ValueError):  # a name that can't be one of a host is a ValueError
             return None
         return channel
 
@@ -436,7 +460,7 @@
             news = self._parse(line)
         except Doubted:
             raise
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except MALFORMED as error:
             self._version = 0
             raise ValueError(f"not a list: {error}") from error
         if news.whole:
--- a/tests/test_crossings_discovery.py
+++ b/tests/test_crossings_discovery.py
@@ -15,6 +15,7 @@
 
 from fordtrestle import config, discovery
 from fordtrestle.__main__ import Sidecar
+from poppypulley.model import Watch
 from tests.loopback import entry, listed, told
 
 TOLD_S = 6.0  # after discovery had a change and could be reached
@@ -348,3 +349,132 @@
     assert fed < discovery.LINE_MOST + 3 * 65_536
     assert "discovery: a line is too long" in capsys.readouterr().err
     started.close()
+
+
+ROW = entry("s50")
+DEEP = b'{"index": 50, "endpoints": ' + b"[" * 200_000 + b"]" * 200_000 + b"}"
+SPOILT = {
+    "no JSON": b"garbage",
+    "half of it": line(50)[:40],
+    "no text": b'{"index": 50, "endpoints": ["\xff\xfe"]}',
+    "deep": DEEP,
+    "a list": b"[]",
+    "no index": b'{"endpoints": []}',
+    "no number": b'{"index": NaN, "snapshot": true, "endpoints": []}',
+    "endless": b'{"index": 1e999, "snapshot": true, "endpoints": []}',
+    "long number": b'{"index": ' + b"9" * 5000 + b', "endpoints": []}',
+    "below 0": b'{"index": -1, "snapshot": true, "endpoints": []}',
+    "no servers but a word": b'{"index": 50, "snapshot": true, "endpoints": ""}',
+    "no servers but an object": b'{"index": 50, "snapshot": true, "endpoints": {}}',
+    "snapshot as text": json.dumps(listed(50, ROW, snapshot="false")).encode(),
+    "a row of another type": json.dumps(listed(50, ROW, 7)).encode(),
+    "status unknown": json.dumps(listed(50, ROW, entry("s1", status="x" * 9000))).encode(),
+    "status of another type": json.dumps(listed(50, ROW, entry("s1", status=[]))).encode(),
+    "no name": json.dumps(listed(50, ROW, entry(None))).encode(),
+    "a name that is no text": json.dumps(listed(50, ROW, entry("s\ud800"))).encode(),
+    "an endless group": json.dumps(listed(50, ROW, entry("s1", group=float("inf")))).encode(),
+    "a weight past all": json.dumps(listed(50, ROW, entry("s1", weight=10**400))).encode(),
+    "a start that is none": json.dumps(listed(50, ROW, entry("s1", since_ms=float("nan")))).encode(),
+    "no address": json.dumps(listed(50, ROW, entry("s1", address="nowhere"))).encode(),
+}
+
+
+@pytest.mark.parametrize("call", ["pushed", "asked", "whole"])
+@pytest.mark.parametrize("what", SPOILT)
+@timed
+async def test_a_spoilt_list_ends_the_call_and_is_asked_for_again_in_time(what, call, capsys):
+    place, sound, errors = Place(), Place.news, []
+
+    async def spoilt(wire):
+        if b"watch=1" in wire.asked and call == "whole":
+            return
+        wire.feed(HEAD + chunk(SPOILT[what] + b"\n") + b"0\r\n\r\n")
+
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: errors.append(context))
+    started = Started(place, "automatic" if call == "pushed" else "subscribe")
+    await started.has(45)
+    place.news = spoilt
+    place.reset()
+    if call == "whole":
+        started.discovery.fetch()
+    calls = len(place.calls)
+    async with asyncio.timeout(5.0):
+        while len(place.calls) == calls or (call != "whole" and not capsys.readouterr().err):
+            await asyncio.sleep(0.01)
+    spoilt_at = now()
+    assert set(started.sidecar.pool._servers) == {"s45"}  # the list held is kept
+    place.news, place.version = functools.partial(sound, place), 50
+    place.reset()
+    assert await started.has(50) - spoilt_at <= TOLD_S - SPARE_S
+    started.close()
+    assert not errors
+
+
+@pytest.mark.parametrize("call", ["pushed", "whole"])
+@pytest.mark.parametrize("what", [*SPOILT, "status", "two", "endless lists"])
+@timed
+async def test_a_spoilt_list_is_one_plain_line_in_the_log(what, call, capsys):
+    place, errors, fed = Place(), [], 0
+
+    async def spoilt(wire):
+        nonlocal fed
+        if what == "status":
+            wire.feed(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
+        elif what in ("two", "endless lists"):
+            wire.feed(HEAD)
+            while wire.open and fed < (2 if what == "two" else 10_000):
+                wire.feed(chunk(line(50)))
+                fed += 1
+            wire.feed(b"0\r\n\r\n")
+        else:
+            wire.feed(HEAD + chunk(SPOILT[what] + b"\n") + b"0\r\n\r\n")
+
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: errors.append(context))
+    place.news = spoilt
+    started = Started(place, "subscribe")
+    if call == "pushed" and what not in ("two", "endless lists"):
+        started.act(Watch(True))
+    else:
+        started.discovery.fetch()
+    await asyncio.sleep(0.02)
+    said = capsys.readouterr().err.splitlines()
+    assert len(said) == 1 and said[0].startswith("discovery: "), said
+    assert len(said[0]) < 400 and "Traceback" not in said[0]
+    assert fed <= 2
+    assert not errors and started.discovery.version in (0, 41)
+    started.close()
+
+
+@timed
+async def test_a_server_that_a_list_names_twice_is_as_the_last_of_both_says():
+    place = Place()
+    started = Started(place, "automatic")
+    await started.has(45)
+    rows = [entry("s50", "127.0.0.1:9"), entry("s50", "127.0.0.1:11", status="leaving"), entry("s51")]
+    place.wires[-1].feed(chunk(json.dumps(listed(50, *rows)).encode() + b"\n"))
+    pool, module = started.sidecar.pool, started.sidecar.driver._balancer
+    assert pool._servers["s50"].address.port == 11
+    assert [server.name for server in module._ring] == ["s51"]
+    started.close()
+
+
+@pytest.mark.parametrize("how", ["automatic", "subscribe"])
+@timed
+async def test_a_call_that_fails_in_a_way_of_its_own_is_made_again(how, capsys):
+    """Such as by an address that can't be one: the chain of calls goes on."""
+    place = Place()
+    started = Started(place, how)
+    connect = started.discovery._loop.create_connection
+
+    async def fails(*args, **_):
+        place.calls.append(now())
+        raise [UnicodeError("label empty or too long"), RuntimeError("oh")][len(place.calls) % 2]
+
+    started.discovery._loop.create_connection = fails
+    await asyncio.sleep(10.0)
+    assert len(place.calls) > 3
+    started.discovery._loop.create_connection = connect
+    back, place.version = now(), 50
+    assert await started.has(50) - back <= TOLD_S - SPARE_S
+    assert "Traceback" not in capsys.readouterr().err
+    started.close()
