Keep the call to discovery that is under way, and hear no old address after a move

Cause: (1) a module that had a timer out as SIGHUP moved discovery asked on top of the move's own call: `Discovery.watch` gave up the one that waited its turn and made another, so news came up to 2 s late and each sidecar of the fleet cost two calls; (2) `move` left a call for the whole list at the old address under way: what it said was told up to 4.5 s after the move, with a version that the new address need not have, or its failure made the module give up the new watch. Ruled out, by tests that passed before: a watch called off, one asked for in the turn of the loop in which it ends, two moves in the middle of a call of any fate, an address that refuses for 0 to 12 s, late lines on the old watch, a first call that fails, a failed call for the whole list; and the return of discovery to a fleet that waits stays spread.

Change: a module that asks while a call is under way has asked; calls for the whole list go to the new address.

--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -274,8 +274,9 @@
                 await asyncio.wait_for(self._called.wait(), limit)
 
     def watch(self, on: bool) -> None:
-        """The module asks for changes, or for no more of them."""
-        if self._pushed:
+        """The module asks for changes, or for no more of them. A call under way, such as one after a move,
+        is not given up for another: it would lose its turn, and cost as much as one that is served."""
+        if self._pushed or (on and self._watching is not None):
             return
         if self._watching is not None:
             self._watching.cancel()
@@ -294,6 +295,10 @@
             self._sources = Sources(listed, self._rng)
         if self._watching is not None:
             self._watching.cancel()
+        if self._fetches:  # what the old address says late is not to be heard
+            for task in tuple(self._fetches):
+                task.cancel()
+            self.fetch()
         until = self._loop.time() + MOVED_S
         self._watching = self._loop.create_task(
             self._keep_watch() if self._pushed else self._watch_once(until)
--- a/tests/test_crossings_discovery.py
+++ b/tests/test_crossings_discovery.py
@@ -20,9 +20,9 @@
 
 TOLD_S = 6.0  # after discovery had a change and could be reached
 SPARE_S = 0.5  # of it stays free for a loop that lags
+MOVED_S = 4.0  # after SIGHUP
 TURN_S = 1.0  # that a call waits at discovery, which handles calls in turn
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-ELSEWHERE = config.Address("127.0.0.1", 10)
 
 
 def timed(test):
@@ -184,12 +184,13 @@
             self.sidecar.driver._balancer = balancer
         self.discovery = self.sidecar.discovery
         self._tell, self.discovery._news = self.discovery._news, self._news
-        self._there = asyncio.Event()
+        self._there, self.heard = asyncio.Event(), []
         self.sidecar.driver.connect(self.sidecar.pool, self.discovery, self.sidecar.peers)
         self.discovery.start()
 
     def _news(self, form, news):
         self._tell(form, news)
+        self.heard.append(news and news.version)
         self._there.set()
 
     async def _connect(self, factory, host, port, **_):
@@ -478,3 +479,135 @@
     assert await started.has(50) - back <= TOLD_S - SPARE_S
     assert "Traceback" not in capsys.readouterr().err
     started.close()
+
+
+# --- a call is under way, and something else comes ------------------------------------------------
+
+
+@timed
+async def test_a_module_that_asks_again_does_not_give_up_the_call_that_waits_its_turn():
+    """Its timer was set before a move, which has opened a watch of its own."""
+    for seed in range(12):
+        old, new = Place(down="refused"), Place(50)
+        started = Started(old, seed=seed)
+        await asyncio.sleep(20.0 + 0.13 * seed)
+        moved = now()
+        started.move(new)
+        assert await started.has(50) - moved <= TURN_S + 0.1
+        await asyncio.sleep(5.0)
+        assert len(new.calls) == 1
+        started.close()
+
+
+@timed
+async def test_a_second_watch_and_one_called_off_lose_nothing():
+    place = Place()
+    started = Started(place)
+    await started.has(45)
+    for on in (True, False, True):
+        started.act(Watch(on))
+        await asyncio.sleep(0.3)
+    place.version, asked = 50, now()
+    assert await started.has(50) - asked <= TURN_S
+    assert [wire.open for wire in place.wires] == [False, True]
+    started.act(Watch(False))
+    await asyncio.sleep(0.0)
+    started.act(Watch(True))  # in the turn in which the other one ends
+    await asyncio.sleep(3.0)
+    assert [wire.open for wire in place.wires] == [False, False, True]
+    started.close()
+
+
+@pytest.mark.parametrize("how", ["automatic", "subscribe"])
+@pytest.mark.parametrize("under_way", [*DEEDS, "news"])
+@timed
+async def test_two_moves_in_the_middle_of_a_call_and_an_address_that_comes_up_late(under_way, how):
+    for seed, length in enumerate((0.0, 0.9, 2.3, 3.9, 4.1, 6.7, 12.0)):
+        old, first, last = Place(), Place(46), Place(50, down="refused")
+        started = Started(old, how, seed)
+        await started.has(45)
+        await asyncio.sleep(3.0)
+        old.reset()
+        first.down = under_way
+        started.move(first)
+        await asyncio.sleep(0.4)  # the call is under way
+        started.move(last)
+        await asyncio.sleep(length)
+        last.down, back = None, now()
+        took = await started.has(50) - back
+        assert took <= TOLD_S - SPARE_S
+        assert length > 2.5 or took <= MOVED_S - SPARE_S
+        assert len(first.calls) <= 4
+        started.close()
+
+
+@pytest.mark.parametrize("how", ["automatic", "subscribe"])
+@timed
+async def test_the_old_address_is_not_heard_after_a_move(how):
+    """It has an answer for the whole list under way, and lines on the watch, in the moment of the move."""
+    old, new = Place(), Place(50)
+    started = Started(old, how)
+    await started.has(45)
+    old.version = 99
+    started.discovery.fetch()
+    await asyncio.sleep(0.5)
+    started.move(new)
+    await asyncio.sleep(0.0)
+    old.wires[0].feed(chunk(line(98)))
+    await started.has(50)
+    await asyncio.sleep(10.0)
+    assert 98 not in started.heard and 99 not in started.heard
+    assert not any(wire.open for wire in old.wires)
+    assert len(new.calls) == 2  # the watch, and the whole list that was asked for
+    started.close()
+
+
+@pytest.mark.parametrize("deed", [deed for deed in DEEDS if deed not in ("refused", "lost")])
+@timed
+async def test_a_call_for_the_whole_list_that_fails_is_followed_in_time(deed):
+    """No watch is open, such as after one that was called off."""
+    for seed in range(10):
+        place = Place()
+        started = Started(place, seed=seed)
+        await started.has(45)
+        started.act(Watch(False))
+        place.then, place.version = [deed], 50
+        asked = now()
+        started.discovery.fetch()
+        assert await started.has(50) - asked <= TOLD_S - SPARE_S
+        started.close()
+
+
+@pytest.mark.parametrize("how", ["automatic", "subscribe"])
+@pytest.mark.parametrize("deed", DEEDS)
+@timed
+async def test_a_process_whose_first_call_fails_has_the_list_in_time_and_is_ready_before(deed, how):
+    for seed in range(10):
+        place = Place(50)
+        place.then = [deed]
+        begun = now()
+        started = Started(place, how, seed)
+        await started.discovery.first_call(1.0)
+        assert now() - begun <= 1.0
+        spread = 2.5 if how == "subscribe" else 0.0  # a fleet that starts together
+        assert await started.has(50) - begun <= spread + TOLD_S - SPARE_S
+        started.close()
+
+
+@timed
+async def test_a_fleet_that_waits_for_discovery_comes_back_spread():
+    """Each sidecar has calls of its own: a tenth of a second at its return sees few of them."""
+    seen, fleet = [], 60
+    for seed in range(fleet):
+        place = Place(down="refused")
+        started = Started(place, seed=seed)
+        await asyncio.sleep(20.0)
+        place.down, place.version = None, 50
+        back = now()
+        await started.has(50)
+        seen.append(place.calls[-1] - back)
+        started.close()
+    tenths = [sum(k / 10 <= at < (k + 1) / 10 for at in seen) for k in range(13)]
+    assert sum(tenths) == fleet
+    assert max(tenths) <= fleet / 4
+    assert sum(at > 0.4 for at in seen) > fleet / 4
