Write small answers to clients at once: their sockets had no TCP_NODELAY

Cause: asyncio sets TCP_NODELAY only on sockets whose protocol number is IPPROTO_TCP. Accepted sockets take that number from the listening one, which `listener.bound` made without it, so no client's connection had the option (an inherited listening socket has its number: there it was set). An answer in more than one write, as all that are passed on, was held back for the client's word: 40 ms late at a client that delays it, and gone with a reset where the connection was closed over unread bytes.

Change: the listener sets the option on each socket that it accepts.

Test: seen to fail without the change for a socket of our own.

--- a/fordtrestle/listener.py
+++ b/fordtrestle/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import socket
 from collections.abc import Callable
@@ -98,6 +99,9 @@
                 self._no_room()
                 return
             sock.setblocking(False)
+            # asyncio does so only where the listening socket was made with a protocol's number.
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = self._loop.create_task(self._loop.connect_accepted_socket(self._made, sock))
             self._begun.add(task)
             task.add_done_callback(self._done)
