Accept no more clients than there are descriptors for, and make room where none is left

Cause: accepting looked at no limit. Up to 32 connections were accepted in a turn of the loop, and those past the most (`HARD_SHARE`) were closed two or three turns later, while as many more came in. A crowd of idle clients that came again at once had 136 descriptors open in a process that was told of 96 (150 clients, discovery down): over the limit, or, where the system sets the same limit, none left for discovery's call and for the first connections to servers at its return. Where accepting met EMFILE it stood still for 20 ms, and nobody made room: `no_room` was handed in by no caller.

Change: the listener asks its owner how many more there may be, and counts those that the owner does not know yet. Clients' connections take at most eight of the reserved descriptors, for those that are being closed. At EMFILE one quiet connection makes room; only where one surely waits, since the system says EMFILE before it looks at the queue. The door accepts one at a time.

Tests: each seen to fail without the change: descriptors counted after each turn with 150 connections in the queue, a real process of 96 descriptors under a crowd while discovery is down (136 before, below 96 after; the list arrives at its return, and a request is served), and EMFILE.

--- a/fordtrestle/admin.py
+++ b/fordtrestle/admin.py
@@ -37,7 +37,8 @@
     def listen(self, address: Address) -> None:
         """Take calls from now on."""
         sock = bound(address, DOOR_CALLERS * 4)
-        self._listener = Listener(self.loop, sock, lambda: Caller(self))
+        # One at a time: each may have to make another go, whose descriptor it takes.
+        self._listener = Listener(self.loop, sock, lambda: Caller(self), lambda: 1)
 
     @property
     def address(self) -> Address | None:
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -29,6 +29,7 @@
 QUIET_MS = 1000.0  # a true sender's pieces come faster
 MEMORY_SHARE = 0.25  # of all memory, for the bytes of messages
 HARD_SHARE = 0.47  # past this whatever carries no request is closed, or else the new connection
+COMING = 8  # of the descriptors reserved: for connections that are here and give way, or make another do so
 PIPELINED_MOST = 16
 # A peer that sends no whole request is owed an error or a close within 3 s of connecting; half a
 # second is left for a loop that lags.
@@ -747,6 +748,7 @@
         self._before: Names | None = None  # what clients may still name, for a while
         self._forget_before: asyncio.TimerHandle | None = None
         self._connections: dict[Connection, None] = {}
+        self._leaving: set[Connection] = set()  # made to give way: the loop closes them a turn later
         self._limits = config.limits
         self.budget = Budget(0)
         self.share(1.0)
@@ -755,7 +757,9 @@
     def listen(self, address: Address, descriptor: int | None = None) -> Address:
         """Accept connections from now on, on an inherited socket if there is one; where that is."""
         sock = bound(address) if descriptor is None else inherited(descriptor)
-        self._listener = Listener(self.loop, sock, lambda: Connection(self))
+        self._listener = Listener(
+            self.loop, sock, lambda: Connection(self), self._room, lambda: self._make_room(1)
+        )
         return self._listener.address
 
     def share(self, part: float) -> None:
@@ -830,8 +834,9 @@
 
     @property
     def empty(self) -> bool:
-        """Whether all connections are closed."""
-        return not self._connections
+        """Whether all connections are closed, those included that are only just accepted."""
+        coming = self._listener is not None and self._listener.settling
+        return not (self._connections or self._leaving or coming)
 
     def close(self) -> None:
         """Close all at the end."""
@@ -840,7 +845,7 @@
         for timer in (self._sweep, self._forget_before):
             if timer is not None:
                 timer.cancel()
-        for connection in list(self._connections):
+        for connection in (*self._connections, *self._leaving):
             connection.abort()
 
     # --- what connections report ----------------------------------------------
@@ -852,7 +857,18 @@
             self._make_room(1)
         self._connections[connection] = None
         if len(self._connections) > self._hard:
-            connection.abort()
+            self._part_with(connection)
+
+    def _room(self) -> int:
+        """How many connections may be accepted now. Guards against a crowd that takes, for a turn or
+        two, the descriptors that are kept for discovery, or more than there may be."""
+        return self._hard + COMING - len(self._connections) - len(self._leaving)
+
+    def _part_with(self, connection: Connection) -> None:
+        """Close one that has to give way."""
+        del self._connections[connection]
+        self._leaving.add(connection)
+        connection.abort()
 
     def _make_room(self, most: int) -> None:
         """Close by least progress: what rests after its answer, then what never sent a byte, then what
@@ -861,8 +877,7 @@
         free = [c for c in self._connections if not c.busy and (c.resting or c.quiet_since <= until)]
         for connection in sorted(free, key=lambda c: (not c.resting, c.begun, c.quiet_since)):
             if most and not connection.readable:
-                connection.abort()
-                del self._connections[connection]
+                self._part_with(connection)
                 most -= 1
 
     def _requests_held(self) -> int:
@@ -876,6 +891,7 @@
     def closed(self, connection: Connection) -> None:
         """A connection is closed."""
         self._connections.pop(connection, None)
+        self._leaving.discard(connection)
 
     def serve(self, exchange: Exchange, message: Message, read_at: float) -> None:
         """A request, whole or large: answered here, or taken."""
--- a/fordtrestle/listener.py
+++ b/fordtrestle/listener.py
@@ -15,6 +15,8 @@
 # where descriptors run out: both hold up all that is being served.
 BATCH = 32
 AGAIN_S = 0.02
+# What is accepted beyond the owner's most has to be closed first, which takes a turn or two.
+SOON_S = 0.002
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -55,11 +57,13 @@
         loop: asyncio.AbstractEventLoop,
         sock: socket.socket,
         made: Callable[[], asyncio.BaseProtocol],
+        room: Callable[[], int] = lambda: BATCH,
         no_room: Callable[[], None] = lambda: None,
     ) -> None:
         self._loop = loop
         self._sock = sock
         self._made = made
+        self._room = room  # how many more its owner may hold
         self._no_room = no_room  # told that no descriptor is left
         self._begun: set[asyncio.Task[object]] = set()
         self._again: asyncio.TimerHandle | None = None
@@ -77,6 +81,11 @@
         """Whether it still accepts."""
         return self._sock.fileno() >= 0
 
+    @property
+    def settling(self) -> bool:
+        """Whether its owner does not know yet of a connection that was accepted."""
+        return bool(self._begun)
+
     def close(self) -> None:
         """Accept no more. An inherited socket stays open in the processes that share it."""
         if self.open:
@@ -85,26 +94,56 @@
         if self._again is not None:
             self._again.cancel()
 
+    def finish(self) -> None:
+        """Accept what waits, and then no more. Guards against a reset of connections that clients
+        hold for open, and have sent on, and that only the system has accepted."""
+        with contextlib.suppress(OSError):
+            while self.open and self._left > 0 and self._take():
+                pass
+        self.close()
+
+    @property
+    def _left(self) -> int:
+        """How many may be accepted: those that the owner does not know yet count, too."""
+        return self._room() - len(self._begun)
+
     def _accept(self) -> None:
-        for _ in range(BATCH):
+        left = self._left
+        for taken in range(min(BATCH, left)):
             try:
-                sock, _ = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                if error.errno not in NO_ROOM:
-                    return  # a connection that broke while it waited
-                self._loop.remove_reader(self._sock.fileno())
-                self._again = self._loop.call_later(AGAIN_S, self._resume)
-                self._no_room()
+                if not self._take():
+                    return
+            except OSError:
+                # The system says so before it looks whether one more waits: only the first surely does.
+                if not taken:
+                    self._rest(AGAIN_S)
+                    self._no_room()
                 return
-            sock.setblocking(False)
-            # asyncio does so only where the listening socket was made with a protocol's number.
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            task = self._loop.create_task(self._loop.connect_accepted_socket(self._made, sock))
-            self._begun.add(task)
-            task.add_done_callback(self._done)
+        if left < BATCH:
+            self._rest(SOON_S)
+
+    def _take(self) -> bool:
+        """Accept one, and whether that went well; `OSError` where no descriptor is left."""
+        try:
+            sock, _ = self._sock.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False
+        except OSError as error:
+            if error.errno in NO_ROOM:
+                raise
+            return False  # a connection that broke while it waited
+        sock.setblocking(False)
+        # asyncio does so only where the listening socket was made with a protocol's number.
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        task = self._loop.create_task(self._loop.connect_accepted_socket(self._made, sock))
+        self._begun.add(task)
+        task.add_done_callback(self._done)
+        return True
+
+    def _rest(self, pause: float) -> None:
+        self._loop.remove_reader(self._sock.fileno())
+        self._again = self._loop.call_later(pause, self._resume)
 
     def _done(self, task: asyncio.Task[object]) -> None:
         self._begun.discard(task)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -157,8 +157,8 @@
         self.watches = []
         self.listed = listed
 
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port=0):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         return self
 
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -2,11 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import os
+import resource
 import socket
 
 import pytest
 
-from tests.loopback import App, loopback, running, until
+from fordtrestle import inbound
+from tests.loopback import (
+    OK,
+    PATIENCE_S,
+    App,
+    Registry,
+    Upstream,
+    entry,
+    loopback,
+    request,
+    running,
+    until,
+)
+from tests.processes import Process, free_port
 
 
 def held(made):
@@ -33,3 +50,115 @@
         await until(lambda: held(made))
         assert own_socket(held(made)[0]).getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
         app.close()
+
+
+def connected(address, count):
+    """Connections that the system has accepted: no loop has turned meanwhile."""
+    return [socket.create_connection(address) for _ in range(count)]
+
+
+def closed(sock):
+    """Whether the other end has closed: nothing is waited for."""
+    sock.setblocking(False)
+    try:
+        return sock.recv(1) == b""
+    except BlockingIOError:
+        return False
+    except ConnectionError:
+        return True
+
+
+def descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
+async def most_descriptors(condition):
+    """The most descriptors that are open after any turn of the loop, until a condition holds."""
+    most = 0
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(0)
+            most = max(most, descriptors())
+    return most
+
+
+@loopback
+async def test_a_crowd_that_comes_at_once_leaves_the_reserved_descriptors_alone():
+    # Found by reading: up to 32 were accepted in a turn, and a turn or two more passed before those that
+    # are too many were closed, so that a flood took what was kept for discovery and for servers.
+    async with running(raw={"limits": {"sockets": 64}}) as made:
+        crowd = connected(made.address, 150)
+        before = descriptors()
+        most = await most_descriptors(lambda: sum(map(closed, crowd)) >= 150 - made.inbound._hard)
+        assert most - before <= made.inbound._hard + inbound.COMING
+        for sock in crowd:
+            sock.close()
+
+
+@loopback
+async def test_where_accepting_finds_no_descriptor_what_is_quiet_makes_room(monkeypatch):
+    monkeypatch.setattr(inbound, "QUIET_MS", 0.0)
+    async with running() as made:
+        quiet = connected(made.address, 3)
+        await until(lambda: len(held(made)) == 3)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        new = connected(made.address, 1)[0]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 1, hard))
+        spare = []
+        try:
+            with contextlib.suppress(OSError):
+                while True:
+                    spare.append(socket.socket())
+            new.sendall(request())
+            await until(lambda: any(map(closed, quiet)))
+            await until(lambda: len(held(made)) == 3)
+            assert sum(map(closed, quiet)) == 1
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            for sock in (*spare, *quiet, new):
+                sock.close()
+
+
+async def idler(address):
+    """A client that says nothing, and comes again when it is closed."""
+    while True:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                await reader.read()
+            finally:
+                writer.transport.abort()
+
+
+@loopback
+async def test_idle_clients_fill_the_descriptors_while_discovery_is_down_and_its_return_is_heard(tmp_path):
+    limit, port = 96, free_port()
+    made = await Process.start(tmp_path, discovery=f"127.0.0.1:{port}", limits={"sockets": limit})
+    crowd = [asyncio.create_task(idler(made.address)) for _ in range(150)]
+    path = f"/proc/{made.process.pid}/fd"
+    most = 0
+    for _ in range(300):
+        most = max(most, len(os.listdir(path)))
+        await asyncio.sleep(0.001)
+    assert 40 < most <= limit
+    upstreams = [await Upstream([OK]).start() for _ in range(8)]
+    registry = await Registry().start(port)
+    await until(lambda: registry.watches)
+    registry.tell(
+        2, *(entry(f"s{i}", upstream.address) for i, upstream in enumerate(upstreams)), snapshot=True
+    )
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            app = await App.connect(made.address)
+            answer = await app.ask()
+            app.close()
+            if answer is not None and answer.body == b"done":
+                break
+    assert len(os.listdir(path)) <= limit
+    for task in crowd:
+        task.cancel()
+    made.process.terminate()
+    assert await made.process.wait() == 0
+    registry.stop()
+    for upstream in upstreams:
+        upstream.stop()
