Shut a connection that makes room in the same moment, not a turn of the loop later

Cause: `Inbound._make_room` looked whether a resting connection was readable and aborted it, which closes the socket only in the loop's next turn. A client that looked before its send meanwhile saw an open connection, and what it sent there was reset without an answer: a request lost, since it was written to a connection that was not closed yet. `Connection.close` shuts at once for that reason, and was not used here, nor where the newest connection is one too many.

Change: both close as `Connection.close` does.

Test: without any turn of the loop after the room is made, the client sees the end.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -868,7 +868,7 @@
         """Close one that has to give way."""
         del self._connections[connection]
         self._leaving.add(connection)
-        connection.abort()
+        connection.close()
 
     def _make_room(self, most: int) -> None:
         """Close by least progress: what rests after its answer, then what never sent a byte, then what
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -119,6 +119,21 @@
                 sock.close()
 
 
+@loopback
+async def test_a_resting_connection_that_makes_room_is_seen_to_be_closed_at_once():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        sock = connected(made.address, 1)[0]
+        sock.sendall(request())
+        await until(lambda: upstream.seen and held(made) and held(made)[0].resting)
+        assert sock.recv(4096).endswith(b"done")
+        made.inbound._make_room(1)
+        # No turn of the loop: what is sent from now on, on a connection that looks open, is lost.
+        assert closed(sock)
+        await until(lambda: made.inbound.empty)
+        sock.close()
+
+
 async def idler(address):
     """A client that says nothing, and comes again when it is closed."""
     while True:
