Take what the system has accepted before the listener closes, and await what just came

Cause: at the end `Listener.close` closed the listening socket at once. Connections that the system had accepted, and that a client had sent on, were reset (a request taken and lost, or a new connection closed without an answer). Connections accepted in the last turn were unknown to `Inbound` until their task had run: `Sidecar.drain` found nothing open and the process ended under them. And one whose first request came a moment after the listener closed was shut between the two, though it was just opened.

Change: where the socket is this process's own, the listener first accepts all that waits, as far as there are descriptors. At the end, and while clients are sent away, a connection on which nothing has come has 0.1 s. A socket that is inherited is left as it is: what waits there is for the next process.

Tests: a listener that accepts nothing by itself, with requests in its queue: reset before, answered with `Connection: close` after. A request written right after the look of `close_idle`: no answer before.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -169,12 +169,12 @@
             self.inbound.stop_listening()  # what still comes is for the process that takes over
         await asyncio.sleep(STILL_LISTEN_S)
         self.inbound.stop_listening()
-        self.inbound.close_idle()
+        self.inbound.close_idle(but_new=True)
         # A request may be read at any time from what is not closed yet: it starts the wait anew.
         quiet_since = self._loop.time()
         while not (self.inbound.empty and self.driver.idle):
             await asyncio.sleep(POLL_S)
-            self.inbound.close_idle()
+            self.inbound.close_idle(but_new=True)
             if not self.driver.idle or self.inbound.unfinished:
                 quiet_since = self._loop.time()
             elif self._loop.time() - quiet_since >= LAST_BYTES_S:
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -42,6 +42,7 @@
 # Clients are sent away: new connections come for 0.3 s more, and 4 s after the call none may be idle.
 SENT_AWAY_S = 1.0
 SENT_AWAY_SWEEP_S = 0.1
+FIRST_MS = 100.0  # a connection that has just come is left alone for so long: its request follows
 STILL_COMING_MS = 700.0  # at the end, a request of which nothing came for so long is not awaited
 CLASSES_BEFORE_S = 4.0  # clients use other classes 1.2 s after a reload, and come again for a while
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
@@ -383,6 +384,12 @@
         """Whether a part of a request has come."""
         return self._message is not None
 
+    @property
+    def new(self) -> bool:
+        """Whether it has only just come, and nothing on it yet."""
+        silent = not self._answered and self._message is None
+        return silent and self._inbound.clock.now() - self.quiet_since < FIRST_MS
+
     @property
     def unfinished(self) -> bool:
         """Whether a request is still coming here, or the rest of an answer still going."""
@@ -753,9 +760,11 @@
         self.budget = Budget(0)
         self.share(1.0)
         self._listener: Listener | None = None
+        self._own = True  # the listening socket, which no other process has
 
     def listen(self, address: Address, descriptor: int | None = None) -> Address:
         """Accept connections from now on, on an inherited socket if there is one; where that is."""
+        self._own = descriptor is None
         sock = bound(address) if descriptor is None else inherited(descriptor)
         self._listener = Listener(
             self.loop, sock, lambda: Connection(self), self._room, lambda: self._make_room(1)
@@ -798,8 +807,13 @@
             exchange.read(message, self._before, self._kept_back)
 
     def stop_listening(self) -> None:
-        """Take no new connection; each answer from now on is the last on its own."""
-        if self._listener is not None:
+        """Take no new connection but those that the system has accepted for this process alone; each
+        answer from now on is the last on its own."""
+        if self._listener is None:
+            return
+        if self._own:
+            self._listener.finish()
+        else:
             self._listener.close()
 
     @property
@@ -818,13 +832,13 @@
 
     def _send_away(self) -> None:
         """Close what stands idle, as often as it takes until clients are to come again."""
-        self.close_idle()
+        self.close_idle(but_new=True)
         self._sweep = self.loop.call_later(SENT_AWAY_SWEEP_S, self._send_away)
 
-    def close_idle(self) -> None:
-        """Close what stands between requests."""
+    def close_idle(self, but_new: bool = False) -> None:
+        """Close what stands between requests, at will but for what has only just come."""
         for connection in list(self._connections):
-            if connection.idle:
+            if connection.idle and not (but_new and connection.new):
                 connection.close()
 
     @property
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from fordtrestle import __main__ as main
 from fordtrestle import inbound
 from tests.loopback import (
     OK,
@@ -19,6 +20,7 @@
     Upstream,
     entry,
     loopback,
+    read_message,
     request,
     running,
     until,
@@ -134,6 +136,79 @@
         sock.close()
 
 
+@pytest.fixture
+def at_once(monkeypatch):
+    """Nothing is waited for at the end."""
+    monkeypatch.setattr(main, "STILL_LISTEN_S", 0.0)
+
+
+async def answer_to(sock):
+    """The answer that comes on a plain socket, up to the connection's end."""
+    reader, writer = await asyncio.open_connection(sock=sock)
+    answer = await read_message(reader)
+    assert answer is not None and await reader.read() == b""
+    writer.close()
+    return answer
+
+
+@loopback
+async def test_what_only_the_system_has_accepted_is_answered_before_the_end(at_once):
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        made.inbound._listener._rest(PATIENCE_S)  # it accepts nothing by itself
+        crossed = connected(made.address, 3)
+        for sock in crossed:
+            sock.sendall(request())
+        await made.drain()  # ends with nothing open
+        made.close()
+        for sock in crossed:
+            answer = await answer_to(sock)
+            assert (answer.body, answer.headers["connection"]) == (b"done", "close")
+
+
+@loopback
+async def test_what_waits_on_an_inherited_socket_is_left_to_the_next_process(at_once):
+    async with running() as made:
+        made.inbound.stop_listening()
+        listening = socket.create_server(("127.0.0.1", 0))
+        address = made.inbound.listen(made.address, os.dup(listening.fileno()))
+        made.inbound._listener._rest(PATIENCE_S)
+        (waits,) = connected(address, 1)
+        made.inbound.stop_listening()
+        assert made.inbound.empty
+        listening.settimeout(PATIENCE_S)
+        taken, _ = listening.accept()
+        for sock in (taken, waits, listening):
+            sock.close()
+
+
+@loopback
+async def test_a_connection_that_has_just_come_may_still_send_its_request():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        (sock,) = connected(made.address, 1)
+        await until(lambda: held(made))
+        made.inbound.stop_listening()
+        made.inbound.close_idle(but_new=True)
+        sock.sendall(request())
+        assert (await answer_to(sock)).body == b"done"
+        assert made.inbound.empty
+
+
+@loopback
+async def test_a_new_connection_that_stays_silent_does_not_hold_up_the_end():
+    async with running() as made:
+        (silent,) = connected(made.address, 1)
+        await until(lambda: held(made))
+
+        def gone():
+            made.inbound.close_idle(but_new=True)
+            return made.inbound.empty
+
+        await until(gone)
+        silent.close()
+
+
 async def idler(address):
     """A client that says nothing, and comes again when it is closed."""
     while True:
