End at once on SIGTERM during the start; take a file replaced meanwhile after it

Cause: `serve` awaited the whole start before it looked at the stop. A process that waited for discovery's first word (1 s, or 4 s where it takes over from another) went on waiting, then listened and said that it serves, only to drain for half a second more. And SIGHUP during the start reached `Sidecar.reload` while the parts were not connected: `Discovery.move` opened a watch, `start` then opened a second, which nobody ended.

Change: the start and the stop are awaited together; a start that the stop overtakes is cancelled, and the process ends with exit 0 and one line, having taken nothing. A SIGHUP during the start is held until it is over. At the very end SIGHUP does nothing.

Tests: a real process under a discovery that takes the call and stays silent, told SIGTERM, or SIGHUP and SIGTERM twice, at that moment; a reload from within the start (two watches before, one after). All three seen to fail without the change. Signals twice, and during the drain under an open request, were no fault before: that test passed.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -17,7 +17,7 @@
 from fordtrestle.driver import Clock, Driver, log
 from fordtrestle.handover import Seat
 from fordtrestle.inbound import Inbound
-from fordtrestle.lifecycle import Lifecycle
+from fordtrestle.lifecycle import Lifecycle, State
 from fordtrestle.outbound import Pool
 from fordtrestle.peers import Peers
 from poppypulley.model import Listing, Steer
@@ -47,6 +47,7 @@
         clock = self._clock = Clock(loop)
         self.life = Lifecycle()
         self._shared = False
+        self._file_changed = False  # while it was starting
         self._look: asyncio.TimerHandle | None = None
         self.seat = Seat(os.environ.get("TMPDIR"), told.name) if told.inherited is not None else None
         self.door = Door(loop, self.life)
@@ -120,6 +121,8 @@
             await self.discovery.first_call(FIRST_CALL_S)
         address = self.inbound.listen(self._told.listen, self._told.inherited)
         self.life.serve()
+        if self._file_changed:
+            self.reload(os.environ)
         return address
 
     def _share(self) -> bool:
@@ -138,6 +141,9 @@
         """The configuration file was replaced: it is taken whole, or not at all.
 
         The file has the last word on discovery, since the environment is still that of the start."""
+        if self.life.state is State.STARTING:
+            self._file_changed = True  # looked at once all parts are there
+            return
         try:
             told = config.load({**environment, "NODE_DISCOVERY": ""})
             self.adopt(told if self.part is None else self.part.over(told))
@@ -204,17 +210,32 @@
         loop.add_signal_handler(number, stop.set)
     sidecar = Sidecar(loop, told)
     loop.add_signal_handler(signal.SIGHUP, sidecar.reload, os.environ)
-    await sidecar.start()
-    # What is there now stays: later collections need not walk it, and stop the loop for less.
-    gc.collect()
-    gc.freeze()
-    await stop.wait()
-    await sidecar.drain()
+    if await _started(sidecar, stop):
+        # What is there now stays: later collections need not walk it, and stop the loop for less.
+        gc.collect()
+        gc.freeze()
+        await stop.wait()
+        await sidecar.drain()
     if sidecar.part is not None:
         await sidecar.part.agent.leave()
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)  # nothing is left that it could change
     sidecar.close()
 
 
+async def _started(sidecar: Sidecar, stop: asyncio.Event) -> bool:
+    """Start; whether that was done before the process was told to stop: it has taken nothing then."""
+    start, stopped = asyncio.create_task(sidecar.start()), asyncio.create_task(stop.wait())
+    await asyncio.wait((start, stopped), return_when=asyncio.FIRST_COMPLETED)
+    stopped.cancel()
+    if start.done():
+        await start
+        return True
+    start.cancel()
+    await asyncio.wait((start,))
+    log("stopping: told so before it took clients")
+    return False
+
+
 def main() -> int:
     """Start; the exit code."""
     try:
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -4,14 +4,19 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import resource
+import signal
 import socket
+import sys
+from pathlib import Path
 
 import pytest
 
 from fordtrestle import __main__ as main
 from fordtrestle import inbound
+from fordtrestle.config import parse_address
 from tests.loopback import (
     OK,
     PATIENCE_S,
@@ -23,9 +28,10 @@
     read_message,
     request,
     running,
+    told,
     until,
 )
-from tests.processes import Process, free_port
+from tests.processes import ROOT, Process, environment, free_port
 
 
 def held(made):
@@ -252,3 +258,84 @@
     registry.stop()
     for upstream in upstreams:
         upstream.stop()
+
+
+async def logged(tmp_path, **changes):
+    """The real program, whose log is read by the test; nobody waits until it is ready."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "fordtrestle",
+        env=environment(tmp_path, **changes),
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+@pytest.mark.parametrize("numbers", [(signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM)])
+@loopback
+async def test_a_process_that_is_told_to_stop_while_it_starts_ends_at_once(tmp_path, numbers):
+    # Discovery takes the call and says nothing: the start waits, and told of the call by it.
+    registry = await Registry().start()
+    process = await logged(tmp_path, discovery=registry.address)
+    await until(lambda: registry.watches)
+    for number in numbers:
+        process.send_signal(number)
+    _, said = await process.communicate()
+    assert process.returncode == 0
+    assert said.decode().splitlines() == [
+        "stopping: told so before it took clients",
+        "closing, with nothing still open",
+    ]
+    registry.stop()
+
+
+@loopback
+async def test_a_file_that_is_replaced_while_it_starts_is_taken_once_it_has(tmp_path, monkeypatch):
+    old, new = await Registry(current=True).start(), await Registry(current=True).start()
+    made = main.Sidecar(asyncio.get_running_loop(), told(registry=old.address))
+    raw = json.loads(Path(environment(tmp_path, discovery=new.address)["NODE_CONFIG"]).read_text())
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    monkeypatch.setenv("NODE_CONFIG", str(tmp_path / "config.json"))
+
+    async def listen(loop):
+        made.reload(os.environ)  # before any part is connected with the others
+
+    monkeypatch.setattr(made.peers, "listen", listen)
+    await made.start()
+    await until(lambda: new.watches)
+    assert made.running.discovery == parse_address(new.address)
+    assert len(new.watches) == 1
+    made.close()
+    old.stop()
+    new.stop()
+
+
+@loopback
+async def test_signals_that_come_twice_or_during_the_end_change_nothing_about_it(tmp_path):
+    release = asyncio.Event()
+
+    async def wait(reader, writer):
+        await release.wait()
+        return OK
+
+    upstream, registry = await Upstream([wait]).start(), await Registry(current=True).start()
+    made = await Process.start(tmp_path, upstream)
+    made.app.send()
+    await until(lambda: upstream.seen)
+    raw = json.loads((tmp_path / "config.json").read_text())
+    for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        (tmp_path / "config.json").write_text(json.dumps({**raw, "discovery": registry.address}))
+        made.process.send_signal(number)
+    await until(lambda: registry.watches)
+    with pytest.raises(ConnectionError):
+        while True:
+            (await App.connect(made.address)).close()
+            await asyncio.sleep(0.01)
+    made.process.send_signal(signal.SIGHUP)
+    made.process.send_signal(signal.SIGTERM)
+    release.set()
+    assert (await made.app.answer()).body == b"done"
+    assert await made.process.wait() == 0
+    upstream.stop()
+    registry.stop()
