Serve the classes of before for their 4 s though a second reload follows the first

Cause: `Inbound` kept one set of names beside the running one. A second SIGHUP within 4 s, also of the same file, put the names of the first reload in their place: clients that still named the classes from before both got "no such path" (400 or 404), although they learn of a reload 1.2 s later.

Change: each reload's names are kept for their own 4 s; a reload that changes no name adds none.

Test: two reloads in a row, the second with the same classes and with others; the classes of before the first are served. Both seen to fail without the change. The test of signals during the end writes its file once: one that was replaced again could be read half-written.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -752,8 +752,8 @@
         self._sweep: asyncio.TimerHandle | None = None
         self._names = config.names
         self._kept_back = NOT_FOR_SERVERS | (OWN_WORD if config.agreement is not None else frozenset())
-        self._before: Names | None = None  # what clients may still name, for a while
-        self._forget_before: asyncio.TimerHandle | None = None
+        self._before: deque[Names] = deque()  # what clients may still name, for a while; newest first
+        self._forgets: deque[asyncio.TimerHandle] = deque()
         self._connections: dict[Connection, None] = {}
         self._leaving: set[Connection] = set()  # made to give way: the loop closes them a turn later
         self._limits = config.limits
@@ -783,28 +783,33 @@
         self._make_room(max(0, len(self._connections) - self._crowded))
 
     def reload(self, names: Names) -> None:
-        """Other classes. Clients learn of them later: what they knew is served for a while."""
-        if self._forget_before is not None:
-            self._forget_before.cancel()
-        self._before, self._names = self._names, names
-        self._forget_before = self.loop.call_later(CLASSES_BEFORE_S, self._forget_classes)
+        """Other classes. Clients learn of them later: what they knew is served for a while, however
+        often others follow."""
+        if names == self._names:
+            return
+        self._before.appendleft(self._names)
+        self._names = names
+        self._forgets.append(self.loop.call_later(CLASSES_BEFORE_S, self._forget_oldest))
 
-    def _forget_classes(self) -> None:
-        self._before = self._forget_before = None
+    def _forget_oldest(self) -> None:
+        self._forgets.popleft()
+        self._before.pop()
 
     @property
     def bands(self) -> set[int]:
         """The classes that clients may name."""
-        known = (self._names, self._before)
-        return {kind.band for names in known if names for kind in names.classes.values()}
+        known = (self._names, *self._before)
+        return {kind.band for names in known for kind in names.classes.values()}
 
     def _read(self, exchange: Exchange, message: Message) -> None:
         try:
             exchange.read(message, self._names, self._kept_back)
         except BadRequest:
-            if self._before is None:
-                raise
-            exchange.read(message, self._before, self._kept_back)
+            for names in self._before:
+                with contextlib.suppress(BadRequest):
+                    exchange.read(message, names, self._kept_back)
+                    return
+            raise
 
     def stop_listening(self) -> None:
         """Take no new connection but those that the system has accepted for this process alone; each
@@ -856,9 +861,8 @@
         """Close all at the end."""
         if self._listener is not None:
             self._listener.close()
-        for timer in (self._sweep, self._forget_before):
-            if timer is not None:
-                timer.cancel()
+        for timer in (*self._forgets, *([self._sweep] if self._sweep else [])):
+            timer.cancel()
         for connection in (*self._connections, *self._leaving):
             connection.abort()
 
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -324,8 +324,8 @@
     made.app.send()
     await until(lambda: upstream.seen)
     raw = json.loads((tmp_path / "config.json").read_text())
+    (tmp_path / "config.json").write_text(json.dumps({**raw, "discovery": registry.address}))
     for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
-        (tmp_path / "config.json").write_text(json.dumps({**raw, "discovery": registry.address}))
         made.process.send_signal(number)
     await until(lambda: registry.watches)
     with pytest.raises(ConnectionError):
@@ -339,3 +339,22 @@
     assert await made.process.wait() == 0
     upstream.stop()
     registry.stop()
+
+
+@pytest.mark.parametrize("second", [("view",), ("view", "see")])
+@loopback
+async def test_classes_of_before_are_served_for_a_while_though_two_reloads_follow_each_other(second):
+    def named(*names):
+        rows = [
+            {"Name": name, "Semantics": "pure", "Objective": 2000.0, "Deadline": 5000.0} for name in names
+        ]
+        return told([upstream], Profiles=rows)
+
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        app = await App.connect(made.address)
+        made.adopt(named("view"))
+        made.adopt(named(*second))
+        for target in ("/look", *(f"/{name}" for name in second)):
+            assert (await app.ask("GET", target)).body == b"done"
+        app.close()
