Close what is left in the turn of the drain's last look, and shut it at once

Cause: `Sidecar.drain` returned after its last look at requests that are still coming, and `serve` then told the list service of the end, for up to 0.3 s, with those connections open: a request that became whole meanwhile was taken, sent on and cut off. Without a part in the agreement nothing came between, but the connections were aborted a turn later, open to a client's look until then.

Change: the drain ends by closing them itself, and each is shut in that moment.

Test: half a request, the drain over by its quiet; the client sees the end without a turn of the loop, and the other half reaches no server. Seen to fail without the change.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -184,7 +184,9 @@
             if not self.driver.idle or self.inbound.unfinished:
                 quiet_since = self._loop.time()
             elif self._loop.time() - quiet_since >= LAST_BYTES_S:
-                return
+                break
+        # In the turn of the last look: what is read after it would be taken, and cut off.
+        self.inbound.close()
 
     def close(self) -> None:
         """Close what is left."""
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -864,6 +864,7 @@
         for timer in (*self._forgets, *([self._sweep] if self._sweep else [])):
             timer.cancel()
         for connection in (*self._connections, *self._leaving):
+            connection.close()  # seen at once, where nothing is left to be written
             connection.abort()
 
     # --- what connections report ----------------------------------------------
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -201,6 +201,26 @@
         assert made.inbound.empty
 
 
+@loopback
+async def test_nothing_is_read_any_more_after_the_last_look_at_the_end(at_once, monkeypatch):
+    # What comes between the two, while the list service is told of the end, was taken and cut off.
+    monkeypatch.setattr(main, "LAST_BYTES_S", 0.0)
+    monkeypatch.setattr(inbound, "STILL_COMING_MS", 0.0)
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        (sock,) = connected(made.address, 1)
+        sock.sendall(request()[:-2])
+        await until(lambda: held(made) and held(made)[0].begun)
+        await made.drain()
+        assert closed(sock)
+        with contextlib.suppress(OSError):
+            sock.sendall(b"\r\n")
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert made.inbound.empty and made.driver.idle and not upstream.seen
+        sock.close()
+
+
 @loopback
 async def test_a_new_connection_that_stays_silent_does_not_hold_up_the_end():
     async with running() as made:
