Time the end by the longest deadline of the classes that there are, not of those gone

Cause: `Sidecar.drain` took the longest deadline of all slots, and slots of classes that a reload left out stay in the settings. Where those had the longest one, requests that came late in the drain were to be answered by 3.55 s although SIGKILL may come after 1.1 s.

Change: only classes that the configuration names count.

Test: a reload to one class of 400 ms: 3550 ms before, 950 ms after. Seen to fail without the change.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -169,7 +169,9 @@
         """Stop listening, finish what was taken, close connections between requests."""
         self.life.stop()
         log("stopping: finishing what was taken")
-        longest = max(profile.deadline for profile in self._told.settings.profiles)
+        # Slots of classes that a reload left out are no longer counted by whoever ends the process.
+        named = {kind.band for kind in self._told.names.classes.values()}
+        longest = max(self._told.settings.profiles[band].deadline for band in named)
         self.driver.stopping(self._clock.now() + min(longest, LONGEST_MS) + ANSWERED_MS)
         if self._told.inherited is not None:
             self.inbound.stop_listening()  # what still comes is for the process that takes over
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -378,3 +378,18 @@
         for target in ("/look", *(f"/{name}" for name in second)):
             assert (await app.ask("GET", target)).body == b"done"
         app.close()
+
+
+@loopback
+async def test_the_end_is_timed_by_the_classes_that_there_are_now(at_once):
+    def with_deadline(name, deadline):
+        row = {"Name": name, "Semantics": "pure", "Objective": 200.0, "Deadline": deadline}
+        return told(Profiles=[row])
+
+    async with running() as made:
+        made.adopt(with_deadline("view", 400.0))
+        until_ms = []
+        made.driver.stopping = until_ms.append
+        now = made._clock.now()
+        await made.drain()
+        assert until_ms[0] - now == pytest.approx(400.0 + main.ANSWERED_MS, abs=100.0)
