Say file, key and reason of a broken configuration, and take nothing that breaks later

Cause: `config.load` named no file, and no key for limits, addresses and lists ("configuration: cannot convert float NaN to integer"). It took what broke later: a weight that is no number or below zero, at which picks go wrong; a name that can't be encoded, at which the decision module failed with a traceback in the log; a host like "a..b", at which a look-up raises no OSError: an attempt waited for its time-out, the start ended in a traceback. Limits below one were taken. A pipe under the file's name held the whole process up at SIGHUP, and a device filled its memory.

Change: each part is read under its key; names have to be printable, hosts to be such that can be looked up, weights and limits to be amounts; the file has to be one, of at most 4 MiB. Lists of discovery pass the same checks: a spoilt one ends its call as before.

--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import math
+import os
 import resource
-from collections.abc import Collection, Mapping
+import stat
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 from itertools import count
@@ -16,6 +19,7 @@
 KEY_BELOW = 2**53
 RESERVED = 24  # descriptors for the log, the loop, discovery, peers and what opens for a moment
 DOOR_CALLERS = 8  # operators at the door at once; where there is a door, their descriptors are kept free
+FILE_MOST = 4 * 1024 * 1024
 AGREE_MS = 3000.0
 OPTIONAL = frozenset(("AimStretch", "PassesDeadline", "WarmKeys"))  # the keys that may come and go
 # What a running process can't change: it is tied to sockets, to servers known or to its place.
@@ -137,46 +141,115 @@
     if not path:
         raise ConfigError("NODE_CONFIG is not set")
     try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-        return parse(raw, environment)
+        return parse(json.loads(_text(path)), environment)
     except OSError as error:
-        raise ConfigError(f"configuration: {error.strerror}") from error
-    except (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError) as error:
-        what = f"{error.args[0]} is missing" if isinstance(error, KeyError) else error
-        raise ConfigError(" ".join(f"configuration: {what}".split())) from error
+        raise ConfigError(f"configuration {path}: {error.strerror}") from error
+    except WRONG as error:
+        raise ConfigError(" ".join(f"configuration {path}: {_reason(error)}".split())) from error
+
+
+# What comes of values that are not what they should be; each is told as a line.
+WRONG = (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError)
+
+
+def _reason(error: Exception) -> str:
+    if isinstance(error, KeyError):
+        return f"{error.args[0]} is missing"
+    if isinstance(error, AttributeError | TypeError):
+        return f"of the wrong kind: {error}"
+    return str(error)
+
+
+@contextlib.contextmanager
+def _named(key: str) -> Iterator[None]:
+    """Say where it stands, whatever is wrong with it."""
+    try:
+        yield
+    except WRONG as error:
+        raise ValueError(f"{key}: {_reason(error)}") from error
+
+
+def _text(path: str) -> str:
+    """The file. Guards against a pipe or a device, which would hold up, or fill, a process that serves."""
+    with open(path, "rb", opener=lambda name, flags: os.open(name, flags | os.O_NONBLOCK)) as file:
+        if not stat.S_ISREG(os.fstat(file.fileno()).st_mode):
+            raise ValueError("is no file")
+        data = file.read(FILE_MOST + 1)
+    if len(data) > FILE_MOST:
+        raise ValueError(f"is larger than {FILE_MOST} bytes")
+    return data.decode()
 
 
 def parse(raw: Any, environment: Mapping[str, str]) -> Config:
     """The configuration from its JSON; the environment has the last word on addresses."""
-    settings, names = raw["settings"], _names(raw["settings"])
-    limits, rules = settings.get("PolicyLimits") or {}, settings.get("Rules") or {}
-    operator = environment.get("NODE_OPERATOR") or raw.get("operator")
+    if not isinstance(raw, Mapping):
+        raise ValueError("expected an object")
+    settings = _object(raw, "settings", needed=True)
+    with _named("settings"):
+        names = _names(settings)
+    limits, rules = _object(settings, "PolicyLimits"), _object(settings, "Rules")
+    operator = _address_in(raw, "operator", environment.get("NODE_OPERATOR"))
     registry = _fleet(raw["fleet"]) if raw.get("fleet") is not None else ()
+    told = _object(raw, "known", needed=True)
+    with _named("known"):
+        known = parse_list(told, names)
+    with _named("seed"):
+        seed = stable_number(str(raw.get("seed", "")))
+    with _named("peers"):
+        peers = tuple(parse_address(peer) for peer in raw.get("peers") or ())
+    with _named("settings"):
+        parsed = model.Settings.parse(settings)
+        max_open = int(_count(limits.get("MaxOpen", 2**31), "PolicyLimits.MaxOpen", 0))
+        with _named("Rules.StopSendingWithin"):
+            drain_grace = _amount(rules.get("StopSendingWithin", 0.0))
+    with _named("NODE_INHERITED_FD"):
+        inherited = _descriptor(environment.get("NODE_INHERITED_FD"))
     return Config(
         name=environment.get("NODE_NAME") or str(raw["name"]),
-        listen=parse_address(environment.get("NODE_LISTEN") or raw["listen"]),
-        inherited=_descriptor(environment.get("NODE_INHERITED_FD")),
-        operator=parse_address(operator) if operator else None,
+        listen=_needed_address(raw, "listen", environment.get("NODE_LISTEN")),
+        inherited=inherited,
+        operator=operator,
         discovery=registry[0]
         if registry
-        else parse_address(environment.get("NODE_DISCOVERY") or raw["discovery"]),
+        else _needed_address(raw, "discovery", environment.get("NODE_DISCOVERY")),
         registry=registry,
-        seed=stable_number(str(raw.get("seed", ""))),
-        limits=_limits(raw.get("limits") or {}, RESERVED + (DOOR_CALLERS + 1 if operator else 0)),
-        peer_listen=parse_address(raw["peer_listen"]) if raw.get("peer_listen") else None,
-        peers=tuple(parse_address(peer) for peer in raw.get("peers") or ()),
-        peers_all=parse_address(raw["peers_all"]) if raw.get("peers_all") else None,
-        known=parse_list(raw["known"], names),
-        settings=model.Settings.parse(settings),
+        seed=seed,
+        limits=_limits(_object(raw, "limits"), RESERVED + (DOOR_CALLERS + 1 if operator else 0)),
+        peer_listen=_address_in(raw, "peer_listen"),
+        peers=peers,
+        peers_all=_address_in(raw, "peers_all"),
+        known=known,
+        settings=parsed,
         names=names,
-        max_open=int(limits.get("MaxOpen", 2**31)),
-        drain_grace=_amount(rules.get("StopSendingWithin", 0.0)),
+        max_open=max_open,
+        drain_grace=drain_grace,
         shape=_shape(raw),
         agreement=_agreement(raw),
     )
 
 
+def _object(raw: Mapping[str, Any], key: str, needed: bool = False) -> Mapping[str, Any]:
+    """A part that is an object; one that may be missing is empty then."""
+    part = raw[key] if needed else raw.get(key)
+    if part is None and not needed:
+        return {}
+    if not isinstance(part, Mapping):
+        raise ValueError(f"{key}: expected an object")
+    return part
+
+
+def _address_in(raw: Mapping[str, Any], key: str, instead: str | None = None) -> Address | None:
+    """The address that a key tells, or the environment in its place; None where neither does."""
+    text = instead or raw.get(key)
+    with _named(key):
+        return parse_address(text) if text else None
+
+
+def _needed_address(raw: Mapping[str, Any], key: str, instead: str | None) -> Address:
+    with _named(key):
+        return parse_address(instead or raw.get(key) or "")
+
+
 def _shape(raw: Mapping[str, Any]) -> frozenset[str]:
     """The keys of a configuration: those of its objects, and those that all classes have."""
     settings = raw["settings"]
@@ -286,25 +359,29 @@
     if not text:
         return None
     if not (text.isascii() and text.isdigit()):
-        raise ValueError(f"NODE_INHERITED_FD: {text!r} is no descriptor")
+        raise ValueError(f"{text!r} is no descriptor")
     return int(text)
 
 
 def _limits(raw: Mapping[str, Any], reserved: int) -> Limits:
     """What is granted, by the configuration and by the system."""
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    given = int(raw.get("sockets", 1024))
-    memory = int(_amount(raw.get("memory_mb", 64.0)) * 2**20)
+    given = int(_count(raw.get("sockets", 1024), "limits.sockets"))
+    memory = int(_count(raw.get("memory_mb", 64.0), "limits.memory_mb") * 2**20)
     return Limits(given if allowed < 0 else min(given, allowed), reserved, memory)
 
 
 def _names(settings: Mapping[str, Any]) -> Names:
-    named = [row["Name"] for row in settings["Profiles"]]
+    rows = settings["Profiles"]
+    with _named("Profiles"):
+        named = [row["Name"] for row in rows]
     if len(set(named)) < len(named) or not all(isinstance(name, str) and name for name in named):
         raise ValueError("Profiles: each class needs a name of its own")
+    with _named("Tenants"):
+        tenants = _indices(row["Name"] for row in settings.get("Tenants") or ())
     return Names(
-        classes={row["Name"]: _request_class(i, row) for i, row in enumerate(settings["Profiles"])},
-        tenants=_indices(row["Name"] for row in settings.get("Tenants") or ()),
+        classes={row["Name"]: _request_class(i, row) for i, row in enumerate(rows)},
+        tenants=tenants,
         zones=_indices(settings.get("FailureDomains") or ()),
         kinds=_indices(settings.get("Kinds") or ()),
     )
@@ -322,9 +399,20 @@
 def parse_address(text: Any) -> Address:
     """`host:port` to an address."""
     host, found, port = str(text).rpartition(":")
-    if not found or not host or not port.isdigit() or not 0 <= int(port) < 65536:
+    host = host.strip("[]")
+    numbered = port.isascii() and port.isdigit() and int(port) < 65536
+    if not (found and host and numbered and _may_be_host(host)):
         raise ValueError(f"{text!r} is not an address")
-    return Address(host.strip("[]"), int(port))
+    return Address(host, int(port))
+
+
+def _may_be_host(text: str) -> bool:
+    """Guards against a name at which a look-up fails by other errors than those of the network."""
+    try:
+        text.encode("idna")
+    except UnicodeError:
+        return False
+    return text.isprintable() and " " not in text
 
 
 def parse_list(raw: Any, names: Names, bad: dict[str, str] | None = None) -> ServerList:
@@ -332,7 +420,7 @@
 
     Entries that are none are left out where `bad` is given, and named there, each with its reason."""
     entries, addresses = [], {}
-    for row in raw["endpoints"]:
+    for number, row in enumerate(raw["endpoints"]):
         try:
             entry = _listing(row, names)
             if row.get("address"):
@@ -341,7 +429,7 @@
                 raise ValueError("no address")
         except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
             if bad is None:
-                raise
+                raise ValueError(f"endpoints[{number}]: {_reason(error)}") from error
             bad[_name_of(row)] = repr(error)
             continue
         entries.append(entry)
@@ -356,18 +444,28 @@
     state = row.get("status", "active")
     if state not in STATES:
         raise ValueError(f"status {state!r} is not known")
+    name = str(row["name"])
+    if not name or not name.isprintable():
+        raise ValueError(f"{name!r} is no name")
     return model.Listing(
-        server=str(row["name"]),
+        server=name,
         zone=names.zones.get(row.get("zone", ""), 0),
         kind=names.kinds.get(row.get("type", ""), 0),
         cell=int(row.get("group") or 0),
         state=state,
-        weight=float(row.get("weight") or 1.0),
+        weight=_amount(row.get("weight") or 1.0),
         # Unix time, on the clock that the module is given; 0 stays 0, which is long ago.
         started=_amount(row.get("since_ms") or 0.0),
     )
 
 
+def _count(value: Any, key: str, low: int = 1) -> float:
+    """How much there may be of something."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value < KEY_BELOW:
+        raise ValueError(f"{key}: {value!r} is no number from {low} on")
+    return value
+
+
 def _amount(value: Any) -> float:
     amount = float(value)
     if not math.isfinite(amount) or amount < 0.0:
