Widen the servers of a busy sidecar also where connections are priced

Counted by second, the sidecar with most of the traffic had 60 to 90 requests open and its answers took 2.6 s against an aim of 0.5 s, with twelve servers listed and none resting, cold or refusing connections; refusals came from the shed level (0.95) and followed the crowd. Balancer._reach kept it to four servers, however much it had open: the few that a connection's price allows were meant for a sidecar with little traffic, and this site prices connections. Change: the reach is at least as many servers as requests are open, since each of those holds a connection anyway. The main site prices no connections and is not touched.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -63,7 +63,7 @@
 
 # Subset: each sidecar keeps to a few servers: few connections, and something learned of each.
 SUBSET = 8
-SUBSET_PRICED = 4  # where open connections cost: full tables also slow servers down
+SUBSET_PRICED = 4  # where open connections cost, at least: full tables also slow servers down
 SUBSET_PER_OPEN = 2  # a busy sidecar widens with its own requests in flight
 GOLDEN = (math.sqrt(5.0) - 1.0) / 2.0  # spreads sidecars' starting places evenly
 
@@ -453,7 +453,10 @@
     def _reach(self, tried: int = 0) -> int:
         """How many servers on the ring a request is drawn from after so many attempts."""
         reach = self._subset * (1 + tried)
-        return reach + SUBSET_PER_OPEN * self._open if self._subset > SUBSET_PRICED else reach
+        if self._subset > SUBSET_PRICED:
+            return reach + SUBSET_PER_OPEN * self._open
+        # Each open request holds a connection, priced or not: a busy sidecar must not crowd a few servers.
+        return max(reach, self._open)
 
     @staticmethod
     def _group(group: str, server: Server) -> tuple[str, int]:
