Never write an attempt that waited for its connection once nobody wants it

A request whose client left, or that had its final answer (refused, failed, the guard's, another copy's), stayed with the attempt that still waited for a connection: where the settings allow no cancelling nothing ended it, and `Pool._connect` wrote it when the connection came up, up to the connect time-out later. `Driver._end` marked the request alone, and the module's `Cancel` is bound to the settings, as it has to be for work that a server has begun. An attempt that no server has is none of that.

`Driver._end` now drops every attempt that isn't written whole, and `Pool._write` asks before the first byte whether it is still wanted. The module hears MOOT, which it takes as never run and which blames no server. A connection that was coming up is left to do so and kept idle, since it was paid for, unless its server leaves; one with half of a request on it is closed.

--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -101,6 +101,9 @@
 
     stamp: bytes  # the edition under which its server was picked; empty where there are none
 
+    def may_write(self) -> bool:
+        """Asked as its first byte is due: whether it is still wanted. If not, nothing more is told of it."""
+
     def written(self) -> None:
         """A large request has been written whole."""
 
@@ -117,6 +120,9 @@
     def abandon(self) -> None:
         """Stop waiting: its connection is closed, and nothing more comes of it."""
 
+    def drop(self) -> bool:
+        """Give it up unless it is written whole, so that no server ever has it; whether it was."""
+
 
 class Upstreams(Protocol):
     """The servers, seen as somewhere to send."""
@@ -182,6 +188,10 @@
     timeout: asyncio.TimerHandle | None = None
     begun_at: float | None = None  # when its answer began to be passed on
 
+    def may_write(self) -> bool:
+        """Whether it is still wanted, now that its connection is there."""
+        return self.driver.attempt_due(self)
+
     def written(self) -> None:
         """All of a large request is on its way: from here the server's time runs."""
         self.driver.attempt_written(self)
@@ -357,6 +367,14 @@
             request.call.failed(True)
             self._ask(request, self._balancer.client_gone, request.id)
 
+    def attempt_due(self, attempt: Attempt) -> bool:
+        """Its first byte is due: a connection that came up late may find that nobody wants it any more."""
+        request = attempt.request
+        if attempt.out and not request.ended:
+            return True
+        self._never_sent(attempt)
+        return False
+
     def attempt_written(self, attempt: Attempt) -> None:
         """All of a large request is written."""
         if attempt.out and attempt.timeout is None and attempt.begun_at is None:
@@ -366,7 +384,7 @@
     def attempt_begun(self, attempt: Attempt, answer: Answer, flow: Flow) -> Callable[[bytes], None]:
         """A large answer begins: it is passed on as it comes, and nothing here ends it any more."""
         request = attempt.request
-        if not self._end(request):
+        if not self._end(request, attempt):
             # Another answer was first: this one has nobody to read it.
             self._loop.call_soon(self._cancel, request.id, attempt.hop)
             return lambda data: None
@@ -514,6 +532,16 @@
             # Later: the module hears of nothing while it is being asked.
             self._loop.call_soon(self.attempt_ended, attempt, Result(Outcome.CANCELLED))
 
+    def _drop(self, attempt: Attempt) -> None:
+        """Nobody wants it any more. What no server has can be given up whatever the settings say of
+        cancelling: no work is stopped."""
+        if attempt.exchange is not None and attempt.exchange.drop():
+            self._never_sent(attempt)
+
+    def _never_sent(self, attempt: Attempt) -> None:
+        attempt.exchange = None
+        self._loop.call_soon(self.attempt_ended, attempt, Result(Outcome.MOOT))
+
     def _probe(self, server: str) -> None:
         sent = self._clock.now()
 
@@ -528,11 +556,14 @@
         exchange = self._upstreams.probe(server, done)
         limit = self._loop.call_later(PROBE_TIMEOUT_MS / 1000.0, expire)
 
-    def _end(self, request: Request) -> bool:
-        """Mark a request as answered; whether it was not before."""
+    def _end(self, request: Request, by: Attempt | None = None) -> bool:
+        """Mark a request as answered, `by` an attempt or without; whether it was not before."""
         if request.ended:
             return False
         request.ended = True
+        for attempt in request.attempts:
+            if attempt is not by:
+                self._drop(attempt)
         self._open -= 1
         if request.guard is not None:
             request.guard.cancel()
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -106,6 +106,17 @@
             self._connection.abort()
         self._connection = self._opening = None
 
+    def drop(self) -> bool:
+        """Give it up unless it is written whole; whether it was. A connection that is only coming up is
+        left to do so: it was paid for, and the next one may have it."""
+        if self.ended or (self._connection is not None and self._connection.written):
+            return False
+        self.ended = True
+        if self._connection is not None:
+            self._connection.abort()
+        self._connection = self._opening = None
+        return True
+
 
 @dataclass(slots=True, eq=False)
 class Server:
@@ -130,7 +141,7 @@
         self._parser = framing.AnswerParser()
         self._transport: asyncio.Transport
         self._exchange: Exchange | None = None
-        self._written = True
+        self.written = True
         self._body: Body | None = None  # that flows and is not yet whole
         self._wait: asyncio.TimerHandle | None = None  # for an answer's size, then for its next part
         self._stalled: asyncio.TimerHandle | None = None  # for a server that takes no more of a body
@@ -153,8 +164,8 @@
         """What is merely buffered here is not written: a break now proves that it never ran.
         A write that fails empties the buffer, too, and closes."""
         unsent = self._transport.is_closing() or self._transport.get_write_buffer_size()
-        self._written = not (unsent or self._body)
-        if self._written and self._exchange is not None and self._exchange.watcher is not None:
+        self.written = not (unsent or self._body)
+        if self.written and self._exchange is not None and self._exchange.watcher is not None:
             self._exchange.watcher.written()
 
     def more(self, data: bytes) -> None:
@@ -220,7 +231,7 @@
             self._stalled = None
         if self._body is not None:
             self._body.resume()
-        if not self._written:
+        if not self.written:
             self._note_written()
 
     def data_received(self, data: bytes) -> None:
@@ -240,7 +251,7 @@
             self._pool.delays.first_byte(self.server.region, spent)
             self.sent_at = 0.0
         if self._parser.complete:
-            self._answered(self._parser.keep_alive and not self._parser.extra and self._written)
+            self._answered(self._parser.keep_alive and not self._parser.extra and self.written)
         elif self._parser.status == 200 and self._parser.sink is None:
             self._hold()
 
@@ -309,7 +320,7 @@
         exchange = self._release()
         self._transport.abort()
         if exchange is not None:
-            exchange.end(Result(Outcome.RESET if self._written else Outcome.CONNECT_FAILED))
+            exchange.end(Result(Outcome.RESET if self.written else Outcome.CONNECT_FAILED))
 
 
 class Pool:
@@ -410,11 +421,12 @@
 
     def free(self, connection: Connection) -> None:
         """A connection carries nothing now."""
-        if self._servers.get(connection.server.name) is not connection.server:
+        server = connection.server
+        if self._servers.get(server.name) is not server or server.closed_from < math.inf:
             connection.abort()
             return
         connection.idle_since = self._clock.now()
-        connection.server.idle.append(connection)
+        server.idle.append(connection)
         if not self._sweeping:
             self._sweeping = True
             self.loop.call_later(SWEEP_MS / 1000.0, self._sweep)
@@ -474,6 +486,10 @@
             connection.abort()
             self.loop.call_soon(exchange.end, Result(Outcome.CONNECT_FAILED))
             return
+        if exchange.watcher is not None and not exchange.watcher.may_write():
+            exchange.ended = True
+            self.free(connection)
+            return
         message = exchange.message(exchange.expires - now)
         if self.stamp is not None and exchange.watcher is not None:
             if exchange.stamp is not self.stamp():
@@ -512,10 +528,12 @@
         if self.delays is not None:
             cold = self._clock.now() - server.started < self._warm_up
             self.delays.handshake(server.region, (self.loop.time() - begun) * 1000.0, cold)
-        if exchange.ended or not connection.fresh():
+        if not connection.fresh():
             # A full server may take a connection and close it at once: nothing is written there.
             connection.abort()
             exchange.end(Result(Outcome.CONNECT_FAILED))
+        elif exchange.ended:
+            self.free(connection)
         else:
             self._write(connection, exchange)
 
