Put a repeat under a key on the wire within its window, or never

`Balancer._may_send` held `key_ttl` against the moment of the decision alone. A connection that came up late, a body that flowed slowly or a kernel that took no more put the repeat on the wire after that, where its servers may have forgotten the key and run it twice. A deadline that ended in the very turn of the loop in which the connection came up was not looked at either, since timers run after what was read.

`Send` now carries the time by which it must have been written, counted from the decision on the first attempt that may have run (those that were never written begin no window), by the settings of the request's arrival. The driver holds it at the moment of writing, for each part of a large body, and by a timer for what waits for a connection, is held back by the kernel or still flows: such a repeat is dropped before its last byte, ends as never run, and its request has its final answer at once. Deadline and time-out are looked at before the first byte.

--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -24,6 +24,8 @@
 DEADLINE_MARGIN_MS = 8.0
 # The module answers at the deadline; what it left unanswered for so long is failed for it.
 GUARD_MS = 25.0
+# A repeat under a key has to have reached its server within the key's window: transit and lag again.
+KEY_MARGIN_MS = 20.0
 PROBE_TIMEOUT_MS = 1000.0
 
 
@@ -102,7 +104,7 @@
     stamp: bytes  # the edition under which its server was picked; empty where there are none
 
     def may_write(self) -> bool:
-        """Asked as its first byte is due: whether it is still wanted. If not, nothing more is told of it."""
+        """Asked as its bytes are due: whether they are still wanted. If not, nothing more is told of it."""
 
     def written(self) -> None:
         """A large request has been written whole."""
@@ -183,9 +185,11 @@
     sent: float
     wait: float  # for an answer, once all is written
     stamp: bytes = b""  # the edition under which its server was picked, where there are any
+    write_by: float = math.inf  # when its key's window is over
     out: bool = True
     exchange: Exchange | None = None
     timeout: asyncio.TimerHandle | None = None
+    window: asyncio.TimerHandle | None = None  # of a repeat under a key
     begun_at: float | None = None  # when its answer began to be passed on
 
     def may_write(self) -> bool:
@@ -368,9 +372,14 @@
             self._ask(request, self._balancer.client_gone, request.id)
 
     def attempt_due(self, attempt: Attempt) -> bool:
-        """Its first byte is due: a connection that came up late may find that nobody wants it any more."""
-        request = attempt.request
-        if attempt.out and not request.ended:
+        """Its bytes are due: a connection that came up late, or a body that came slowly, may find that
+        nobody wants it any more or that its time is over, though the timer for that is yet to run."""
+        request, timeout = attempt.request, attempt.timeout
+        if attempt.begun_at is not None:
+            return True  # its answer has begun already
+        over = timeout is not None and timeout.when() <= self._loop.time()
+        over = over or self._clock.now() >= min(attempt.write_by, request.give_up_at)
+        if attempt.out and not request.ended and not over:
             return True
         self._never_sent(attempt)
         return False
@@ -411,8 +420,9 @@
         # What is timed is the answer's beginning, from the request's last byte.
         spent = max(0.0, (attempt.begun_at or now) - max(attempt.sent, request.read_at))
         attempt.out = False
-        if attempt.timeout is not None:
-            attempt.timeout.cancel()
+        for timer in (attempt.timeout, attempt.window):
+            if timer is not None:
+                timer.cancel()
         attempt.exchange = None
         request.out -= 1
         if attempt.begun_at is not None:
@@ -508,17 +518,20 @@
         now = self._clock.now()
         left = request.call.budget if request.call.reading else request.give_up_at - now
         wait = min(action.timeout, left) if action.timeout > 0.0 else left
-        attempt = Attempt(self, request, len(request.attempts), now, wait, self._decided)
+        write_by = action.write_by - KEY_MARGIN_MS
+        attempt = Attempt(self, request, len(request.attempts), now, wait, self._decided, write_by)
         request.attempts.append(attempt)
         request.out += 1
         gone = request.call.body is not None and request.call.body.gone
-        over = request.ended or left <= 0.0 or action.timeout < 0.0 or gone
+        over = request.ended or left <= 0.0 or action.timeout < 0.0 or gone or now >= write_by
         if over or attempt.hop >= request.max_attempts:
             self._loop.call_soon(self.attempt_ended, attempt, Result(Outcome.MOOT))
             return
         expires = now + wait
         if not request.call.reading:
             attempt.timeout = self._loop.call_at(self._clock.at(expires), self._expire, attempt)
+        if write_by < math.inf:
+            attempt.window = self._loop.call_at(self._clock.at(write_by), self._drop, attempt)
         attempt.exchange = self._upstreams.send(action.server, request.call, expires, attempt)
 
     def _cancel(self, number: int, hop: int) -> None:
@@ -533,9 +546,10 @@
             self._loop.call_soon(self.attempt_ended, attempt, Result(Outcome.CANCELLED))
 
     def _drop(self, attempt: Attempt) -> None:
-        """Nobody wants it any more. What no server has can be given up whatever the settings say of
-        cancelling: no work is stopped."""
-        if attempt.exchange is not None and attempt.exchange.drop():
+        """Nobody wants it any more, or its key's window is over. What no server has can be given up
+        whatever the settings say of cancelling: no work is stopped."""
+        exchange = attempt.exchange if attempt.begun_at is None else None
+        if exchange is not None and exchange.drop():
             self._never_sent(attempt)
 
     def _never_sent(self, attempt: Attempt) -> None:
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -170,7 +170,12 @@
 
     def more(self, data: bytes) -> None:
         """A part of a large body."""
-        self._transport.write(data)
+        exchange = self._exchange
+        if exchange is not None and exchange.watcher is not None and not exchange.watcher.may_write():
+            exchange.ended = True
+            self.abort()
+        else:
+            self._transport.write(data)
 
     def whole(self) -> None:
         """The large body is complete."""
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -886,8 +886,7 @@
             turn = self._turns[request.key]
             if turn.line[0] is not request or now < turn.rest_until:
                 return False
-        bound = request.bound()
-        profile = request.profile
+        bound, profile = request.bound(), request.profile
         if bound is None or profile.semantics == "pure":
             return True
         if profile.semantics == "side_effect" or now - bound.sent >= profile.key_ttl:
@@ -903,9 +902,11 @@
         return profile.semantics == "pure" or (profile.semantics == "token" and profile.group == "all")
 
     def _send(self, now: float, request: Request, server: Server) -> None:
-        timeout = self._timeout(now, request)
+        timeout, profile, bound = self._timeout(now, request), request.profile, request.bound()
+        # Counted from the decision on the first that may have run: no server can have had that before.
+        until = bound.sent + profile.key_ttl if bound and profile.semantics == "token" else math.inf
         gap = now - server.used_at if server.used_at and not server.open else 0.0
-        attempt = Attempt(server, now, now + STALL * request.profile.objective, gap)
+        attempt = Attempt(server, now, now + STALL * profile.objective, gap)
         if gap > self._idle_safe(now):
             self._out.append(model.CloseIdle(server.name))
             server.idle = 0
@@ -913,8 +914,7 @@
         server.idle -= not attempt.fresh
         server.used_at = now
         request.attempts.append(attempt)
-        aim = request.profile.objective
-        due = min(aim, timeout - AIM_ROUNDING_MS)
+        due = min(aim := profile.objective, timeout - AIM_ROUNDING_MS)
         # A large body is long on its way: time since its send shows no stalled server.
         if not request.large:
             server.out[attempt] = None
@@ -926,7 +926,7 @@
         server.budget -= 1.0
         server.open += 1
         self._open += 1
-        self._out.append(model.Send(request.id, server.name, timeout))
+        self._out.append(model.Send(request.id, server.name, timeout, until))
 
     def _give_up(self, now: float, request: Request, why: str) -> None:
         """The final answer where no attempt has served. A client whose retry would come past its
--- a/poppypulley/model.py
+++ b/poppypulley/model.py
@@ -24,11 +24,15 @@
 
 
 class Send(NamedTuple):
-    """Start an attempt; it times out after `timeout` milliseconds."""
+    """Start an attempt; it times out after `timeout` milliseconds.
+
+    A repeat under a key has to reach its server, to its last byte, before `write_by` by the
+    module's clock; what a connection that comes up late or a slow body keeps until then is not sent."""
 
     request: int
     server: str
     timeout: float
+    write_by: float = math.inf
 
 
 class Refuse(NamedTuple):
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -8,14 +8,31 @@
 
 import pytest
 
+from fordtrestle import driver
 from poppypulley.model import Fail, Outcome, Refuse, Send
-from tests.loopback import OK, App, Scripted, Upstream, hang, loopback, running, until
+from tests import loopback as partners
+from tests.helpers import CLASSES, arrival, balancer, of_type
+from tests.loopback import (
+    OK,
+    SETTINGS,
+    App,
+    Scripted,
+    Upstream,
+    break_off,
+    hang,
+    loopback,
+    running,
+    small_buffers,
+    until,
+)
+
+LARGE = b"0123456789abcdef" * 16384
 
 
 class Gate:
-    """Connections to the servers come up late: when the test lets them."""
+    """Connections to the servers come up late, but for the first few: when the test lets them."""
 
-    def __init__(self, monkeypatch, upstreams):
+    def __init__(self, monkeypatch, upstreams, free=0):
         self.open = asyncio.Event()
         self.waiting = 0
         loop = asyncio.get_running_loop()
@@ -25,7 +42,8 @@
         async def late(factory, host=None, port=None, **more):
             if f"{host}:{port}" in held:
                 self.waiting += 1
-                await self.open.wait()
+                if self.waiting > free:
+                    await self.open.wait()
             return await connect(factory, host, port, **more)
 
         monkeypatch.setattr(loop, "create_connection", late)
@@ -57,6 +75,16 @@
             assert len(told) == len(set(told))
 
 
+class Hands:
+    """The driver's clock, moved on by hand: no timer runs for it."""
+
+    def __init__(self, sidecar):
+        self.clock = sidecar.driver._clock
+
+    def on(self, ms):
+        self.clock._offset += ms
+
+
 def never_cancels():
     """Settings that allow no cancelling, and connections that may take their time."""
     return {"PolicyLimits": {"MaxAttempts": 3, "ParallelTries": True, "ConnectTimeout": 9000.0}}
@@ -183,3 +211,147 @@
         go_on.set()
         await until(lambda: module.outcomes())
         assert module.outcomes() == [(0, Outcome.OK, True)]
+
+
+# --- in time, at the moment of writing ---------------------------------------------------
+
+
+def keyed(**changes):
+    """One class under a key, of which every server of a zone may have a copy within its window."""
+    profile = {**SETTINGS["Profiles"][1], **changes}
+    return {**never_cancels(), "Profiles": [SETTINGS["Profiles"][0], profile]}
+
+
+@loopback
+async def test_a_repeat_whose_connection_comes_up_past_its_window_is_not_written(monkeypatch):
+    first, second = await Upstream([break_off]).start(), await Upstream([break_off]).start()
+    async with tidy(first, second, **keyed()) as sidecar:
+        gate = Gate(monkeypatch, [first, second], free=1)
+        app = await asked(sidecar, "/book", "POST")
+        await until(lambda: gate.waiting == 2)  # the repeat waits
+        Hands(sidecar).on(1200.0 - driver.KEY_MARGIN_MS)  # its timer has not run
+        gate.open.set()
+        assert (await app.answer()).start.split(" ")[1] == "502"
+        assert len(first.seen) + len(second.seen) == 1
+
+
+@loopback
+async def test_a_repeat_that_waits_past_its_window_ends_then_with_the_final_answer(monkeypatch):
+    first, second = await Upstream([break_off]).start(), await Upstream([break_off]).start()
+    async with tidy(first, second, **keyed(KeyTtl=100.0)) as sidecar:
+        gate = Gate(monkeypatch, [first, second], free=1)
+        app = await asked(sidecar, "/book", "POST")
+        assert (await app.answer()).start.split(" ")[1] == "502"  # while it waits still
+        assert not gate.open.is_set()
+        gate.open.set()
+        await until(lambda: any(server.idle for server in sidecar.pool._servers.values()))
+        assert len(first.seen) + len(second.seen) == 1
+
+
+@loopback
+async def test_a_repeat_within_its_window_is_written_though_its_connection_was_late(monkeypatch):
+    first, second = await Upstream([break_off, OK]).start(), await Upstream([break_off, OK]).start()
+    async with tidy(first, second, **keyed(KeyTtl=60_000.0)) as sidecar:
+        gate = Gate(monkeypatch, [first, second], free=1)
+        app = await asked(sidecar, "/book", "POST")
+        await until(lambda: gate.waiting == 2)
+        first.replies = second.replies = [OK]
+        gate.open.set()
+        assert (await app.answer()).body == b"done"
+        assert len(first.seen) + len(second.seen) == 2
+
+
+@pytest.mark.parametrize("part", [LARGE[:100_000], LARGE])
+@loopback
+async def test_a_body_that_still_flows_when_the_window_ends_is_broken_off_before_its_last_byte(part):
+    """Whether its end comes from the client or is still held back here."""
+    upstream = await Upstream([hang]).start()
+    module = Scripted(
+        request=lambda now, arrival: [Send(arrival.request, "s0", 0.0, now + 150.0)],
+        outcome=lambda now, number, hop, status, spent, last, report: [] if last else [Fail(number)],
+    )
+    async with tidy(upstream, balancer=module, **never_cancels()) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(partners.request("POST", "/book", LARGE)[: -len(LARGE)] + part[:-1])
+        assert (await app.answer()).start.split(" ")[1] == "502"
+        assert module.outcomes() == [(0, Outcome.MOOT, False)]  # half of it never runs
+        assert upstream.seen == []
+        app.close()
+
+
+@loopback
+async def test_a_part_of_a_body_that_comes_past_the_window_is_not_written():
+    upstream = await Upstream([hang]).start()
+    module = Scripted(
+        request=lambda now, arrival: [Send(arrival.request, "s0", 0.0, now + 9000.0)],
+        outcome=lambda now, number, hop, status, spent, last, report: [] if last else [Fail(number)],
+    )
+    async with tidy(upstream, balancer=module, **never_cancels()) as sidecar:
+        app = await App.connect(sidecar.address)
+        whole = partners.request("POST", "/book", LARGE)
+        app.writer.write(whole[:-1])
+        await until(lambda: module.named("body_gone") and upstream.writers)
+        Hands(sidecar).on(9000.0)  # its timer has not run
+        app.writer.write(whole[-1:])
+        assert (await app.answer()).start.split(" ")[1] == "502"
+        assert module.outcomes() == [(0, Outcome.MOOT, False)]
+        assert upstream.seen == []
+
+
+@loopback
+async def test_a_repeat_that_the_kernel_does_not_take_is_not_on_the_wire(monkeypatch):
+    """Held back here until its window ends: it is dropped with its connection."""
+    upstream = await Upstream([OK, hang]).start()
+    windows = iter([float("inf"), 100.0])
+    module = Scripted(
+        request=lambda now, arrival: [Send(arrival.request, "s0", 0.0, now + next(windows))],
+        outcome=lambda now, number, hop, status, spent, last, report: [] if last else [Fail(number)],
+    )
+    async with tidy(upstream, balancer=module, **never_cancels()) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        (connection,) = sidecar.pool._connections
+        small_buffers(connection._transport, upstream.writers[0].transport)
+        upstream.writers[0].transport.pause_reading()
+        connection._transport.write(b"x" * 4_000_000)  # stands for what the kernel is full of
+        assert connection._transport.get_write_buffer_size()
+        assert (await app.ask("POST", "/book", b"body")).start.split(" ")[1] == "502"
+        assert module.outcomes()[1:] == [(0, Outcome.MOOT, False)]
+        upstream.writers[0].transport.resume_reading()
+
+
+@loopback
+async def test_past_its_deadline_a_request_is_not_written(monkeypatch):
+    upstream = await Upstream([OK]).start()
+    gate = Gate(monkeypatch, [upstream])
+    module = Scripted(
+        outcome=lambda now, number, hop, status, spent, last, report: [] if last else [Fail(number)]
+    )
+    async with tidy(upstream, balancer=module, **never_cancels()) as sidecar:
+        app = await asked(sidecar)
+        await until(lambda: gate.waiting)
+        Hands(sidecar).on(4000.0)  # its timer has not run
+        gate.open.set()
+        assert (await app.answer()).start.split(" ")[1] == "504"
+        assert module.outcomes() == [(0, Outcome.MOOT, False)]
+        assert upstream.seen == []
+
+
+def test_a_repeat_is_told_by_when_it_has_to_be_written_and_nothing_else_is():
+    made = balancer(
+        Profiles=[{**CLASSES["keyed"], "Group": "zone"}, dict(CLASSES["safe"]), dict(CLASSES["unsafe"])]
+    )
+    (send,) = of_type(made.request(100.0, arrival(1, 100.0)), Send)
+    assert send.write_by == float("inf")
+    (again,) = of_type(made.outcome(110.0, 1, 0, Outcome.CONNECT_FAILED), Send)
+    assert again.write_by == float("inf")  # nothing has run: its window has not begun
+    (third,) = of_type(made.outcome(120.0, 1, 1, Outcome.RESET), Send)
+    assert third.write_by == 110.0 + 500.0
+    (fourth,) = of_type(made.outcome(130.0, 1, 2, Outcome.RESET), Send)
+    assert fourth.write_by == 110.0 + 500.0  # the first that may have run binds
+    for band in (1, 2):
+        made = balancer("keyed", "safe", "unsafe")
+        sends = of_type(made.request(500.0, arrival(2, 500.0, band)), Send)
+        sends += of_type(made.outcome(510.0, 2, 0, Outcome.CONNECT_FAILED), Send)
+        sends += of_type(made.outcome(520.0, 2, 1, Outcome.RESET), Send)
+        assert [send.write_by for send in sends] == [float("inf")] * (4 - band)
