Keep a repeat to the group that its first server was in when it was sent to

`_may_send` and `_draw` asked the server of the first attempt for its zone or cell as it stands now. A server of that name that came back in another cell, or was listed anew elsewhere, took the group of all its unanswered keys with it, and the repeat went where no server knows the key. The group is held with the attempt. Both cases of the test fail on the lines before.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -197,6 +197,7 @@
     sent: float
     stalls_at: float
     gap: float  # how long the server was unused before it; 0 for the first
+    group: tuple[str, int]  # of the server as it stood then: one of its name may come back elsewhere
     out: bool = True
     may_have_run: bool = True
     fresh: bool = False  # whether it had to open a connection
@@ -546,7 +547,7 @@
         ring, bound = self._ring, request.bound()
         if bound is not None and request.profile.semantics == "token" and request.profile.group != "all":
             # Only its group may have it again.
-            ring = self._groups.get(self._group(request.profile.group, bound.server), [])
+            ring = self._groups.get(bound.group, [])
         elif zone is not None:
             ring = self._groups.get(("zone", zone), [])
         elif self._zoned and self._near and self._far:
@@ -891,8 +892,7 @@
             return True
         if profile.semantics == "side_effect" or now - bound.sent >= profile.key_ttl:
             return False
-        group = profile.group
-        return group == "all" or self._group(group, server) == self._group(group, bound.server)
+        return profile.group == "all" or self._group(profile.group, server) == bound.group
 
     def _may_refuse(self, request: Request) -> bool:
         return self._repeatable(request.profile) or request.bound() is None
@@ -906,7 +906,8 @@
         # Counted from the decision on the first that may have run: no server can have had that before.
         until = bound.sent + profile.key_ttl if bound and profile.semantics == "token" else math.inf
         gap = now - server.used_at if server.used_at and not server.open else 0.0
-        attempt = Attempt(server, now, now + STALL * profile.objective, gap)
+        due = min(aim := profile.objective, timeout - AIM_ROUNDING_MS)
+        attempt = Attempt(server, now, now + STALL * aim, gap, self._group(profile.group, server))
         if gap > self._idle_safe(now):
             self._out.append(model.CloseIdle(server.name))
             server.idle = 0
@@ -914,7 +915,6 @@
         server.idle -= not attempt.fresh
         server.used_at = now
         request.attempts.append(attempt)
-        due = min(aim := profile.objective, timeout - AIM_ROUNDING_MS)
         # A large body is long on its way: time since its send shows no stalled server.
         if not request.large:
             server.out[attempt] = None
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -9,7 +9,7 @@
 import pytest
 
 from fordtrestle import driver
-from poppypulley.model import Fail, Outcome, Refuse, Send
+from poppypulley.model import Fail, Listing, Outcome, Refuse, Send
 from tests import loopback as partners
 from tests.helpers import CLASSES, arrival, balancer, of_type
 from tests.loopback import (
@@ -355,3 +355,18 @@
         sends += of_type(made.outcome(510.0, 2, 0, Outcome.CONNECT_FAILED), Send)
         sends += of_type(made.outcome(520.0, 2, 1, Outcome.RESET), Send)
         assert [send.write_by for send in sends] == [float("inf")] * (4 - band)
+
+
+# --- incarnations of a server -------------------------------------------------------------
+
+
+@pytest.mark.parametrize("state", ["active", "left"])
+def test_a_repeat_keeps_to_the_group_that_its_first_server_was_in(state):
+    """A server of that name that comes back elsewhere, or is gone, moves no key."""
+    made = balancer("keyed", servers=4)
+    (send,) = of_type(made.request(0.0, arrival(1)), Send)
+    group = int(send.server[1:]) // 2
+    back = Listing(send.server, cell=7, started=1.0, state=state)
+    made.server_list(1.0, "changes", [back, Listing("s9", cell=7)])
+    sends = of_type(made.outcome(2.0, 1, 0, Outcome.RESET), Send)
+    assert [int(again.server[1:]) // 2 for again in sends] == [group]
