Keep connections and drain with a server's start, not with its name

`Pool._note` changed address and start of the `Server` it held, and lifted its drain. A connection to what stood there before, busy or opening at that moment, was still that server's: `free` put it among the idle ones of what came back, so that later requests reached the old process, and one that came up afterwards carried its request there, past the old one's grace as well.

A name that comes back with another address or start is now another `Server`. All five cases fail on the lines before.

--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -406,7 +406,8 @@
         return request.call.more
 
     def attempt_unsent(self, attempt: Attempt) -> None:
-        """The rules changed before it was written: it is none of those that its request may have."""
+        """The rules or its server changed before it was written: it is none of those that its request
+        may have."""
         if attempt.out:
             attempt.request.max_attempts += 1
             self._ask(None, self._balancer.unsent, attempt.request.id, attempt.hop)
--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -120,7 +120,8 @@
 
 @dataclass(slots=True, eq=False)
 class Server:
-    """A server that discovery has named."""
+    """A server that discovery has named, from one start to the next: what comes back under its name at
+    another address or with another start is another one, with connections and a drain of its own."""
 
     name: str
     address: Address
@@ -387,15 +388,14 @@
 
     def _note(self, now: float, entry: Listing, address: Address | None) -> None:
         known = self._servers.get(entry.server)
-        if known is None:
-            if address is None:
-                return
-            known = self._servers[entry.server] = Server(entry.server, address, started=entry.started)
-        known.region = self._regions.get(entry.zone, "")
-        if (address or known.address, entry.started) != (known.address, known.started):
+        address = address or (known.address if known is not None else None)
+        if address is None:
+            return
+        if known is None or (address, entry.started) != (known.address, known.started):
             # Guards against writing to what stood before a restart: a reset at best.
-            self.close_idle(known.name)
-            known.address, known.started = address or known.address, entry.started
+            self.close_idle(entry.server)
+            known = self._servers[entry.server] = Server(entry.server, address, entry.started)
+        known.region = self._regions.get(entry.zone, "")
         if entry.state == "active":
             known.closed_from = math.inf
         else:
@@ -487,6 +487,12 @@
     def _write(self, connection: Connection, exchange: Exchange) -> None:
         """The first byte of an attempt: not to a server that has left for longer than the grace."""
         now = self._clock.now()
+        if self._servers.get(connection.server.name, connection.server) is not connection.server:
+            # Another one has its name now, which may be cold or elsewhere: not sent, and decided anew.
+            never = Outcome.CONNECT_FAILED if exchange.watcher is None else Outcome.MOOT
+            self.loop.call_soon(exchange.end, Result(never))
+            connection.abort()
+            return
         if now >= connection.server.closed_from:
             connection.abort()
             self.loop.call_soon(exchange.end, Result(Outcome.CONNECT_FAILED))
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -9,6 +9,7 @@
 import pytest
 
 from fordtrestle import driver
+from fordtrestle.config import parse_list
 from poppypulley.model import Fail, Listing, Outcome, Refuse, Send
 from tests import loopback as partners
 from tests.helpers import CLASSES, arrival, balancer, of_type
@@ -19,10 +20,13 @@
     Scripted,
     Upstream,
     break_off,
+    entry,
     hang,
+    listed,
     loopback,
     running,
     small_buffers,
+    told,
     until,
 )
 
@@ -370,3 +374,65 @@
     made.server_list(1.0, "changes", [back, Listing("s9", cell=7)])
     sends = of_type(made.outcome(2.0, 1, 0, Outcome.RESET), Send)
     assert [int(again.server[1:]) // 2 for again in sends] == [group]
+
+
+def hear(sidecar, *entries):
+    """News of discovery."""
+    sidecar.driver.server_list("changes", parse_list(listed(42, *entries, snapshot=False), told().names))
+
+
+@pytest.mark.parametrize("drained", [False, True])
+@loopback
+async def test_a_connection_that_comes_up_at_what_stood_there_before_carries_nothing(monkeypatch, drained):
+    """The server came back at another address while it was opening; a drain, if any, was the old one's."""
+    old, new = await Upstream([OK]).start(), await Upstream([OK]).start()
+    gate = Gate(monkeypatch, [old])
+    rules = {"StopSendingWithin": 0.0}
+    async with tidy(old, Rules=rules, **never_cancels()) as sidecar:
+        app = await asked(sidecar)
+        await until(lambda: gate.waiting)
+        if drained:
+            hear(sidecar, entry("s0", old.address, status="leaving"))
+        hear(sidecar, entry("s0", new.address, since_ms=1))
+        gate.open.set()
+        assert (await app.answer()).body == b"done"
+        assert (len(old.seen), len(new.seen)) == (0, 1)
+        server = sidecar.driver._balancer._servers["s0"]
+        assert (server.ill, server.strikes, sidecar.driver._balancer._connect_ill) == (0.0, 0, 0.0)
+    new.stop()
+
+
+@pytest.mark.parametrize("changes", [{"address": True}, {"since_ms": 1_790_000_000_000}])
+@loopback
+async def test_a_busy_connection_to_what_stood_there_before_is_not_kept_for_what_came_back(changes):
+    go_on = asyncio.Event()
+
+    async def wait(reader, writer):
+        await go_on.wait()
+        return OK
+
+    old, new = await Upstream([wait]).start(), await Upstream([OK]).start()
+    address = new.address if changes.pop("address", False) else old.address
+    async with tidy(old, balancer=Scripted(), **never_cancels()) as sidecar:
+        app = await asked(sidecar)
+        await until(lambda: old.seen)
+        hear(sidecar, entry("s0", old.address, status="leaving"))
+        hear(sidecar, entry("s0", address, **changes))
+        go_on.set()
+        assert (await app.answer()).body == b"done"  # what it had taken it may end
+        assert (await app.ask()).body == b"done"
+        carried = [seen.connection for seen in old.seen]
+        assert (carried, len(new.seen)) in (([0, 1], 0), ([0], 1))
+    new.stop()
+
+
+@loopback
+async def test_a_drain_stays_with_the_one_that_was_told_to_and_the_next_of_its_name_has_none():
+    old, new = await Upstream([OK]).start(), await Upstream([OK]).start()
+    async with tidy(old, balancer=Scripted(), **never_cancels()) as sidecar:
+        before = sidecar.pool._servers["s0"]
+        hear(sidecar, entry("s0", old.address, status="leaving"))
+        hear(sidecar, entry("s0", new.address, since_ms=1))
+        assert before.closed_from < float("inf")
+        assert sidecar.pool._servers["s0"].closed_from == float("inf")
+    new.stop()
