Take no second answer for that of a request which its server does not have whole yet

A 200 that came while the next request on its connection was still held back by the kernel, or its large body still flowed, was served as the answer to that request. A server begins on a request when its last byte is there, so it can only be the earlier one's second answer: the connection is closed and the attempt ends as never run. What turns a request away, or an answer on a new connection, may still come early. An answer whose client left within the very read that passed it on is not looked at any further.

The first of the new tests fails on the lines before. The others passed before and stay as guards: what comes to an idle connection is seen before the next request, also where only the kernel has it, and a reset ends no answer, held or passed on. A second answer after the next request was written whole can't be told from the real one: nothing in it names its request, and how long an answer takes at least is not known.

--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -147,6 +147,7 @@
         self._wait: asyncio.TimerHandle | None = None  # for an answer's size, then for its next part
         self._stalled: asyncio.TimerHandle | None = None  # for a server that takes no more of a body
         self._heard_at = 0.0
+        self._earlier = False  # whether it has carried an answer before this one
         self._paused = False
         self.lost = False
 
@@ -154,6 +155,7 @@
         """Write a request; it is written once the kernel has its last byte."""
         self._exchange = exchange
         exchange.carried_by(self)
+        self._earlier = self._parser.complete
         self._parser.reset()
         self._transport.write(message)
         self._body = exchange.body
@@ -251,6 +253,12 @@
         except framing.BadAnswer:
             self._break()
             return
+        if self._exchange is None:
+            return  # its client left as it was passed on
+        if self._parser.status == 200 and self._earlier and not self.written:
+            # A server begins on a request when it has all of it: this is the earlier one's second answer.
+            self._break()
+            return
         self._heard_at = self._pool.loop.time()
         if self.sent_at and self._pool.delays is not None:
             spent = (self._heard_at - self.sent_at) * 1000.0
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import pytest
 
@@ -436,3 +438,90 @@
         assert before.closed_from < float("inf")
         assert sidecar.pool._servers["s0"].closed_from == float("inf")
     new.stop()
+
+
+# --- answers -----------------------------------------------------------------------------
+
+
+def failing(now, number, hop, status, spent, last, report):
+    return [] if last else [Fail(number)]
+
+
+STALE = OK.replace(b"done", b"late")
+
+
+@loopback
+async def test_a_second_answer_that_comes_before_the_next_request_is_whole_is_not_taken_for_its_answer():
+    upstream = await Upstream([OK]).start()
+    module = Scripted(outcome=failing)
+    async with tidy(upstream, balancer=module, **never_cancels()) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert (await app.ask()).body == b"done"
+        whole = partners.request("POST", "/book", LARGE)
+        app.writer.write(whole[:-1])
+        await until(lambda: module.named("body_gone"))
+        upstream.writers[0].write(STALE)
+        assert (await app.answer()).start.split(" ")[1] == "502"
+        assert module.outcomes()[1:] == [(0, Outcome.CONNECT_FAILED, False)]
+        app.close()
+
+
+@loopback
+async def test_an_answer_that_turns_away_may_come_before_the_request_is_whole():
+    upstream = await Upstream([OK]).start()
+    module = Scripted(outcome=failing)
+    async with tidy(upstream, balancer=module, **never_cancels()) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert (await app.ask()).body == b"done"
+        app.writer.write(partners.request("POST", "/book", LARGE)[:-1])
+        await until(lambda: module.named("body_gone"))
+        upstream.writers[0].write(b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+        assert (await app.answer()).start.split(" ")[1] == "502"
+        assert module.outcomes()[1:] == [(0, Outcome.FULL, False)]
+        app.close()
+
+
+@loopback
+async def test_a_second_answer_that_comes_to_an_idle_connection_is_seen_before_the_next_request():
+    """Also where the loop has not read it yet, as the next request is written in the same turn."""
+    upstream = await Upstream([OK]).start()
+    async with tidy(upstream, balancer=Scripted(), **never_cancels()) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        server = sidecar.pool._servers["s0"]
+        (connection,) = server.idle
+        upstream.writers[0].write(STALE)
+        assert not connection.fresh()  # no turn of the loop since: it is only in the kernel
+        app.send()
+        assert (await app.answer()).body == b"done"
+        assert [seen.connection for seen in upstream.seen] == [0, 1]
+
+
+@pytest.mark.parametrize("held_ms", [0, 300])
+@loopback
+async def test_an_answer_without_length_that_is_reset_has_not_ended(held_ms):
+    """Whether it is still held here or is being passed on already."""
+
+    async def reset(reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nnot all of it")
+        await asyncio.sleep(held_ms / 1000.0)
+        if not held_ms:
+            await until(lambda: any(c._parser.status for c in held.pool._connections))
+        writer.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        writer.transport.abort()
+
+    upstream = await Upstream([reset]).start()
+    module = Scripted(outcome=failing)
+    async with tidy(upstream, balancer=module, **never_cancels()) as held:
+        app = await App.connect(held.address)
+        app.send()
+        got = b""
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(partners.PATIENCE_S):
+                got = await app.reader.read() if held_ms else await app.reader.readuntil(b"\r\n\r\n")
+        assert not (held_ms and got.endswith(b"0\r\n\r\n"))  # the client can tell
+        assert got.startswith(b"HTTP/1.1 200" if held_ms else b"HTTP/1.1 502")
+        await until(lambda: module.outcomes())
+        assert [status for _, status, _ in module.outcomes()] == [Outcome.RESET]
