Break off an answer whose trailers, chunk heads or interim answers never end

The limit on a head ended with the head: a server that then sent trailers or extensions of a chunk's head for ever kept the attempt, and each trailer was kept in memory and, in a small answer, passed on as a header, its load report believed. Each interim answer began the count anew. What is not body is now counted since the body last grew, and trailers are dropped.

--- a/fordtrestle/framing.py
+++ b/fordtrestle/framing.py
@@ -125,20 +125,19 @@
         self.complete = False
         self.keep_alive = False
         self._framed = False
-        self._head = 0
+        self._other = 0  # bytes since the body last grew: of heads, framing and trailers
 
     def feed(self, data: bytes) -> None:
-        """Take in bytes; `BadAnswer` if they are none of HTTP's."""
+        """Take in bytes; `BadAnswer` if they are none of HTTP's, or a head or trailers that don't end."""
+        self._other += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
                 raise BadAnswer(str(error)) from error
             self.extra = True
-        if not self.status:
-            self._head += len(data)
-            if self._head > MAX_HEAD:
-                raise BadAnswer("the head is too large")
+        if self._other > MAX_HEAD and not self.complete:
+            raise BadAnswer("the head is too large")
 
     def end(self) -> bool:
         """The other side has ended its sending: whether that completes an answer without a length."""
@@ -159,8 +158,8 @@
         self.extra = self.extra or self.complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser."""
-        if self.complete:
+        """Called by the parser, also for trailers, which are none of the head."""
+        if self.complete or self.status:
             return
         self.headers.append((name, value.rstrip(b" \t")))  # the parser leaves blanks after it
         self._framed = self._framed or name.lower() in (b"content-length", b"transfer-encoding")
@@ -174,6 +173,7 @@
         """Called by the parser. Of what no client gets, only the beginning is kept."""
         if self.complete:
             return
+        self._other = 0
         if self.sink is not None:
             self.sink(data)
         elif self.status == 200 or len(self.body) < HELD_MOST:
@@ -184,7 +184,9 @@
         if self.complete:
             return
         if self.status < 200:
+            read = self._other
             self.reset()
+            self._other = read  # these have to end as well
             return
         self.complete = True
         self.keep_alive = self._parser.should_keep_alive()
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -497,6 +497,52 @@
         assert [seen.connection for seen in upstream.seen] == [0, 1]
 
 
+NEVER_ENDS = {
+    "head": (b"HTTP/1.1 200 OK\r\n", b"X-More: and more\r\n"),
+    "one line": (b"HTTP/1.1 200 OK\r\nX-More: ", b"and more of it "),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "trailers": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-More: and more\r\n"),
+    "trailer": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-More: ", b"and more of it "),
+    "size": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"and=more;"),
+}
+
+
+@pytest.mark.parametrize("kind", NEVER_ENDS)
+@loopback
+async def test_what_goes_on_for_ever_around_an_answers_body_breaks_it_off(kind):
+    begin, more = NEVER_ENDS[kind]
+
+    async def endless(reader, writer):
+        writer.write(begin)
+        while not writer.is_closing():
+            writer.write(more * 500)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    upstream = await Upstream([endless]).start()
+    module = Scripted(outcome=failing)
+    async with tidy(upstream, balancer=module, **never_cancels()) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send(X_Budget="60000m")
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            async with asyncio.timeout(partners.PATIENCE_S):
+                await app.reader.readuntil(b"\r\n\r\n")
+        await until(lambda: module.outcomes())
+        assert [status for _, status, _ in module.outcomes()] == [Outcome.RESET]
+
+
+@loopback
+async def test_trailers_are_no_headers_of_an_answer():
+    chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n"
+    upstream = await Upstream([chunked + b"X-Load-Report: inflight=9\r\nX-Other: 1\r\n\r\n"]).start()
+    module = Scripted()
+    async with tidy(upstream, balancer=module, **never_cancels()) as sidecar:
+        app = await App.connect(sidecar.address)
+        answer = await app.ask()
+        assert (answer.body, "x-other" in answer.headers) == (b"done", False)
+        assert module.named("outcome")[0][-1] is None
+
+
 @pytest.mark.parametrize("held_ms", [0, 300])
 @loopback
 async def test_an_answer_without_length_that_is_reset_has_not_ended(held_ms):
