--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -424,7 +424,7 @@
         ring, bound = self._ring, request.bound()
         if bound is not None and request.profile.semantics == "token" and request.profile.group != "all":
             # Only its group may have it again.
-            ring = self._groups.get(self._group(request.profile.group, bound.server), [])
+            ring = self._groups.get(bound.group, [])
         elif zone is not None:
             ring = self._groups.get(("zone", zone), [])
         elif self._zoned and self._near and self._far:
@@ -767,14 +767,12 @@
             turn = self._turns[request.key]
             if turn.line[0] is not request or now < turn.rest_until:
                 return False
-        bound = request.bound()
-        profile = request.profile
+        bound, profile = request.bound(), request.profile
         if bound is None or profile.semantics == "pure":
             return True
         if profile.semantics == "side_effect" or now - bound.sent >= profile.key_ttl:
             return False
-        group = profile.group
-        return group == "all" or self._group(group, server) == self._group(group, bound.server)
+        return profile.group == "all" or self._group(profile.group, server) == bound.group
 
     def _may_refuse(self, request: Request) -> bool:
         return self._repeatable(request.profile) or request.bound() is None
@@ -784,9 +782,12 @@
         return profile.semantics == "pure" or (profile.semantics == "token" and profile.group == "all")
 
     def _send(self, now: float, request: Request, server: Server) -> None:
-        timeout = self._timeout(now, request)
+        timeout, profile, bound = self._timeout(now, request), request.profile, request.bound()
+        # Counted from the decision on the first that may have run: no server can have had that before.
+        until = bound.sent + profile.key_ttl if bound and profile.semantics == "token" else math.inf
         gap = now - server.used_at if server.used_at and not server.open else 0.0
-        attempt = Attempt(server, now, now + STALL * request.profile.objective, gap)
+        due = min(aim := profile.objective, timeout - AIM_ROUNDING_MS)
+        attempt = Attempt(server, now, now + STALL * aim, gap, self._group(profile.group, server))
         if gap > self._idle_safe(now):
             self._out.append(model.CloseIdle(server.name))
             server.idle = 0
@@ -794,8 +795,6 @@
         server.idle -= not attempt.fresh
         server.used_at = now
         request.attempts.append(attempt)
-        aim = request.profile.objective
-        due = min(aim, timeout - AIM_ROUNDING_MS)
         # A large body is long on its way: time since its send shows no stalled server.
         if not request.large:
             server.out[attempt] = None
@@ -807,7 +806,7 @@
         server.budget -= 1.0
         server.open += 1
         self._open += 1
-        self._out.append(model.Send(request.id, server.name, timeout))
+        self._out.append(model.Send(request.id, server.name, timeout, until))
 
     def _give_up(self, now: float, request: Request, why: str) -> None:
         """The final answer where no attempt has served. A client whose retry would come past its
--- a/poppypulley/records.py
+++ b/poppypulley/records.py
@@ -83,6 +83,7 @@
     sent: float
     stalls_at: float
     gap: float  # how long the server was unused before it; 0 for the first
+    group: tuple[str, int]  # of the server as it stood then: one of its name may come back elsewhere
     out: bool = True
     may_have_run: bool = True
     fresh: bool = False  # whether it had to open a connection
