Notice a client that leaves while nothing is read of it, and send nothing on for it

A client's close was told by the loop alone, and only once its connection was gone. While reading was paused (answers unread, or a body that no server takes yet) the loop does not poll the socket: a close was seen by nobody, and a reset only where an answer was still buffered. Where the end of a client's sending was read, the transport closed after its buffer was flushed, which a client that reads nothing puts off for ever: its later requests stayed alive, were sent on and tried again, and the descriptor was never free. Parts of an answer written to such a connection ended in asyncio's warnings. Ruled out: a reset or a full close over unread answers, which fails the next write.

While reading is paused the socket is looked at every 50 ms (POLLRDHUP: a close or reset, whatever lies unread before it); ordinary requests pay nothing. Whoever has left is told at once of all that waits, room given back, and what is buffered has as long as an unread answer. Nothing answers input that is read after the last request that counts. A close behind more bytes than a full socket takes does not reach this machine, and can't be seen.

The tests of a body that waits (close, end of sending, reset), of answers unread or buffered (end of sending), of a half-closed peer that reads nothing, and of the warnings fail without it; the other ways to leave passed before.

--- a/fordtrestle/framing.py
+++ b/fordtrestle/framing.py
@@ -83,6 +83,16 @@
     return bool(poll.poll(0))
 
 
+def hung_up(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has closed or reset a connection, whatever lies unread before that."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)  # a reset is told with it, asked for or not
+    return bool(poll.poll(0))
+
+
 class Reading(asyncio.BufferedProtocol):
     """Reads at most one buffer at a time, the same one for all connections.
 
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -43,6 +43,7 @@
 SENT_AWAY_SWEEP_S = 0.1
 STILL_COMING_MS = 700.0  # at the end, a request of which nothing came for so long is not awaited
 CLASSES_BEFORE_S = 4.0  # clients use other classes 1.2 s after a reload, and come again for a while
+LOOK_S = 0.05  # a client that closes has gone; while nothing is read here, only a look shows it
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
 BUDGET = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
@@ -351,6 +352,7 @@
         self._full = False  # answers pile up
         self._body_waits = False  # its body comes faster than a server takes it
         self._waits_from = 0.0
+        self._look: asyncio.TimerHandle | None = None  # for a close, while nothing is read
         self._deaf = False  # nothing more is read as a request
         self._lost = False
         self.quiet_since = 0.0  # the last bytes read, answer given, or the opening
@@ -434,8 +436,8 @@
     def pause_writing(self) -> None:
         """Answers pile up unread: guards against a peer that only asks and fills the memory."""
         self._full = True
-        self._transport.pause_reading()
         self._unread = self._inbound.loop.call_later(UNREAD_S, self.abort)
+        self._read_on()
         if self._waiting and self._waiting[0].passing is not None:
             self._waiting[0].passing.flow.pause()
 
@@ -445,8 +447,7 @@
         if self._unread is not None:
             self._unread.cancel()
             self._unread = None
-        if not self._body_waits:
-            self._transport.resume_reading()
+        self._read_on()
         if self._waiting and self._waiting[0].passing is not None:
             self._waiting[0].passing.flow.resume()
 
@@ -455,15 +456,35 @@
         if not self._body_waits and not self._lost:
             self._body_waits = True
             self._waits_from = self._inbound.loop.time()
-            self._transport.pause_reading()
+            self._read_on()
 
     def resume(self) -> None:
         """More of the body is taken; the client had no part in the wait."""
         if self._body_waits and not self._lost:
             self._body_waits = False
             self._begun_at += self._inbound.loop.time() - self._waits_from
-            if not self._full:
-                self._transport.resume_reading()
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Read, unless answers pile up or a body waits; until then its client's leaving is looked for."""
+        if not (self._full or self._body_waits):
+            self._stop_looking()
+            self._transport.resume_reading()
+        elif self._look is None:
+            self._transport.pause_reading()
+            self._look = self._inbound.loop.call_later(LOOK_S, self._look_again)
+
+    def _look_again(self) -> None:
+        self._look = None
+        if framing.hung_up(self._transport):
+            self._leave()
+        else:
+            self._look = self._inbound.loop.call_later(LOOK_S, self._look_again)
+
+    def _stop_looking(self) -> None:
+        if self._look is not None:
+            self._look.cancel()
+            self._look = None
 
     def flows(self, exchange: Exchange) -> None:
         """An answer that is passed on takes its room, at the cost of requests that come later."""
@@ -472,28 +493,45 @@
 
     def write(self, data: bytes) -> None:
         """A part of an answer."""
-        if not self._lost:
+        if not self._transport.is_closing():
             self._transport.write(data)
 
     def eof_received(self) -> bool:
-        """The client has closed: it is gone, and what is not answered is not awaited."""
+        """The client has closed."""
+        self._leave()
         return False
 
+    def _leave(self) -> None:
+        """Its client is gone, though answers may still be on their way: nothing that waits is sent on."""
+        self._deaf = True
+        self._forget_waiting()
+        self._stop_looking()
+        self._transport.close()
+        if self._unread is None:
+            # It may have left a part of an answer unread, and never say so.
+            self._unread = self._inbound.loop.call_later(UNREAD_S, self.abort)
+
+    def _forget_waiting(self) -> None:
+        """Nobody is there any more to read what was asked for here."""
+        waiting = list(self._waiting)
+        self._waiting.clear()
+        message, self._message = self._message, None
+        if message is not None:
+            message.room.give(self._inbound.budget)
+        for exchange in waiting:
+            exchange.room.give(self._inbound.budget)
+            if exchange.request is not None:
+                self._inbound.taker.client_gone(exchange.request)
+
     def connection_lost(self, error: Exception | None) -> None:
         """The connection is closed."""
         self._lost = True
         self._stop_clock()
+        self._stop_looking()
         if self._unread is not None:
             self._unread.cancel()
         self._inbound.closed(self)
-        waiting = list(self._waiting)
-        self._waiting.clear()
-        if self._message is not None:
-            self._message.room.give(self._inbound.budget)
-        for exchange in waiting:
-            exchange.room.give(self._inbound.budget)
-            if exchange.request is not None:
-                self._inbound.taker.client_gone(exchange.request)
+        self._forget_waiting()
 
     # --- called by the parser -----------------------------------------------
 
@@ -639,6 +677,8 @@
 
     def _turn_away(self, status: int) -> None:
         """Answer what can't be read on from; requests before it are answered first."""
+        if self._deaf:
+            return
         message, self._message = self._message, None
         self._deaf = True
         if message is not None:
--- /dev/null
+++ b/tests/test_crossings_inbound.py
@@ -0,0 +1,216 @@
+"""The application's connections at narrow moments: a client that leaves, and input that is bad."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from fordtrestle import framing, inbound
+from poppypulley.model import Send
+from tests import loopback as partners
+from tests.loopback import (
+    OK,
+    PATIENCE_S,
+    App,
+    Scripted,
+    Upstream,
+    loopback,
+    running,
+    small_buffers,
+    until,
+)
+
+LARGE = b"x" * 3_000_000
+LONG = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE) + LARGE
+LONG_BUDGET = "60000m"  # no deadline comes before the end of what is waited for
+READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
+
+
+def status_of(answer):
+    return int(answer.start.split(" ")[1])
+
+
+async def nothing_left(sidecar):
+    """No request, no room and no connection is held any more."""
+    driver = sidecar.driver
+    await until(lambda: sidecar.inbound.empty and driver.idle and not driver._requests)
+    assert sidecar.inbound.budget.used == 0
+
+
+async def connection_of(sidecar):
+    """The only connection of the application."""
+    await until(lambda: sidecar.inbound._connections)
+    (connection,) = sidecar.inbound._connections
+    return connection
+
+
+async def write_a_little_too_much(connection):
+    """More than the sockets hold, though not so much that nothing is read."""
+    stays = 0
+    while stays < 10:  # the kernel passes on what it has
+        stays += 1
+        if not connection._transport.get_write_buffer_size():
+            connection.write(b"x" * 8192)
+            stays = 0
+        await asyncio.sleep(0.002)
+    assert not connection._full
+
+
+def end_sending(app):
+    app.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+
+
+def reset(app):
+    """Close with a reset, whatever is unread."""
+    linger = struct.pack("ii", 1, 0)
+    app.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    app.writer.transport.abort()
+
+
+LEAVE = pytest.mark.parametrize("leave", [end_sending, App.close, reset])
+
+
+# --- a client that leaves while nothing is read of it ---------------------------------
+
+
+class Later(Scripted):
+    """Sends nothing at a request's arrival, and what waits still when `send` is called."""
+
+    def __init__(self):
+        super().__init__(request=lambda now, arrival: [])
+
+    def send(self, sidecar):
+        gone = {number for (number,) in self.named("client_gone")}
+        for (arrival,) in self.named("request"):
+            if arrival.request not in gone:
+                sidecar.driver._act(Send(arrival.request, "s0", 0.0))
+
+
+@LEAVE
+@loopback
+async def test_a_client_that_leaves_is_noticed_while_its_answers_lie_unread(leave):
+    upstream = await Upstream([OK]).start()
+    module = Later()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        app.writer.transport.pause_reading()
+        app.send(X_Budget=LONG_BUDGET)
+        app.send(X_Budget=LONG_BUDGET)
+        await until(lambda: len(module.named("request")) == 2)
+        connection.write(LARGE)  # of an answer before: past what the sockets hold
+        assert connection._full and not connection._transport.is_reading()
+        app.send("POST", "/pay", b"unread")
+        leave(app)
+        await until(lambda: len(module.named("client_gone")) == 2)
+        module.send(sidecar)
+        app.close()
+        await nothing_left(sidecar)
+        assert not upstream.seen and len(module.named("request")) == 2
+
+
+@LEAVE
+@loopback
+async def test_a_client_that_leaves_is_noticed_while_its_body_waits_for_a_server(leave):
+    upstream = await Upstream([OK]).start()
+    module = Later()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        # The rest stays with the client: its end comes no further than what a full socket holds.
+        whole = partners.request("POST", "/pay", LARGE, X_Budget=LONG_BUDGET)
+        sent = 0
+
+        def waits():
+            nonlocal sent
+            app.writer.write(whole[sent : sent + 16_384])
+            sent += 16_384
+            return connection._body_waits
+
+        await until(waits)
+        assert not connection._transport.is_reading()
+        leave(app)
+        await until(lambda: module.named("client_gone"))
+        module.send(sidecar)
+        app.close()
+        await nothing_left(sidecar)
+        assert not upstream.seen and not upstream.writers
+
+
+@LEAVE
+@loopback
+async def test_a_client_that_leaves_is_noticed_though_a_part_of_an_answer_is_still_buffered(leave):
+    upstream = await Upstream([OK]).start()
+    module = Later()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        app.writer.transport.pause_reading()
+        app.send(X_Budget=LONG_BUDGET)
+        await until(lambda: module.named("request"))
+        await write_a_little_too_much(connection)
+        leave(app)
+        await until(lambda: module.named("client_gone"))
+        module.send(sidecar)
+        app.close()
+        await nothing_left(sidecar)
+        assert not upstream.seen
+
+
+@loopback
+async def test_a_client_that_ends_its_sending_and_reads_nothing_is_let_go(monkeypatch):
+    monkeypatch.setattr(inbound, "UNREAD_S", 0.1)
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        app.writer.transport.pause_reading()
+        await write_a_little_too_much(connection)
+        end_sending(app)
+        await nothing_left(sidecar)
+
+
+@loopback
+async def test_a_client_that_ends_its_sending_is_given_the_answers_that_are_on_their_way(caplog):
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        connection.write(LARGE)
+        end_sending(app)
+        await until(lambda: connection._transport.is_closing())
+        for _ in range(10):
+            connection.write(b"more")  # of what is passed on: it is dropped, and no warning is told
+        async with asyncio.timeout(PATIENCE_S):
+            assert len(await app.reader.read()) == len(LARGE)
+        await nothing_left(sidecar)
+        assert not caplog.records
+
+
+@loopback
+async def test_a_client_that_reads_a_long_answer_slowly_has_not_gone(monkeypatch):
+    monkeypatch.setattr(inbound, "LOOK_S", 0.001)
+    looks = []
+    monkeypatch.setattr(
+        framing, "hung_up", lambda transport, look=framing.hung_up: looks.append(look(transport))
+    )
+    upstream = await Upstream([LONG, OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        app.writer.transport.pause_reading()
+        app.send(X_Budget=LONG_BUDGET)
+        await until(lambda: connection._full and len(looks) > 20)
+        app.writer.transport.resume_reading()
+        assert (await app.answer()).body == LARGE
+        assert not any(looks)
+        assert (await app.ask()).body == b"done"
+        app.close()
+        await nothing_left(sidecar)
