Send no request on whose client left before it was read

A request may lie in the kernel for long before it is read: until its connection is accepted, where descriptors run out, or while answers before it lie unread. With it lies the end of a client that has given up meanwhile, which the loop reads a turn later: the request was sent on first. The same for requests that come behind another in one read. Seen with a listener that doesn't accept and with a socket that isn't read: each was sent on after a close, an end of sending and a reset alike.

A request that is read first on its connection, after a pause, or behind another is sent on only if its client still holds the connection (one poll). A read that empties the socket ends that, so that ordinary requests are not looked at; for them the loop tells in time. A question whether the sidecar is ready is still answered.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -352,6 +352,7 @@
         self._full = False  # answers pile up
         self._body_waits = False  # its body comes faster than a server takes it
         self._waits_from = 0.0
+        self._lay_here = True  # what is read next may have come long ago
         self._look: asyncio.TimerHandle | None = None  # for a close, while nothing is read
         self._deaf = False  # nothing more is read as a request
         self._lost = False
@@ -432,6 +433,8 @@
             self._turn_away(400)
         else:
             self._bound_unfinished(len(data))
+        if len(data) < HELD_MOST:
+            self._lay_here = False  # all of it is read now
 
     def pause_writing(self) -> None:
         """Answers pile up unread: guards against a peer that only asks and fills the memory."""
@@ -469,6 +472,7 @@
         """Read, unless answers pile up or a body waits; until then its client's leaving is looked for."""
         if not (self._full or self._body_waits):
             self._stop_looking()
+            self._lay_here = True
             self._transport.resume_reading()
         elif self._look is None:
             self._transport.pause_reading()
@@ -501,6 +505,14 @@
         self._leave()
         return False
 
+    def left(self) -> bool:
+        """Whether the client of a request just read is gone already. The loop tells that in time, but for
+        what lay here before it was read, or came behind another request."""
+        if not (self._lay_here or len(self._waiting) > 1) or not framing.hung_up(self._transport):
+            return False
+        self._leave()
+        return True
+
     def _leave(self) -> None:
         """Its client is gone, though answers may still be on their way: nothing that waits is sent on."""
         self._deaf = True
@@ -925,7 +937,7 @@
         elif len(self._connections) > self._soft and self._requests_held() > self._soft:
             exchange.keep_alive = False
             exchange.refused(0.0)
-        else:
+        elif not exchange.connection.left():
             try:
                 self._read(exchange, message)
                 exchange.request = self.taker.arrive(exchange, read_at)
--- a/tests/test_crossings_inbound.py
+++ b/tests/test_crossings_inbound.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -17,6 +18,7 @@
     App,
     Scripted,
     Upstream,
+    hang,
     loopback,
     running,
     small_buffers,
@@ -214,3 +216,83 @@
         assert (await app.ask()).body == b"done"
         app.close()
         await nothing_left(sidecar)
+
+
+# --- a client that left before its request was read -------------------------------------
+
+
+@contextlib.asynccontextmanager
+async def not_accepting(sidecar):
+    """Connections wait in the kernel meanwhile."""
+    loop, listener = asyncio.get_running_loop(), sidecar.inbound._listener
+    loop.remove_reader(listener._sock.fileno())
+    yield
+    loop.add_reader(listener._sock.fileno(), listener._accept)
+
+
+@LEAVE
+@pytest.mark.parametrize("body", [b"", b"x" * 100_000])
+@loopback
+async def test_a_request_that_waited_to_be_accepted_is_not_sent_on_once_its_client_left(leave, body):
+    upstream = await Upstream([OK]).start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        async with not_accepting(sidecar):
+            app = await App.connect(sidecar.address)
+            app.send("POST", "/pay", body)
+            leave(app)
+        staying = await App.connect(sidecar.address)
+        assert (await staying.ask()).body == b"done"
+        await until(lambda: len(sidecar.inbound._connections) == 1)
+        assert len(module.named("request")) == len(upstream.seen) == 1
+        app.close()
+        staying.close()
+        await nothing_left(sidecar)
+
+
+@loopback
+async def test_a_request_that_was_not_read_under_a_long_answer_is_not_sent_on_once_its_client_left(
+    monkeypatch,
+):
+    monkeypatch.setattr(inbound, "LOOK_S", 60.0)
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        assert (await app.ask()).body == b"done"
+        connection.write(LARGE)
+        app.send("POST", "/pay", b"later")
+        end_sending(app)
+        async with asyncio.timeout(PATIENCE_S):
+            assert len(await app.reader.read()) == len(LARGE)
+        await nothing_left(sidecar)
+        assert len(upstream.seen) == 1
+
+
+@loopback
+async def test_requests_that_came_with_the_end_behind_another_are_not_sent_on():
+    upstream = await Upstream([OK, hang]).start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        # In one go: the loop reads the bytes in one turn and the end in the next.
+        app.writer.write(3 * partners.request())
+        end_sending(app)
+        await until(lambda: module.named("client_gone"))
+        assert len(module.named("request")) == 2
+        app.close()
+        sidecar.pool.close()
+        await nothing_left(sidecar)
+
+
+@loopback
+async def test_a_peer_that_asks_whether_it_is_ready_and_sends_no_more_is_told():
+    async with running() as sidecar:
+        async with not_accepting(sidecar):
+            app = await App.connect(sidecar.address)
+            app.writer.write(READY)
+            end_sending(app)
+        assert status_of(await app.answer()) == 200
+        await nothing_left(sidecar)
