Take no request behind an answer that ends its connection; leave no attempt behind one

Three ways in which a request, or an attempt, outlived the answer that ends its connection. A request that is refused in a crowd ends its connection after its answer, yet what came behind it while answers before it were awaited was sent on: its answer was never written, so it was lost. On HTTP/1.0 the same holds for what comes behind a large answer that only the connection's end ends; it was told as gone a second later, or when the peer closed. And a large request that is answered before its end (the module refuses it while an attempt is out) is not in line any more: its attempt waited for the rest of the body for ever, with its connection and its place in `_requests`.

Nothing is read as a request behind one whose answer will be the last, as it already was past the bound on pipelining; what is in line when the connection ends is told as gone in the same moment; and so is a request that was answered before its last byte, so that its attempts are cancelled.

The three tests fail without it.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -631,18 +631,21 @@
         if message.exchange is not None:
             self._end_large(message.exchange)
             return
-        exchange = Exchange(self, self._parser.should_keep_alive())
+        exchange = Exchange(self, self._parser.should_keep_alive() and len(self._waiting) < PIPELINED_MOST)
         exchange.old = self._parser.get_http_version() == "1.0"
         exchange.room = message.room
         self._waiting.append(exchange)
-        if len(self._waiting) > PIPELINED_MOST:
-            exchange.keep_alive = False
-            self._deaf = True
         self._inbound.serve(exchange, message, self._read_at)
+        self._hear_no_more_after(exchange)
+
+    def _hear_no_more_after(self, exchange: Exchange) -> None:
+        """Guards against a request that is sent on behind an answer that ends the connection."""
+        self._deaf = self._deaf or not exchange.keep_alive
 
     def _end_large(self, exchange: Exchange) -> None:
         assert exchange.body is not None
-        exchange.keep_alive = self._parser.should_keep_alive()
+        exchange.keep_alive = exchange.keep_alive and self._parser.should_keep_alive()
+        self._hear_no_more_after(exchange)
         exchange.body.end()
         if exchange.request is not None:
             self._inbound.taker.body_read(exchange.request, self._read_at)
@@ -668,6 +671,9 @@
                 self._transport.write(framing.answer(status, headers, body, last))
             self._waiting.popleft()
             exchange.room.give(self._inbound.budget)
+            if exchange.reading and exchange.request is not None:
+                # Guards against an attempt that waits for ever for the rest of a body.
+                self._inbound.taker.client_gone(exchange.request)
             if last:
                 self._linger()
                 return
@@ -721,7 +727,9 @@
         self._deaf = True
         self._stop_clock()
         self.resume()
-        if self._message is None and not self._waiting and not framing.readable(self._transport):
+        sending = self._message is not None
+        self._forget_waiting()  # an answer that only the end of the connection ends may have some behind it
+        if not sending and not framing.readable(self._transport):
             self._transport.close()
             return
         if self._transport.can_write_eof():
--- a/tests/test_crossings_inbound.py
+++ b/tests/test_crossings_inbound.py
@@ -10,7 +10,7 @@
 import pytest
 
 from fordtrestle import framing, inbound
-from poppypulley.model import Send
+from poppypulley.model import Refuse, Send, Timer
 from tests import loopback as partners
 from tests.loopback import (
     OK,
@@ -278,12 +278,11 @@
         app = await App.connect(sidecar.address)
         await app.ask()
         # In one go: the loop reads the bytes in one turn and the end in the next.
-        app.writer.write(3 * partners.request())
+        app.writer.write(3 * partners.request(X_Budget="300m"))
         end_sending(app)
         await until(lambda: module.named("client_gone"))
         assert len(module.named("request")) == 2
         app.close()
-        sidecar.pool.close()
         await nothing_left(sidecar)
 
 
@@ -296,3 +295,89 @@
             end_sending(app)
         assert status_of(await app.answer()) == 200
         await nothing_left(sidecar)
+
+
+# --- answers that end their connection ----------------------------------------------------
+
+
+@loopback
+async def test_no_request_is_sent_on_behind_one_that_is_refused_with_its_connection():
+    release = asyncio.Event()
+
+    async def wait(reader, writer):
+        await release.wait()
+        return OK
+
+    upstream = await Upstream([wait, OK]).start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send()
+        await until(lambda: upstream.seen)
+        (connection,) = sidecar.inbound._connections
+        soft, sidecar.inbound._soft = sidecar.inbound._soft, 0
+        app.send("POST", "/pay", b"refused")
+        await until(lambda: len(connection._waiting) == 2)
+        sidecar.inbound._soft = soft
+        app.send()  # behind what ends the connection: it is not read, and may be sent again
+        await until(lambda: not connection.readable)
+        release.set()
+        answers = [await app.answer(), await app.answer()]
+        assert [status_of(answer) for answer in answers] == [200, 503]
+        assert answers[1].headers["connection"] == "close"
+        assert await app.answer() is None
+        app.close()
+        await nothing_left(sidecar)
+        assert len(module.named("request")) == len(upstream.seen) == 1
+
+
+@loopback
+async def test_what_waits_behind_an_answer_that_the_end_of_its_connection_ends_is_not_awaited(monkeypatch):
+    monkeypatch.setattr(inbound, "LINGER_S", 60.0)
+    first = asyncio.Event()
+
+    async def till_end(reader, writer):
+        await first.wait()
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + LARGE)
+        writer.close()
+
+    upstream, stuck = await Upstream([till_end]).start(), await Upstream([hang]).start()
+    module = Scripted(
+        request=lambda now, arrival: [Send(arrival.request, "s1" if arrival.band else "s0", 0.0)]
+    )
+    async with running(upstream, stuck, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        old = partners.request(Connection="keep-alive").replace(b"HTTP/1.1", b"HTTP/1.0")
+        app.writer.write(old)
+        await until(lambda: upstream.seen)
+        app.send("POST", "/pay", X_Budget=LONG_BUDGET)
+        await until(lambda: stuck.seen)
+        first.set()
+        async with asyncio.timeout(PATIENCE_S):
+            assert (await app.reader.read()).endswith(LARGE)
+        await until(lambda: module.named("client_gone"))
+        app.close()
+        stuck.writers[0].transport.abort()  # or the attempt is awaited for its outcome
+        await nothing_left(sidecar)
+
+
+@loopback
+async def test_no_attempt_waits_for_the_rest_of_a_body_that_was_answered(monkeypatch):
+    monkeypatch.setattr(inbound, "LINGER_S", 0.05)
+
+    class ReadsOn(Upstream):
+        async def _serve(self, reader, writer):
+            await reader.read()
+            writer.close()
+
+    upstream = await ReadsOn().start()
+    module = Scripted(
+        request=lambda now, arrival: [Send(arrival.request, "s0", 0.0), Timer(50.0, str(arrival.request))],
+        timer=lambda now, number: [Refuse(int(number), 0.0)],
+    )
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(partners.request("POST", "/pay", LARGE)[:200_000])
+        assert status_of(await app.answer()) == 503
+        await nothing_left(sidecar)
+        assert [last for _, _, last in module.outcomes()] == [True]
