--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -29,6 +29,7 @@
 QUIET_MS = 1000.0  # a true sender's pieces come faster
 MEMORY_SHARE = 0.25  # of all memory, for the bytes of messages
 HARD_SHARE = 0.47  # past this whatever carries no request is closed, or else the new connection
+COMING = 8  # of the descriptors reserved: for connections that are here and give way, or make another do so
 PIPELINED_MOST = 16
 # A peer that sends no whole request is owed an error or a close within 3 s of connecting; half a
 # second is left for a loop that lags.
@@ -41,6 +42,7 @@
 # Clients are sent away: new connections come for 0.3 s more, and 4 s after the call none may be idle.
 SENT_AWAY_S = 1.0
 SENT_AWAY_SWEEP_S = 0.1
+FIRST_MS = 100.0  # a connection that has just come is left alone for so long: its request follows
 STILL_COMING_MS = 700.0  # at the end, a request of which nothing came for so long is not awaited
 CLASSES_BEFORE_S = 4.0  # clients use other classes 1.2 s after a reload, and come again for a while
 LOOK_S = 0.05  # a client that closes has gone; while nothing is read here, only a look shows it
@@ -385,6 +387,12 @@
         """Whether a part of a request has come."""
         return self._message is not None
 
+    @property
+    def new(self) -> bool:
+        """Whether it has only just come, and nothing on it yet."""
+        silent = not self._answered and self._message is None
+        return silent and self._inbound.clock.now() - self.quiet_since < FIRST_MS
+
     @property
     def unfinished(self) -> bool:
         """Whether a request is still coming here, or the rest of an answer still going."""
@@ -804,18 +812,23 @@
         self._sweep: asyncio.TimerHandle | None = None
         self._names = config.names
         self._kept_back = NOT_FOR_SERVERS | (OWN_WORD if config.agreement is not None else frozenset())
-        self._before: Names | None = None  # what clients may still name, for a while
-        self._forget_before: asyncio.TimerHandle | None = None
+        self._before: deque[Names] = deque()  # what clients may still name, for a while; newest first
+        self._forgets: deque[asyncio.TimerHandle] = deque()
         self._connections: dict[Connection, None] = {}
+        self._leaving: set[Connection] = set()  # made to give way: the loop closes them a turn later
         self._limits = config.limits
         self.budget = Budget(0)
         self.share(1.0)
         self._listener: Listener | None = None
+        self._own = True  # the listening socket, which no other process has
 
     def listen(self, address: Address, descriptor: int | None = None) -> Address:
         """Accept connections from now on, on an inherited socket if there is one; where that is."""
+        self._own = descriptor is None
         sock = bound(address) if descriptor is None else inherited(descriptor)
-        self._listener = Listener(self.loop, sock, lambda: Connection(self))
+        self._listener = Listener(
+            self.loop, sock, lambda: Connection(self), self._room, lambda: self._make_room(1)
+        )
         return self._listener.address
 
     def share(self, part: float) -> None:
@@ -830,32 +843,42 @@
         self._make_room(max(0, len(self._connections) - self._crowded))
 
     def reload(self, names: Names) -> None:
-        """Other classes. Clients learn of them later: what they knew is served for a while."""
-        if self._forget_before is not None:
-            self._forget_before.cancel()
-        self._before, self._names = self._names, names
-        self._forget_before = self.loop.call_later(CLASSES_BEFORE_S, self._forget_classes)
+        """Other classes. Clients learn of them later: what they knew is served for a while, however
+        often others follow."""
+        if names == self._names:
+            return
+        self._before.appendleft(self._names)
+        self._names = names
+        self._forgets.append(self.loop.call_later(CLASSES_BEFORE_S, self._forget_oldest))
 
-    def _forget_classes(self) -> None:
-        self._before = self._forget_before = None
+    def _forget_oldest(self) -> None:
+        self._forgets.popleft()
+        self._before.pop()
 
     @property
     def bands(self) -> set[int]:
         """The classes that clients may name."""
-        known = (self._names, self._before)
-        return {kind.band for names in known if names for kind in names.classes.values()}
+        known = (self._names, *self._before)
+        return {kind.band for names in known for kind in names.classes.values()}
 
     def _read(self, exchange: Exchange, message: Message) -> None:
         try:
             exchange.read(message, self._names, self._kept_back)
         except BadRequest:
-            if self._before is None:
-                raise
-            exchange.read(message, self._before, self._kept_back)
+            for names in self._before:
+                with contextlib.suppress(BadRequest):
+                    exchange.read(message, names, self._kept_back)
+                    return
+            raise
 
     def stop_listening(self) -> None:
-        """Take no new connection; each answer from now on is the last on its own."""
-        if self._listener is not None:
+        """Take no new connection but those that the system has accepted for this process alone; each
+        answer from now on is the last on its own."""
+        if self._listener is None:
+            return
+        if self._own:
+            self._listener.finish()
+        else:
             self._listener.close()
 
     @property
@@ -874,13 +897,13 @@
 
     def _send_away(self) -> None:
         """Close what stands idle, as often as it takes until clients are to come again."""
-        self.close_idle()
+        self.close_idle(but_new=True)
         self._sweep = self.loop.call_later(SENT_AWAY_SWEEP_S, self._send_away)
 
-    def close_idle(self) -> None:
-        """Close what stands between requests."""
+    def close_idle(self, but_new: bool = False) -> None:
+        """Close what stands between requests, at will but for what has only just come."""
         for connection in list(self._connections):
-            if connection.idle:
+            if connection.idle and not (but_new and connection.new):
                 connection.close()
 
     @property
@@ -890,17 +913,18 @@
 
     @property
     def empty(self) -> bool:
-        """Whether all connections are closed."""
-        return not self._connections
+        """Whether all connections are closed, those included that are only just accepted."""
+        coming = self._listener is not None and self._listener.settling
+        return not (self._connections or self._leaving or coming)
 
     def close(self) -> None:
         """Close all at the end."""
         if self._listener is not None:
             self._listener.close()
-        for timer in (self._sweep, self._forget_before):
-            if timer is not None:
-                timer.cancel()
-        for connection in list(self._connections):
+        for timer in (*self._forgets, *([self._sweep] if self._sweep else [])):
+            timer.cancel()
+        for connection in (*self._connections, *self._leaving):
+            connection.close()  # seen at once, where nothing is left to be written
             connection.abort()
 
     # --- what connections report ----------------------------------------------
@@ -912,7 +936,18 @@
             self._make_room(1)
         self._connections[connection] = None
         if len(self._connections) > self._hard:
-            connection.abort()
+            self._part_with(connection)
+
+    def _room(self) -> int:
+        """How many connections may be accepted now. Guards against a crowd that takes, for a turn or
+        two, the descriptors that are kept for discovery, or more than there may be."""
+        return self._hard + COMING - len(self._connections) - len(self._leaving)
+
+    def _part_with(self, connection: Connection) -> None:
+        """Close one that has to give way."""
+        del self._connections[connection]
+        self._leaving.add(connection)
+        connection.close()
 
     def _make_room(self, most: int) -> None:
         """Close by least progress: what rests after its answer, then what never sent a byte, then what
@@ -921,8 +956,7 @@
         free = [c for c in self._connections if not c.busy and (c.resting or c.quiet_since <= until)]
         for connection in sorted(free, key=lambda c: (not c.resting, c.begun, c.quiet_since)):
             if most and not connection.readable:
-                connection.abort()
-                del self._connections[connection]
+                self._part_with(connection)
                 most -= 1
 
     def _requests_held(self) -> int:
@@ -936,6 +970,7 @@
     def closed(self, connection: Connection) -> None:
         """A connection is closed."""
         self._connections.pop(connection, None)
+        self._leaving.discard(connection)
 
     def serve(self, exchange: Exchange, message: Message, read_at: float) -> None:
         """A request, whole or large: answered here, or taken."""
