--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -106,10 +106,22 @@
             self._connection.abort()
         self._connection = self._opening = None
 
+    def drop(self) -> bool:
+        """Give it up unless it is written whole; whether it was. A connection that is only coming up is
+        left to do so: it was paid for, and the next one may have it."""
+        if self.ended or (self._connection is not None and self._connection.written):
+            return False
+        self.ended = True
+        if self._connection is not None:
+            self._connection.abort()
+        self._connection = self._opening = None
+        return True
+
 
 @dataclass(slots=True, eq=False)
 class Server:
-    """A server that discovery has named."""
+    """A server that discovery has named, from one start to the next: what comes back under its name at
+    another address or with another start is another one, with connections and a drain of its own."""
 
     name: str
     address: Address
@@ -130,11 +142,12 @@
         self._parser = framing.AnswerParser()
         self._transport: asyncio.Transport
         self._exchange: Exchange | None = None
-        self._written = True
+        self.written = True
         self._body: Body | None = None  # that flows and is not yet whole
         self._wait: asyncio.TimerHandle | None = None  # for an answer's size, then for its next part
         self._stalled: asyncio.TimerHandle | None = None  # for a server that takes no more of a body
         self._heard_at = 0.0
+        self._earlier = False  # whether it has carried an answer before this one
         self._paused = False
         self.lost = False
 
@@ -142,6 +155,7 @@
         """Write a request; it is written once the kernel has its last byte."""
         self._exchange = exchange
         exchange.carried_by(self)
+        self._earlier = self._parser.complete
         self._parser.reset()
         self._transport.write(message)
         self._body = exchange.body
@@ -153,13 +167,18 @@
         """What is merely buffered here is not written: a break now proves that it never ran.
         A write that fails empties the buffer, too, and closes."""
         unsent = self._transport.is_closing() or self._transport.get_write_buffer_size()
-        self._written = not (unsent or self._body)
-        if self._written and self._exchange is not None and self._exchange.watcher is not None:
+        self.written = not (unsent or self._body)
+        if self.written and self._exchange is not None and self._exchange.watcher is not None:
             self._exchange.watcher.written()
 
     def more(self, data: bytes) -> None:
         """A part of a large body."""
-        self._transport.write(data)
+        exchange = self._exchange
+        if exchange is not None and exchange.watcher is not None and not exchange.watcher.may_write():
+            exchange.ended = True
+            self.abort()
+        else:
+            self._transport.write(data)
 
     def whole(self) -> None:
         """The large body is complete."""
@@ -220,7 +239,7 @@
             self._stalled = None
         if self._body is not None:
             self._body.resume()
-        if not self._written:
+        if not self.written:
             self._note_written()
 
     def data_received(self, data: bytes) -> None:
@@ -234,13 +253,19 @@
         except framing.BadAnswer:
             self._break()
             return
+        if self._exchange is None:
+            return  # its client left as it was passed on
+        if self._parser.status == 200 and self._earlier and not self.written:
+            # A server begins on a request when it has all of it: this is the earlier one's second answer.
+            self._break()
+            return
         self._heard_at = self._pool.loop.time()
         if self.sent_at and self._pool.delays is not None:
             spent = (self._heard_at - self.sent_at) * 1000.0
             self._pool.delays.first_byte(self.server.region, spent)
             self.sent_at = 0.0
         if self._parser.complete:
-            self._answered(self._parser.keep_alive and not self._parser.extra and self._written)
+            self._answered(self._parser.keep_alive and not self._parser.extra and self.written)
         elif self._parser.status == 200 and self._parser.sink is None:
             self._hold()
 
@@ -309,7 +334,7 @@
         exchange = self._release()
         self._transport.abort()
         if exchange is not None:
-            exchange.end(Result(Outcome.RESET if self._written else Outcome.CONNECT_FAILED))
+            exchange.end(Result(Outcome.RESET if self.written else Outcome.CONNECT_FAILED))
 
 
 class Pool:
@@ -371,15 +396,14 @@
 
     def _note(self, now: float, entry: Listing, address: Address | None) -> None:
         known = self._servers.get(entry.server)
-        if known is None:
-            if address is None:
-                return
-            known = self._servers[entry.server] = Server(entry.server, address, started=entry.started)
-        known.region = self._regions.get(entry.zone, "")
-        if (address or known.address, entry.started) != (known.address, known.started):
+        address = address or (known.address if known is not None else None)
+        if address is None:
+            return
+        if known is None or (address, entry.started) != (known.address, known.started):
             # Guards against writing to what stood before a restart: a reset at best.
-            self.close_idle(known.name)
-            known.address, known.started = address or known.address, entry.started
+            self.close_idle(entry.server)
+            known = self._servers[entry.server] = Server(entry.server, address, entry.started)
+        known.region = self._regions.get(entry.zone, "")
         if entry.state == "active":
             known.closed_from = math.inf
         else:
@@ -410,11 +434,12 @@
 
     def free(self, connection: Connection) -> None:
         """A connection carries nothing now."""
-        if self._servers.get(connection.server.name) is not connection.server:
+        server = connection.server
+        if self._servers.get(server.name) is not server or server.closed_from < math.inf:
             connection.abort()
             return
         connection.idle_since = self._clock.now()
-        connection.server.idle.append(connection)
+        server.idle.append(connection)
         if not self._sweeping:
             self._sweeping = True
             self.loop.call_later(SWEEP_MS / 1000.0, self._sweep)
@@ -470,10 +495,20 @@
     def _write(self, connection: Connection, exchange: Exchange) -> None:
         """The first byte of an attempt: not to a server that has left for longer than the grace."""
         now = self._clock.now()
+        if self._servers.get(connection.server.name, connection.server) is not connection.server:
+            # Another one has its name now, which may be cold or elsewhere: not sent, and decided anew.
+            never = Outcome.CONNECT_FAILED if exchange.watcher is None else Outcome.MOOT
+            self.loop.call_soon(exchange.end, Result(never))
+            connection.abort()
+            return
         if now >= connection.server.closed_from:
             connection.abort()
             self.loop.call_soon(exchange.end, Result(Outcome.CONNECT_FAILED))
             return
+        if exchange.watcher is not None and not exchange.watcher.may_write():
+            exchange.ended = True
+            self.free(connection)
+            return
         message = exchange.message(exchange.expires - now)
         if self.stamp is not None and exchange.watcher is not None:
             if exchange.stamp is not self.stamp():
@@ -512,10 +547,12 @@
         if self.delays is not None:
             cold = self._clock.now() - server.started < self._warm_up
             self.delays.handshake(server.region, (self.loop.time() - begun) * 1000.0, cold)
-        if exchange.ended or not connection.fresh():
+        if not connection.fresh():
             # A full server may take a connection and close it at once: nothing is written there.
             connection.abort()
             exchange.end(Result(Outcome.CONNECT_FAILED))
+        elif exchange.ended:
+            self.free(connection)
         else:
             self._write(connection, exchange)
 
