Go on serving, and end well, where nobody takes the log any more

Cause: `log` let the error of a broken pipe out to whoever logged. At SIGTERM the first line of the drain raised it: the process ended at once with a traceback and exit 1, and what it had taken was lost; a failed reload's line, or discovery's, went the same way through callbacks and tasks.

Change: a line that can't be written is left out.

Test: a real process whose log's reader is closed under an open request, then a broken file with SIGHUP, and SIGTERM: exit 1 before; answered and exit 0 after. Seen to fail without the change.

--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import sys
 import time
@@ -590,5 +591,6 @@
 
 
 def log(text: str) -> None:
-    """A line for on-call staff."""
-    print(text.rstrip(), file=sys.stderr, flush=True)
+    """A line for on-call staff; where nobody takes it any more, what is served goes on."""
+    with contextlib.suppress(OSError):
+        print(text.rstrip(), file=sys.stderr, flush=True)
--- a/tests/test_crossings_configuration.py
+++ b/tests/test_crossings_configuration.py
@@ -61,7 +61,7 @@
     return config.load({"NODE_CONFIG": str(path)})
 
 
-@pytest.mark.parametrize("at", places(WHOLE), ids=lambda at: ".".join(map(str, at)) or "all")
+@pytest.mark.parametrize("at", list(places(WHOLE)), ids=lambda at: ".".join(map(str, at)) or "all")
 def test_whatever_stands_anywhere_it_is_taken_or_refused_in_a_line(tmp_path, at):
     running = config.parse(WHOLE, {})
     for value in VALUES:
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -24,6 +24,7 @@
     Registry,
     Upstream,
     entry,
+    listed,
     loopback,
     read_message,
     request,
@@ -393,3 +394,32 @@
         now = made._clock.now()
         await made.drain()
         assert until_ms[0] - now == pytest.approx(400.0 + main.ANSWERED_MS, abs=100.0)
+
+
+@loopback
+async def test_a_log_that_nobody_takes_any_more_stops_neither_the_end_nor_an_answer(tmp_path):
+    release = asyncio.Event()
+
+    async def wait(reader, writer):
+        await release.wait()
+        return OK
+
+    upstream = await Upstream([wait]).start()
+    port = free_port()
+    known = listed(1, entry("s0", upstream.address))
+    process = await logged(tmp_path, listen=f"127.0.0.1:{port}", known=known)
+    app = None
+    while app is None:
+        with contextlib.suppress(ConnectionError):
+            app = await App.connect(("127.0.0.1", port))
+    app.send()
+    await until(lambda: upstream.seen)
+    process._transport.get_pipe_transport(2).close()
+    (tmp_path / "config.json").write_text("{")
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        process.send_signal(number)
+    release.set()
+    assert (await app.answer()).body == b"done"
+    app.close()
+    assert await process.wait() == 0
+    upstream.stop()
