Name the variable that stands in for a key where its address is none

Cause: the line of a broken configuration named the key, and the file, although the environment had the last word and was at fault.

Change: NODE_LISTEN, NODE_DISCOVERY and NODE_OPERATOR are named where they are used in a key's place.

Test: each variable with no address in it; seen to fail without the change.

--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -241,13 +241,15 @@
 def _address_in(raw: Mapping[str, Any], key: str, instead: str | None = None) -> Address | None:
     """The address that a key tells, or the environment in its place; None where neither does."""
     text = instead or raw.get(key)
-    with _named(key):
+    with _named(f"NODE_{key.upper()}" if instead else key):
         return parse_address(text) if text else None
 
 
 def _needed_address(raw: Mapping[str, Any], key: str, instead: str | None) -> Address:
-    with _named(key):
-        return parse_address(instead or raw.get(key) or "")
+    address = _address_in(raw, key, instead)
+    if address is None:
+        raise ValueError(f"{key} is missing")
+    return address
 
 
 def _shape(raw: Mapping[str, Any]) -> frozenset[str]:
--- a/tests/test_crossings_configuration.py
+++ b/tests/test_crossings_configuration.py
@@ -149,6 +149,14 @@
     assert str(path) in str(caught.value)
 
 
+@pytest.mark.parametrize("name", ["NODE_LISTEN", "NODE_DISCOVERY", "NODE_OPERATOR"])
+def test_the_line_names_the_variable_that_stands_in_for_a_key(tmp_path, name):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(WHOLE))
+    with pytest.raises(config.ConfigError, match=f"{name}: 'nowhere' is not an address"):
+        config.load({"NODE_CONFIG": str(path), name: "nowhere"})
+
+
 def test_at_the_start_it_is_exit_2_with_file_key_and_reason(tmp_path):
     env = environment(tmp_path, limits={"sockets": "many"})
     code, said = start_fails(env)
