Take nobody in a new process before the one it replaces holds half of all

Cause: a process that takes over holds half of descriptors and memory from its start, but the other one looks for it only each 0.25 s. Where the first list came at once, clients were taken while the other still held all: together one and a half of what the sidecar may hold.

Change: the start of a process that shares waits for that look too, beside the first list.

Test: two processes' parts on one socket, the list there at once: the first holds half when the second takes clients. Seen to fail without the change.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -119,7 +119,8 @@
             self.part.agent.start()
         if self._share():
             log("another process of this sidecar serves: waiting for the list before taking clients")
-            await self.discovery.first_answer(FIRST_LIST_S)
+            # The other one sees this one at its next look, and makes room then.
+            await asyncio.gather(self.discovery.first_answer(FIRST_LIST_S), asyncio.sleep(LOOK_S))
         else:
             await self.discovery.first_call(FIRST_CALL_S)
         address = self.inbound.listen(self._told.listen, self._told.inherited)
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -442,3 +443,24 @@
     app.close()
     assert await process.wait() == 0
     upstream.stop()
+
+
+@loopback
+async def test_a_process_that_takes_over_takes_nobody_before_the_other_one_holds_half(tmp_path, monkeypatch):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    registry = await Registry(current=True).start()
+    listening = socket.create_server(("127.0.0.1", 0))
+    made = []
+    for _ in range(2):
+        one = told(registry=registry.address)
+        one = replace(one, inherited=os.dup(listening.fileno()))
+        made.append(main.Sidecar(asyncio.get_running_loop(), one))
+    old, new = made
+    await old.start()
+    whole = old.inbound._hard
+    await new.start()  # its list comes at once
+    assert old.inbound._hard < whole and old.inbound._hard == new.inbound._hard
+    for one in made:
+        one.close()
+    listening.close()
+    registry.stop()
