Play each pair of an attempt's events in one turn, and each event in every turn of a send

One final answer and one outcome each, no timer left, no count above none. On real sockets the same events, a restart and a close of idle connections come in each of the first 24 turns after a send, on a new connection and a kept one: nothing stays open.

--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -5,14 +5,16 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import struct
 
 import pytest
 
-from fordtrestle import driver
+from fordtrestle import driver, outbound
 from fordtrestle.config import parse_list
-from poppypulley.model import Fail, Listing, Outcome, Refuse, Send
+from fordtrestle.driver import Answer, Result
+from poppypulley.model import Cancel, Fail, Listing, Outcome, Refuse, Send
 from tests import loopback as partners
 from tests.helpers import CLASSES, arrival, balancer, of_type
 from tests.loopback import (
@@ -571,3 +573,252 @@
         assert got.startswith(b"HTTP/1.1 200" if held_ms else b"HTTP/1.1 502")
         await until(lambda: module.outcomes())
         assert [status for _, status, _ in module.outcomes()] == [Outcome.RESET]
+
+
+# --- two events in one turn of the loop -----------------------------------------------------
+
+
+class Client:
+    """A request's client: it keeps every final answer that it is given."""
+
+    band, tenant, key, work, again, mutates, budget = 0, 0, None, None, False, False, 4000.0
+
+    def __init__(self, large):
+        self.reading, self.body, self.given = large, None, []
+
+    def wire(self, left):
+        return b""
+
+    def served(self, answer):
+        self.given.append("served")
+
+    def refused(self, retry_after):
+        self.given.append("refused")
+
+    def failed(self, late):
+        self.given.append("failed")
+
+    def begun(self, answer, flow):
+        self.given.append("begun")
+
+    def more(self, data):
+        assert self.given[-1] == "begun"
+
+    def finished(self):
+        self.given.append("finished")
+
+    def broken(self):
+        self.given.append("broken")
+
+
+class Carrier:
+    """Stands in for a connection to a server."""
+
+    def __init__(self, written):
+        self.written, self.aborted = written, False
+
+    def abort(self):
+        self.aborted = True
+
+
+class Carriers:
+    """Stands in for the pool: the first exchange is the test's, later ones are answered."""
+
+    def __init__(self, loop, state):
+        self.loop, self.state, self.sent = loop, state, []
+
+    def send(self, server, call, expires, watcher):
+        exchange = outbound.Exchange(call.wire, expires, watcher.ended, watcher)
+        if self.sent:
+            self.loop.call_soon(exchange.end, Result(Outcome.OK, Answer([], b"")))
+        elif self.state == "waits":
+            exchange.opening(self.loop.create_task(asyncio.sleep(60.0)))
+        else:
+            exchange.carried_by(Carrier(self.state == "written"))
+        self.sent.append(exchange)
+        return exchange
+
+    def probe(self, server, done):
+        raise AssertionError("no probe is asked for")
+
+    def update(self, now, whole, news):
+        pass
+
+    def close_idle(self, server):
+        pass
+
+
+class Crossing:
+    """A driver with the real module and one attempt out, and all that may happen to it."""
+
+    EVENTS = (
+        "answer",
+        "spoilt",
+        "reset",
+        "rules_changed",
+        "starts",
+        "expire",
+        "overdue",
+        "cancel",
+        "gone",
+        "window",
+        "body_read",
+    )
+
+    def __init__(self, state, cancels, large=False):
+        loop = asyncio.get_running_loop()
+        limits = {"MaxAttempts": 3, "MayCancel": cancels, "ConnectTimeout": 250.0}
+        config = told([Upstream(address=f"127.0.0.1:{port}") for port in (9, 10, 11)], PolicyLimits=limits)
+        self.driver = driver.Driver(loop, driver.Clock(loop), config)
+        self.carriers = Carriers(loop, state)
+        self.driver.connect(self.carriers, None, None)
+        self.outcomes = []
+        module = self.driver._balancer
+        hear = module.outcome
+
+        def outcome(now, number, hop, *rest):
+            self.outcomes.append((number, hop))
+            return hear(now, number, hop, *rest)
+
+        module.outcome = outcome
+        self.driver.server_list("remembered", config.known)
+        self.client = Client(large)
+        self.request = self.driver.arrive(self.client, self.driver._clock.now())
+        self.attempt = self.request.attempts[0]
+        self.exchange = self.carriers.sent[0]
+        self.left = False
+
+    def happen(self, event):
+        getattr(self, event)()
+
+    def answer(self):
+        self.exchange.end(Result(Outcome.OK, Answer([], b"")))
+
+    def spoilt(self):
+        self.exchange.end(Result(Outcome.ERROR))
+
+    def reset(self):
+        self.exchange.end(Result(Outcome.RESET))
+
+    def rules_changed(self):
+        self.driver._loop.call_soon(self.exchange.end, Result(Outcome.MOOT))
+
+    def starts(self):
+        """A large answer begins, and is whole a turn later."""
+        if not self.exchange.ended and self.exchange.watcher is not None:
+            self.exchange.watcher.begun(Answer([], b"", None), None)
+            self.driver._loop.call_soon(self.exchange.end, Result(Outcome.OK))
+
+    def expire(self):
+        self.driver._expire(self.attempt)
+
+    def overdue(self):
+        self.driver._overdue(self.request)
+
+    def cancel(self):
+        self.driver._act(Cancel(self.request.id, 0))
+
+    def gone(self):
+        self.left, self.sent_then = True, len(self.carriers.sent)
+        self.driver.client_gone(self.request)
+
+    def window(self):
+        self.driver._drop(self.attempt)
+
+    def body_read(self):
+        self.driver.body_read(self.request, self.driver._clock.now())
+
+    def finals(self):
+        return [given for given in self.client.given if given not in ("finished", "broken")]
+
+
+def pairs():
+    return [(first, second) for first in Crossing.EVENTS for second in Crossing.EVENTS]
+
+
+async def turns(count=40):
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("state", ["waits", "half", "written"])
+@pytest.mark.parametrize("cancels", [True, False])
+@loopback
+async def test_two_events_in_one_turn_make_one_answer_and_one_outcome(state, cancels):
+    """Each pair, in either order, in the same turn and with a turn between."""
+    for first, second in pairs():
+        for between in (0, 1):
+            made = Crossing(state, cancels)
+            said = f"{first}, {second}, {between} between"
+            made.happen(first)
+            await turns(between)
+            made.happen(second)
+            await turns()
+            if not made.request.ended or made.request.out:
+                made.answer()  # what nothing has ended goes on, and ends in the usual way
+                await turns()
+            assert len(made.finals()) == (0 if made.left and not made.finals() else 1), said
+            hops = [hop for _, hop in made.outcomes]
+            assert sorted(hops) == list(range(len(made.request.attempts))), said
+            module = made.driver._balancer
+            assert (made.driver._open, made.driver._flowing, made.driver._requests) == (0, 0, {}), said
+            assert (module._open, module._requests) == (0, {}), said
+            assert all(server.open == 0 and not server.out for server in module._servers.values()), said
+            timers = (made.attempt.timeout, made.attempt.window, made.request.guard)
+            assert all(timer is None or timer.cancelled() for timer in timers), said
+            if made.left:  # nothing begins once the client has gone
+                assert len(made.carriers.sent) <= made.sent_then, said
+
+
+def descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.mark.parametrize("event", ["gone", "cancel", "expire", "overdue", "window", "restart", "close_idle"])
+@pytest.mark.parametrize("fresh", [True, False])
+@loopback
+async def test_an_event_in_each_turn_between_a_send_and_its_end_leaves_nothing_open(event, fresh):
+    """On real sockets, where opening, writing and reading each take turns of the loop."""
+    upstream = await Upstream([OK]).start()
+    async with tidy(upstream, balancer=Scripted(outcome=failing), **never_cancels()) as sidecar:
+        held = sidecar.driver
+        await (await App.connect(sidecar.address)).ask()
+        before = descriptors()
+        sent = asyncio.Event()
+        send = sidecar.pool.send
+
+        def seen(*args):
+            sent.set()
+            return send(*args)
+
+        sidecar.pool.send = seen
+        for after in range(24):
+            if fresh:
+                sidecar.pool.close_idle("s0")
+            sent.clear()
+            app = await App.connect(sidecar.address)
+            app.send()
+            await sent.wait()
+            (request,) = held._requests.values()
+            await turns(after)
+            match event:
+                case "gone":
+                    held.client_gone(request)
+                case "cancel":
+                    held._act(Cancel(request.id, len(request.attempts) - 1))
+                case "expire":
+                    held._expire(request.attempts[-1])
+                case "overdue":
+                    held._overdue(request)
+                case "window":
+                    held._drop(request.attempts[-1])
+                case "restart":
+                    hear(sidecar, entry("s0", upstream.address, since_ms=1 + after))
+                case "close_idle":
+                    sidecar.pool.close_idle("s0")
+            await until(lambda: nothing_left(sidecar))
+            if event != "gone":
+                assert (await app.answer()).start.split(" ")[1] in ("200", "502", "503", "504")
+            app.close()
+        sidecar.pool.close_idle("s0")
+        await until(lambda: descriptors() <= before)
