Let a connection that comes up for nobody make room where the pool is full

What is left to come up once its request was dropped holds a place until then, up to the connect time-out: where clients leave in a burst while servers don't answer, these places could turn new attempts away. The first of them is given up when room is short, after the idle ones. The test fails on the lines before.

--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -352,7 +352,7 @@
         self._limits = config.limits
         self._servers: dict[str, Server] = {}
         self._connections: set[Connection] = set()
-        self._opening: set[asyncio.Task[None]] = set()
+        self._opening: dict[asyncio.Task[None], Exchange] = {}
         self.share(1.0)
         self._sweeping = False
 
@@ -522,12 +522,13 @@
         connection.begin(exchange, message)
 
     def _open(self, server: Server, exchange: Exchange) -> None:
-        if len(self._connections) + len(self._opening) >= self._most and not self._close_oldest():
+        full = len(self._connections) + len(self._opening) >= self._most
+        if full and not self._close_oldest() and not self._open_no_more():
             self.loop.call_soon(exchange.end, Result(Outcome.CONNECT_FAILED))
             return
         task = self.loop.create_task(self._connect(server, exchange))
-        self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
+        self._opening[task] = exchange
+        task.add_done_callback(lambda done: self._opening.pop(done, None))
         exchange.opening(task)
 
     async def _connect(self, server: Server, exchange: Exchange) -> None:
@@ -567,6 +568,15 @@
         self._connections.discard(oldest)
         return True
 
+    def _open_no_more(self) -> bool:
+        """Give up a connection that is coming up for nobody any more, to make room."""
+        for task, exchange in self._opening.items():
+            if exchange.ended:
+                task.cancel()
+                del self._opening[task]
+                return True
+        return False
+
     def _sweep(self) -> None:
         """Retire what has been idle for long, before the server does."""
         until = self._clock.now() - self._idle_most
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -186,6 +186,22 @@
         assert not sidecar.pool._servers["s0"].idle
 
 
+@loopback
+async def test_a_connection_that_comes_up_for_nobody_makes_room_where_the_pool_is_full(monkeypatch):
+    late, quick = await Upstream([OK]).start(), await Upstream([OK]).start()
+    gate = Gate(monkeypatch, [late])
+    servers = iter(["s0", "s1"])
+    module = Scripted(request=lambda now, arrival: [Send(arrival.request, next(servers), 0.0)])
+    async with tidy(late, quick, balancer=module, **never_cancels()) as sidecar:
+        sidecar.pool._most = 1
+        app = await asked(sidecar)
+        await until(lambda: gate.waiting)
+        app.close()
+        await until(lambda: not sidecar.driver._requests)
+        assert (await (await App.connect(sidecar.address)).ask()).body == b"done"
+        assert module.outcomes() == [(0, Outcome.MOOT, True), (0, Outcome.OK, True)]
+
+
 @loopback
 async def test_what_the_kernel_has_not_taken_whole_is_dropped_when_the_client_has_gone(monkeypatch):
     upstream = await Upstream([hang]).start()
