--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -29,6 +29,7 @@
 QUIET_MS = 1000.0  # a true sender's pieces come faster
 MEMORY_SHARE = 0.25  # of all memory, for the bytes of messages
 HARD_SHARE = 0.47  # past this whatever carries no request is closed, or else the new connection
+COMING = 8  # of the descriptors reserved: for connections that are here and give way, or make another do so
 PIPELINED_MOST = 16
 # A peer that sends no whole request is owed an error or a close within 3 s of connecting; half a
 # second is left for a loop that lags.
@@ -41,8 +42,10 @@
 # Clients are sent away: new connections come for 0.3 s more, and 4 s after the call none may be idle.
 SENT_AWAY_S = 1.0
 SENT_AWAY_SWEEP_S = 0.1
+FIRST_MS = 100.0  # a connection that has just come is left alone for so long: its request follows
 STILL_COMING_MS = 700.0  # at the end, a request of which nothing came for so long is not awaited
 CLASSES_BEFORE_S = 4.0  # clients use other classes 1.2 s after a reload, and come again for a while
+LOOK_S = 0.05  # a client that closes has gone; while nothing is read here, only a look shows it
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
 BUDGET = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
@@ -351,6 +354,8 @@
         self._full = False  # answers pile up
         self._body_waits = False  # its body comes faster than a server takes it
         self._waits_from = 0.0
+        self._lay_here = True  # what is read next may have come long ago
+        self._look: asyncio.TimerHandle | None = None  # for a close, while nothing is read
         self._deaf = False  # nothing more is read as a request
         self._lost = False
         self.quiet_since = 0.0  # the last bytes read, answer given, or the opening
@@ -382,6 +387,12 @@
         """Whether a part of a request has come."""
         return self._message is not None
 
+    @property
+    def new(self) -> bool:
+        """Whether it has only just come, and nothing on it yet."""
+        silent = not self._answered and self._message is None
+        return silent and self._inbound.clock.now() - self.quiet_since < FIRST_MS
+
     @property
     def unfinished(self) -> bool:
         """Whether a request is still coming here, or the rest of an answer still going."""
@@ -430,12 +441,14 @@
             self._turn_away(400)
         else:
             self._bound_unfinished(len(data))
+        if len(data) < HELD_MOST:
+            self._lay_here = False  # all of it is read now
 
     def pause_writing(self) -> None:
         """Answers pile up unread: guards against a peer that only asks and fills the memory."""
         self._full = True
-        self._transport.pause_reading()
         self._unread = self._inbound.loop.call_later(UNREAD_S, self.abort)
+        self._read_on()
         if self._waiting and self._waiting[0].passing is not None:
             self._waiting[0].passing.flow.pause()
 
@@ -445,8 +458,7 @@
         if self._unread is not None:
             self._unread.cancel()
             self._unread = None
-        if not self._body_waits:
-            self._transport.resume_reading()
+        self._read_on()
         if self._waiting and self._waiting[0].passing is not None:
             self._waiting[0].passing.flow.resume()
 
@@ -455,15 +467,36 @@
         if not self._body_waits and not self._lost:
             self._body_waits = True
             self._waits_from = self._inbound.loop.time()
-            self._transport.pause_reading()
+            self._read_on()
 
     def resume(self) -> None:
         """More of the body is taken; the client had no part in the wait."""
         if self._body_waits and not self._lost:
             self._body_waits = False
             self._begun_at += self._inbound.loop.time() - self._waits_from
-            if not self._full:
-                self._transport.resume_reading()
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Read, unless answers pile up or a body waits; until then its client's leaving is looked for."""
+        if not (self._full or self._body_waits):
+            self._stop_looking()
+            self._lay_here = True
+            self._transport.resume_reading()
+        elif self._look is None:
+            self._transport.pause_reading()
+            self._look = self._inbound.loop.call_later(LOOK_S, self._look_again)
+
+    def _look_again(self) -> None:
+        self._look = None
+        if framing.hung_up(self._transport):
+            self._leave()
+        else:
+            self._look = self._inbound.loop.call_later(LOOK_S, self._look_again)
+
+    def _stop_looking(self) -> None:
+        if self._look is not None:
+            self._look.cancel()
+            self._look = None
 
     def flows(self, exchange: Exchange) -> None:
         """An answer that is passed on takes its room, at the cost of requests that come later."""
@@ -472,28 +505,53 @@
 
     def write(self, data: bytes) -> None:
         """A part of an answer."""
-        if not self._lost:
+        if not self._transport.is_closing():
             self._transport.write(data)
 
     def eof_received(self) -> bool:
-        """The client has closed: it is gone, and what is not answered is not awaited."""
+        """The client has closed."""
+        self._leave()
         return False
 
+    def left(self) -> bool:
+        """Whether the client of a request just read is gone already. The loop tells that in time, but for
+        what lay here before it was read, or came behind another request."""
+        if not (self._lay_here or len(self._waiting) > 1) or not framing.hung_up(self._transport):
+            return False
+        self._leave()
+        return True
+
+    def _leave(self) -> None:
+        """Its client is gone, though answers may still be on their way: nothing that waits is sent on."""
+        self._deaf = True
+        self._forget_waiting()
+        self._stop_looking()
+        self._transport.close()
+        if self._unread is None:
+            # It may have left a part of an answer unread, and never say so.
+            self._unread = self._inbound.loop.call_later(UNREAD_S, self.abort)
+
+    def _forget_waiting(self) -> None:
+        """Nobody is there any more to read what was asked for here."""
+        waiting = list(self._waiting)
+        self._waiting.clear()
+        message, self._message = self._message, None
+        if message is not None:
+            message.room.give(self._inbound.budget)
+        for exchange in waiting:
+            exchange.room.give(self._inbound.budget)
+            if exchange.request is not None:
+                self._inbound.taker.client_gone(exchange.request)
+
     def connection_lost(self, error: Exception | None) -> None:
         """The connection is closed."""
         self._lost = True
         self._stop_clock()
+        self._stop_looking()
         if self._unread is not None:
             self._unread.cancel()
         self._inbound.closed(self)
-        waiting = list(self._waiting)
-        self._waiting.clear()
-        if self._message is not None:
-            self._message.room.give(self._inbound.budget)
-        for exchange in waiting:
-            exchange.room.give(self._inbound.budget)
-            if exchange.request is not None:
-                self._inbound.taker.client_gone(exchange.request)
+        self._forget_waiting()
 
     # --- called by the parser -----------------------------------------------
 
@@ -581,18 +639,21 @@
         if message.exchange is not None:
             self._end_large(message.exchange)
             return
-        exchange = Exchange(self, self._parser.should_keep_alive())
+        exchange = Exchange(self, self._parser.should_keep_alive() and len(self._waiting) < PIPELINED_MOST)
         exchange.old = self._parser.get_http_version() == "1.0"
         exchange.room = message.room
         self._waiting.append(exchange)
-        if len(self._waiting) > PIPELINED_MOST:
-            exchange.keep_alive = False
-            self._deaf = True
         self._inbound.serve(exchange, message, self._read_at)
+        self._hear_no_more_after(exchange)
+
+    def _hear_no_more_after(self, exchange: Exchange) -> None:
+        """Guards against a request that is sent on behind an answer that ends the connection."""
+        self._deaf = self._deaf or not exchange.keep_alive
 
     def _end_large(self, exchange: Exchange) -> None:
         assert exchange.body is not None
-        exchange.keep_alive = self._parser.should_keep_alive()
+        exchange.keep_alive = exchange.keep_alive and self._parser.should_keep_alive()
+        self._hear_no_more_after(exchange)
         exchange.body.end()
         if exchange.request is not None:
             self._inbound.taker.body_read(exchange.request, self._read_at)
@@ -618,6 +679,9 @@
                 self._transport.write(framing.answer(status, headers, body, last))
             self._waiting.popleft()
             exchange.room.give(self._inbound.budget)
+            if exchange.reading and exchange.request is not None:
+                # Guards against an attempt that waits for ever for the rest of a body.
+                self._inbound.taker.client_gone(exchange.request)
             if last:
                 self._linger()
                 return
@@ -639,6 +703,8 @@
 
     def _turn_away(self, status: int) -> None:
         """Answer what can't be read on from; requests before it are answered first."""
+        if self._deaf:
+            return
         message, self._message = self._message, None
         self._deaf = True
         if message is not None:
@@ -669,7 +735,9 @@
         self._deaf = True
         self._stop_clock()
         self.resume()
-        if self._message is None and not self._waiting and not framing.readable(self._transport):
+        sending = self._message is not None
+        self._forget_waiting()  # an answer that only the end of the connection ends may have some behind it
+        if not sending and not framing.readable(self._transport):
             self._transport.close()
             return
         if self._transport.can_write_eof():
@@ -744,18 +812,23 @@
         self._sweep: asyncio.TimerHandle | None = None
         self._names = config.names
         self._kept_back = NOT_FOR_SERVERS | (OWN_WORD if config.agreement is not None else frozenset())
-        self._before: Names | None = None  # what clients may still name, for a while
-        self._forget_before: asyncio.TimerHandle | None = None
+        self._before: deque[Names] = deque()  # what clients may still name, for a while; newest first
+        self._forgets: deque[asyncio.TimerHandle] = deque()
         self._connections: dict[Connection, None] = {}
+        self._leaving: set[Connection] = set()  # made to give way: the loop closes them a turn later
         self._limits = config.limits
         self.budget = Budget(0)
         self.share(1.0)
         self._listener: Listener | None = None
+        self._own = True  # the listening socket, which no other process has
 
     def listen(self, address: Address, descriptor: int | None = None) -> Address:
         """Accept connections from now on, on an inherited socket if there is one; where that is."""
+        self._own = descriptor is None
         sock = bound(address) if descriptor is None else inherited(descriptor)
-        self._listener = Listener(self.loop, sock, lambda: Connection(self))
+        self._listener = Listener(
+            self.loop, sock, lambda: Connection(self), self._room, lambda: self._make_room(1)
+        )
         return self._listener.address
 
     def share(self, part: float) -> None:
@@ -770,32 +843,42 @@
         self._make_room(max(0, len(self._connections) - self._crowded))
 
     def reload(self, names: Names) -> None:
-        """Other classes. Clients learn of them later: what they knew is served for a while."""
-        if self._forget_before is not None:
-            self._forget_before.cancel()
-        self._before, self._names = self._names, names
-        self._forget_before = self.loop.call_later(CLASSES_BEFORE_S, self._forget_classes)
+        """Other classes. Clients learn of them later: what they knew is served for a while, however
+        often others follow."""
+        if names == self._names:
+            return
+        self._before.appendleft(self._names)
+        self._names = names
+        self._forgets.append(self.loop.call_later(CLASSES_BEFORE_S, self._forget_oldest))
 
-    def _forget_classes(self) -> None:
-        self._before = self._forget_before = None
+    def _forget_oldest(self) -> None:
+        self._forgets.popleft()
+        self._before.pop()
 
     @property
     def bands(self) -> set[int]:
         """The classes that clients may name."""
-        known = (self._names, self._before)
-        return {kind.band for names in known if names for kind in names.classes.values()}
+        known = (self._names, *self._before)
+        return {kind.band for names in known for kind in names.classes.values()}
 
     def _read(self, exchange: Exchange, message: Message) -> None:
         try:
             exchange.read(message, self._names, self._kept_back)
         except BadRequest:
-            if self._before is None:
-                raise
-            exchange.read(message, self._before, self._kept_back)
+            for names in self._before:
+                with contextlib.suppress(BadRequest):
+                    exchange.read(message, names, self._kept_back)
+                    return
+            raise
 
     def stop_listening(self) -> None:
-        """Take no new connection; each answer from now on is the last on its own."""
-        if self._listener is not None:
+        """Take no new connection but those that the system has accepted for this process alone; each
+        answer from now on is the last on its own."""
+        if self._listener is None:
+            return
+        if self._own:
+            self._listener.finish()
+        else:
             self._listener.close()
 
     @property
@@ -814,13 +897,13 @@
 
     def _send_away(self) -> None:
         """Close what stands idle, as often as it takes until clients are to come again."""
-        self.close_idle()
+        self.close_idle(but_new=True)
         self._sweep = self.loop.call_later(SENT_AWAY_SWEEP_S, self._send_away)
 
-    def close_idle(self) -> None:
-        """Close what stands between requests."""
+    def close_idle(self, but_new: bool = False) -> None:
+        """Close what stands between requests, at will but for what has only just come."""
         for connection in list(self._connections):
-            if connection.idle:
+            if connection.idle and not (but_new and connection.new):
                 connection.close()
 
     @property
@@ -830,17 +913,18 @@
 
     @property
     def empty(self) -> bool:
-        """Whether all connections are closed."""
-        return not self._connections
+        """Whether all connections are closed, those included that are only just accepted."""
+        coming = self._listener is not None and self._listener.settling
+        return not (self._connections or self._leaving or coming)
 
     def close(self) -> None:
         """Close all at the end."""
         if self._listener is not None:
             self._listener.close()
-        for timer in (self._sweep, self._forget_before):
-            if timer is not None:
-                timer.cancel()
-        for connection in list(self._connections):
+        for timer in (*self._forgets, *([self._sweep] if self._sweep else [])):
+            timer.cancel()
+        for connection in (*self._connections, *self._leaving):
+            connection.close()  # seen at once, where nothing is left to be written
             connection.abort()
 
     # --- what connections report ----------------------------------------------
@@ -852,7 +936,18 @@
             self._make_room(1)
         self._connections[connection] = None
         if len(self._connections) > self._hard:
-            connection.abort()
+            self._part_with(connection)
+
+    def _room(self) -> int:
+        """How many connections may be accepted now. Guards against a crowd that takes, for a turn or
+        two, the descriptors that are kept for discovery, or more than there may be."""
+        return self._hard + COMING - len(self._connections) - len(self._leaving)
+
+    def _part_with(self, connection: Connection) -> None:
+        """Close one that has to give way."""
+        del self._connections[connection]
+        self._leaving.add(connection)
+        connection.close()
 
     def _make_room(self, most: int) -> None:
         """Close by least progress: what rests after its answer, then what never sent a byte, then what
@@ -861,8 +956,7 @@
         free = [c for c in self._connections if not c.busy and (c.resting or c.quiet_since <= until)]
         for connection in sorted(free, key=lambda c: (not c.resting, c.begun, c.quiet_since)):
             if most and not connection.readable:
-                connection.abort()
-                del self._connections[connection]
+                self._part_with(connection)
                 most -= 1
 
     def _requests_held(self) -> int:
@@ -876,6 +970,7 @@
     def closed(self, connection: Connection) -> None:
         """A connection is closed."""
         self._connections.pop(connection, None)
+        self._leaving.discard(connection)
 
     def serve(self, exchange: Exchange, message: Message, read_at: float) -> None:
         """A request, whole or large: answered here, or taken."""
@@ -885,7 +980,7 @@
         elif len(self._connections) > self._soft and self._requests_held() > self._soft:
             exchange.keep_alive = False
             exchange.refused(0.0)
-        else:
+        elif not exchange.connection.left():
             try:
                 self._read(exchange, message)
                 exchange.request = self.taker.arrive(exchange, read_at)
