Let a connection rest after its answer while another idle one to that server is there

A server may send a second answer some milliseconds after the first. On an idle connection it is told as one; once the next request is written there it can't be, and is served as that request's answer. `Pool._begin` took the connection that had been freed last, which is the one where this is likeliest. It now takes the newest that has been idle for 20 ms, and the newest of all only where none has.

The test, in which the second answer comes, fails on the lines before.

--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -23,6 +23,8 @@
 # what we write must be there before. A tenth covers transit, lag and the sweep.
 IDLE_SHARE = 0.9
 SWEEP_MS = 200.0
+# A second answer may follow the first by some milliseconds, and is told as one while nothing is asked.
+REST_MS = 20.0
 # A send that is begun so close to the end of the grace might be seen past it.
 GRACE_MARGIN_MS = 50.0
 # An answer without a length is passed on after so long at the latest.
@@ -373,7 +375,7 @@
     # --- what the driver asks for --------------------------------------------
 
     def send(self, server: str, call: Call, expires: float, watcher: Watcher) -> Exchange:
-        """Begin an attempt on an idle connection, the newest first, or on a new one."""
+        """Begin an attempt on an idle connection, the newest that has rested first, or on a new one."""
         exchange = Exchange(call.wire, expires, watcher.ended, watcher, call.body)
         exchange.stamp = watcher.stamp
         return self._begin(server, exchange)
@@ -483,7 +485,7 @@
             self.loop.call_soon(exchange.end, Result(Outcome.CONNECT_FAILED))
             return exchange
         while server.idle:
-            connection = server.idle.pop()
+            connection = self._rested(server)
             # Guards against a request on a connection that the server is closing: a reset.
             if self._clock.now() - connection.idle_since < self._idle_most and connection.fresh():
                 self._write(connection, exchange)
@@ -492,6 +494,12 @@
         self._open(server, exchange)
         return exchange
 
+    def _rested(self, server: Server) -> Connection:
+        """Take the newest idle connection of those that have rested, or else the newest."""
+        until = self._clock.now() - REST_MS
+        places = reversed(range(len(server.idle)))
+        return server.idle.pop(next((i for i in places if server.idle[i].idle_since <= until), -1))
+
     def _write(self, connection: Connection, exchange: Exchange) -> None:
         """The first byte of an attempt: not to a server that has left for longer than the grace."""
         now = self._clock.now()
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -515,6 +515,32 @@
         assert [seen.connection for seen in upstream.seen] == [0, 1]
 
 
+@loopback
+async def test_a_connection_that_has_just_given_an_answer_rests_while_another_is_there():
+    """A second answer that comes some milliseconds later meets no request that way."""
+    upstream = await Upstream([OK]).start()
+    async with tidy(upstream, balancer=Scripted(), **never_cancels()) as sidecar:
+        one, two = await App.connect(sidecar.address), await App.connect(sidecar.address)
+        one.send()
+        two.send()
+        await one.answer()
+        await two.answer()
+        idle = sidecar.pool._servers["s0"].idle
+        rested, newest = idle
+        rested.idle_since -= outbound.REST_MS
+        newest.idle_since += 60_000.0  # however slow this test is
+        far = newest._transport.get_extra_info("sockname")
+
+        async def second_answer(reader, writer):
+            (spoilt,) = [it for it in upstream.writers if it.get_extra_info("peername") == far]
+            spoilt.write(STALE)
+            await until(lambda: newest.lost or newest not in sidecar.pool._connections)
+            return OK
+
+        upstream.replies = [second_answer]
+        assert (await one.ask()).body == b"done"
+
+
 NEVER_ENDS = {
     "head": (b"HTTP/1.1 200 OK\r\n", b"X-More: and more\r\n"),
     "one line": (b"HTTP/1.1 200 OK\r\nX-More: ", b"and more of it "),
