Reset the connection of an attempt given up, so that the kernel sends no more of it

Time-outs, cancels and drops closed the connection, and a plain close leaves the kernel to deliver what it still holds: a request that a cut or a server that took no more had kept there arrived whole, long after it was given up, for a key past its window as well. A connection that carries an attempt which is given up is now closed by a reset; idle ones are closed as before. The test lets a server take no more, gives the attempt up and reads on: on the lines before the whole request is there.

--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import math
+import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -36,6 +39,8 @@
 NOT_FOR_CLIENTS = frozenset((b"x-load-report", b"x-rejected"))
 PROBE_HEAD = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n"
 
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
 Done = Callable[[Result], None]
 
 
@@ -105,7 +110,7 @@
         if self._opening is not None:
             self._opening.cancel()
         if self._connection is not None:
-            self._connection.abort()
+            self._connection.give_up()
         self._connection = self._opening = None
 
     def drop(self) -> bool:
@@ -115,7 +120,7 @@
             return False
         self.ended = True
         if self._connection is not None:
-            self._connection.abort()
+            self._connection.give_up()
         self._connection = self._opening = None
         return True
 
@@ -202,8 +207,17 @@
         """Whether it stands ready: neither closed nor with anything unread, the end included."""
         return not (self.lost or self._transport.is_closing() or framing.readable(self._transport))
 
+    def give_up(self) -> None:
+        """Close at once by a reset: what the kernel still holds of a request is dropped as well. Guards
+        against one that reaches its server long after it was given up, as a cut ends or a hung one reads."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.abort()
+
     def abort(self) -> None:
-        """Close at once; what is buffered is dropped."""
+        """Close at once; what is buffered here is dropped."""
         self._release()
         self._transport.abort()
 
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -381,6 +381,35 @@
         assert [send.write_by for send in sends] == [float("inf")] * (4 - band)
 
 
+@loopback
+async def test_what_is_given_up_does_not_reach_its_server_later_from_the_kernel():
+    """It is written, so far as can be told here, while its server takes no more of it."""
+    loop = asyncio.get_running_loop()
+    module = Scripted(outcome=lambda now, number, hop, status, *rest: [Fail(number)])
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        upstream = Upstream(address=f"127.0.0.1:{listener.getsockname()[1]}")
+        upstream.stop = lambda: None
+        body = b"x" * 60_000
+        async with tidy(upstream, balancer=module, **never_cancels()) as sidecar:
+            app = await App.connect(sidecar.address)
+            app.send("POST", "/book", body)
+            server, _ = await loop.sock_accept(listener)
+            with server:
+                await until(lambda: any(it.written and it._exchange for it in sidecar.pool._connections))
+                (request,) = sidecar.driver._requests.values()
+                sidecar.driver._act(Cancel(request.id, 0))
+                await app.answer()
+                got = b""
+                with contextlib.suppress(ConnectionResetError):
+                    while part := await loop.sock_recv(server, 65_536):
+                        got += part
+                assert 0 < len(got) < len(body)
+
+
 # --- incarnations of a server -------------------------------------------------------------
 
 
@@ -670,7 +699,7 @@
     def __init__(self, written):
         self.written, self.aborted = written, False
 
-    def abort(self):
+    def give_up(self):
         self.aborted = True
 
 
