Derive every wait before a call to discovery from the 6 s that a change may take

Cause: the waits were figures of their own. Where discovery is asked, a failed call was made again after up to 0.4 of AskWithin (`ASK_MOST`, doubled by chance: 4 s where it is 10 s, 24 s where it is 60 s), so a change came up to 25 s after discovery's return. A watch that fell silent (4.5 s) and one call that was turned away in its turn after that took the module's own wait on top: 7 s and more. Where lists are pushed one lost connection after silence left 0.05 s, with a turn of 1 s at discovery nothing.

Change: one budget in the interface (6 s, half a second of it for loops that lag, 1 s for a call that is answered in its turn or fails), and silence (3.2 s), the limit of a call for the whole list (3.25 s) and the module's longest wait (1.25 s) derived from it. After silence, as after a move, a failed call is made again without the module for as long as that counts; a call counts as answered once a whole line has come, not with its head, and the end of an answer is no empty line. Waits stay spread by half or by twice.

--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -14,21 +14,22 @@
 from fordtrestle.config import Address, Config, ServerList, parse_list
 from fordtrestle.driver import log
 from fordtrestle.fleet.lists import Age, Doubt, Held, Sources
-from poppypulley.model import Listing
+from poppypulley.model import ASK_MOST_MS, CALL_MS, SPARE_MS, TOLD_MS, Listing
 
 PATH = "/registry/instances"
-# An empty line comes every 2 s: a connection that misses two of them is broken.
-# What is missed in silence counts as told 6 s after it began: the call that follows has to fit in, too.
-SILENT_S = 4.5
-AGE_STEP_S = 4.0  # a list's age is told in steps: two beats of its watch
-FETCH_S = 4.5  # the same, from the call on
+# What a change may take to arrive: all waits and limits here are parts of it.
+TOLD_S, SPARE_S, CALL_S = TOLD_MS / 1000.0, SPARE_MS / 1000.0, CALL_MS / 1000.0
+# A pushed list counts from the moment the agent has it, and sends that go wrong for half a second:
+# within that the watch has to be open again once the agent can be reached.
+BACKOFF_S, BACKOFF_MOST_S, SPREAD = 0.1, 0.3, 0.5
 # A connection comes up at once or was lost on its way: the system asks again only 1, 3 and 7 s later.
-CONNECT_S = 1.0
+CONNECT_S = CALL_S
+# An empty line comes every 2 s. Whoever is silent for longer is called again, and once more if that fails.
+SILENT_S = TOLD_S - SPARE_S - 2.0 * (BACKOFF_S * (1.0 + SPREAD) + CALL_S)
+FETCH_S = TOLD_S - SPARE_S - 2.0 * ASK_MOST_MS / 1000.0 - CALL_S  # the module waits before it asks again
+AGE_STEP_S = 4.0  # a list's age is told in steps: two beats of its watch
 CLOCK_STEP_S = 0.001  # less is left only by rounding
 LINE_MOST = 4 * 1024 * 1024
-# A pushed list counts from the moment the agent has it, and sends that go wrong for half a second:
-# within that the watch has to be open again once the agent can be reached.
-BACKOFF_S, BACKOFF_MOST_S = 0.1, 0.3
 MOVED_S = 4.0  # after a move, what the new address has counts as told
 HELD = "X-Held-Index"  # tells our own list service which version an asker of the whole list has
 LOOK_S = 1.0  # at the age of the list
@@ -66,6 +67,7 @@
         self._transport: asyncio.Transport
         self._loop = asyncio.get_running_loop()
         self.taken = False  # the call was: what follows is an answer
+        self.lived = False  # a whole line came: what discovery had then is told
         self.heard_at = called_at
         self.broken = self._loop.create_future()
         self.complete = False
@@ -133,8 +135,9 @@
             self._take(line)
 
     def on_message_complete(self) -> None:
-        """Called by the parser: a last line may lack its end."""
-        self._take(self._buffer)
+        """Called by the parser: a last line may lack its end. That the answer ends is no empty line."""
+        if self._buffer.strip():
+            self._take(self._buffer)
         self._buffer = bytearray()
         if self._object:
             self._give()  # half of one: whoever reads it says what is wrong
@@ -157,6 +160,7 @@
             self._empties += 1
         if self._object:
             self._give()
+        self.lived = True
         if self.age is not None and self._told:
             self.age.confirmed(self.asked_at, self._loop.time(), self._empties)
 
@@ -303,39 +307,39 @@
 
     async def _keep_watch(self) -> None:
         """Watch for as long as this process runs; wait longer after each failure in a row."""
-        wait = BACKOFF_S
+        failures = 0
         while True:
+            channel = None
             try:
                 channel = await self._watch()
-                if channel is not None and channel.taken:
-                    wait = BACKOFF_S
             except Exception as error:  # a dead watch would go on sending to servers that drain
                 log(f"discovery: {error!r}")
             self._called.set()
             if self._sources is not None:
                 await asyncio.sleep(self._sources.failed(self._retry_after))
                 continue
-            await self._pause(wait)
-            wait = min(2.0 * wait, BACKOFF_MOST_S)
+            failures = await self._pause(failures, channel)
 
-    async def _pause(self, wait: float) -> None:
-        """Wait before the next call, spread: every sidecar loses its watch in the same moment."""
-        await asyncio.sleep(wait * (0.5 + self._rng.random()))
+    async def _pause(self, failures: int, channel: Channel | None) -> int:
+        """Wait before the next call, spread: every sidecar loses its watch in the same moment. How many
+        calls in a row have failed, this one with them; silence alone has cost time enough."""
+        failures = 0 if channel is not None and (channel.lived or channel.silent) else failures + 1
+        wait = min(BACKOFF_S * 2.0 ** min(max(0, failures - 1), 8), BACKOFF_MOST_S)
+        await asyncio.sleep(wait * (1.0 - SPREAD + 2.0 * SPREAD * self._rng.random()))
+        return failures
 
     async def _watch_once(self, until: float = -math.inf) -> None:
         """Watch until the module has to hear that it is over. It has a time of its own until it asks
-        again, for which what a silent watch misses does not wait, nor what was told by a move; a call
-        that was not taken by `until` is made again, too."""
-        wait = BACKOFF_S
+        again, for which what a silent watch misses does not wait, nor what was told by a move: a call
+        that has told nothing by `until` is made again, too."""
+        failures = 0
         channel = await self._watch()
         while self._sources is None:
-            taken = channel is not None and channel.taken
             if channel is not None and channel.silent:
-                wait = BACKOFF_S
-            elif taken or self._loop.time() >= until:
+                until = max(until, channel.heard_at + TOLD_S)
+            elif (channel is not None and channel.lived) or self._loop.time() >= until:
                 break
-            await self._pause(wait)
-            wait = min(2.0 * wait, BACKOFF_MOST_S)
+            failures = await self._pause(failures, channel)
             channel = await self._watch()
         if self._sources is not None:
             pause = self._sources.failed(self._retry_after)
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -116,7 +116,7 @@
 
 FORGET_MS = 600000.0  # servers gone for longer are forgotten: sidecars run for months
 ASK_SPREAD_MS = 2500.0
-ASK_AGAIN_MS, ASK_MOST = 500.0, 0.2  # doubled up to this share of what may pass without an ask
+ASK_AGAIN_MS, ASK_PART = 500.0, 0.2  # doubled up to this share of what may pass without an ask
 # Why a request is given up: the formula; the shed level beyond it; work too heavy to end in time; no server
 # that may be sent to; its key's line too long; no try left after a failure.
 REASONS = ("formula", "level", "heavy", "room", "line", "failed")
@@ -439,7 +439,7 @@
         """What discovery says of the servers."""
         if form == "refused":
             self._ask(self._ask_delay * (1.0 + self._rng.random()))
-            self._ask_delay = min(self._ask_delay * 2.0, ASK_MOST * self._set.ask_within)
+            self._ask_delay = min(2.0 * self._ask_delay, model.ASK_MOST_MS, ASK_PART * self._set.ask_within)
             return self._take()
         if form == "remembered":
             if self._set.discovery == "subscribe":
--- a/poppypulley/model.py
+++ b/poppypulley/model.py
@@ -9,6 +9,15 @@
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
+# What a change of the list may take to arrive, whatever a call to discovery met before: after so long
+# it counts as told. Waits before a call and limits of one are parts of it; the spare is for loops that lag.
+TOLD_MS = 6000.0
+SPARE_MS = 500.0
+CALL_MS = 1000.0  # that a call takes which is answered in its turn, or fails
+# Up to twice this passes before a call is made again: discovery is back while a call is under way that
+# fails, and the next fails in its turn; the one after that is still in time.
+ASK_MOST_MS = (TOLD_MS - SPARE_MS - 3.0 * CALL_MS) / 4.0
+
 
 class Outcome(IntEnum):
     """How one attempt or probe ended."""
