Turn away what would not be passed on as it was meant, and count empty lines as input

Forty kinds of bad input, each over a real socket: half and endless lines, heads and chunks, two framings, folded headers, zeros, other protocols, 60 MB at once, a peer that sends much and goes. Most were answered or closed in time before; these were not. A body under `Connection: Upgrade` is the other protocol's to the parser: the request was served with an empty body. One without a body got a second answer, 400, that belongs to no request. A body under a coding beside chunks went on without that coding's name. HTTP/0.9 and HTTP/2.0 with proper headers were served as HTTP/1.1. Empty lines before a request are no message to the parser: they had no bound, and one that lay unread at the very end of the peer's time kept its connection open for ever.

An upgrade is not taken up: the request is served in HTTP/1.1 and what follows is read so; with a body it gets 400. Other codings get 501, other versions 505, empty lines have a head's bound, and a peer of which something lies unread at the end of its time is looked at again.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -47,6 +47,7 @@
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
 BUDGET = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
+BLANK = b"\r\n"
 CALL_ID = re.compile(r"[!-~]{1,128}")
 NOT_FOR_SERVERS = frozenset((b"x-budget",))
 OWN_WORD = frozenset((b"x-edition",))  # with a part in the agreement: no client speaks for this sidecar
@@ -345,6 +346,7 @@
         self._waiting: deque[Exchange] = deque()  # in the order of their requests
         self._message: Message | None = None
         self._head_bytes = 0
+        self._blank = 0  # bytes of empty lines, which may come before a request
         self._read_at = 0.0
         self._begun_at = 0.0  # when the connection, or a later request on it, began
         self._half_sent: asyncio.TimerHandle | None = None
@@ -423,19 +425,28 @@
             return
         self._read_at = self.quiet_since = self._inbound.clock.now()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._turn_away(400)
+            self._parse(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             self._turn_away(cause.status if isinstance(cause, BadRequest) else 400)
         except httptools.HttpParserError:
             self._turn_away(400)
         else:
-            self._bound_unfinished(len(data))
+            self._bound_unfinished(data)
         if len(data) < HELD_MOST:
             self._lay_here = False  # all of it is read now
 
+    def _parse(self, data: bytes) -> None:
+        """Guards against a second answer to a request that asks for another protocol: it is served, or was
+        turned away, in this one, and what follows it is read in this one."""
+        while data and not self._deaf:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as error:
+                data = data[error.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+
     def pause_writing(self) -> None:
         """Answers pile up unread: guards against a peer that only asks and fills the memory."""
         self._full = True
@@ -550,7 +561,7 @@
     def on_message_begin(self) -> None:
         """Called by the parser."""
         self._message = Message()
-        self._head_bytes = 0
+        self._head_bytes = self._blank = 0
 
     def on_url(self, target: bytes) -> None:
         """Called by the parser, once or in parts."""
@@ -575,12 +586,25 @@
         if message is None:
             return
         message.head_done = True
+        self._check_framing(message)
         message.method = self._parser.get_method().decode("latin-1")
         length = message.text("content-length")
         if length is not None and length.isdigit() and int(length) > framing.MAX_BODY:
             raise BadRequest(413, "body too large")
         self._tell_to_go_on()
 
+    def _check_framing(self, message: Message) -> None:
+        """Guards against a body that would not be passed on as it was meant."""
+        if self._parser.get_http_version() not in ("1.0", "1.1"):
+            raise BadRequest(505, "HTTP/1.1 is spoken here")
+        coding = message.text("transfer-encoding")
+        if coding is not None and coding.lower() != "chunked":
+            raise BadRequest(501, "Transfer-Encoding: only chunked")
+        bare = coding is None and message.text("content-length") in (None, "0")
+        if self._parser.should_upgrade() and not bare:
+            # The parser takes such a body for the other protocol's.
+            raise BadRequest(400, "Upgrade: not with a body")
+
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
         message = self._message
@@ -743,10 +767,14 @@
         else:
             self._transport.abort()
 
-    def _bound_unfinished(self, count: int) -> None:
+    def _bound_unfinished(self, data: bytes) -> None:
         """Guards against half-sent requests: their size and their time are bounded."""
-        message = self._message
+        message, count = self._message, len(data)
         if message is None:
+            if data[0] in BLANK and not data.strip(BLANK):
+                self._blank += count
+                if self._blank > framing.MAX_HEAD:
+                    self._turn_away(400)
             return
         message.size += count
         if message.size - 8 * message.body_size > FRAMING_MOST:
@@ -778,6 +806,9 @@
             self._turn_away(408)
         elif self.idle:
             self.close()
+        elif not self._waiting and not self._deaf:
+            # Something came just now: it may be a request, and may be more of nothing.
+            self._half_sent = self._inbound.loop.call_later(LOOK_S, self._unsent)
 
     def _stop_clock(self) -> None:
         if self._half_sent is not None:
--- a/tests/test_crossings_inbound.py
+++ b/tests/test_crossings_inbound.py
@@ -381,3 +381,211 @@
         assert status_of(await app.answer()) == 503
         await nothing_left(sidecar)
         assert [last for _, _, last in module.outcomes()] == [True]
+
+
+# --- input that is bad ----------------------------------------------------------------------
+
+UPGRADE = {"Connection": "Upgrade, HTTP2-Settings", "Upgrade": "h2c", "HTTP2_Settings": "AAMAAABk"}
+CHUNKED = {"Content_Length": None, "Transfer_Encoding": "chunked"}
+WHOLE = partners.request("POST", "/pay", b"hello")
+TLS = b"\x16\x03\x01\x00\xa5\x01\x00\x00\xa1\x03\x03" + bytes(range(160))
+
+BAD = {
+    "half a request line": (WHOLE[:8], 408),
+    "half a head": (WHOLE[:60], 408),
+    "half a body": (WHOLE[:-1], 408),
+    "a head without its end": (WHOLE.partition(b"\r\n\r\n")[0] + b"\r\n", 408),
+    "an endless request line": (b"GET /" + b"x" * 5_000_000, 431),
+    "an endless header": (b"GET /look HTTP/1.1\r\nX-Long: " + b"x" * 5_000_000, 431),
+    "endless headers": (b"GET /look HTTP/1.1\r\n" + b"X-Again: 0\r\n" * 400_000, 431),
+    "endless empty lines": (b"\r\n" * 2_000_000, 400),
+    "empty lines": (b"\r\n" * 10, None),
+    "an endless extension of a chunk": (
+        partners.request("POST", "/pay", **CHUNKED) + b"5;" + b"x" * 5_000_000,
+        413,
+    ),
+    "a chunk of no size": (partners.request("POST", "/pay", **CHUNKED) + b"zz\r\nhello\r\n0\r\n\r\n", 400),
+    "a negative chunk": (partners.request("POST", "/pay", **CHUNKED) + b"-5\r\nhello\r\n0\r\n\r\n", 400),
+    "a chunk past any size": (partners.request("POST", "/pay", **CHUNKED) + b"f" * 17 + b"\r\nhello", 400),
+    "a chunk without its end": (partners.request("POST", "/pay", **CHUNKED) + b"5\r\nhelloworld", 400),
+    "chunks without an end": (partners.request("POST", "/pay", **CHUNKED) + b"5\r\nhello\r\n" * 9, 408),
+    "length and chunks": (
+        partners.request("POST", "/pay", Transfer_Encoding="chunked", Content_Length="5")
+        + b"0\r\n\r\nGET /look HTTP/1.1\r\n\r\n",
+        400,
+    ),
+    "chunks and length": (
+        partners.request("POST", "/pay", **CHUNKED).replace(b"chunked", b"chunked\r\nContent-Length: 5")
+        + b"hello",
+        400,
+    ),
+    "two lengths": (WHOLE.replace(b"Length: 5", b"Length: 5\r\nContent-Length: 6"), 400),
+    "the same length twice": (WHOLE.replace(b"Length: 5", b"Length: 5\r\nContent-Length: 5"), 400),
+    "a list of lengths": (WHOLE.replace(b"Length: 5", b"Length: 5, 5"), 400),
+    "a length with a sign": (WHOLE.replace(b"Length: 5", b"Length: +5"), 400),
+    "a length past any": (WHOLE.replace(b"Length: 5", b"Length: 99999999999999999999"), 400),
+    "a coding before chunks": (
+        partners.request("POST", "/pay", Content_Length=None, Transfer_Encoding="gzip, chunked")
+        + b"5\r\nhello\r\n0\r\n\r\n",
+        501,
+    ),
+    "a coding that is none": (
+        partners.request("POST", "/pay", Content_Length=None, Transfer_Encoding="identity") + b"hello",
+        501,
+    ),
+    "bare line feeds": (WHOLE.replace(b"\r\n", b"\n"), 400),
+    "bare carriage returns": (WHOLE.replace(b"\r\n", b"\r"), 400),
+    "a folded header": (WHOLE.replace(b"Length: 5", b"Length: 5\r\n 0"), 400),
+    "a folded name": (
+        WHOLE.replace(b"\r\nContent", b"\r\nX: y\r\n Transfer-Encoding: chunked\r\nContent"),
+        400,
+    ),
+    "a blank before the colon": (WHOLE.replace(b"Length: 5", b"Length : 5"), 400),
+    "zeros in a value": (WHOLE.replace(b"Length: 5", b"Length: 5\0"), 400),
+    "zeros in a target": (WHOLE.replace(b"/pay ", b"/pay\0 "), 400),
+    "zeros alone": (b"\0" * 1000, 400),
+    "HTTP/0.9": (b"GET /look\r\n", 408),
+    "HTTP/0.9 with headers": (partners.request().replace(b" HTTP/1.1", b""), 505),
+    "HTTP/2.0": (partners.request().replace(b"HTTP/1.1", b"HTTP/2.0"), 505),
+    "the preface of HTTP/2": (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0", 400),
+    "a client's hello of TLS": (TLS, 400),
+    "a tunnel": (b"CONNECT api.internal:443 HTTP/1.1\r\nHost: api.internal\r\n\r\n" + TLS, 404),
+    "an upgrade with a body": (partners.request("POST", "/pay", b"hello", **UPGRADE), 400),
+    "an expected body that never comes": (
+        partners.request("POST", "/pay", b"hello", Expect="100-continue")[:-5],
+        408,
+    ),
+    "nothing": (b"", None),
+}
+
+
+@pytest.mark.parametrize("what", BAD)
+@loopback
+async def test_bad_input_is_answered_or_closed_and_reaches_no_server(monkeypatch, caplog, what):
+    monkeypatch.setattr(inbound, "HALF_SENT_S", 0.1)
+    monkeypatch.setattr(inbound, "LINGER_S", 0.1)
+    raw, status = BAD[what]
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(raw)
+        answer = await app.answer()
+        while answer is not None and " 100 " in answer.start:
+            answer = await app.answer()
+        assert (answer and status_of(answer)) == status
+        other = await App.connect(sidecar.address)
+        assert (await other.ask()).body == b"done"
+        other.close()
+        with contextlib.suppress(ConnectionError):
+            await app.reader.read()
+        await nothing_left(sidecar)
+        assert len(upstream.seen) == 1 and not caplog.records
+
+
+@loopback
+async def test_a_peer_that_sent_something_at_the_end_of_its_time_is_closed_all_the_same():
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        connection._stop_clock()
+        connection._begun_at -= inbound.HALF_SENT_S
+        app.writer.write(b"\r\n")
+        assert connection.readable
+        connection._unsent()
+        assert await app.answer() is None
+        await nothing_left(sidecar)
+
+
+@loopback
+async def test_a_request_that_offers_another_protocol_gets_one_answer_and_its_connection_goes_on():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(partners.request(**UPGRADE) + partners.request(target="/look/2"))
+        assert [(await app.answer()).body for _ in range(2)] == [b"done", b"done"]
+        assert (await app.ask(target="/look/3")).body == b"done"
+        assert [seen.start for seen in upstream.seen] == [
+            f"GET /look{rest} HTTP/1.1" for rest in ("", "/2", "/3")
+        ]
+        assert not {"upgrade", "http2-settings"} & upstream.seen[0].headers.keys()
+        app.close()
+        await nothing_left(sidecar)
+
+
+@pytest.mark.parametrize("begin", [b"", partners.request("POST", "/pay", Content_Length="60000000")])
+@loopback
+async def test_a_peer_that_sends_60_mb_is_answered_while_it_sends_and_costs_the_others_nothing(begin):
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(begin + b"x" * 60_000_000)
+        assert status_of(await app.answer()) == (413 if begin else 400)
+        other = await App.connect(sidecar.address)
+        assert (await other.ask()).body == b"done"
+        assert sidecar.inbound.budget.used == 0
+        with contextlib.suppress(ConnectionError):
+            await app.reader.read()
+        other.close()
+        await nothing_left(sidecar)
+        assert len(upstream.seen) == 1
+
+
+@loopback
+async def test_a_body_in_endless_chunks_that_drip_is_cut_off_and_frees_the_server(monkeypatch):
+    monkeypatch.setattr(inbound, "HALF_SENT_S", 0.2)
+    monkeypatch.setattr(inbound, "BODY_BYTES_PER_S", 10_000_000)
+    module = Scripted()
+    reads = asyncio.Event()
+
+    class ReadsOn(Upstream):
+        async def _serve(self, reader, writer):
+            reads.set()
+            await reader.read()
+            writer.close()
+
+    upstream = await ReadsOn().start()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(
+            partners.request("POST", "/pay", **CHUNKED) + b"20000\r\n" + b"x" * 0x20000 + b"\r\n"
+        )
+        await reads.wait()
+
+        async def drip():
+            while True:
+                app.writer.write(b"1\r\nx\r\n")
+                await asyncio.sleep(0.005)
+
+        dripping = asyncio.create_task(drip())
+        assert status_of(await app.answer()) == 408
+        dripping.cancel()
+        await nothing_left(sidecar)
+        assert len(module.named("client_gone")) == 1 and not sidecar.pool._connections
+
+
+@LEAVE
+@loopback
+async def test_the_requests_of_a_peer_that_sends_a_lot_and_goes_are_not_awaited(leave):
+    upstream = await Upstream([hang]).start()
+    module = Scripted()
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.writer.write(partners.request(X_Budget="500m"))
+        await until(lambda: module.named("request"))
+        app.writer.write(200 * partners.request(X_Budget="500m") + b"x" * 30_000)
+        leave(app)
+        await until(lambda: len(module.named("client_gone")) == len(module.named("request")))
+        app.close()
+        await nothing_left(sidecar)
+        assert len(module.named("request")) <= 1 + inbound.PIPELINED_MOST
+
+
+@loopback
+async def test_a_peer_that_goes_in_the_middle_of_a_head_leaves_nothing(caplog):
+    async with running() as sidecar:
+        for size in range(1, len(WHOLE), 7):
+            app = await App.connect(sidecar.address)
+            app.writer.write(WHOLE[:size])
+            (App.close if size % 2 else reset)(app)
+        await nothing_left(sidecar)
+        assert not caplog.records
