Learn from a first answer that took no time at all

Symptom: ZeroDivisionError in Balancer._learn_pace, a traceback in the log, and the request's outcome lost: it stayed in Balancer._requests for ever.

Cause: spent is 0.0 for a large answer that begins before its request's last byte was read (Driver.attempt_ended counts from the later of the two), and may be on a coarse clock. While all answers so far took no time, the service's pace is 0.0, and a kind's or a server's share is a division by it. Later ones only add to the sum.

An answer counts for a microsecond at least. The test fails before the change with the division.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -58,6 +58,7 @@
 # is held to its kind's pace and a kind to the service's until there is evidence.
 PACE_MEMORY = 0.98  # kept at each new answer: about the last fifty
 PACE_PRIOR = 6.0  # answers' worth of belief in the wider figure
+PACE_LEAST_MS = 1e-3  # an answer that began before its request's end took no time: no pace is without any
 PACE_POWER = 2.5  # how strongly draws shun the slow
 SPEED_LEAST = 0.2  # nothing is shunned so far that it cannot show that it is better
 SPEED_MOST = 1.6  # bounds what a draw may turn down
@@ -689,7 +690,7 @@
         self._missed += (status < CANCELLED) * (1.0 - PACE_MEMORY) * ((status != OK) - self._missed)
         if status in (OK, FULL, TIMEOUT):
             self._shed.strain(now, self._strain(server, status, now))
-            least = 0.0 if status == OK else request.profile.objective
+            least = PACE_LEAST_MS if status == OK else request.profile.objective
             self._learn_pace(server, max(spent, least), request.work)
         missed = float(status != OK or spent > request.profile.objective)
         if self._steering.on and status != MOOT and status != CANCELLED:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -393,3 +393,13 @@
     assert mean > 0.17 * warm
     full = 2 * sidecars * 20 / servers  # what a server carries in two seconds while all are warm
     assert max(window[name] for name in joined) < 4.0 * 0.2 * full
+
+
+def test_a_first_answer_that_took_no_time_at_all_is_learned_from():
+    # Found by the days of `crossings.py`: of an answer that begins before its request was read whole nothing is
+    # timed, and a pace of none was divided by. The outcome was lost, and its request held for ever.
+    made = balancer()
+    made.request(0.0, arrival(1))
+    made.outcome(0.0, 1, 0, Outcome.OK, 0.0, last=True)
+    assert not made._requests
+    assert of_type(made.request(1.0, arrival(2)), Send)
