--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -24,6 +24,8 @@
 DEADLINE_MARGIN_MS = 8.0
 # The module answers at the deadline; what it left unanswered for so long is failed for it.
 GUARD_MS = 25.0
+# A repeat under a key has to have reached its server within the key's window: transit and lag again.
+KEY_MARGIN_MS = 20.0
 PROBE_TIMEOUT_MS = 1000.0
 
 
@@ -101,6 +103,9 @@
 
     stamp: bytes  # the edition under which its server was picked; empty where there are none
 
+    def may_write(self) -> bool:
+        """Asked as its bytes are due: whether they are still wanted. If not, nothing more is told of it."""
+
     def written(self) -> None:
         """A large request has been written whole."""
 
@@ -117,6 +122,9 @@
     def abandon(self) -> None:
         """Stop waiting: its connection is closed, and nothing more comes of it."""
 
+    def drop(self) -> bool:
+        """Give it up unless it is written whole, so that no server ever has it; whether it was."""
+
 
 class Upstreams(Protocol):
     """The servers, seen as somewhere to send."""
@@ -177,11 +185,17 @@
     sent: float
     wait: float  # for an answer, once all is written
     stamp: bytes = b""  # the edition under which its server was picked, where there are any
+    write_by: float = math.inf  # when its key's window is over
     out: bool = True
     exchange: Exchange | None = None
     timeout: asyncio.TimerHandle | None = None
+    window: asyncio.TimerHandle | None = None  # of a repeat under a key
     begun_at: float | None = None  # when its answer began to be passed on
 
+    def may_write(self) -> bool:
+        """Whether it is still wanted, now that its connection is there."""
+        return self.driver.attempt_due(self)
+
     def written(self) -> None:
         """All of a large request is on its way: from here the server's time runs."""
         self.driver.attempt_written(self)
@@ -357,6 +371,19 @@
             request.call.failed(True)
             self._ask(request, self._balancer.client_gone, request.id)
 
+    def attempt_due(self, attempt: Attempt) -> bool:
+        """Its bytes are due: a connection that came up late, or a body that came slowly, may find that
+        nobody wants it any more or that its time is over, though the timer for that is yet to run."""
+        request, timeout = attempt.request, attempt.timeout
+        if attempt.begun_at is not None:
+            return True  # its answer has begun already
+        over = timeout is not None and timeout.when() <= self._loop.time()
+        over = over or self._clock.now() >= min(attempt.write_by, request.give_up_at)
+        if attempt.out and not request.ended and not over:
+            return True
+        self._never_sent(attempt)
+        return False
+
     def attempt_written(self, attempt: Attempt) -> None:
         """All of a large request is written."""
         if attempt.out and attempt.timeout is None and attempt.begun_at is None:
@@ -366,7 +393,7 @@
     def attempt_begun(self, attempt: Attempt, answer: Answer, flow: Flow) -> Callable[[bytes], None]:
         """A large answer begins: it is passed on as it comes, and nothing here ends it any more."""
         request = attempt.request
-        if not self._end(request):
+        if not self._end(request, attempt):
             # Another answer was first: this one has nobody to read it.
             self._loop.call_soon(self._cancel, request.id, attempt.hop)
             return lambda data: None
@@ -379,7 +406,8 @@
         return request.call.more
 
     def attempt_unsent(self, attempt: Attempt) -> None:
-        """The rules changed before it was written: it is none of those that its request may have."""
+        """The rules or its server changed before it was written: it is none of those that its request
+        may have."""
         if attempt.out:
             attempt.request.max_attempts += 1
             self._ask(None, self._balancer.unsent, attempt.request.id, attempt.hop)
@@ -393,8 +421,9 @@
         # What is timed is the answer's beginning, from the request's last byte.
         spent = max(0.0, (attempt.begun_at or now) - max(attempt.sent, request.read_at))
         attempt.out = False
-        if attempt.timeout is not None:
-            attempt.timeout.cancel()
+        for timer in (attempt.timeout, attempt.window):
+            if timer is not None:
+                timer.cancel()
         attempt.exchange = None
         request.out -= 1
         if attempt.begun_at is not None:
@@ -490,17 +519,20 @@
         now = self._clock.now()
         left = request.call.budget if request.call.reading else request.give_up_at - now
         wait = min(action.timeout, left) if action.timeout > 0.0 else left
-        attempt = Attempt(self, request, len(request.attempts), now, wait, self._decided)
+        write_by = action.write_by - KEY_MARGIN_MS
+        attempt = Attempt(self, request, len(request.attempts), now, wait, self._decided, write_by)
         request.attempts.append(attempt)
         request.out += 1
         gone = request.call.body is not None and request.call.body.gone
-        over = request.ended or left <= 0.0 or action.timeout < 0.0 or gone
+        over = request.ended or left <= 0.0 or action.timeout < 0.0 or gone or now >= write_by
         if over or attempt.hop >= request.max_attempts:
             self._loop.call_soon(self.attempt_ended, attempt, Result(Outcome.MOOT))
             return
         expires = now + wait
         if not request.call.reading:
             attempt.timeout = self._loop.call_at(self._clock.at(expires), self._expire, attempt)
+        if write_by < math.inf:
+            attempt.window = self._loop.call_at(self._clock.at(write_by), self._drop, attempt)
         attempt.exchange = self._upstreams.send(action.server, request.call, expires, attempt)
 
     def _cancel(self, number: int, hop: int) -> None:
@@ -514,6 +546,17 @@
             # Later: the module hears of nothing while it is being asked.
             self._loop.call_soon(self.attempt_ended, attempt, Result(Outcome.CANCELLED))
 
+    def _drop(self, attempt: Attempt) -> None:
+        """Nobody wants it any more, or its key's window is over. What no server has can be given up
+        whatever the settings say of cancelling: no work is stopped."""
+        exchange = attempt.exchange if attempt.begun_at is None else None
+        if exchange is not None and exchange.drop():
+            self._never_sent(attempt)
+
+    def _never_sent(self, attempt: Attempt) -> None:
+        attempt.exchange = None
+        self._loop.call_soon(self.attempt_ended, attempt, Result(Outcome.MOOT))
+
     def _probe(self, server: str) -> None:
         sent = self._clock.now()
 
@@ -528,11 +571,14 @@
         exchange = self._upstreams.probe(server, done)
         limit = self._loop.call_later(PROBE_TIMEOUT_MS / 1000.0, expire)
 
-    def _end(self, request: Request) -> bool:
-        """Mark a request as answered; whether it was not before."""
+    def _end(self, request: Request, by: Attempt | None = None) -> bool:
+        """Mark a request as answered, `by` an attempt or without; whether it was not before."""
         if request.ended:
             return False
         request.ended = True
+        for attempt in request.attempts:
+            if attempt is not by:
+                self._drop(attempt)
         self._open -= 1
         if request.guard is not None:
             request.guard.cancel()
