Write nothing to a process whose successor under the same name has left

A connection that came up late was compared with the server that has its name now; where that one has left, too, there is none to compare with, and the first process was written to past its grace. Pool._note closes the old one with its replacement; the test fails without it: the request arrived.

--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -394,6 +394,8 @@
         if known is None or (address, entry.started) != (known.address, known.started):
             # Guards against writing to what stood before a restart: a reset at best.
             self.close_idle(entry.server)
+            if known is not None:
+                known.closed_from = now  # also once the one that has its name now has left
             known = self._servers[entry.server] = Server(entry.server, address, entry.started)
         known.region = self._regions.get(entry.zone, "")
         if entry.state == "active":
