--- /dev/null
+++ b/tests/test_crossings_shutdown.py
@@ -0,0 +1,395 @@
+"""Starts, ends, signals and descriptors, with what crosses them forced to cross."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+
+from fordtrestle import __main__ as main
+from fordtrestle import inbound
+from fordtrestle.config import parse_address
+from tests.loopback import (
+    OK,
+    PATIENCE_S,
+    App,
+    Registry,
+    Upstream,
+    entry,
+    loopback,
+    read_message,
+    request,
+    running,
+    told,
+    until,
+)
+from tests.processes import ROOT, Process, environment, free_port
+
+
+def held(made):
+    """The connections of clients that a sidecar holds."""
+    return list(made.inbound._connections)
+
+
+def own_socket(connection):
+    """The sidecar's end of a client's connection."""
+    return connection._transport.get_extra_info("socket")
+
+
+@pytest.mark.parametrize("inherits", [False, True])
+@loopback
+async def test_small_writes_to_a_client_are_not_held_back_by_the_system(inherits):
+    # What it holds back goes with a reset, and comes 40 ms late where the client delays its word.
+    async with running() as made:
+        address = made.address
+        if inherits:
+            made.inbound.stop_listening()
+            listening = socket.create_server(("127.0.0.1", 0))
+            address = made.inbound.listen(address, listening.detach())
+        app = await App.connect(address)
+        await until(lambda: held(made))
+        assert own_socket(held(made)[0]).getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        app.close()
+
+
+def connected(address, count):
+    """Connections that the system has accepted: no loop has turned meanwhile."""
+    return [socket.create_connection(address) for _ in range(count)]
+
+
+def closed(sock):
+    """Whether the other end has closed: nothing is waited for."""
+    sock.setblocking(False)
+    try:
+        return sock.recv(1) == b""
+    except BlockingIOError:
+        return False
+    except ConnectionError:
+        return True
+
+
+def descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
+async def most_descriptors(condition):
+    """The most descriptors that are open after any turn of the loop, until a condition holds."""
+    most = 0
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(0)
+            most = max(most, descriptors())
+    return most
+
+
+@loopback
+async def test_a_crowd_that_comes_at_once_leaves_the_reserved_descriptors_alone():
+    # Found by reading: up to 32 were accepted in a turn, and a turn or two more passed before those that
+    # are too many were closed, so that a flood took what was kept for discovery and for servers.
+    async with running(raw={"limits": {"sockets": 64}}) as made:
+        crowd = connected(made.address, 150)
+        before = descriptors()
+        most = await most_descriptors(lambda: sum(map(closed, crowd)) >= 150 - made.inbound._hard)
+        assert most - before <= made.inbound._hard + inbound.COMING
+        for sock in crowd:
+            sock.close()
+
+
+@loopback
+async def test_where_accepting_finds_no_descriptor_what_is_quiet_makes_room(monkeypatch):
+    monkeypatch.setattr(inbound, "QUIET_MS", 0.0)
+    async with running() as made:
+        quiet = connected(made.address, 3)
+        await until(lambda: len(held(made)) == 3)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        new = connected(made.address, 1)[0]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 1, hard))
+        spare = []
+        try:
+            with contextlib.suppress(OSError):
+                while True:
+                    spare.append(socket.socket())
+            new.sendall(request())
+            await until(lambda: any(map(closed, quiet)))
+            await until(lambda: len(held(made)) == 3)
+            assert sum(map(closed, quiet)) == 1
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            for sock in (*spare, *quiet, new):
+                sock.close()
+
+
+@loopback
+async def test_a_resting_connection_that_makes_room_is_seen_to_be_closed_at_once():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        sock = connected(made.address, 1)[0]
+        sock.sendall(request())
+        await until(lambda: upstream.seen and held(made) and held(made)[0].resting)
+        assert sock.recv(4096).endswith(b"done")
+        made.inbound._make_room(1)
+        # No turn of the loop: what is sent from now on, on a connection that looks open, is lost.
+        assert closed(sock)
+        await until(lambda: made.inbound.empty)
+        sock.close()
+
+
+@pytest.fixture
+def at_once(monkeypatch):
+    """Nothing is waited for at the end."""
+    monkeypatch.setattr(main, "STILL_LISTEN_S", 0.0)
+
+
+async def answer_to(sock):
+    """The answer that comes on a plain socket, up to the connection's end."""
+    reader, writer = await asyncio.open_connection(sock=sock)
+    answer = await read_message(reader)
+    assert answer is not None and await reader.read() == b""
+    writer.close()
+    return answer
+
+
+@loopback
+async def test_what_only_the_system_has_accepted_is_answered_before_the_end(at_once):
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        made.inbound._listener._rest(PATIENCE_S)  # it accepts nothing by itself
+        crossed = connected(made.address, 3)
+        for sock in crossed:
+            sock.sendall(request())
+        await made.drain()  # ends with nothing open
+        made.close()
+        for sock in crossed:
+            answer = await answer_to(sock)
+            assert (answer.body, answer.headers["connection"]) == (b"done", "close")
+
+
+@loopback
+async def test_what_waits_on_an_inherited_socket_is_left_to_the_next_process(at_once):
+    async with running() as made:
+        made.inbound.stop_listening()
+        listening = socket.create_server(("127.0.0.1", 0))
+        address = made.inbound.listen(made.address, os.dup(listening.fileno()))
+        made.inbound._listener._rest(PATIENCE_S)
+        (waits,) = connected(address, 1)
+        made.inbound.stop_listening()
+        assert made.inbound.empty
+        listening.settimeout(PATIENCE_S)
+        taken, _ = listening.accept()
+        for sock in (taken, waits, listening):
+            sock.close()
+
+
+@loopback
+async def test_a_connection_that_has_just_come_may_still_send_its_request():
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        (sock,) = connected(made.address, 1)
+        await until(lambda: held(made))
+        made.inbound.stop_listening()
+        made.inbound.close_idle(but_new=True)
+        sock.sendall(request())
+        assert (await answer_to(sock)).body == b"done"
+        assert made.inbound.empty
+
+
+@loopback
+async def test_nothing_is_read_any_more_after_the_last_look_at_the_end(at_once, monkeypatch):
+    # What comes between the two, while the list service is told of the end, was taken and cut off.
+    monkeypatch.setattr(main, "LAST_BYTES_S", 0.0)
+    monkeypatch.setattr(inbound, "STILL_COMING_MS", 0.0)
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        (sock,) = connected(made.address, 1)
+        sock.sendall(request()[:-2])
+        await until(lambda: held(made) and held(made)[0].begun)
+        await made.drain()
+        assert closed(sock)
+        with contextlib.suppress(OSError):
+            sock.sendall(b"\r\n")
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert made.inbound.empty and made.driver.idle and not upstream.seen
+        sock.close()
+
+
+@loopback
+async def test_a_new_connection_that_stays_silent_does_not_hold_up_the_end():
+    async with running() as made:
+        (silent,) = connected(made.address, 1)
+        await until(lambda: held(made))
+
+        def gone():
+            made.inbound.close_idle(but_new=True)
+            return made.inbound.empty
+
+        await until(gone)
+        silent.close()
+
+
+async def idler(address):
+    """A client that says nothing, and comes again when it is closed."""
+    while True:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                await reader.read()
+            finally:
+                writer.transport.abort()
+
+
+@loopback
+async def test_idle_clients_fill_the_descriptors_while_discovery_is_down_and_its_return_is_heard(tmp_path):
+    limit, port = 96, free_port()
+    made = await Process.start(tmp_path, discovery=f"127.0.0.1:{port}", limits={"sockets": limit})
+    crowd = [asyncio.create_task(idler(made.address)) for _ in range(150)]
+    path = f"/proc/{made.process.pid}/fd"
+    most = 0
+    for _ in range(300):
+        most = max(most, len(os.listdir(path)))
+        await asyncio.sleep(0.001)
+    assert 40 < most <= limit
+    upstreams = [await Upstream([OK]).start() for _ in range(8)]
+    registry = await Registry().start(port)
+    await until(lambda: registry.watches)
+    registry.tell(
+        2, *(entry(f"s{i}", upstream.address) for i, upstream in enumerate(upstreams)), snapshot=True
+    )
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            app = await App.connect(made.address)
+            answer = await app.ask()
+            app.close()
+            if answer is not None and answer.body == b"done":
+                break
+    assert len(os.listdir(path)) <= limit
+    for task in crowd:
+        task.cancel()
+    made.process.terminate()
+    assert await made.process.wait() == 0
+    registry.stop()
+    for upstream in upstreams:
+        upstream.stop()
+
+
+async def logged(tmp_path, **changes):
+    """The real program, whose log is read by the test; nobody waits until it is ready."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "fordtrestle",
+        env=environment(tmp_path, **changes),
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+@pytest.mark.parametrize("numbers", [(signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM)])
+@loopback
+async def test_a_process_that_is_told_to_stop_while_it_starts_ends_at_once(tmp_path, numbers):
+    # Discovery takes the call and says nothing: the start waits, and told of the call by it.
+    registry = await Registry().start()
+    process = await logged(tmp_path, discovery=registry.address)
+    await until(lambda: registry.watches)
+    for number in numbers:
+        process.send_signal(number)
+    _, said = await process.communicate()
+    assert process.returncode == 0
+    assert said.decode().splitlines() == [
+        "stopping: told so before it took clients",
+        "closing, with nothing still open",
+    ]
+    registry.stop()
+
+
+@loopback
+async def test_a_file_that_is_replaced_while_it_starts_is_taken_once_it_has(tmp_path, monkeypatch):
+    old, new = await Registry(current=True).start(), await Registry(current=True).start()
+    made = main.Sidecar(asyncio.get_running_loop(), told(registry=old.address))
+    raw = json.loads(Path(environment(tmp_path, discovery=new.address)["NODE_CONFIG"]).read_text())
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    monkeypatch.setenv("NODE_CONFIG", str(tmp_path / "config.json"))
+
+    async def listen(loop):
+        made.reload(os.environ)  # before any part is connected with the others
+
+    monkeypatch.setattr(made.peers, "listen", listen)
+    await made.start()
+    await until(lambda: new.watches)
+    assert made.running.discovery == parse_address(new.address)
+    assert len(new.watches) == 1
+    made.close()
+    old.stop()
+    new.stop()
+
+
+@loopback
+async def test_signals_that_come_twice_or_during_the_end_change_nothing_about_it(tmp_path):
+    release = asyncio.Event()
+
+    async def wait(reader, writer):
+        await release.wait()
+        return OK
+
+    upstream, registry = await Upstream([wait]).start(), await Registry(current=True).start()
+    made = await Process.start(tmp_path, upstream)
+    made.app.send()
+    await until(lambda: upstream.seen)
+    raw = json.loads((tmp_path / "config.json").read_text())
+    (tmp_path / "config.json").write_text(json.dumps({**raw, "discovery": registry.address}))
+    for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        made.process.send_signal(number)
+    await until(lambda: registry.watches)
+    with pytest.raises(ConnectionError):
+        while True:
+            (await App.connect(made.address)).close()
+            await asyncio.sleep(0.01)
+    made.process.send_signal(signal.SIGHUP)
+    made.process.send_signal(signal.SIGTERM)
+    release.set()
+    assert (await made.app.answer()).body == b"done"
+    assert await made.process.wait() == 0
+    upstream.stop()
+    registry.stop()
+
+
+@pytest.mark.parametrize("second", [("view",), ("view", "see")])
+@loopback
+async def test_classes_of_before_are_served_for_a_while_though_two_reloads_follow_each_other(second):
+    def named(*names):
+        rows = [
+            {"Name": name, "Semantics": "pure", "Objective": 2000.0, "Deadline": 5000.0} for name in names
+        ]
+        return told([upstream], Profiles=rows)
+
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as made:
+        app = await App.connect(made.address)
+        made.adopt(named("view"))
+        made.adopt(named(*second))
+        for target in ("/look", *(f"/{name}" for name in second)):
+            assert (await app.ask("GET", target)).body == b"done"
+        app.close()
+
+
+@loopback
+async def test_the_end_is_timed_by_the_classes_that_there_are_now(at_once):
+    def with_deadline(name, deadline):
+        row = {"Name": name, "Semantics": "pure", "Objective": 200.0, "Deadline": deadline}
+        return told(Profiles=[row])
+
+    async with running() as made:
+        made.adopt(with_deadline("view", 400.0))
+        until_ms = []
+        made.driver.stopping = until_ms.append
+        now = made._clock.now()
+        await made.drain()
+        assert until_ms[0] - now == pytest.approx(400.0 + main.ANSWERED_MS, abs=100.0)
