Make the figures that rest on prices and idle times anew at a reload

At SIGHUP the balancer took the new settings, and kept two figures of the old ones: - _subset, how many servers to keep to, was made of the price of a connection at the start alone. A site that began without that price went on to spread over eight servers, and one that began with it kept to four. - _idle_learned began at the idle time of the start, as if connections had been met that were dropped by then. Told of a longer one, the balancer had idle connections closed by the old time, growing over minutes. Nothing is learned until one was met: it begins without a bound, and the settings' own time holds.

The slots' part of crossings is written in one line instead of three.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -144,20 +144,19 @@
         self._reports = settings.report_how == "inline" and bool(told)
         self._mean_work = 0.0
         self._mean_load = 0.0  # of the newest reports
-        self._subset = SUBSET_PRICED if settings.prices.get("Connection") else SUBSET
         self._open = 0
         self._pace = Pace()
         self._kind_pace: dict[int, Pace] = {}
         self._keys: deque[int] = deque()
         self._key_counts: dict[int, int] = {}
-        self._weigh_crossings()
+        self._weigh_prices()
         self._spill = [0.0] * len(settings.profiles)  # part of each class that crosses
         self._far_miss = 0.0
         self._groups: dict[tuple[str, int], list[Server]] = {}
         self._near: list[Server] = []
         self._far: list[Server] = []
         self._silent_at = -math.inf  # when a server was last ejected for silence
-        self._idle_learned = settings.idle_close
+        self._idle_learned = math.inf  # until one is met that was dropped
         self._idle_at = now
         self._connect_ill = 0.0  # fading share of new connections that fail
         self._missed = 0.0  # fading share of sends that were not accepted: no refusal of one's own
@@ -171,8 +170,10 @@
         self._ask_delay = ASK_AGAIN_MS
         self._out: list[model.Action] = []
 
-    def _weigh_crossings(self) -> None:
-        """The worth that a crossing costs, as a share of what a request of each class is worth."""
+    def _weigh_prices(self) -> None:
+        """The worth that a crossing costs, as a share of what a request of each class is worth; what a
+        connection costs decides how many servers to keep to."""
+        self._subset = SUBSET_PRICED if self._set.prices.get("Connection") else SUBSET
         worths = [profile.worth for profile in self._set.profiles]
         price = self._set.prices.get("CrossZone", 0.0)
         self._zoned = self._set.zones > 1 and price >= CROSS_PRICE_LEAST
@@ -185,10 +186,8 @@
         for the classes that are not kept: their slots may be another's now."""
         self._set = settings
         self._shed.reload(settings, kept)
-        self._weigh_crossings()
-        spill = enumerate(self._spill[: len(settings.profiles)])
-        self._spill = [part if slot in kept else 0.0 for slot, part in spill]
-        self._spill += [0.0] * (len(settings.profiles) - len(self._spill))
+        self._weigh_prices()
+        self._spill = [self._spill[slot] if slot in kept else 0.0 for slot in range(len(settings.profiles))]
         return self._take()
 
     def steer(self, now: float, steer: model.Steer) -> list[model.Action]:
--- /dev/null
+++ b/tests/test_crossings_reload.py
@@ -0,0 +1,114 @@
+"""What a reload leaves of the settings before: in figures made from them, and in the slots of classes."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import fields, replace
+
+import pytest
+
+from fordtrestle import config
+from poppypulley import Balancer, Settings
+from poppypulley.model import Arrival, CloseIdle, Outcome
+from tests.helpers import arrival, balancer, listing, of_type, raw_settings
+from tests.test_reload import raw, row, take
+
+CROSSING = {"CrossZone": 0.2}
+
+
+def reloaded(made, now, kept, *names, **changes):
+    """The same balancer with other settings."""
+    return made.reload(now, Settings.parse(raw_settings(*names, **changes)), kept)
+
+
+# --- figures that are made from settings ------------------------------------------------
+
+FIGURES = ("_subset", "_zoned", "_margins")
+SHEDDING = ("_by_work", "_over_worth", "_worst_class", "_shares")
+SITES = [
+    {"Prices": {}},
+    {"Prices": CROSSING},
+    {"Prices": {"Connection": 0.1}},
+    {"Prices": {**CROSSING, "Connection": 0.1}, "WorthBy": "work", "OverShareWorth": 0.2},
+    {"IdleClose": 100.0, "Goal": {"Whole": 0.5, "WorstClass": 0.5}},
+]
+
+
+@pytest.mark.parametrize("before", SITES)
+@pytest.mark.parametrize("after", SITES)
+def test_figures_are_those_of_a_balancer_that_began_with_the_settings(before, after):
+    made = balancer("safe", "keyed", **before)
+    reloaded(made, 1.0, {0, 1}, "safe", "keyed", **after)
+    fresh = balancer("safe", "keyed", **after)
+    assert {name: getattr(made, name) for name in FIGURES} == {name: getattr(fresh, name) for name in FIGURES}
+    for name in SHEDDING:
+        assert getattr(made._shed, name) == getattr(fresh._shed, name)
+
+
+def test_each_setting_is_taken_from_the_file_or_named_as_one_that_waits():
+    before = config.parse(raw(), {})
+    other = replace(
+        before.settings,
+        **{
+            field.name: value + 1
+            for field in fields(Settings)
+            if isinstance(value := getattr(before.settings, field.name), int | float)
+            and not isinstance(value, bool)
+            and math.isfinite(value)
+        },
+        **{
+            field.name: not value
+            for field in fields(Settings)
+            if isinstance(value := getattr(before.settings, field.name), bool)
+        },
+        prices={"Probe": 1.0},
+        discovery="subscribe",
+        report_how="off",
+        report_fields=("queue",),
+        allowances=(1.0,),
+    )
+    after = config.successor(before, replace(before, settings=other), ())
+    waits = {name for name in after.unchanged if name in config.FIXED_SETTINGS}
+    for field in fields(Settings):
+        kept = before.settings if field.name in waits else other
+        assert getattr(after.config.settings, field.name) == getattr(kept, field.name), field.name
+    assert waits == set(config.FIXED_SETTINGS)
+
+
+def test_connections_that_may_rest_for_longer_are_not_closed_by_the_time_of_before():
+    def rested(made):
+        made.request(0.0, arrival(1))
+        made.outcome(10.0, 1, 0, Outcome.OK, 10.0, last=True)
+        return of_type(made.request(3010.0, arrival(2, 3010.0)), CloseIdle)
+
+    short, long = ({"PolicyLimits": {"MaxAttempts": 4, "IdleClose": idle}} for idle in (500.0, 5000.0))
+    assert rested(balancer(servers=1, **short)) and not rested(balancer(servers=1, **long))
+    made = balancer(servers=1, **short)
+    reloaded(made, 1.0, {0}, **long)
+    assert not rested(made)
+
+
+# --- slots of classes ---------------------------------------------------------------------
+
+
+def test_what_is_learned_of_a_class_stays_with_it_and_begins_anew_in_a_slot_that_changes():
+    made = balancer("safe", "safe", "safe", Prices=CROSSING)
+    made._spill = [0.1, 0.2, 0.3]
+    reloaded(made, 1.0, {0, 2}, "safe", "keyed", "safe", "unsafe", Prices=CROSSING)
+    assert made._spill == [0.1, 0.0, 0.3, 0.0]
+
+
+def test_an_open_request_of_a_class_that_is_gone_is_learned_from():
+    before = config.parse(raw(Profiles=[row("a"), row("b")], Prices=CROSSING), {})
+    made = Balancer(0.0, before.settings, 1)
+    made.server_list(0.0, "remembered", listing(4))
+    made.request(0.0, Arrival(1, 1, 1000.0))
+    for names in ("ac", "ad", "ae"):
+        news = take(before, raw(Profiles=[row(name) for name in names], Prices=CROSSING), busy={1})
+        before = news.config
+        made.reload(1.0, before.settings, news.kept)
+        assert all(kind.band != 1 for kind in before.names.classes.values())
+    assert not made.outcome(5.0, 1, 0, Outcome.OK, 5.0, last=True) and not made._requests
+
+
+# --- the pool -----------------------------------------------------------------------------
