Apply a new release time to servers that leave already, and rest a key by either settings

Two rules of a reloaded balancer that ran on half of the settings: - ReleaseWithin was looked at when a server's state changed or an attempt there ended: a server that drained when the file brought a first or shorter time kept its idle connections. They are closed at the reload, and again as for a new notice. - After a doubt a key rested by the settings in force at the outcome. A request keeps those of its arrival, and the one that waits behind it may have the new ones: the longer of the two serves both.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -188,6 +188,8 @@
         self._shed.reload(settings, kept)
         self._weigh_prices()
         self._spill = [self._spill[slot] if slot in kept else 0.0 for slot in range(len(settings.profiles))]
+        for server in self._servers.values():
+            self._release(server)
         return self._take()
 
     def steer(self, now: float, steer: model.Steer) -> list[model.Action]:
@@ -258,7 +260,8 @@
             self._hear(now, attempt.server, report)
         if request.in_turn and request.key is not None and status in DOUBTS:
             # It may be running still: the key rests, whatever becomes of the request.
-            self._turns[request.key].rest_until = now + self._set.settle_after_doubt
+            rest = max(request.limits.settle_after_doubt, self._set.settle_after_doubt)
+            self._turns[request.key].rest_until = now + rest
         self._learn(now, request, attempt, status, spent)
         self._release(attempt.server)
         if last:
--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -9,7 +9,7 @@
 
 from fordtrestle import config
 from poppypulley import Balancer, Settings
-from poppypulley.model import Arrival, CloseIdle, Outcome
+from poppypulley.model import Arrival, CloseIdle, Listing, Outcome, Send, Timer
 from tests.helpers import arrival, balancer, listing, of_type, raw_settings
 from tests.test_reload import raw, row, take
 
@@ -88,6 +88,26 @@
     assert not rested(made)
 
 
+def test_a_shorter_release_holds_for_servers_that_leave_already():
+    made = balancer()
+    made.server_list(1.0, "changes", [Listing("s0", state="leaving")])
+    actions = reloaded(made, 2.0, {0}, Rules={"ReleaseWithin": 100.0})
+    assert of_type(actions, CloseIdle) == [CloseIdle("s0")]
+    assert of_type(actions, Timer) == [Timer(40.0, "close:s0")]
+
+
+@pytest.mark.parametrize(("before", "after"), [(100.0, 10.0), (10.0, 100.0)])
+def test_a_key_rests_for_as_long_as_either_settings_ask(before, after):
+    turns = {"Semantics": "pure", "Objective": 200.0, "Deadline": 1000.0, "LateWorth": 0.5, "InTurn": True}
+    made = balancer(Profiles=[turns], Rules={"SettleAfterDoubt": before})
+    made.request(0.0, Arrival(1, 0, 1000.0, key=7))
+    reloaded(made, 1.0, {0}, Profiles=[turns], Rules={"SettleAfterDoubt": after})
+    made.request(2.0, Arrival(2, 0, 1000.0, key=7))
+    assert not of_type(made.outcome(20.0, 1, 0, Outcome.RESET, 20.0, last=True), Send)
+    assert not of_type(made.timer(119.0, "turn:7"), Send)
+    assert of_type(made.timer(120.0, "turn:7"), Send)
+
+
 # --- slots of classes ---------------------------------------------------------------------
 
 
