Shed by the worth of classes that holds now, not by that of the arrivals before a reload

The mix of arrivals summed up worth as it was at each arrival: after a reload that makes another class the dear one, its fifty arrivals of memory refused the wrong class under strain, and so with WorthBy and OverShareWorth. The mix keeps work, requests and what one is worth; worth is made of them when it is asked for.

Where all that came lately is worth nothing the share of worth lost was a division by zero: a traceback, and the request failed.

--- a/poppypulley/shedding.py
+++ b/poppypulley/shedding.py
@@ -62,7 +62,7 @@
     def __init__(self, settings: model.Settings) -> None:
         self._seen = [0.0] * len(settings.allowances)
         self._seen_all = 0.0
-        self._mix: dict[tuple[int, bool], list[float]] = {}  # work asked and its worth
+        self._mix: dict[tuple[int, bool], list[float]] = {}  # work asked, requests, what one is worth
         self._level = 0.0
         self._at = 0.0
         self.reload(settings, ())
@@ -74,7 +74,8 @@
         self._worst_class = settings.worst_class
         whole = sum(settings.allowances) or 1.0
         self._shares = [allowance / whole for allowance in settings.allowances]
-        self._mix = {kind: entry for kind, entry in self._mix.items() if kind[0] in kept}
+        stay = {kind: entry for kind, entry in self._mix.items() if kind[0] in kept}
+        self._mix = {kind: [*entry[:2], settings.profiles[kind[0]].worth] for kind, entry in stay.items()}
 
     def arrive(self, band: int, worth: float, work: float, tenant: int, luck: float) -> bool:
         """Count an arrival; whether it is held to be past its tenant's share."""
@@ -85,12 +86,10 @@
             self._seen[tenant] += 1.0
             within = self._shares[tenant] * self._seen_all / self._seen[tenant]
             over = self._seen_all >= MIX_LEAST and luck > within
-        value = worth * (self._over_worth if over else 1.0)
         for entry in self._mix.values():
-            entry[:] = [figure * MIX_MEMORY for figure in entry]
-        entry = self._mix.setdefault((band, over), [0.0, 0.0])
-        entry[0] += work
-        entry[1] += value * (work if self._by_work else 1.0)
+            entry[:2] = [figure * MIX_MEMORY for figure in entry[:2]]
+        entry = self._mix.setdefault((band, over), [0.0, 0.0, worth])
+        entry[:] = entry[0] + work, entry[1] + 1.0, worth
         return over
 
     def strain(self, now: float, turned: float) -> None:
@@ -112,13 +111,17 @@
         share = max(drop, self.level(now) - SHED_IDLE)
         if share <= 0.0:
             return 0.0
-        need = share * sum(work for work, _ in self._mix.values())
-        kinds = sorted((not past, worth / work, band) for (band, past), (work, worth) in self._mix.items())
+        worths = {
+            kind: worth * (work if self._by_work else count) * (self._over_worth if kind[1] else 1.0)
+            for kind, (work, count, worth) in self._mix.items()
+        }
+        need = share * sum(entry[0] for entry in self._mix.values())
+        kinds = sorted((not k[1], worths[k] / entry[0], k[0]) for k, entry in self._mix.items())
         chance, least, taken, lost = 0.0, math.inf, 0.0, 0.0
-        worth_all = sum(worth for _, worth in self._mix.values())
+        worth_all = sum(worths.values()) or 1.0  # all there is may be worth nothing
         mine = False
         for within, _, kind in kinds:
-            work, worth = self._mix[kind, not within]
+            work, worth = self._mix[kind, not within][0], worths[kind, not within]
             if not within:
                 if kind == band and over:
                     return need / work
--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -88,6 +88,41 @@
     assert not rested(made)
 
 
+def worths(*values, **changes):
+    """Settings of classes that differ in what they are worth."""
+    profiles = [dict(raw_settings()["Profiles"][0], Worth=value) for value in values]
+    return Settings.parse(raw_settings(Profiles=profiles, Goal={"Whole": 1.0}, **changes))
+
+
+def asked(made, count=100):
+    for number in range(count):
+        profile = made._set.profiles[number % 2]
+        made._shed.arrive(number % 2, profile.worth, 1.0 + number % 2, 0, 1.0)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"values": (10.0, 1.0)}, {"values": (1.5, 1.0), "WorthBy": "work"}],
+)
+def test_shedding_goes_by_the_worth_that_holds_now(change):
+    values = change.pop("values")
+    made = Balancer(0.0, worths(1.0, 10.0), 1)
+    asked(made)
+    made.reload(1.0, worths(*values, **change), {0, 1})
+    fresh = Balancer(0.0, worths(*values, **change), 1)
+    asked(fresh)
+    for band in (0, 1):
+        assert made._shed.chance(0.0, 0.2, band, False) == pytest.approx(
+            fresh._shed.chance(0.0, 0.2, band, False)
+        )
+
+
+def test_classes_worth_nothing_are_shed_as_others():
+    made = Balancer(0.0, worths(0.0, 0.0), 1)
+    asked(made)
+    assert 0.0 < made._shed.chance(0.0, 0.2, 0, False) <= 1.0
+
+
 def test_a_shorter_release_holds_for_servers_that_leave_already():
     made = balancer()
     made.server_list(1.0, "changes", [Listing("s0", state="leaving")])
