Refuse hosts that can't be looked up only where the sidecar itself calls or listens

Cause: a server's host such as "a..b" spoilt the whole list that named it. The pool meanwhile ends an attempt to such a server as one that could not connect, which leaves the other servers usable.

Change: only addresses of the configuration, those of the list service included, have to be such that can be looked up.

--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -196,7 +196,7 @@
     with _named("seed"):
         seed = stable_number(str(raw.get("seed", "")))
     with _named("peers"):
-        peers = tuple(parse_address(peer) for peer in raw.get("peers") or ())
+        peers = tuple(_own_address(peer) for peer in raw.get("peers") or ())
     with _named("settings"):
         parsed = model.Settings.parse(settings)
         max_open = int(_count(limits.get("MaxOpen", 2**31), "PolicyLimits.MaxOpen", 0))
@@ -242,7 +242,7 @@
     """The address that a key tells, or the environment in its place; None where neither does."""
     text = instead or raw.get(key)
     with _named(f"NODE_{key.upper()}" if instead else key):
-        return parse_address(text) if text else None
+        return _own_address(text) if text else None
 
 
 def _needed_address(raw: Mapping[str, Any], key: str, instead: str | None) -> Address:
@@ -335,7 +335,8 @@
     addresses = raw["registry"]
     if not isinstance(addresses, list) or not addresses:
         raise ValueError("fleet.registry: expected a list of addresses")
-    return tuple(parse_address(text) for text in addresses)
+    with _named("fleet.registry"):
+        return tuple(_own_address(text) for text in addresses)
 
 
 def _agreement(raw: Mapping[str, Any]) -> Agreement | None:
@@ -401,20 +402,23 @@
 def parse_address(text: Any) -> Address:
     """`host:port` to an address."""
     host, found, port = str(text).rpartition(":")
-    host = host.strip("[]")
     numbered = port.isascii() and port.isdigit() and int(port) < 65536
-    if not (found and host and numbered and _may_be_host(host)):
+    if not (found and host and numbered):
         raise ValueError(f"{text!r} is not an address")
-    return Address(host, int(port))
+    return Address(host.strip("[]"), int(port))
 
 
-def _may_be_host(text: str) -> bool:
-    """Guards against a name at which a look-up fails by other errors than those of the network."""
+def _own_address(text: Any) -> Address:
+    """One to listen at or to call. Guards against a name at which a look-up fails by other errors than
+    those of the network; a server with such a name just can't be connected to."""
+    address = parse_address(text)
     try:
-        text.encode("idna")
+        address.host.encode("idna")
     except UnicodeError:
-        return False
-    return text.isprintable() and " " not in text
+        raise ValueError(f"{text!r} is not an address") from None
+    if not address.host.isprintable() or " " in address.host:
+        raise ValueError(f"{text!r} is not an address")
+    return address
 
 
 def parse_list(raw: Any, names: Names, bad: dict[str, str] | None = None) -> ServerList:
