--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -33,7 +33,7 @@
     told,
     until,
 )
-from tests.processes import ROOT, Process, environment, free_port
+from tests.processes import ROOT, Process, environment, free_port, start_fails
 
 
 def held(made):
@@ -478,3 +478,15 @@
         one.close()
     listening.close()
     registry.stop()
+
+
+@pytest.mark.parametrize("key", ["listen", "operator", "peer_listen"])
+def test_an_address_in_use_is_one_line_and_exit_1(tmp_path, key):
+    kind = socket.SOCK_DGRAM if key == "peer_listen" else socket.SOCK_STREAM
+    with socket.socket(type=kind) as taken:
+        taken.bind(("127.0.0.1", 0))
+        if kind == socket.SOCK_STREAM:
+            taken.listen()
+        code, said = start_fails(environment(tmp_path, **{key: f"127.0.0.1:{taken.getsockname()[1]}"}))
+    assert code == 1
+    assert "can't start" in said and "in use" in said.lower()
