--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -153,6 +153,14 @@
     assert made._spill == [0.1, 0.0, 0.3, 0.0]
 
 
+def test_a_class_that_is_gone_does_not_set_what_a_crossing_costs_the_others():
+    before = config.parse(raw(Profiles=[row("a", Worth=1.0), row("dear", Worth=100.0)], Prices=CROSSING), {})
+    after = take(before, raw(Profiles=[row("a", Worth=1.0)], Prices=CROSSING))
+    margins = [Balancer(0.0, c.settings, 1)._margins[0] for c in (before, after.config)]
+    alone = Balancer(0.0, config.parse(raw(Profiles=[row("a")], Prices=CROSSING), {}).settings, 1)
+    assert margins[0] > margins[1] == alone._margins[0]
+
+
 def test_an_open_request_of_a_class_that_is_gone_is_learned_from():
     before = config.parse(raw(Profiles=[row("a"), row("b")], Prices=CROSSING), {})
     made = Balancer(0.0, before.settings, 1)
