Take a file whose classes need no window for keys, where those before all had one

A reload is refused whole if it lacks a key that the running file has, also one of those that all classes have. Where all classes were keyed, or all rows named KeyTtl and Group, a file with a class of another effect that leaves them out was refused for 'Profiles.KeyTtl is missing', and discovery never moved. These two bind keyed classes alone: only those are looked at. The test failed before.

--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -17,6 +17,7 @@
 RESERVED = 24  # descriptors for the log, the loop, discovery, peers and what opens for a moment
 DOOR_CALLERS = 8  # operators at the door at once; where there is a door, their descriptors are kept free
 AGREE_MS = 3000.0
+OF_KEYED = frozenset(("KeyTtl", "Group"))  # the keys of a class that bind keyed ones alone
 OPTIONAL = frozenset(("AimStretch", "PassesDeadline", "WarmKeys"))  # the keys that may come and go
 # What a running process can't change: it is tied to sockets, to servers known or to its place.
 FIXED = ("name", "listen", "operator", "limits", "peer_listen", "peers", "peers_all")
@@ -178,13 +179,21 @@
 
 
 def _shape(raw: Mapping[str, Any]) -> frozenset[str]:
-    """The keys of a configuration: those of its objects, and those that all classes have."""
+    """The keys of a configuration: those of its objects, and those that all classes have, or all
+    keyed ones where they bind only those."""
     settings = raw["settings"]
     parts = {"": raw, "settings.": settings}
     parts |= {f"{name}.": part for name, part in settings.items() if isinstance(part, Mapping)}
     found = {f"{at}{key}" for at, part in parts.items() for key, value in part.items() if value is not None}
-    rows = [{key for key, value in row.items() if value is not None} for row in settings["Profiles"]]
-    return frozenset(found | {f"Profiles.{key}" for key in set.intersection(*rows)})
+    rows = settings["Profiles"]
+    keyed = [row for row in rows if row["Semantics"] == "token"]
+    keys = (_keys_of_all(rows) - OF_KEYED) | (_keys_of_all(keyed) & OF_KEYED)
+    return frozenset(found | {f"Profiles.{key}" for key in keys})
+
+
+def _keys_of_all(rows: list[Mapping[str, Any]]) -> set[str]:
+    named = [{key for key, value in row.items() if value is not None} for row in rows]
+    return set.intersection(*named) if named else set()
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,7 +208,8 @@
 def successor(running: Config, told: Config, busy: Collection[int]) -> Reload:
     """The running configuration with all that may change taken from another; `ConfigError` if that
     lacks a key. The slots in `busy` are still named by requests or by clients."""
-    missing = sorted(key for key in running.shape - told.shape if key.rpartition(".")[2] not in OPTIONAL)
+    free = OPTIONAL if any(kind.keyed for kind in told.names.classes.values()) else OPTIONAL | OF_KEYED
+    missing = sorted(key for key in running.shape - told.shape if key.rpartition(".")[2] not in free)
     if missing:
         raise ConfigError(f"configuration: {missing[0]} is missing")
     classes, kept = _slots(running, told, busy)
--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -174,4 +174,19 @@
     assert not made.outcome(5.0, 1, 0, Outcome.OK, 5.0, last=True) and not made._requests
 
 
+def test_classes_whose_effect_leaves_a_key_without_meaning_need_not_have_it():
+    def keyed(name, **changes):
+        return row(name, "token", KeyTtl=500.0, Group="all", **changes)
+
+    before = config.parse(raw(Profiles=[keyed("a"), keyed("b")]), {})
+    for profiles in ([row("a"), keyed("b")], [row("a"), row("b", "side_effect")]):
+        assert take(before, raw(Profiles=profiles)).config.names.classes.keys() == {"a", "b"}
+    lame = keyed("b")
+    del lame["KeyTtl"]
+    with pytest.raises(config.ConfigError, match=r"Profiles\.KeyTtl is missing"):
+        take(before, raw(Profiles=[row("a"), lame]))
+    # One that had no keyed class can't lack what binds those.
+    assert take(config.parse(raw(Profiles=[row("a")]), {}), raw(Profiles=[lame])).kept == frozenset()
+
+
 # --- the pool -----------------------------------------------------------------------------
