Apply a shorter drain grace to servers that drain already

Pool._leave fixed the moment at which a server is closed to writes by the grace of the time of the notice; a reload with a shorter one left it. It moves by the difference; a longer one gives them nothing. The test failed before.

--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -343,6 +343,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, config: Config) -> None:
         self.loop = loop
         self._clock = clock
+        self._servers: dict[str, Server] = {}
+        self._grace = 0.0
         self.reload(config)
         settings = config.settings
         self.delays: Measured | None = None  # likewise
@@ -350,7 +352,6 @@
         self._fields = settings.report_fields if settings.report_how != "off" else ()
         self._probe_target = b"/stats" if self._fields else b"/health/live"
         self._limits = config.limits
-        self._servers: dict[str, Server] = {}
         self._connections: set[Connection] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self.share(1.0)
@@ -362,7 +363,9 @@
         self._idle_most = config.settings.idle_close * IDLE_SHARE
         self._warm_up = config.settings.warm_up
         self._regions = {number: name for name, number in config.names.zones.items()}
-        self._grace = max(0.0, config.drain_grace - GRACE_MARGIN_MS)
+        before, self._grace = self._grace, max(0.0, config.drain_grace - GRACE_MARGIN_MS)
+        for server in self._servers.values():  # those that drain already may have less, but no more
+            server.closed_from -= max(0.0, before - self._grace)
 
     def share(self, part: float) -> None:
         """Hold no more than what a process with this part of all descriptors may."""
--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import copy
 import math
 from dataclasses import fields, replace
 
 import pytest
 
-from fordtrestle import config
+from fordtrestle import config, outbound
+from fordtrestle.config import parse_list
+from fordtrestle.driver import Clock
 from poppypulley import Balancer, Settings
 from poppypulley.model import Arrival, CloseIdle, Listing, Outcome, Send, Timer
 from tests.helpers import arrival, balancer, listing, of_type, raw_settings
+from tests.loopback import entry, listed, loopback, told
 from tests.test_reload import raw, row, take
 
 CROSSING = {"CrossZone": 0.2}
@@ -190,3 +195,17 @@
 
 
 # --- the pool -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("grace", "closed_from"), [(200.0, 1150.0), (5000.0, 1450.0)])
+@loopback
+async def test_a_shorter_grace_holds_for_servers_that_leave_already(grace, closed_from):
+    loop = asyncio.get_running_loop()
+    before, after = (told(Rules={"StopSendingWithin": ms}) for ms in (500.0, grace))
+    pool = outbound.Pool(loop, Clock(loop), before)
+    pool.update(0.0, True, parse_list(listed(1, entry("s0"), entry("s1")), before.names))
+    leaving = listed(2, entry("s0", status="leaving"), snapshot=False)
+    pool.update(1000.0, False, parse_list(leaving, before.names))
+    pool.reload(copy.copy(after))
+    assert pool._servers["s0"].closed_from == closed_from
+    assert pool._servers["s1"].closed_from == math.inf
