Number a zone that the settings don't name as one of its own, not as the first

Zones wait for a restart. Servers that a list names in others, as after a reload that brought new ones, all went by number 0: to a class keyed by zone two such zones were one, and a repeat that may have run went across. Each has a stable number of its own now, apart from -1, which steering reads as none. The test failed before.

A test more holds that no slot of a class is taken while clients may name its class of before, over 300 reloads in a row; it passed before.

--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -371,7 +371,7 @@
         raise ValueError(f"status {state!r} is not known")
     return model.Listing(
         server=str(row["name"]),
-        zone=names.zones.get(row.get("zone", ""), 0),
+        zone=_zone(row.get("zone") or "", names),
         kind=names.kinds.get(row.get("type", ""), 0),
         cell=int(row.get("group") or 0),
         state=state,
@@ -381,6 +381,13 @@
     )
 
 
+def _zone(name: Any, names: Names) -> int:
+    """A zone's number. One that the settings don't name, as a new one that waits for a restart, is a zone of
+    its own: a repeat that has to stay in its zone must not go from there to another. -1 is no zone."""
+    number = names.zones.get(name)
+    return number if number is not None else -2 - stable_number(str(name)) if name else 0
+
+
 def _amount(value: Any) -> float:
     amount = float(value)
     if not math.isfinite(amount) or amount < 0.0:
--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -5,19 +5,22 @@
 import asyncio
 import copy
 import math
+import random
 from dataclasses import fields, replace
 
 import pytest
 
-from fordtrestle import config, outbound
+from fordtrestle import config, inbound, outbound
 from fordtrestle.config import parse_list
 from fordtrestle.driver import Clock
+from fordtrestle.lifecycle import Lifecycle
 from poppypulley import Balancer, Settings
 from poppypulley.model import Arrival, CloseIdle, Listing, Outcome, Send, Timer
 from tests.helpers import arrival, balancer, listing, of_type, raw_settings
 from tests.loopback import entry, listed, loopback, told
 from tests.test_reload import raw, row, take
 
+EFFECTS = ("pure", "token", "side_effect")
 CROSSING = {"CrossZone": 0.2}
 
 
@@ -194,6 +197,53 @@
     assert take(config.parse(raw(Profiles=[row("a")]), {}), raw(Profiles=[lame])).kept == frozenset()
 
 
+def test_zones_that_wait_for_a_restart_are_not_taken_for_one():
+    zones = {"FailureDomains": ["east", "west"]}
+    classes = [row("book", "token", Group="zone", KeyTtl=4000.0)]
+    before = config.parse(raw(Profiles=classes, **zones), {})
+    after = take(before, raw(Profiles=classes, FailureDomains=["north", "south"]))
+    assert "zones" in after.unchanged
+    rows = [entry(f"s{i}", zone=zone) for i, zone in enumerate(("north", "south", "north", "east"))]
+    entries = parse_list(listed(1, *rows), after.config.names).entries
+    zones_of = {listing.server: listing.zone for listing in entries}
+    assert zones_of["s0"] == zones_of["s2"] and len({0, -1, *zones_of.values()}) == 4
+    for seed in range(20):
+        made = Balancer(0.0, after.config.settings, seed)
+        made.server_list(0.0, "remembered", entries)
+        (first,) = of_type(made.request(0.0, Arrival(1, 0, 1000.0)), Send)
+        for again in of_type(made.outcome(1.0, 1, 0, Outcome.ERROR, 1.0), Send):
+            assert zones_of[again.server] == zones_of[first.server]
+
+
+class Still:
+    """A loop and a clock that stand still."""
+
+    def call_later(self, delay, what, *args):
+        return None
+
+    def now(self):
+        return 0.0
+
+
+def test_no_slot_is_taken_while_clients_may_name_its_class_of_before():
+    running, rng = config.parse(raw(), {}), random.Random(5)
+    made = inbound.Inbound(Still(), Still(), running, None, Lifecycle())
+    for _ in range(300):
+        profiles = [row(name, rng.choice(EFFECTS)) for name in rng.sample("abcdef", 3)]
+        running = take(running, raw(Profiles=profiles), made.bands).config
+        made.reload(running.names)
+        while len(made._before) > rng.randrange(1, 4):
+            made._forget_oldest()  # after their 4 s
+        named = {}
+        for names in (made._names, *made._before):
+            for name, kind in names.classes.items():
+                this = (name, kind.method, kind.keyed)
+                assert named.setdefault(kind.band, this) == this
+                effect = running.settings.profiles[kind.band].semantics
+                assert this[1:] == ("GET" if effect == "pure" else "POST", effect == "token")
+    assert len(running.settings.profiles) <= 15
+
+
 # --- the pool -----------------------------------------------------------------------------
 
 
