Test that a request in flight keeps its class's effect, and more random crossings

On real sockets: a class that may not be repeated becomes one that may under a request that is reset; it is sent once.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import errno
 import random
 import re
 import selectors
@@ -24,9 +25,9 @@
 ROUNDING_MS = 1e-3
 TURNS_MOST = 50_000
 STEP_S, STILL_MOST = 1e-6, 100
-ANSWERS = ("ok", "ok", "ok", "ok", "second", "more", "error", "full", "full", "unmarked", "spoilt")
+ANSWERS = ("ok", "ok", "halves", "last", "second", "more", "error", "full", "full", "unmarked", "spoilt")
 REACTIONS = (*ANSWERS, "reset", "eof", "hang", "open", "cut", "large", "torn", "endless")
-CONNECTS = ("at once", "at once", "soon", "late", "late", "refused", "never", "closed")
+CONNECTS = ("at once", "at once", "soon", "late", "late", "refused", "full", "never", "closed")
 # On mild days few repeats are kept back, so that more of them are there to be judged.
 MILD_REACTIONS = (*("ok",) * 10, "error", "error", "spoilt", "reset", "eof", "hang")
 MILD_CONNECTS = (*("at once",) * 8, "soon", "late", "closed")
@@ -351,6 +352,7 @@
         self.listed: dict[str, Incarnation] = {}
         self.until = float("inf")
         self.mild = self.rng.random() < 0.5
+        self.sockets = self.rng.choice([30, 36, 256])  # so few that connections run out, or enough
         self.stamp = b""
         self.version = 1
         self.raw = self.settings()
@@ -399,8 +401,9 @@
                 }
             )  # fmt: skip
         limits = {
-            "MaxAttempts": rng.randrange(1, 5), "MayCancel": rng.random() < 0.5, "MaxOpen": 40,
-            "ParallelTries": rng.random() < 0.3, "ConnectTimeout": rng.choice([30.0, 100.0, 250.0]),
+            "MaxAttempts": rng.randrange(1, 5), "MayCancel": rng.random() < 0.5,
+            "MaxOpen": rng.choice([4, 40]), "ParallelTries": rng.random() < 0.3,
+            "ConnectTimeout": rng.choice([30.0, 100.0, 250.0]),
             "IdleClose": rng.choice([100.0, 1000.0]), "RetryAfter": True, "MaxRetryAfter": 100.0,
         }  # fmt: skip
         return {
@@ -421,7 +424,7 @@
         return config.parse(
             {
                 "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1",
-                "limits": {"memory_mb": 64, "sockets": 256}, "known": {"index": 1, "endpoints": []},
+                "limits": {"memory_mb": 64, "sockets": self.sockets}, "known": {"index": 1, "endpoints": []},
                 "settings": self.told(raw),
             },
             {},
@@ -580,6 +583,8 @@
             await asyncio.sleep(10.0)
         elif how == "refused":
             raise ConnectionRefusedError
+        elif how == "full":
+            raise OSError(errno.EMFILE, "no descriptor is free")
         protocol = factory()
         wire = Wire(self, protocol, self.at_port[port])
         protocol.connection_made(wire)
@@ -645,6 +650,10 @@
             wire.deliver(whole + (whole if how == "more" else b""))
             if how == "second":
                 self.later((0.0, 0.01), self.second, wire, write, whole)
+        elif how in ("halves", "last"):
+            cut = self.rng.randrange(1, len(whole))
+            wire.deliver(whole[:cut])
+            self.later((0.0, 0.01, 0.1), self.rest, wire, write, whole[cut:], how == "last")
         elif how == "error":
             write.over = True
             wire.deliver(head % b"500 Broken" + b"Content-Length: 0\r\n\r\n")
@@ -676,6 +685,13 @@
         if not wire.closed and wire.write_now is write:
             wire.deliver(whole)
 
+    def rest(self, wire, write, rest, last):
+        if not wire.closed:
+            write.over = True
+            wire.deliver(rest)
+            if last:
+                wire.deliver(None)
+
     def finish(self, wire, write):
         if not wire.closed:
             write.over = True
--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -17,10 +17,11 @@
 from poppypulley import Balancer, Settings
 from poppypulley.model import Arrival, CloseIdle, Listing, Outcome, Send, Timer
 from tests.helpers import arrival, balancer, listing, of_type, raw_settings
-from tests.loopback import entry, listed, loopback, told
+from tests.loopback import OK, App, Upstream, entry, listed, loopback, running, told
 from tests.test_reload import raw, row, take
 
 EFFECTS = ("pure", "token", "side_effect")
+NOWHERE = "127.0.0.1:9"
 CROSSING = {"CrossZone": 0.2}
 
 
@@ -244,6 +245,34 @@
     assert len(running.settings.profiles) <= 15
 
 
+@loopback
+async def test_a_request_in_flight_keeps_the_effect_that_its_class_had():
+    held, answer = asyncio.Event(), asyncio.Event()
+
+    async def reset_then(reader, writer):
+        held.set()
+        await answer.wait()
+        writer.transport.abort()
+
+    upstreams = [await Upstream([reset_then, OK]).start(), await Upstream([reset_then, OK]).start()]
+    async with running(*upstreams) as made:
+        app = await App.connect(made.address)
+        app.send("POST", "/pay", b"x")
+        await held.wait()
+        made.adopt(config.parse({**raw(Profiles=[row("pay"), row("look")]), "discovery": NOWHERE}, {}))
+        answer.set()
+        assert (await app.answer()).start.split(" ")[1] == "502"
+        assert sum(len(upstream.seen) for upstream in upstreams) == 1
+        # The name stands for both now: what asks for it as before runs once, the new one as often as need be.
+        again, other = await App.connect(made.address), await App.connect(made.address)
+        assert (await again.ask("GET", "/pay")).body == b"done"
+        other.send("POST", "/pay", b"x")
+        codes = {(await other.answer()).start.split(" ")[1]}
+        assert codes <= {"200", "502"}
+        bodies = [seen.body for upstream in upstreams for seen in upstream.seen]
+        assert bodies.count(b"x") == 2
+
+
 # --- the pool -----------------------------------------------------------------------------
 
 
