--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -18,7 +18,7 @@
 from fordtrestle import config, driver, framing, outbound
 from fordtrestle.body import Body
 from fordtrestle.config import Address, ServerList
-from poppypulley.model import Listing
+from poppypulley.model import Listing, Steer
 
 GRID_S = 0.01
 DAY_S, REST_S = 2.0, 45.0  # the rest outlasts each guard against what has stalled
@@ -723,6 +723,23 @@
     def change_stamp(self):
         self.stamp = b"X-Edition: %d\r\n" % self.rng.randrange(1000)
 
+    def share(self):
+        """Another process of this sidecar comes or goes."""
+        self.pool.share(self.rng.choice([0.5, 1.0]))
+
+    def steer(self):
+        draw, zones = self.rng.choice, range(2)
+        self.driver.steer(
+            Steer(
+                shares={zone: draw([0.0, 0.3, 1.0]) for zone in zones},
+                held_zones=frozenset(zone for zone in zones if self.rng.random() < 0.3),
+                held_servers=frozenset({f"s{draw(range(9))}"}),
+                caps={draw(range(5)): draw([0.0, 3.0])},
+                look=draw([0.0, 0.5]),
+                pins=draw([{}, {}, {0: 1}, {1: -1}]),
+            )
+        )
+
     def stop(self):
         if self.rng.random() < 0.2:
             self.until = self.now + 100.0
@@ -734,6 +751,7 @@
         self.list_news("remembered", servers)
         steps = [self.arrive] * self.rng.randrange(8, 26) + [self.change_servers] * self.rng.randrange(3, 12)
         steps += [self.reload] * self.rng.randrange(4) + [self.close_some] * 3 + [self.change_stamp] * 2
+        steps += [self.share] * self.rng.randrange(3) + [self.steer] * (self.rng.random() < 0.2)
         for step in steps:
             slot = self.rng.randrange(int(DAY_S / GRID_S) // 4) * 4 if self.rng.random() < 0.5 else 20
             self.loop.call_later(slot * GRID_S, step)
