Let a server that counts as cold by a reload owe nothing for what it took while warm

Server.budget, what a cold server may take, goes down with each send, also while it is warm and nothing fills it. A reload with a warm-up, or a longer one, made a server that had started lately cold with hundreds of sends owed: it got none until it was warm. Without a reload no server turns cold but by a start, which begins anew. What is below none is forgiven at the reload. The test failed before.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -171,8 +171,7 @@
         self._out: list[model.Action] = []
 
     def _weigh_prices(self) -> None:
-        """The worth that a crossing costs, as a share of what a request of each class is worth; what a
-        connection costs decides how many servers to keep to."""
+        """What a crossing costs, as a share of a request's worth by class, and what connections cost."""
         self._subset = SUBSET_PRICED if self._set.prices.get("Connection") else SUBSET
         worths = [profile.worth for profile in self._set.profiles]
         price = self._set.prices.get("CrossZone", 0.0)
@@ -189,6 +188,7 @@
         self._weigh_prices()
         self._spill = [self._spill[slot] if slot in kept else 0.0 for slot in range(len(settings.profiles))]
         for server in self._servers.values():
+            server.budget = max(0.0, server.budget)  # a warm one owes nothing, if it counts as cold now
             self._release(server)
         return self._take()
 
--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -152,6 +152,17 @@
     assert of_type(made.timer(120.0, "turn:7"), Send)
 
 
+def test_a_server_that_counts_as_cold_by_a_reload_owes_nothing_for_what_it_took_while_warm():
+    made = balancer(servers=0)
+    made.server_list(0.0, "changes", [Listing("s0", started=1.0)])
+    for number in range(1, 201):
+        assert of_type(made.request(number * 10.0, arrival(number, number * 10.0)), Send)
+        made.outcome(number * 10.0 + 5.0, number, 0, Outcome.OK, 5.0, last=True)
+    cold = {"WarmUp": 20000.0, "ColdFrom": 0.2, "OverloadFor": 2000.0, "FallMultiple": 4.0}
+    reloaded(made, 2010.0, {0}, Rules=cold)
+    assert of_type(made.request(2100.0, arrival(999, 2100.0)), Send)
+
+
 # --- slots of classes ---------------------------------------------------------------------
 
 
