--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -352,6 +352,7 @@
         self.listed: dict[str, Incarnation] = {}
         self.until = float("inf")
         self.mild = self.rng.random() < 0.5
+        self.drains = self.rng.random() < 0.15  # servers leave, one by one, while connections come up late
         self.sockets = self.rng.choice([30, 36, 256])  # so few that connections run out, or enough
         self.stamp = b""
         self.version = 1
@@ -490,6 +491,12 @@
             old.state = {"leave": "leaving", "left": "left", "back": "active"}[what]
             self.list_news("changes", [old])
 
+    def drain_one(self):
+        active = [server for server in self.listed.values() if server.state == "active"]
+        if active:
+            self.rng.choice(active).state = "leaving"
+            self.list_news("changes", active)
+
     # --- the registry and the peers, as the driver sees them
 
     def watch(self, on):
@@ -576,7 +583,7 @@
 
     async def connect(self, factory, port):
         rng = self.rng
-        how = rng.choice(MILD_CONNECTS if self.mild else CONNECTS)
+        how = "late" if self.drains else rng.choice(MILD_CONNECTS if self.mild else CONNECTS)
         if how in ("soon", "late"):
             await asyncio.sleep(rng.choice((0.0, 0.01) if how == "soon" else (0.03, 0.06, 0.1, 0.2)))
         elif how == "never":
@@ -752,6 +759,8 @@
         steps = [self.arrive] * self.rng.randrange(8, 26) + [self.change_servers] * self.rng.randrange(3, 12)
         steps += [self.reload] * self.rng.randrange(4) + [self.close_some] * 3 + [self.change_stamp] * 2
         steps += [self.share] * self.rng.randrange(3) + [self.steer] * (self.rng.random() < 0.2)
+        for slot in range(20, 30, 3) if self.drains else ():
+            self.loop.call_later(slot * GRID_S, self.drain_one)
         for step in steps:
             slot = self.rng.randrange(int(DAY_S / GRID_S) // 4) * 4 if self.rng.random() < 0.5 else 20
             self.loop.call_later(slot * GRID_S, step)
