--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -642,6 +642,11 @@
 
     def whole(self, wire, write, call):
         """Its last byte has arrived: the server decides what becomes of it."""
+        if call.row["Semantics"] == "token":
+            earlier = call.writes[: call.writes.index(write)]
+            ran = [other for other in earlier if other.whole and not other.never_ran]
+            if ran and self.now - ran[0].at > call.row["KeyTtl"] + ROUNDING_MS:
+                self.breach(f"request {call.number}: whole past its window")
         self.later((0.0, 0.0, 0.01, 0.02, 0.05, 0.1, 0.12, 0.3), self.react, wire, write, call)
 
     def react(self, wire, write, call):
