--- a/fordtrestle/config.py
+++ b/fordtrestle/config.py
@@ -21,6 +21,7 @@
 DOOR_CALLERS = 8  # operators at the door at once; where there is a door, their descriptors are kept free
 FILE_MOST = 4 * 1024 * 1024
 AGREE_MS = 3000.0
+OF_KEYED = frozenset(("KeyTtl", "Group"))  # the keys of a class that bind keyed ones alone
 OPTIONAL = frozenset(("AimStretch", "PassesDeadline", "WarmKeys"))  # the keys that may come and go
 # What a running process can't change: it is tied to sockets, to servers known or to its place.
 FIXED = ("name", "listen", "operator", "limits", "peer_listen", "peers", "peers_all")
@@ -253,13 +254,21 @@
 
 
 def _shape(raw: Mapping[str, Any]) -> frozenset[str]:
-    """The keys of a configuration: those of its objects, and those that all classes have."""
+    """The keys of a configuration: those of its objects, and those that all classes have, or all
+    keyed ones where they bind only those."""
     settings = raw["settings"]
     parts = {"": raw, "settings.": settings}
     parts |= {f"{name}.": part for name, part in settings.items() if isinstance(part, Mapping)}
     found = {f"{at}{key}" for at, part in parts.items() for key, value in part.items() if value is not None}
-    rows = [{key for key, value in row.items() if value is not None} for row in settings["Profiles"]]
-    return frozenset(found | {f"Profiles.{key}" for key in set.intersection(*rows)})
+    rows = settings["Profiles"]
+    keyed = [row for row in rows if row["Semantics"] == "token"]
+    keys = (_keys_of_all(rows) - OF_KEYED) | (_keys_of_all(keyed) & OF_KEYED)
+    return frozenset(found | {f"Profiles.{key}" for key in keys})
+
+
+def _keys_of_all(rows: list[Mapping[str, Any]]) -> set[str]:
+    named = [{key for key, value in row.items() if value is not None} for row in rows]
+    return set.intersection(*named) if named else set()
 
 
 @dataclass(frozen=True, slots=True)
@@ -274,11 +283,15 @@
 def successor(running: Config, told: Config, busy: Collection[int]) -> Reload:
     """The running configuration with all that may change taken from another; `ConfigError` if that
     lacks a key. The slots in `busy` are still named by requests or by clients."""
-    missing = sorted(key for key in running.shape - told.shape if key.rpartition(".")[2] not in OPTIONAL)
+    free = OPTIONAL if any(kind.keyed for kind in told.names.classes.values()) else OPTIONAL | OF_KEYED
+    missing = sorted(key for key in running.shape - told.shape if key.rpartition(".")[2] not in free)
     if missing:
         raise ConfigError(f"configuration: {missing[0]} is missing")
     classes, kept = _slots(running, told, busy)
-    profiles = dict(enumerate(running.settings.profiles))
+    # What is gone weighs no more than what there is: the class of most worth sets what a crossing costs.
+    most = max(profile.worth for profile in told.settings.profiles)
+    gone = (replace(profile, worth=min(profile.worth, most)) for profile in running.settings.profiles)
+    profiles = dict(enumerate(gone))
     for name, kind in told.names.classes.items():
         profiles[classes[name].band] = told.settings.profiles[kind.band]
     fixed = {name: getattr(running.settings, name) for name in FIXED_SETTINGS}
@@ -455,7 +468,7 @@
         raise ValueError(f"{name!r} is no name")
     return model.Listing(
         server=name,
-        zone=names.zones.get(row.get("zone", ""), 0),
+        zone=_zone(row.get("zone") or "", names),
         kind=names.kinds.get(row.get("type", ""), 0),
         cell=int(row.get("group") or 0),
         state=state,
@@ -465,6 +478,13 @@
     )
 
 
+def _zone(name: Any, names: Names) -> int:
+    """A zone's number. One that the settings don't name, as a new one that waits for a restart, is a zone of
+    its own: a repeat that has to stay in its zone must not go from there to another. -1 is no zone."""
+    number = names.zones.get(name)
+    return number if number is not None else -2 - stable_number(str(name)) if name else 0
+
+
 def _count(value: Any, key: str, low: int = 1) -> float:
     """How much there may be of something."""
     if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value < KEY_BELOW:
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import errno
 import random
 import re
 import selectors
@@ -17,16 +18,16 @@
 from fordtrestle import config, driver, framing, outbound
 from fordtrestle.body import Body
 from fordtrestle.config import Address, ServerList
-from poppypulley.model import Listing
+from poppypulley.model import Listing, Steer
 
 GRID_S = 0.01
 DAY_S, REST_S = 2.0, 45.0  # the rest outlasts each guard against what has stalled
 ROUNDING_MS = 1e-3
 TURNS_MOST = 50_000
 STEP_S, STILL_MOST = 1e-6, 100
-ANSWERS = ("ok", "ok", "ok", "ok", "second", "more", "error", "full", "full", "unmarked", "spoilt")
+ANSWERS = ("ok", "ok", "halves", "last", "second", "more", "error", "full", "full", "unmarked", "spoilt")
 REACTIONS = (*ANSWERS, "reset", "eof", "hang", "open", "cut", "large", "torn", "endless")
-CONNECTS = ("at once", "at once", "soon", "late", "late", "refused", "never", "closed")
+CONNECTS = ("at once", "at once", "soon", "late", "late", "refused", "full", "never", "closed")
 # On mild days few repeats are kept back, so that more of them are there to be judged.
 MILD_REACTIONS = (*("ok",) * 10, "error", "error", "spoilt", "reset", "eof", "hang")
 MILD_CONNECTS = (*("at once",) * 8, "soon", "late", "closed")
@@ -237,8 +238,7 @@
     """A request, and what the oracle knows of it."""
 
     again = mutates = False
-    work = key = None
-    tenant = 0
+    work = None
 
     def __init__(self, world, number, name, band, row, limits, budget, body):
         self.world, self.number, self.name, self.band = world, number, name, band
@@ -247,6 +247,7 @@
         self.sent = bytearray() if body is None else bytearray(body._held)
         self.ended = body is None  # its last byte has been read
         self.read_at, self.until = world.now, world.until
+        self.key, self.tenant = world.rng.choice([None, 1, 2]), world.rng.randrange(2)
         self.request = None
         self.final: str | None = None
         self.flow_over = self.gone = False
@@ -351,12 +352,14 @@
         self.listed: dict[str, Incarnation] = {}
         self.until = float("inf")
         self.mild = self.rng.random() < 0.5
+        self.drains = self.rng.random() < 0.15  # servers leave, one by one, while connections come up late
+        self.sockets = self.rng.choice([30, 36, 256])  # so few that connections run out, or enough
         self.stamp = b""
         self.version = 1
-        self.raw = self.before = self.settings()
+        self.raw = self.settings()
         self.raw_at = self.now
         self.running = self.parse(self.raw)
-        self.names = self.names_before = self.running.names
+        self.told_names = [(self.running.names, self.raw)]  # newest first
         self.driver = driver.Driver(self.loop, self.clock, self.running)
         self.pool = outbound.Pool(self.loop, self.clock, self.running)
         self.driver.connect(Recorder(self.pool, self), self, self)
@@ -395,26 +398,34 @@
                 {
                     "Name": name, "Semantics": effect, "Group": group, "KeyTtl": window,
                     "Objective": aim, "Deadline": deadline, "LateWorth": late, "Worth": worth,
+                    "InTurn": rng.random() < 0.15,
                 }
             )  # fmt: skip
         limits = {
-            "MaxAttempts": rng.randrange(1, 5), "MayCancel": rng.random() < 0.5, "MaxOpen": 40,
-            "ParallelTries": rng.random() < 0.3, "ConnectTimeout": rng.choice([30.0, 100.0, 250.0]),
+            "MaxAttempts": rng.randrange(1, 5), "MayCancel": rng.random() < 0.5,
+            "MaxOpen": rng.choice([4, 40]), "ParallelTries": rng.random() < 0.3,
+            "ConnectTimeout": rng.choice([30.0, 100.0, 250.0]),
             "IdleClose": rng.choice([100.0, 1000.0]), "RetryAfter": True, "MaxRetryAfter": 100.0,
         }  # fmt: skip
         return {
             "Profiles": rows, "PolicyLimits": limits, "FailureDomains": ["east", "west"],
             "Kinds": ["big"], "Discovery": "subscribe", "Me": 0, "Balancers": 2,
-            "Rules": {"StopSendingWithin": rng.choice([0.0, 100.0, 300.0]), "AskWithin": 2000.0},
+            "Rules": {
+                "StopSendingWithin": rng.choice([0.0, 100.0, 300.0]), "AskWithin": 2000.0,
+                "ReleaseWithin": rng.choice([0.0, 100.0]), "SettleAfterDoubt": rng.choice([0.0, 40.0]),
+                "WarmUp": rng.choice([0.0, 1000.0]), "ColdFrom": 0.2, "OverloadFor": 500.0,
+            },
             "Report": {"How": "inline", "Fields": ["inflight"]},
-            "Prices": {"CrossZone": rng.choice([0.0, 0.2])},
+            "Prices": {"CrossZone": rng.choice([0.0, 0.2]), "Connection": rng.choice([0.0, 0.1])},
+            "Domain": {"WarmKeys": rng.random() < 0.2}, "OverShareWorth": rng.choice([0.1, 1.0]),
+            "Tenants": [{"Name": "one", "AllowancePerS": 5.0}, {"Name": "two", "AllowancePerS": 9.0}],
         }  # fmt: skip
 
     def parse(self, raw):
         return config.parse(
             {
                 "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1",
-                "limits": {"memory_mb": 64, "sockets": 256}, "known": {"index": 1, "endpoints": []},
+                "limits": {"memory_mb": 64, "sockets": self.sockets}, "known": {"index": 1, "endpoints": []},
                 "settings": self.told(raw),
             },
             {},
@@ -426,11 +437,11 @@
 
     def reload(self):
         raw = self.settings()
-        bands = {kind.band for names in (self.names, self.names_before) for kind in names.classes.values()}
+        bands = {kind.band for names, _ in self.told_names for kind in names.classes.values()}
         news = config.successor(self.running, self.parse(raw), self.driver.bands | bands)
         self.say(f"reload {[(row['Name'], row['Semantics']) for row in raw['Profiles']]}")
-        self.before, self.raw, self.running = self.raw, raw, news.config
-        self.names_before, self.names = self.names, news.config.names
+        self.raw, self.running = raw, news.config
+        self.told_names.insert(0, (news.config.names, raw))
         self.driver.reload(news.config, news.kept)
         self.pool.reload(news.config)
 
@@ -480,6 +491,12 @@
             old.state = {"leave": "leaving", "left": "left", "back": "active"}[what]
             self.list_news("changes", [old])
 
+    def drain_one(self):
+        active = [server for server in self.listed.values() if server.state == "active"]
+        if active:
+            self.rng.choice(active).state = "leaving"
+            self.list_news("changes", active)
+
     # --- the registry and the peers, as the driver sees them
 
     def watch(self, on):
@@ -501,13 +518,13 @@
 
     def arrive(self):
         rng = self.rng
-        old = rng.random() < 0.2
-        names, raw = (self.names_before, self.before) if old else (self.names, self.raw)
-        row = rng.choice(raw["Profiles"])
-        kind, limits = names.classes[row["Name"]], self.raw["PolicyLimits"]
-        now_kind = self.names.classes.get(row["Name"])
-        if now_kind is not None and now_kind.band == kind.band:
-            row = next(other for other in self.raw["Profiles"] if other["Name"] == row["Name"])
+        # A client may name a class of before, whose figures are the last that its slot had.
+        names, raw = rng.choice(self.told_names) if rng.random() < 0.3 else self.told_names[0]
+        kind = names.classes[rng.choice(raw["Profiles"])["Name"]]
+        name = next(name for name, other in names.classes.items() if other is kind)
+        newest = next(raw for names, raw in self.told_names if names.classes.get(name) == kind)
+        row = next(row for row in newest["Profiles"] if row["Name"] == name)
+        limits = self.raw["PolicyLimits"]
         budget = rng.choice([0.3, 1.0, 1.0]) * row["Deadline"]
         number, body = len(self.calls) + 1, None
         if rng.random() < 0.25:
@@ -566,13 +583,15 @@
 
     async def connect(self, factory, port):
         rng = self.rng
-        how = rng.choice(MILD_CONNECTS if self.mild else CONNECTS)
+        how = "late" if self.drains else rng.choice(MILD_CONNECTS if self.mild else CONNECTS)
         if how in ("soon", "late"):
             await asyncio.sleep(rng.choice((0.0, 0.01) if how == "soon" else (0.03, 0.06, 0.1, 0.2)))
         elif how == "never":
             await asyncio.sleep(10.0)
         elif how == "refused":
             raise ConnectionRefusedError
+        elif how == "full":
+            raise OSError(errno.EMFILE, "no descriptor is free")
         protocol = factory()
         wire = Wire(self, protocol, self.at_port[port])
         protocol.connection_made(wire)
@@ -623,6 +642,11 @@
 
     def whole(self, wire, write, call):
         """Its last byte has arrived: the server decides what becomes of it."""
+        if call.row["Semantics"] == "token":
+            earlier = call.writes[: call.writes.index(write)]
+            ran = [other for other in earlier if other.whole and not other.never_ran]
+            if ran and self.now - ran[0].at > call.row["KeyTtl"] + ROUNDING_MS:
+                self.breach(f"request {call.number}: whole past its window")
         self.later((0.0, 0.0, 0.01, 0.02, 0.05, 0.1, 0.12, 0.3), self.react, wire, write, call)
 
     def react(self, wire, write, call):
@@ -638,6 +662,10 @@
             wire.deliver(whole + (whole if how == "more" else b""))
             if how == "second":
                 self.later((0.0, 0.01), self.second, wire, write, whole)
+        elif how in ("halves", "last"):
+            cut = self.rng.randrange(1, len(whole))
+            wire.deliver(whole[:cut])
+            self.later((0.0, 0.01, 0.1), self.rest, wire, write, whole[cut:], how == "last")
         elif how == "error":
             write.over = True
             wire.deliver(head % b"500 Broken" + b"Content-Length: 0\r\n\r\n")
@@ -669,6 +697,13 @@
         if not wire.closed and wire.write_now is write:
             wire.deliver(whole)
 
+    def rest(self, wire, write, rest, last):
+        if not wire.closed:
+            write.over = True
+            wire.deliver(rest)
+            if last:
+                wire.deliver(None)
+
     def finish(self, wire, write):
         if not wire.closed:
             write.over = True
@@ -700,6 +735,23 @@
     def change_stamp(self):
         self.stamp = b"X-Edition: %d\r\n" % self.rng.randrange(1000)
 
+    def share(self):
+        """Another process of this sidecar comes or goes."""
+        self.pool.share(self.rng.choice([0.5, 1.0]))
+
+    def steer(self):
+        draw, zones = self.rng.choice, range(2)
+        self.driver.steer(
+            Steer(
+                shares={zone: draw([0.0, 0.3, 1.0]) for zone in zones},
+                held_zones=frozenset(zone for zone in zones if self.rng.random() < 0.3),
+                held_servers=frozenset({f"s{draw(range(9))}"}),
+                caps={draw(range(5)): draw([0.0, 3.0])},
+                look=draw([0.0, 0.5]),
+                pins=draw([{}, {}, {0: 1}, {1: -1}]),
+            )
+        )
+
     def stop(self):
         if self.rng.random() < 0.2:
             self.until = self.now + 100.0
@@ -710,7 +762,10 @@
         servers = [self.start_server(f"s{number}") for number in range(self.rng.choice([1, 2, 4, 6, 9]))]
         self.list_news("remembered", servers)
         steps = [self.arrive] * self.rng.randrange(8, 26) + [self.change_servers] * self.rng.randrange(3, 12)
-        steps += [self.reload] * self.rng.randrange(3) + [self.close_some] * 3 + [self.change_stamp] * 2
+        steps += [self.reload] * self.rng.randrange(4) + [self.close_some] * 3 + [self.change_stamp] * 2
+        steps += [self.share] * self.rng.randrange(3) + [self.steer] * (self.rng.random() < 0.2)
+        for slot in range(20, 30, 3) if self.drains else ():
+            self.loop.call_later(slot * GRID_S, self.drain_one)
         for step in steps:
             slot = self.rng.randrange(int(DAY_S / GRID_S) // 4) * 4 if self.rng.random() < 0.5 else 20
             self.loop.call_later(slot * GRID_S, step)
