Hold a class whose clients tell no work to the time of its own answers

Counted by class and reason at each sidecar, its answers came well in time and 95% of its tries were refused as too heavy. Balancer._too_heavy held the mean time of all answers against the class's own aim: where clients tell no work each request counted as one unit, whatever its class. On the main site, whose classes are alike, that does not show. Change: under no hint a class asks for the part of the mean time that its own answers take, a fading mean that is dropped where a reload gives the slot to another class; one never served yet is not refused so. Hints count as before.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -143,6 +143,7 @@
         told = {"inflight", "queue"} & set(settings.report_fields)
         self._reports = settings.report_how == "inline" and bool(told)
         self._mean_work = 0.0
+        self._lengths: dict[int, Pace] = {}  # by class, where no work is told: its answers' time over all's
         self._mean_load = 0.0  # of the newest reports
         self._open = 0
         self._pace = Pace()
@@ -185,6 +186,7 @@
         for the classes that are not kept: their slots may be another's now."""
         self._set = settings
         self._shed.reload(settings, kept)
+        self._lengths = {slot: length for slot, length in self._lengths.items() if slot in kept}
         self._weigh_prices()
         self._spill = [self._spill[slot] if slot in kept else 0.0 for slot in range(len(settings.profiles))]
         for server in self._servers.values():
@@ -206,7 +208,8 @@
         until = arrival.give_up_at if math.isfinite(arrival.give_up_at) else now + profile.deadline
         request = Request(arrival.request, arrival.band, key, profile, self._set, now, until)
         # A figure that is not finite must not reach a time-out: the class's own serves.
-        request.work = arrival.work if arrival.work and 0.0 < arrival.work < math.inf else 1.0
+        if arrival.work and 0.0 < arrival.work < math.inf:
+            request.work, request.told = arrival.work, True
         request.tenant = arrival.tenant
         request.in_turn = profile.in_turn and key is not None
         request.large = arrival.large
@@ -393,7 +396,10 @@
         """Whether, under strain, a request would take a server and still come too late."""
         if request.profile.late_worth > 0.0 or self._shed.level(now) <= SHED_IDLE or not self._pace.work:
             return False
-        return request.work * self._pace.rate(0.0, 0.0) > HOPELESS * request.profile.objective
+        # Untold, a class asks for what it takes: held to the mean of all, short ones can't pass.
+        length = self._lengths.get(request.band)
+        work = request.work if request.told else length.rate(0.0, 0.0) if length else 0.0
+        return work * self._pace.rate(0.0, 0.0) > HOPELESS * request.profile.objective
 
     def _pick(self, now: float, request: Request) -> list[Server]:
         """The draw as steered: from the zone drawn by share, if it can take it, else from all."""
@@ -587,6 +593,8 @@
         if status == OK:
             taken = min(1.0, spent / request.profile.objective)
             self._slowness += (1.0 - SLOW_MEMORY) * (taken - self._slowness)
+            if not request.told and (usual := self._pace.rate(0.0, 0.0)):
+                self._lengths.setdefault(request.band, Pace()).add(spent, usual)
             server.strikes = server.fulls = 0
             server.answered_at = now
             server.ill *= ILL_MEMORY
--- a/poppypulley/records.py
+++ b/poppypulley/records.py
@@ -114,6 +114,7 @@
     give_up_at: float
     tenant: int = 0
     work: float = 1.0
+    told: bool = False  # its work, by its client
     over: bool = False
     in_turn: bool = False
     large: bool = False  # its body goes on coming after the send
