--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -135,9 +135,9 @@
             self.write_now = Write(self, self.world.now, head)
             self.world.wrote(self, int(number[1]), self.write_now)
             self.held += rest
-            self.choked = self.world.rng.random() < 0.15
+            self.choked = self.world.rng.random() < self.world.clogged
             if self.choked:
-                self.world.later((0.01, 0.05, 0.1), self.unchoke)
+                self.world.later((0.01, 0.05, 0.1, 0.3), self.unchoke)
         else:
             self.held += data
         if not self.choked:
@@ -352,6 +352,7 @@
         self.listed: dict[str, Incarnation] = {}
         self.until = float("inf")
         self.mild = self.rng.random() < 0.5
+        self.clogged = self.rng.choice([0.05, 0.15, 0.6])  # how often bytes are held on their way
         self.drains = self.rng.random() < 0.15  # servers leave, one by one, while connections come up late
         self.sockets = self.rng.choice([30, 36, 256])  # so few that connections run out, or enough
         self.stamp = b""
@@ -642,6 +643,10 @@
 
     def whole(self, wire, write, call):
         """Its last byte has arrived: the server decides what becomes of it."""
+        if call.gone:
+            self.breach(f"request {call.number}: whole after its client had gone")
+        if call.final not in (None, "begun"):
+            self.breach(f"request {call.number}: whole after its final answer")
         if call.row["Semantics"] == "token":
             earlier = call.writes[: call.writes.index(write)]
             ran = [other for other in earlier if other.whole and not other.never_ran]
--- a/tests/test_crossings_property.py
+++ b/tests/test_crossings_property.py
@@ -53,6 +53,7 @@
         ({"classes": {"Semantics": "pure"}}, "an unsafe request sent again"),
         ({"classes": {"Semantics": "pure"}}, "refused though it may have run"),
         ({"classes": {"KeyTtl": 5000.0}}, "sent again past its window"),
+        ({"classes": {"KeyTtl": 5000.0}}, "whole past its window"),
         ({"classes": {"Group": "all"}}, "sent again outside its group"),
         ({"limits": {"MaxAttempts": 9}}, "more attempts than allowed"),
         ({"rules": {"StopSendingWithin": 9000.0}}, "past the grace of a process that leaves"),
@@ -67,6 +68,11 @@
     assert found("written after its client had gone")
 
 
+def test_bytes_that_are_held_after_the_client_has_gone_are_found(monkeypatch):
+    monkeypatch.setattr(Driver, "_drop", lambda self, attempt: None)
+    assert found("whole after its client had gone")
+
+
 def test_a_request_that_is_answered_twice_is_found(monkeypatch):
     end = Driver._end
 
