--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -503,12 +503,12 @@
                 request = self._requests.get(number)
                 if request is not None and self._end(request):
                     request.call.refused(retry_after)
-                    self._forget(request)  # a timer may have brought it, or another request's end
+                    self._forget_soon(request)
             case model.Fail(number):
                 request = self._requests.get(number)
                 if request is not None and self._end(request):
                     request.call.failed(self._clock.now() >= request.give_up_at)
-                    self._forget(request)
+                    self._forget_soon(request)
             case model.Cancel(number, hop):
                 self._cancel(number, hop)
             case model.CloseIdle(server):
@@ -603,6 +603,10 @@
             request.guard.cancel()
         return True
 
+    def _forget_soon(self, request: Request) -> None:
+        """A timer may have answered it, or another request's end. Later: an action for it may follow."""
+        self._loop.call_soon(self._forget, request)
+
     def _forget(self, request: Request) -> None:
         if request.ended and request.out == 0:
             self._requests.pop(request.id, None)
