Let what a sidecar saves for a cold server lapse, so that the fleet's sum stays within N

Cause: the ramp allowed each sidecar max(1, share x span) saved sends for a cold server beside what it gained within the span. With a share under one send a span, as in any fleet of many or slow servers, the floor of one was saved by each and never lapsed: 200 sidecars had 124 sends at once for a server that takes 36 in its span (51 with 2 x root of N + 2), 30 had 24 for 14.8, 20 had 18 for 11.7, when the other servers vanished. Second, a share is counted over the sidecars whose subset holds the server, but the last draws go beyond the subset where that has no room: all sidecars then took the share of the few. 200 sidecars and 60 servers, all replaced and seven in ten lost 7 s later: 1.26 times N + 2 x root of N + 2 for one server. Third, a warm server's sends were counted off its budget as well; a longer warm-up told by a reload found a debt of minutes.

Ruled out: the rate of a sidecar a few milliseconds old is high, but what is gained is that rate times the time since the last look, so a first send brings one send's part. 200 sidecars restarted within half a second with 1.5 s of waiting requests each, beside six in ten cold: 0.26 to 0.38 of the limit, with or without a floor for that time. The first budget, even between 0 and 1, adds up: it only spreads when each is due its next send, and the sum of whole sends in a span is the sum of the shares.

The change: what was not used within one span lapses, whole sends at a time, so the even spread stays. The sum over P sidecars of share x (saved span + span) is 2 x COLD_SHARE x N x (sends a server / its capacity), that is N where all are fully loaded, whatever P. A server outside the own subset, and every one with warm keys, is counted over all sidecars. A budget is not below 0 when the ramp begins to count.

The tests fail without the change, but for 20 and 30 sidecars beyond their subsets, which passed before.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -544,14 +544,18 @@
         warmth = self._warmth(now, server)
         if warmth >= 1.0:
             return True
-        # Only the sidecars whose subset holds the server send to it: theirs is the others' part too.
-        seen = min(1.0, self._reach() / max(1, len(self._ring)))
+        # The sidecars whose subset holds it send to it; beyond that, and with warm keys, each is one of all.
+        ring = self._groups[self._group("zone", server)] if self._zoned or self._steering.on else self._ring
+        reach = len(self._ring) if self._set.warm_keys else self._reach()
+        seen = min(1.0, reach / max(1, len(self._ring))) if server in ring[:reach] else 1.0
         usual = max(1.0 / (self._most_servers * seen), self._steering.usual(server.zone))
         part = warmth * min(SPEED_MOST, server.kind_pace.speed) * usual
         share = self._rate(now) * part * self._set.fall_multiple * COLD_SHARE
-        gained = share * (now - server.budget_at)
-        server.budget = min(max(1.0, share * self._set.overload_for), server.budget + gained)
+        server.budget = max(0.0, server.budget) + share * (now - server.budget_at)
         server.budget_at = now
+        # What was not used within the span lapses, whole sends at a time: hundreds of sidecars may not save
+        # one send each, and with the fractions left as drawn the sum of all stays the sum of their shares.
+        server.budget -= max(0, math.floor(server.budget - share * (self._set.overload_for or RATE_MS)))
         return server.budget >= 1.0
 
     def _rate(self, now: float) -> float:
--- /dev/null
+++ b/tests/test_crossings_ramp.py
@@ -0,0 +1,244 @@
+"""Cold servers under the sum of all sidecars: many balancers on one clock, arrivals drawn by seed.
+
+A server that starts falls when it is sent more than N calls within the span that the settings name, N
+being multiple x present capacity x span, and 2 x root of N + 2 more are put down to chance.
+"""
+
+from __future__ import annotations
+
+import bisect
+import heapq
+import itertools
+import math
+import random
+from collections import deque
+
+import pytest
+
+from poppypulley import Balancer, Settings
+from poppypulley.model import Arrival, Fail, Listing, Outcome, Refuse, Send, Timer
+from tests.helpers import of_type, raw_settings
+
+MULTIPLE, SPAN, COLD_FROM, WARM_UP = 4.0, 2000.0, 0.12, 22_000.0
+RULES = {"ColdFrom": COLD_FROM, "WarmUp": WARM_UP, "FallMultiple": MULTIPLE, "OverloadFor": SPAN}
+WORK = 200.0  # ms of the one core that a server has: 4.8 calls are allowed at its start
+OBJECTIVE, DEADLINE, TRIES = 800.0, 2000.0, 3
+SLOTS = 8
+
+
+def settled(me, sidecars, seed):
+    raw = raw_settings("safe", Me=me, Balancers=sidecars, Rules=RULES)
+    raw["Profiles"] = [{"Semantics": "pure", "Objective": OBJECTIVE, "Deadline": DEADLINE}]
+    raw["Report"] = {"How": "inline", "Fields": ["inflight"]}
+    return Balancer(0.0, Settings.parse(raw), seed)
+
+
+def warmth(age):
+    return min(1.0, COLD_FROM + (1.0 - COLD_FROM) * age / WARM_UP)
+
+
+def allowed(age, per_ms=1.0 / WORK):
+    """The calls that a server of this age may be sent within a span, with what is put down to chance."""
+    calls = MULTIPLE * warmth(age) * per_ms * SPAN
+    return calls + 2.0 * math.sqrt(calls) + 2.0
+
+
+class Server:
+    """One core; what finds no slot is turned away."""
+
+    def __init__(self, started=None):
+        self.started = started
+        self.up = True
+        self.jobs = 0
+        self.free_at = 0.0
+        self.sent = []
+
+    def age(self, now):
+        return WARM_UP if self.started is None else now - self.started
+
+    def worst(self):
+        """The most that it was sent within a span while cold, as a part of what is allowed."""
+        worst, window = 0.0, deque()
+        for at in self.sent:
+            window.append(at)
+            while window[0] <= at - SPAN:
+                window.popleft()
+            if self.age(at) < WARM_UP:
+                worst = max(worst, len(window) / allowed(self.age(at)))
+        return worst
+
+
+class Fleet:
+    """Sidecars, of which one in ten has several times the mean, and their servers and clients."""
+
+    def __init__(self, sidecars, servers, share, seed):
+        self.rng = random.Random(seed)
+        self.heap, self.order, self.ids = [], itertools.count(), itertools.count(1)
+        self.servers, self.listed, self.taken = {}, {}, {}
+        self.rate = share * servers / WORK
+        parts = [4.0 if n % 10 == 3 else self.rng.uniform(0.3, 1.3) for n in range(sidecars)]
+        self.parts = [*itertools.accumulate(parts)]
+        self.sidecars = [settled(me, sidecars, seed * 1000 + me) for me in range(sidecars)]
+        self.lives = [0] * sidecars
+        self.due = self.served = 0
+        for _ in range(servers):
+            self.begin(0.0, None)
+        for me in range(sidecars):
+            self.restart(0.0, me)
+        self.at(0.0, self.arrive)
+
+    def at(self, when, what, *args):
+        heapq.heappush(self.heap, (when, next(self.order), what, args))
+
+    def run(self, until):
+        while self.heap[0][0] <= until:
+            now, _, what, args = heapq.heappop(self.heap)
+            what(now, *args)
+
+    def begin(self, now, started):
+        # Successors have names of their own, anywhere on the ring.
+        name = f"s-{self.rng.getrandbits(32):08x}"
+        self.servers[name] = Server(started)
+        self.tell(now, Listing(name, started=started or 0.0))
+
+    def end(self, now, name):
+        self.servers[name].up = False
+        self.tell(now, Listing(name, state="left"))
+
+    def tell(self, now, entry):
+        self.listed[entry.server] = entry
+        for me in range(len(self.sidecars)):
+            self.at(now + 300.0 * self.rng.random(), self.hear, me, entry)
+
+    def hear(self, now, me, entry):
+        self.do(now, me, self.sidecars[me].server_list(now, "changes", [entry]))
+
+    def restart(self, now, me):
+        self.lives[me] += 1
+        made = Balancer(now, self.sidecars[me]._set, self.rng.getrandbits(32))
+        self.sidecars[me] = made
+        here = [entry for entry in self.listed.values() if entry.state == "active"]
+        self.do(now, me, made.server_list(now, "all", here))
+
+    def arrive(self, now):
+        self.at(now + self.rng.expovariate(self.rate), self.arrive)
+        self.due += 1
+        self.ask(now, bisect.bisect(self.parts, self.rng.random() * self.parts[-1]), now, 1)
+
+    def ask(self, now, me, first, tries):
+        number = next(self.ids)
+        self.taken[number] = (first, tries)
+        self.do(now, me, self.sidecars[me].request(now, Arrival(number, 0, first + DEADLINE)))
+
+    def do(self, now, me, actions):
+        life = self.lives[me]
+        for action in actions:
+            if isinstance(action, Send):
+                hop = len(self.sidecars[me]._requests[action.request].attempts) - 1
+                self.at(now + 0.3, self.reach, me, life, (action.request, hop, now), action)
+            elif isinstance(action, Timer):
+                self.at(now + action.delay, self.timer, me, life, action.token)
+            elif isinstance(action, Refuse | Fail):
+                first, tries = self.taken.pop(action.request)
+                if tries < TRIES:
+                    self.at(now + self.rng.uniform(20.0, 160.0), self.ask, me, first, tries + 1)
+
+    def timer(self, now, me, life, token):
+        if life == self.lives[me]:
+            self.do(now, me, self.sidecars[me].timer(now, token))
+
+    def reach(self, now, me, life, attempt, send):
+        server = self.servers[send.server]
+        sent = attempt[2]
+        if not server.up:
+            self.at(now, self.outcome, me, life, attempt, Outcome.CONNECT_FAILED, None)
+            return
+        server.sent.append(now)
+        if server.jobs >= SLOTS:
+            self.at(now, self.outcome, me, life, attempt, Outcome.FULL, server)
+            return
+        server.jobs += 1
+        begun = max(now, server.free_at)
+        server.free_at = begun + self.rng.expovariate(1.0 / WORK) / warmth(server.age(begun))
+        self.at(server.free_at, self.done, server)
+        late = server.free_at > sent + send.timeout
+        status = Outcome.TIMEOUT if late else Outcome.OK
+        end = min(server.free_at, sent + send.timeout)
+        self.at(end, self.outcome, me, life, attempt, status, None if late else server)
+
+    def done(self, now, server):
+        server.jobs -= 1
+
+    def outcome(self, now, me, life, attempt, status, server):
+        if life != self.lives[me]:
+            return
+        number, hop, sent = attempt
+        ok = status == Outcome.OK
+        if ok:
+            first, _ = self.taken.pop(number)
+            self.served += now - first <= OBJECTIVE
+        report = {"inflight": float(server.jobs)} if server else None
+        made = self.sidecars[me]
+        self.do(now, me, made.outcome(now, number, hop, status, now - sent, ok, report))
+
+
+@pytest.mark.parametrize(("sidecars", "able"), [(20, 0.7), (30, 1.0), (200, 5.0)])
+def test_what_all_sidecars_have_saved_does_not_push_a_cold_server_over(sidecars, able):
+    # A server that does so many calls a second beside nine alike, which vanish when it is 20 s old; at once
+    # each sidecar has more to send than it was ever asked before. Each had saved up to one send.
+    gap, start, age = 1000.0 * sidecars / (9.0 * able), 20_000.0, 20_000.0
+    sent = []
+    for me in range(sidecars):
+        made = settled(me, sidecars, me)
+        names = [f"s{n}" for n in range(10)]
+        made.server_list(0.0, "all", [Listing(name) for name in names])
+        now, number = gap * ((me * 0.618) % 1.0), 0
+        told = False
+        while now < start + age:
+            if now >= start and not told:
+                told = True
+                made.server_list(now, "changes", [Listing("s0", started=start)])
+            for send in of_type(made.request(now, Arrival(number, 0, now + DEADLINE)), Send):
+                sent += [now] * (told and send.server == "s0")
+                made.outcome(now + 300.0, number, 0, Outcome.OK, 300.0, True, {"inflight": 1.0})
+            now, number = now + gap, number + 1
+        now = start + age
+        gone = [Listing(name, state="left") for name in names[1:]]
+        made.server_list(now, "changes", [Listing("s0", started=start), *gone])
+        for number in range(1000, 1005):
+            sent += [now] * len(of_type(made.request(now, Arrival(number, 0, now + DEADLINE)), Send))
+    assert sum(at > start + age - SPAN for at in sent) <= allowed(age, able / 1000.0)
+
+
+@pytest.mark.parametrize(("sidecars", "servers"), [(20, 120), (30, 120), (200, 60)])
+def test_what_subsets_have_no_room_for_does_not_push_cold_servers_over(sidecars, servers):
+    # All are replaced at once, and 7 s later seven in ten are lost: where its subset has no room a sidecar
+    # draws from all, and took each server's budget for that of the few whose subsets hold it.
+    fleet = Fleet(sidecars, servers, 0.9, 1)
+    old = [*fleet.servers]
+    for name in old:
+        fleet.at(8000.0, fleet.end, name)
+        fleet.at(8010.0, fleet.begin, 8010.0)
+    fleet.run(15_000.0)
+    for name in [*fleet.servers][servers : servers + round(0.7 * servers)]:
+        fleet.end(15_000.0, name)
+    fleet.run(18_500.0)
+    cold = [server for server in fleet.servers.values() if server.started is not None]
+    assert 0.1 < max(server.worst() for server in cold) <= 1.0
+
+
+def test_a_longer_warm_up_told_later_leaves_no_debt_of_warm_days():
+    made = settled(0, 1, 1)
+    made.server_list(0.0, "all", [Listing("s0", started=0.5)])
+    for number in range(200):
+        now = 25_000.0 + 100.0 * number
+        made.request(now, Arrival(number, 0, now + DEADLINE))
+        made.outcome(now + 20.0, number, 0, Outcome.OK, 20.0, True, {"inflight": 1.0})
+    raw = raw_settings("safe", Rules={**RULES, "WarmUp": 400_000.0})
+    made.reload(45_000.0, Settings.parse(raw), [0])
+    sends = 0
+    for number in range(1000, 1040):
+        now = 45_000.0 + 100.0 * (number - 1000)
+        sends += len(of_type(made.request(now, Arrival(number, 0, now + DEADLINE)), Send))
+        made.outcome(now + 20.0, number, 0, Outcome.OK, 20.0, True, {"inflight": 1.0})
+    assert sends > 0
