Count what is refused for want of room, so that sidecars begin among cold servers

Cause: a cold server's budget grows with the rate of own sends. A sidecar that was restarted while all servers are cold has sent nothing, so its budgets stay where they were drawn, under one send, and it refuses all until the servers are warm. Faulty were the lines of the ramp that take `_rate`, not the draw: with the rate known the same fleets send.

The change: where more is refused for want of room than is sent, a third of that counts as the rate: clients come again up to a few times with what was refused. What a cap refuses is not in it. `_part`, which weighs strain, goes by sends as before.

The test fails without the change.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -92,6 +92,7 @@
 COME_BACK = 0.1  # of the aim: soon enough that a client's retry may still be served in time
 COLD_SHARE = 0.5  # of what topples a cold server, were all warm ones fully loaded: subsets overlap unevenly
 RATE_MS = 10000.0  # memory of the own rate of sends
+TURNED_COUNTS = 1.0 / 3.0  # of a send: what was refused comes again up to a few times
 
 # Connections dropped unseen while idle: those unused for so much of the time at which one failed
 # are closed; this is forgotten again.
@@ -165,6 +166,7 @@
         self._born = now
         self._sends = 0.0  # fading count of sends, for the own rate
         self._sends_at = now
+        self._turned, self._turned_at = 0.0, now  # refused for want of room, as of a memory ago
         self._most_servers = 1.0
         self._ask_pending = False
         self._ask_delay = ASK_AGAIN_MS
@@ -550,7 +552,7 @@
         seen = min(1.0, reach / max(1, len(self._ring))) if server in ring[:reach] else 1.0
         usual = max(1.0 / (self._most_servers * seen), self._steering.usual(server.zone))
         part = warmth * min(SPEED_MOST, server.kind_pace.speed) * usual
-        share = self._rate(now) * part * self._set.fall_multiple * COLD_SHARE
+        share = self._wanted(now) * part * self._set.fall_multiple * COLD_SHARE
         server.budget = max(0.0, server.budget) + share * (now - server.budget_at)
         server.budget_at = now
         # What was not used within the span lapses, whole sends at a time: hundreds of sidecars may not save
@@ -558,10 +560,18 @@
         server.budget -= max(0, math.floor(server.budget - share * (self._set.overload_for or RATE_MS)))
         return server.budget >= 1.0
 
-    def _rate(self, now: float) -> float:
+    def _wanted(self, now: float) -> float:
+        """Own sends per millisecond, or a part of what was refused for want of room if that is more: a
+        sidecar restarted where all are cold would else never begin."""
+        turned = self.given_up["room"] - self._steering.capped
+        fade = math.exp((self._turned_at - now) / RATE_MS)
+        self._turned, self._turned_at = turned - (turned - self._turned) * fade, now
+        return self._rate(now, TURNED_COUNTS * (turned - self._turned))
+
+    def _rate(self, now: float, least: float = 0.0) -> float:
         """Own sends per millisecond: the count fades, and a young sidecar's has had less time to grow."""
         known = RATE_MS * (1.0 - math.exp((self._born - now - 1.0) / RATE_MS))
-        return self._sends * math.exp((self._sends_at - now) / RATE_MS) / known
+        return max(least, self._sends * math.exp((self._sends_at - now) / RATE_MS)) / known
 
     # --- health -----------------------------------------------------------
 
--- a/tests/test_crossings_ramp.py
+++ b/tests/test_crossings_ramp.py
@@ -24,6 +24,7 @@
 WORK = 200.0  # ms of the one core that a server has: 4.8 calls are allowed at its start
 OBJECTIVE, DEADLINE, TRIES = 800.0, 2000.0, 3
 SLOTS = 8
+FLEETS = [20, 30, 200]
 
 
 def settled(me, sidecars, seed):
@@ -227,6 +228,23 @@
     assert 0.1 < max(server.worst() for server in cold) <= 1.0
 
 
+@pytest.mark.parametrize("sidecars", FLEETS)
+def test_a_fleet_restarted_beside_cold_servers_only_serves_what_they_can(sidecars):
+    # Counting its own sends alone, a new sidecar allowed itself none until the servers were warm.
+    fleet = Fleet(sidecars, 12, 0.7, 2)
+    for name in [*fleet.servers]:
+        fleet.at(8000.0, fleet.end, name)
+        fleet.at(8010.0, fleet.begin, 8010.0)
+    for me in range(sidecars):
+        fleet.at(8400.0 + 2.0 * me, fleet.restart, me)
+    fleet.run(9000.0)
+    due, served = fleet.due, fleet.served
+    fleet.run(20_000.0)
+    cold = [server for server in fleet.servers.values() if server.started is not None]
+    assert max(server.worst() for server in cold) <= 1.0
+    assert fleet.served - served > 0.08 * (fleet.due - due)
+
+
 def test_a_longer_warm_up_told_later_leaves_no_debt_of_warm_days():
     made = settled(0, 1, 1)
     made.server_list(0.0, "all", [Listing("s0", started=0.5)])
