Let a long edition on a slow way through the watch on rules, as a long list is

Since only a whole line is a sign of life, the watch on rules would have given up one that is 3.2 s on its way. It takes the channel's own time now, which the bytes of the line put off.

--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -245,7 +245,7 @@
                 lambda: Channel(request.encode(), self._line, called), host, port
             )
         try:
-            while (left := channel.heard_at + SILENT_S - self._loop.time()) > 0.0:
+            while (left := channel.due_at - self._loop.time()) > 0.0:
                 await asyncio.wait((channel.broken,), timeout=left)
                 if channel.broken.done():
                     break
