Count no time in which nothing is read of a client against its half-sent request

A request that is still coming has its time from its first byte, and the wait for a server that takes its body is not counted. The other reason for reading nothing was: while an answer before it lay unread, its last bytes lay unread here, and after 2.5 s it got 408 though it was whole. A large request that a server answers before its end was cut off in the same way, its client reading a long answer steadily.

Both reasons for not reading now stop the same clock. The test, in which the last byte comes while an answer is unread, fails without it.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -469,23 +469,24 @@
         """The body that comes is not taken so fast."""
         if not self._body_waits and not self._lost:
             self._body_waits = True
-            self._waits_from = self._inbound.loop.time()
             self._read_on()
 
     def resume(self) -> None:
-        """More of the body is taken; the client had no part in the wait."""
+        """More of the body is taken."""
         if self._body_waits and not self._lost:
             self._body_waits = False
-            self._begun_at += self._inbound.loop.time() - self._waits_from
             self._read_on()
 
     def _read_on(self) -> None:
-        """Read, unless answers pile up or a body waits; until then its client's leaving is looked for."""
+        """Read, unless answers pile up or a body waits: that is no time in which the client could send. Until
+        then its leaving is looked for."""
         if not (self._full or self._body_waits):
             self._stop_looking()
             self._lay_here = True
+            self._begun_at += self._inbound.loop.time() - self._waits_from
             self._transport.resume_reading()
         elif self._look is None:
+            self._waits_from = self._inbound.loop.time()
             self._transport.pause_reading()
             self._look = self._inbound.loop.call_later(LOOK_S, self._look_again)
 
@@ -797,7 +798,7 @@
         self._half_sent = None
         size = self._message.size if self._message is not None else 0
         until = self._begun_at + HALF_SENT_S + size / BODY_BYTES_PER_S
-        if self._body_waits:
+        if self._full or self._body_waits:
             until += self._inbound.loop.time() - self._waits_from + CLOCK_STEP_S * 100.0
         if until > self._inbound.loop.time() + CLOCK_STEP_S:
             self._half_sent = self._inbound.loop.call_at(until, self._unsent)
--- a/tests/test_crossings_inbound.py
+++ b/tests/test_crossings_inbound.py
@@ -589,3 +589,33 @@
             (App.close if size % 2 else reset)(app)
         await nothing_left(sidecar)
         assert not caplog.records
+
+
+# --- the end of a connection, and the time that is a client's own ----------------------------
+
+
+@loopback
+async def test_the_time_in_which_nothing_is_read_of_a_client_is_not_its_own(monkeypatch):
+    monkeypatch.setattr(inbound, "HALF_SENT_S", 0.1)
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        app.writer.write(WHOLE[:-1])
+        await until(lambda: connection.begun)
+        app.writer.transport.pause_reading()
+        connection.write(LARGE)  # of an answer before
+        app.writer.write(WHOLE[-1:])
+        checked = connection._unsent
+        late = asyncio.Event()
+        connection._unsent = lambda: (checked(), late.set())
+        connection._stop_clock()
+        connection._half_sent = asyncio.get_running_loop().call_later(0.15, connection._unsent)
+        await late.wait()
+        app.writer.transport.resume_reading()
+        async with asyncio.timeout(PATIENCE_S):
+            await app.reader.readexactly(len(LARGE))
+        assert (await app.answer()).body == b"done"
+        app.close()
+        await nothing_left(sidecar)
