End a connection quietly whose client resets it under its last answer

After the last answer the sidecar shuts its sending. Where the client's reset was in the kernel and not yet read, and nothing was written in the same moment (the end of an answer on HTTP/1.0, or of one with a length), that raised OSError out of the taking of the server's answer: a traceback, and an attempt without an outcome. It is passed over now, as at the close of a resting connection: the loop finds the reset a turn later.

The test, with the reset in the kernel, fails without it.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -757,7 +757,7 @@
         if not sending and not framing.readable(self._transport):
             self._transport.close()
             return
-        if self._transport.can_write_eof():
+        with contextlib.suppress(OSError):  # the client has reset it, as the loop will find in a turn
             self._transport.write_eof()
         self._half_sent = self._inbound.loop.call_later(LINGER_S, self._let_go)
 
--- a/tests/test_crossings_inbound.py
+++ b/tests/test_crossings_inbound.py
@@ -594,6 +594,18 @@
 # --- the end of a connection, and the time that is a client's own ----------------------------
 
 
+@loopback
+async def test_an_answer_ends_its_connection_though_the_client_has_just_reset_it():
+    async with running() as sidecar:
+        peer = socket.create_connection(sidecar.address)
+        connection = await connection_of(sidecar)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()
+        assert connection.readable  # the reset is here, and the loop has not got to it
+        connection._linger()
+        await nothing_left(sidecar)
+
+
 @loopback
 async def test_the_time_in_which_nothing_is_read_of_a_client_is_not_its_own(monkeypatch):
     monkeypatch.setattr(inbound, "HALF_SENT_S", 0.1)
