--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -14,29 +14,40 @@
 from fordtrestle.config import Address, Config, ServerList, parse_list
 from fordtrestle.driver import log
 from fordtrestle.fleet.lists import Age, Doubt, Held, Sources
-from poppypulley.model import Listing
+from poppypulley.model import ASK_MOST_MS, CALL_MS, SPARE_MS, TOLD_MS, Listing
 
 PATH = "/registry/instances"
-# An empty line comes every 2 s: a connection that misses two of them is broken.
-# What is missed in silence counts as told 6 s after it began: the call that follows has to fit in, too.
-SILENT_S = 4.5
-AGE_STEP_S = 4.0  # a list's age is told in steps: two beats of its watch
-FETCH_S = 4.5  # the same, from the call on
+# What a change may take to arrive: all waits and limits here are parts of it.
+TOLD_S, SPARE_S, CALL_S = TOLD_MS / 1000.0, SPARE_MS / 1000.0, CALL_MS / 1000.0
+# A pushed list counts from the moment the agent has it, and sends that go wrong for half a second:
+# within that the watch has to be open again once the agent can be reached.
+BACKOFF_S, BACKOFF_MOST_S, SPREAD = 0.1, 0.3, 0.5
 # A connection comes up at once or was lost on its way: the system asks again only 1, 3 and 7 s later.
-CONNECT_S = 1.0
+CONNECT_S = CALL_S
+# An empty line comes every 2 s. Whoever is silent for longer is called again, and once more if that fails.
+SILENT_S = TOLD_S - SPARE_S - 2.0 * (BACKOFF_S * (1.0 + SPREAD) + CALL_S)
+FETCH_S = TOLD_S - SPARE_S - 2.0 * ASK_MOST_MS / 1000.0 - CALL_S  # the module waits before it asks again
+AGE_STEP_S = 4.0  # a list's age is told in steps: two beats of its watch
 CLOCK_STEP_S = 0.001  # less is left only by rounding
 LINE_MOST = 4 * 1024 * 1024
-# A pushed list counts from the moment the agent has it, and sends that go wrong for half a second:
-# within that the watch has to be open again once the agent can be reached.
-BACKOFF_S, BACKOFF_MOST_S = 0.1, 0.3
+LINE_RATE = 512 * 1024.0  # a second for so many bytes of a line that is not whole yet
 MOVED_S = 4.0  # after a move, what the new address has counts as told
 HELD = "X-Held-Index"  # tells our own list service which version an asker of the whole list has
 LOOK_S = 1.0  # at the age of the list
 
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError)
+SAID_MOST = 200  # characters of a reason in the log: it may quote what came
+
 News = Callable[[str, ServerList | None], None]
 ASKED_AGAIN = "see that it runs at its address; it is asked again by itself, and the list held serves"
 
 
+def say(error: BaseException) -> None:
+    """One plain line on why a call is over."""
+    why = f"{error.args[0]!r} is missing" if isinstance(error, KeyError) and error.args else str(error)
+    log(f"discovery: {' '.join(why.split())[:SAID_MOST]}; {getattr(error, 'action', ASKED_AGAIN)}")
+
+
 class Doubted(ValueError):
     """A list that can't be right; the first of its kind is worth a line in the log."""
 
@@ -66,9 +77,12 @@
         self._transport: asyncio.Transport
         self._loop = asyncio.get_running_loop()
         self.taken = False  # the call was: what follows is an answer
-        self.heard_at = called_at
+        self.lived = False  # a whole line came: what discovery had then is told
+        self.heard_at = called_at  # the last whole line, or the call
+        self._since = 0  # bytes that came after that
         self.broken = self._loop.create_future()
         self.complete = False
+        self.spoilt = False  # what came was no list, and the log has it
         self.silent = False  # it was given up for that
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -78,15 +92,26 @@
         self.asked_at = self._loop.time()
         transport.write(self._request)
 
+    @property
+    def due_at(self) -> float:
+        """When the next whole line has to have come. Bytes that drip put it off no further than their
+        number allows: a long list on a slow way is let through, a line that never ends is not."""
+        return self.heard_at + SILENT_S + self._since / LINE_RATE
+
     def data_received(self, data: bytes) -> None:
         """A part of the answer; what is no HTTP, no list or refused ends the connection."""
-        self.heard_at = self._loop.time()
+        if self.broken.done():
+            return
+        self._since += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._since > LINE_MOST:
+                raise ValueError("a line is too long")
+        except (ValueError, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             cause = error.__context__ or error
             if not isinstance(cause, Doubted) or cause.first:
-                log(f"discovery: {cause}; {getattr(cause, 'action', ASKED_AGAIN)}")
+                say(cause)
+            self.spoilt = True
             self.close()
 
     def eof_received(self) -> bool:
@@ -124,17 +149,16 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser: whole lines are passed on, empty ones show only that it lives."""
-        self._buffer += data
-        if len(self._buffer) > LINE_MOST:
-            raise ValueError("a line is too long")
-        *whole, rest = self._buffer.split(b"\n")
-        self._buffer = rest
-        for line in whole:
+        first, *rest = data.split(b"\n")
+        self._buffer += first
+        for part in rest:
+            line, self._buffer = self._buffer, bytearray(part)
             self._take(line)
 
     def on_message_complete(self) -> None:
-        """Called by the parser: a last line may lack its end."""
-        self._take(self._buffer)
+        """Called by the parser: a last line may lack its end. That the answer ends is no empty line."""
+        if self._buffer.strip():
+            self._take(self._buffer)
         self._buffer = bytearray()
         if self._object:
             self._give()  # half of one: whoever reads it says what is wrong
@@ -149,14 +173,14 @@
             on_one_line = not self._object and text.startswith(b"{") and text.endswith(b"}")
             self._object += text
             self._depth += text.count(b"{") - text.count(b"}")
-            if len(self._object) > LINE_MOST:
-                raise ValueError("a line is too long")
             if not on_one_line and self._depth > 0:
                 return
         else:
             self._empties += 1
         if self._object:
             self._give()
+        self.lived = True
+        self.heard_at, self._since = self._loop.time(), 0
         if self.age is not None and self._told:
             self.age.confirmed(self.asked_at, self._loop.time(), self._empties)
 
@@ -303,46 +327,52 @@
 
     async def _keep_watch(self) -> None:
         """Watch for as long as this process runs; wait longer after each failure in a row."""
-        wait = BACKOFF_S
+        failures = 0
         while True:
+            channel = None
             try:
                 channel = await self._watch()
-                if channel is not None and channel.taken:
-                    wait = BACKOFF_S
             except Exception as error:  # a dead watch would go on sending to servers that drain
-                log(f"discovery: {error!r}")
+                say(error)
             self._called.set()
             if self._sources is not None:
                 await asyncio.sleep(self._sources.failed(self._retry_after))
                 continue
-            await self._pause(wait)
-            wait = min(2.0 * wait, BACKOFF_MOST_S)
+            failures = await self._pause(failures, channel)
 
-    async def _pause(self, wait: float) -> None:
-        """Wait before the next call, spread: every sidecar loses its watch in the same moment."""
-        await asyncio.sleep(wait * (0.5 + self._rng.random()))
+    async def _pause(self, failures: int, channel: Channel | None) -> int:
+        """Wait before the next call, spread: every sidecar loses its watch in the same moment. How many
+        calls in a row have failed, this one with them; silence alone has cost time enough."""
+        failures = 0 if channel is not None and (channel.lived or channel.silent) else failures + 1
+        wait = min(BACKOFF_S * 2.0 ** min(max(0, failures - 1), 8), BACKOFF_MOST_S)
+        await asyncio.sleep(wait * (1.0 - SPREAD + 2.0 * SPREAD * self._rng.random()))
+        return failures
 
     async def _watch_once(self, until: float = -math.inf) -> None:
-        """Watch until the module has to hear that it is over. It has a time of its own until it asks
-        again, for which what a silent watch misses does not wait, nor what was told by a move; a call
-        that was not taken by `until` is made again, too."""
-        wait = BACKOFF_S
+        """Watch until the module has to hear that it is over."""
+        try:
+            await self._watch_until(until)
+        except Exception as error:  # a module that hears nothing would never ask again
+            say(error)
+        self._watching = None
+        self._news("refused", None)
+
+    async def _watch_until(self, until: float) -> None:
+        """The module has a time of its own until it asks again, for which what a silent watch misses does
+        not wait, nor what was told by a move: a call that has told nothing by `until` is made again, too."""
+        failures = 0
         channel = await self._watch()
         while self._sources is None:
-            taken = channel is not None and channel.taken
             if channel is not None and channel.silent:
-                wait = BACKOFF_S
-            elif taken or self._loop.time() >= until:
+                until = max(until, channel.heard_at + TOLD_S)
+            elif (channel is not None and channel.lived) or self._loop.time() >= until:
                 break
-            await self._pause(wait)
-            wait = min(2.0 * wait, BACKOFF_MOST_S)
+            failures = await self._pause(failures, channel)
             channel = await self._watch()
         if self._sources is not None:
             pause = self._sources.failed(self._retry_after)
             # The module has a time of its own until it asks again; it begins once that may be.
             await asyncio.sleep(pause if self._retry_after else 0.0)
-        self._watching = None
-        self._news("refused", None)
 
     async def _watch(self) -> Channel | None:
         """Watch until the connection ends or falls silent; the connection, if one came up."""
@@ -353,7 +383,7 @@
             channel.age = self._age
         try:
             # Guards against a machine that is cut off: its connections stay open and silent.
-            while (left := channel.heard_at + SILENT_S - self._loop.time()) > CLOCK_STEP_S:
+            while (left := channel.due_at - self._loop.time()) > CLOCK_STEP_S:
                 await asyncio.wait((channel.broken,), timeout=left)
                 if channel.broken.done():
                     break
@@ -365,8 +395,14 @@
 
     async def _fetch(self) -> None:
         got: list[bytes] = []
+
+        def one(line: bytes) -> None:
+            if got:
+                raise ValueError("more than one list")
+            got.append(line)
+
         until = self._loop.time() + FETCH_S
-        channel = await self._open(PATH, got.append)
+        channel = await self._open(PATH, one)
         if channel is not None:
             try:
                 await asyncio.wait((channel.broken,), timeout=max(0.0, until - self._loop.time()))
@@ -375,11 +411,12 @@
         try:
             if channel is None or not channel.complete:
                 raise ValueError("the call failed")
-            news = self._parse(b"\n".join(got))
+            news = self._parse(b"".join(got))
             if self._held is None and news.version < self._version:
                 raise ValueError("the list is older than the one held")
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            log(f"discovery: {error}; {getattr(error, 'action', ASKED_AGAIN)}")
+        except MALFORMED as error:
+            if channel is None or not channel.spoilt:
+                say(error)
             if self._sources is not None:
                 self._sources.failed(channel.retry_after if channel is not None else 0.0)
             self._news("refused", None)
@@ -398,7 +435,7 @@
                 _, channel = await self._loop.create_connection(
                     lambda: Channel(request, on_line, called_at), address.host, address.port
                 )
-        except OSError:
+        except (OSError, ValueError):  # a name that can't be one of a host is a ValueError
             return None
         return channel
 
@@ -423,7 +460,7 @@
             news = self._parse(line)
         except Doubted:
             raise
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except MALFORMED as error:
             self._version = 0
             raise ValueError(f"not a list: {error}") from error
         if news.whole:
