Let a client go that has left and stops reading shortly before the end of its answers

The bound on unread answers was taken back when the buffer fell to a few KiB, also where its client had ended its sending and the connection only waited to be flushed: one that read no more kept its descriptor for ever. It is taken back now only on a connection that goes on. The test fails without it.

--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -467,7 +467,7 @@
     def resume_writing(self) -> None:
         """The peer has read on."""
         self._full = False
-        if self._unread is not None:
+        if self._unread is not None and not self._transport.is_closing():  # or else it has to end
             self._unread.cancel()
             self._unread = None
         self._read_on()
--- a/tests/test_crossings_inbound.py
+++ b/tests/test_crossings_inbound.py
@@ -631,3 +631,18 @@
         assert (await app.answer()).body == b"done"
         app.close()
         await nothing_left(sidecar)
+
+
+@loopback
+async def test_a_client_that_left_and_stops_reading_shortly_before_the_end_is_let_go(monkeypatch):
+    monkeypatch.setattr(inbound, "UNREAD_S", 0.3)
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        app.writer.transport.pause_reading()
+        connection.write(LARGE)
+        end_sending(app)
+        await until(lambda: connection._transport.is_closing())
+        connection.resume_writing()  # what is buffered has fallen to a few KiB
+        await nothing_left(sidecar)
