Let a client that reads a long answer slowly have the rest of it, as long as it reads

Unread answers end their connection after 20 s unless the buffer here falls to a few KiB before. The kernel holds some MB of an answer and takes more only when a third of that is read: a client that reads steadily, but less than about 50 KB/s, was cut off in the middle as one that reads nothing. How much the client has taken is now counted with what the kernel still holds (TIOCOUTQ): another 20 s begin when it has taken as much as is held here, 32 KiB. Where the kernel does not tell, the buffer alone decides, as before.

The test, with a client that reads on while the buffer stays full, fails without it: the answer ends in the middle.

--- a/fordtrestle/framing.py
+++ b/fordtrestle/framing.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import fcntl
 import select
+import sys
+import termios
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 
@@ -93,6 +97,15 @@
     return bool(poll.poll(0))
 
 
+def unread(transport: asyncio.WriteTransport) -> int:
+    """How many bytes of what was written the other side has not taken yet, as far as can be told."""
+    size = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    with contextlib.suppress(OSError, ValueError):
+        size += int.from_bytes(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+    return size
+
+
 class Reading(asyncio.BufferedProtocol):
     """Reads at most one buffer at a time, the same one for all connections.
 
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -459,11 +459,20 @@
     def pause_writing(self) -> None:
         """Answers pile up unread: guards against a peer that only asks and fills the memory."""
         self._full = True
-        self._unread = self._inbound.loop.call_later(UNREAD_S, self.abort)
+        self._await_reading()
         self._read_on()
         if self._waiting and self._waiting[0].passing is not None:
             self._waiting[0].passing.flow.pause()
 
+    def _await_reading(self, left: float = math.inf) -> None:
+        """Give a client time to read, and more as long as it reads as much as is held here: the buffer itself
+        falls late, since the kernel takes more only when a large part of what it holds is read."""
+        unread = framing.unread(self._transport)
+        if unread <= left - WRITE_MOST:
+            self._unread = self._inbound.loop.call_later(UNREAD_S, self._await_reading, unread)
+        else:
+            self.abort()
+
     def resume_writing(self) -> None:
         """The peer has read on."""
         self._full = False
@@ -542,7 +551,7 @@
         self._transport.close()
         if self._unread is None:
             # It may have left a part of an answer unread, and never say so.
-            self._unread = self._inbound.loop.call_later(UNREAD_S, self.abort)
+            self._await_reading()
 
     def _forget_waiting(self) -> None:
         """Nobody is there any more to read what was asked for here."""
--- a/tests/test_crossings_inbound.py
+++ b/tests/test_crossings_inbound.py
@@ -646,3 +646,23 @@
         await until(lambda: connection._transport.is_closing())
         connection.resume_writing()  # what is buffered has fallen to a few KiB
         await nothing_left(sidecar)
+
+
+@loopback
+async def test_a_client_that_reads_on_slowly_is_given_all_of_a_long_answer(monkeypatch):
+    monkeypatch.setattr(inbound, "UNREAD_S", 0.3)
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        connection.write(LARGE)
+        begun = asyncio.get_running_loop().time()
+        got = 0
+        async with asyncio.timeout(PATIENCE_S):
+            while asyncio.get_running_loop().time() < begun + 0.8:
+                assert connection._full
+                got += len(await app.reader.read(32_768))
+                await asyncio.sleep(0.02)
+            got += len(await app.reader.readexactly(len(LARGE) - got))
+        app.close()
+        await nothing_left(sidecar)
