--- a/tests/test_crossings_inbound.py
+++ b/tests/test_crossings_inbound.py
@@ -589,3 +589,80 @@
             (App.close if size % 2 else reset)(app)
         await nothing_left(sidecar)
         assert not caplog.records
+
+
+# --- the end of a connection, and the time that is a client's own ----------------------------
+
+
+@loopback
+async def test_an_answer_ends_its_connection_though_the_client_has_just_reset_it():
+    async with running() as sidecar:
+        peer = socket.create_connection(sidecar.address)
+        connection = await connection_of(sidecar)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()
+        assert connection.readable  # the reset is here, and the loop has not got to it
+        connection._linger()
+        await nothing_left(sidecar)
+
+
+@loopback
+async def test_the_time_in_which_nothing_is_read_of_a_client_is_not_its_own(monkeypatch):
+    monkeypatch.setattr(inbound, "HALF_SENT_S", 0.1)
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        app.writer.write(WHOLE[:-1])
+        await until(lambda: connection.begun)
+        app.writer.transport.pause_reading()
+        connection.write(LARGE)  # of an answer before
+        app.writer.write(WHOLE[-1:])
+        checked = connection._unsent
+        late = asyncio.Event()
+        connection._unsent = lambda: (checked(), late.set())
+        connection._stop_clock()
+        connection._half_sent = asyncio.get_running_loop().call_later(0.15, connection._unsent)
+        await late.wait()
+        app.writer.transport.resume_reading()
+        async with asyncio.timeout(PATIENCE_S):
+            await app.reader.readexactly(len(LARGE))
+        assert (await app.answer()).body == b"done"
+        app.close()
+        await nothing_left(sidecar)
+
+
+@loopback
+async def test_a_client_that_left_and_stops_reading_shortly_before_the_end_is_let_go(monkeypatch):
+    monkeypatch.setattr(inbound, "UNREAD_S", 0.3)
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        app.writer.transport.pause_reading()
+        connection.write(LARGE)
+        end_sending(app)
+        await until(lambda: connection._transport.is_closing())
+        connection.resume_writing()  # what is buffered has fallen to a few KiB
+        await nothing_left(sidecar)
+
+
+@loopback
+async def test_a_client_that_reads_on_slowly_is_given_all_of_a_long_answer(monkeypatch):
+    monkeypatch.setattr(inbound, "UNREAD_S", 0.3)
+    async with running() as sidecar:
+        app = await App.connect(sidecar.address)
+        connection = await connection_of(sidecar)
+        small_buffers(connection._transport, app.writer.transport)
+        connection.write(LARGE)
+        begun = asyncio.get_running_loop().time()
+        got = 0
+        async with asyncio.timeout(PATIENCE_S):
+            while asyncio.get_running_loop().time() < begun + 0.8:
+                assert connection._full
+                got += len(await app.reader.read(32_768))
+                await asyncio.sleep(0.02)
+            got += len(await app.reader.readexactly(len(LARGE) - got))
+        app.close()
+        await nothing_left(sidecar)
