Break off at once what is written to a server that ends its sending

A server that ended its sending while a request to it was still being written had outbound Connection.eof_received return False: the loop's own close then wrote out what was buffered, and only after that told the connection's end, which called the attempt never written. The server had the whole request (500,000 of 500,000 bytes in the test), and the outcome said that it had never run: a class unsafe to repeat would have been sent again, a keyed one past its window. Change: the exchange ends, and the connection is closed without more of it, in the turn in which the end is read. Both tests fail without it: all bytes arrive, and the loop tells of the fault.

--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -324,6 +324,8 @@
         """The server has ended its sending; that may complete an answer."""
         if self._exchange is not None and self._parser.end():
             self._answered(False)
+        # The loop would first write out what is buffered: a request that counts as never written.
+        self._break()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
