Serve classes that a reload left out as long as their last requests may come again

Cause: Inbound kept the names of before for 4 s. The figure held for deadlines up to 2.8 s only. Change: 1.2 s and the longest deadline of the classes before, 4 s at least. Each set of names ends by itself, since a later one may end sooner. A connection whose transport is over is not aborted once more, which logged a traceback.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -163,20 +163,23 @@
         news = config.successor(self._told, told, self.busy)
         for name in news.unchanged:
             log(f"reload: {name} stays as it was until a restart")
-        self._told = news.config
+        longest, self._told = self._longest(), news.config
         self.driver.reload(news.config, news.kept)
         self.pool.reload(news.config)
-        self.inbound.reload(news.config.names)
+        self.inbound.reload(news.config.names, longest)
         self.discovery.move(news.config.discovery, news.config.registry)
 
+    def _longest(self) -> float:
+        """The longest deadline of the classes that there are."""
+        named = {kind.band for kind in self._told.names.classes.values()}
+        return max(self._told.settings.profiles[band].deadline for band in named)
+
     async def drain(self) -> None:
         """Stop listening, finish what was taken, close connections between requests."""
         self.life.stop()
         log("stopping: finishing what was taken")
         # Slots of classes that a reload left out are no longer counted by whoever ends the process.
-        named = {kind.band for kind in self._told.names.classes.values()}
-        longest = max(self._told.settings.profiles[band].deadline for band in named)
-        self.driver.stopping(self._clock.now() + min(longest, LONGEST_MS) + ANSWERED_MS)
+        self.driver.stopping(self._clock.now() + min(self._longest(), LONGEST_MS) + ANSWERED_MS)
         if self._told.inherited is not None:
             self.inbound.stop_listening()  # what still comes is for the process that takes over
         await asyncio.sleep(STILL_LISTEN_S - LAST_ANSWERS_S)
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -45,7 +45,8 @@
 SENT_AWAY_SWEEP_S = 0.1
 FIRST_MS = 100.0  # a connection that has just come is left alone for so long: its request follows
 STILL_COMING_MS = 700.0  # at the end, a request of which nothing came for so long is not awaited
-CLASSES_BEFORE_S = 4.0  # clients use other classes 1.2 s after a reload, and come again for a while
+# Clients use other classes 1.2 s after a reload, and come again until their time is over.
+LEARNED_S, CLASSES_BEFORE_S = 1.2, 4.0
 LOOK_S = 0.05  # a client that closes has gone; while nothing is read here, only a look shows it
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
@@ -416,7 +417,8 @@
 
     def abort(self) -> None:
         """Close it whatever it holds."""
-        self._transport.abort()
+        if not self._lost:  # its transport is no more
+            self._transport.abort()
 
     # --- called by the loop -------------------------------------------------
 
@@ -855,7 +857,7 @@
         self._names = config.names
         self._kept_back = NOT_FOR_SERVERS | (OWN_WORD if config.agreement is not None else frozenset())
         self._before: deque[Names] = deque()  # what clients may still name, for a while; newest first
-        self._forgets: deque[asyncio.TimerHandle] = deque()
+        self._forgets: list[asyncio.TimerHandle] = []
         self._connections: dict[Connection, None] = {}
         self._look_again = 0.0  # for one that may give way, short of the limit
         self._leaving: set[Connection] = set()  # made to give way: the loop closes them a turn later
@@ -886,18 +888,19 @@
         # Where the limit has fallen below what is here, each new connection would be one too many.
         self._make_room(max(0, len(self._connections) - self._crowded))
 
-    def reload(self, names: Names) -> None:
-        """Other classes. Clients learn of them later: what they knew is served for a while, however
-        often others follow."""
+    def reload(self, names: Names, deadline: float = 0.0) -> None:
+        """Other classes. Clients learn of them later: what they knew is served for a while, however often
+        others follow, and as long as one that began before, with that deadline, may come again."""
         if names == self._names:
             return
-        self._before.appendleft(self._names)
-        self._names = names
-        self._forgets.append(self.loop.call_later(CLASSES_BEFORE_S, self._forget_oldest))
-
-    def _forget_oldest(self) -> None:
-        self._forgets.popleft()
-        self._before.pop()
+        before, self._names = self._names, names
+        self._before.appendleft(before)
+        keep = max(CLASSES_BEFORE_S, LEARNED_S + deadline / 1000.0)
+        self._forgets.append(self.loop.call_later(keep, self._forget_classes, before))
+
+    def _forget_classes(self, names: Names) -> None:
+        self._before.remove(names)
+        self._forgets = [timer for timer in self._forgets if timer.when() > self.loop.time()]
 
     @property
     def bands(self) -> set[int]:
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -415,6 +415,23 @@
         app.close()
 
 
+@loopback
+async def test_classes_of_before_are_known_until_their_last_requests_may_have_come_again(monkeypatch):
+    """A client names them until 1.2 s after the reload, and comes again until its deadline is over."""
+    rows = [{"Name": "look", "Semantics": "pure", "Objective": 200.0, "Deadline": 9000.0}]
+    async with running(Profiles=rows) as made:
+        waits = []
+        later = made._loop.call_later
+        monkeypatch.setattr(
+            made._loop, "call_later", lambda wait, *rest: waits.append(wait) or later(wait, *rest)
+        )
+        made.adopt(told(Profiles=[{**rows[0], "Name": "view", "Deadline": 100.0}]))
+        assert 10.2 in [pytest.approx(wait) for wait in waits]
+        waits.clear()
+        made.adopt(told(Profiles=[{**rows[0], "Name": "see"}]))
+        assert inbound.CLASSES_BEFORE_S in waits  # and no less, where deadlines are short
+
+
 @loopback
 async def test_the_end_is_timed_by_the_classes_that_there_are_now(at_once):
     def with_deadline(name, deadline):
