--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -26,9 +26,11 @@
 # A client that has as many connections as it may can't open the one that would make room here:
 # from this part of the third on, answers end their connections, and what is quiet is closed.
 CROWDED = 0.75
+LOOK_AGAIN_MS = 20.0
 QUIET_MS = 1000.0  # a true sender's pieces come faster
 MEMORY_SHARE = 0.25  # of all memory, for the bytes of messages
 HARD_SHARE = 0.47  # past this whatever carries no request is closed, or else the new connection
+COMING = 8  # of the descriptors reserved: for connections that are here and give way, or make another do so
 PIPELINED_MOST = 16
 # A peer that sends no whole request is owed an error or a close within 3 s of connecting; half a
 # second is left for a loop that lags.
@@ -41,11 +43,14 @@
 # Clients are sent away: new connections come for 0.3 s more, and 4 s after the call none may be idle.
 SENT_AWAY_S = 1.0
 SENT_AWAY_SWEEP_S = 0.1
+FIRST_MS = 100.0  # a connection that has just come is left alone for so long: its request follows
 STILL_COMING_MS = 700.0  # at the end, a request of which nothing came for so long is not awaited
 CLASSES_BEFORE_S = 4.0  # clients use other classes 1.2 s after a reload, and come again for a while
+LOOK_S = 0.05  # a client that closes has gone; while nothing is read here, only a look shows it
 LINGER_S = 1.0  # for a client to read why it is turned away, while it is still sending
 BUDGET_MOST_MS = 3_600_000.0
 BUDGET = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
+BLANK = b"\r\n"
 CALL_ID = re.compile(r"[!-~]{1,128}")
 NOT_FOR_SERVERS = frozenset((b"x-budget",))
 OWN_WORD = frozenset((b"x-edition",))  # with a part in the agreement: no client speaks for this sidecar
@@ -344,6 +349,7 @@
         self._waiting: deque[Exchange] = deque()  # in the order of their requests
         self._message: Message | None = None
         self._head_bytes = 0
+        self._blank = 0  # bytes of empty lines, which may come before a request
         self._read_at = 0.0
         self._begun_at = 0.0  # when the connection, or a later request on it, began
         self._half_sent: asyncio.TimerHandle | None = None
@@ -351,6 +357,8 @@
         self._full = False  # answers pile up
         self._body_waits = False  # its body comes faster than a server takes it
         self._waits_from = 0.0
+        self._lay_here = True  # what is read next may have come long ago
+        self._look: asyncio.TimerHandle | None = None  # for a close, while nothing is read
         self._deaf = False  # nothing more is read as a request
         self._lost = False
         self.quiet_since = 0.0  # the last bytes read, answer given, or the opening
@@ -382,6 +390,12 @@
         """Whether a part of a request has come."""
         return self._message is not None
 
+    @property
+    def new(self) -> bool:
+        """Whether it has only just come, and nothing on it yet."""
+        silent = not self._answered and self._message is None
+        return silent and self._inbound.clock.now() - self.quiet_since < FIRST_MS
+
     @property
     def unfinished(self) -> bool:
         """Whether a request is still coming here, or the rest of an answer still going."""
@@ -420,33 +434,52 @@
             return
         self._read_at = self.quiet_since = self._inbound.clock.now()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._turn_away(400)
+            self._parse(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             self._turn_away(cause.status if isinstance(cause, BadRequest) else 400)
         except httptools.HttpParserError:
             self._turn_away(400)
         else:
-            self._bound_unfinished(len(data))
+            self._bound_unfinished(data)
+        if len(data) < HELD_MOST:
+            self._lay_here = False  # all of it is read now
+
+    def _parse(self, data: bytes) -> None:
+        """Guards against a second answer to a request that asks for another protocol: it is served, or was
+        turned away, in this one, and what follows it is read in this one."""
+        while data and not self._deaf:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as error:
+                data = data[error.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
 
     def pause_writing(self) -> None:
         """Answers pile up unread: guards against a peer that only asks and fills the memory."""
         self._full = True
-        self._transport.pause_reading()
-        self._unread = self._inbound.loop.call_later(UNREAD_S, self.abort)
+        self._await_reading()
+        self._read_on()
         if self._waiting and self._waiting[0].passing is not None:
             self._waiting[0].passing.flow.pause()
 
+    def _await_reading(self, left: float = math.inf) -> None:
+        """Give a client time to read, and more as long as it reads as much as is held here: the buffer itself
+        falls late, since the kernel takes more only when a large part of what it holds is read."""
+        unread = framing.unread(self._transport)
+        if unread <= left - WRITE_MOST:
+            self._unread = self._inbound.loop.call_later(UNREAD_S, self._await_reading, unread)
+        else:
+            self.abort()
+
     def resume_writing(self) -> None:
         """The peer has read on."""
         self._full = False
-        if self._unread is not None:
+        if self._unread is not None and not self._transport.is_closing():  # or else it has to end
             self._unread.cancel()
             self._unread = None
-        if not self._body_waits:
-            self._transport.resume_reading()
+        self._read_on()
         if self._waiting and self._waiting[0].passing is not None:
             self._waiting[0].passing.flow.resume()
 
@@ -454,16 +487,38 @@
         """The body that comes is not taken so fast."""
         if not self._body_waits and not self._lost:
             self._body_waits = True
-            self._waits_from = self._inbound.loop.time()
-            self._transport.pause_reading()
+            self._read_on()
 
     def resume(self) -> None:
-        """More of the body is taken; the client had no part in the wait."""
+        """More of the body is taken."""
         if self._body_waits and not self._lost:
             self._body_waits = False
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Read, unless answers pile up or a body waits: that is no time in which the client could send. Until
+        then its leaving is looked for."""
+        if not (self._full or self._body_waits):
+            self._stop_looking()
+            self._lay_here = True
             self._begun_at += self._inbound.loop.time() - self._waits_from
-            if not self._full:
-                self._transport.resume_reading()
+            self._transport.resume_reading()
+        elif self._look is None:
+            self._waits_from = self._inbound.loop.time()
+            self._transport.pause_reading()
+            self._look = self._inbound.loop.call_later(LOOK_S, self._look_again)
+
+    def _look_again(self) -> None:
+        self._look = None
+        if framing.hung_up(self._transport):
+            self._leave()
+        else:
+            self._look = self._inbound.loop.call_later(LOOK_S, self._look_again)
+
+    def _stop_looking(self) -> None:
+        if self._look is not None:
+            self._look.cancel()
+            self._look = None
 
     def flows(self, exchange: Exchange) -> None:
         """An answer that is passed on takes its room, at the cost of requests that come later."""
@@ -472,35 +527,60 @@
 
     def write(self, data: bytes) -> None:
         """A part of an answer."""
-        if not self._lost:
+        if not self._transport.is_closing():
             self._transport.write(data)
 
     def eof_received(self) -> bool:
-        """The client has closed: it is gone, and what is not answered is not awaited."""
+        """The client has closed."""
+        self._leave()
         return False
 
+    def left(self) -> bool:
+        """Whether the client of a request just read is gone already. The loop tells that in time, but for
+        what lay here before it was read, or came behind another request."""
+        if not (self._lay_here or len(self._waiting) > 1) or not framing.hung_up(self._transport):
+            return False
+        self._leave()
+        return True
+
+    def _leave(self) -> None:
+        """Its client is gone, though answers may still be on their way: nothing that waits is sent on."""
+        self._deaf = True
+        self._forget_waiting()
+        self._stop_looking()
+        self._transport.close()
+        if self._unread is None:
+            # It may have left a part of an answer unread, and never say so.
+            self._await_reading()
+
+    def _forget_waiting(self) -> None:
+        """Nobody is there any more to read what was asked for here."""
+        waiting = list(self._waiting)
+        self._waiting.clear()
+        message, self._message = self._message, None
+        if message is not None:
+            message.room.give(self._inbound.budget)
+        for exchange in waiting:
+            exchange.room.give(self._inbound.budget)
+            if exchange.request is not None:
+                self._inbound.taker.client_gone(exchange.request)
+
     def connection_lost(self, error: Exception | None) -> None:
         """The connection is closed."""
         self._lost = True
         self._stop_clock()
+        self._stop_looking()
         if self._unread is not None:
             self._unread.cancel()
         self._inbound.closed(self)
-        waiting = list(self._waiting)
-        self._waiting.clear()
-        if self._message is not None:
-            self._message.room.give(self._inbound.budget)
-        for exchange in waiting:
-            exchange.room.give(self._inbound.budget)
-            if exchange.request is not None:
-                self._inbound.taker.client_gone(exchange.request)
+        self._forget_waiting()
 
     # --- called by the parser -----------------------------------------------
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
         self._message = Message()
-        self._head_bytes = 0
+        self._head_bytes = self._blank = 0
 
     def on_url(self, target: bytes) -> None:
         """Called by the parser, once or in parts."""
@@ -525,12 +605,25 @@
         if message is None:
             return
         message.head_done = True
+        self._check_framing(message)
         message.method = self._parser.get_method().decode("latin-1")
         length = message.text("content-length")
         if length is not None and length.isdigit() and int(length) > framing.MAX_BODY:
             raise BadRequest(413, "body too large")
         self._tell_to_go_on()
 
+    def _check_framing(self, message: Message) -> None:
+        """Guards against a body that would not be passed on as it was meant."""
+        if self._parser.get_http_version() not in ("1.0", "1.1"):
+            raise BadRequest(505, "HTTP/1.1 is spoken here")
+        coding = message.text("transfer-encoding")
+        if coding is not None and coding.lower() != "chunked":
+            raise BadRequest(501, "Transfer-Encoding: only chunked")
+        bare = coding is None and message.text("content-length") in (None, "0")
+        if self._parser.should_upgrade() and not bare:
+            # The parser takes such a body for the other protocol's.
+            raise BadRequest(400, "Upgrade: not with a body")
+
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
         message = self._message
@@ -581,18 +674,21 @@
         if message.exchange is not None:
             self._end_large(message.exchange)
             return
-        exchange = Exchange(self, self._parser.should_keep_alive())
+        exchange = Exchange(self, self._parser.should_keep_alive() and len(self._waiting) < PIPELINED_MOST)
         exchange.old = self._parser.get_http_version() == "1.0"
         exchange.room = message.room
         self._waiting.append(exchange)
-        if len(self._waiting) > PIPELINED_MOST:
-            exchange.keep_alive = False
-            self._deaf = True
         self._inbound.serve(exchange, message, self._read_at)
+        self._hear_no_more_after(exchange)
+
+    def _hear_no_more_after(self, exchange: Exchange) -> None:
+        """Guards against a request that is sent on behind an answer that ends the connection."""
+        self._deaf = self._deaf or not exchange.keep_alive
 
     def _end_large(self, exchange: Exchange) -> None:
         assert exchange.body is not None
-        exchange.keep_alive = self._parser.should_keep_alive()
+        exchange.keep_alive = exchange.keep_alive and self._parser.should_keep_alive()
+        self._hear_no_more_after(exchange)
         exchange.body.end()
         if exchange.request is not None:
             self._inbound.taker.body_read(exchange.request, self._read_at)
@@ -618,6 +714,9 @@
                 self._transport.write(framing.answer(status, headers, body, last))
             self._waiting.popleft()
             exchange.room.give(self._inbound.budget)
+            if exchange.reading and exchange.request is not None:
+                # Guards against an attempt that waits for ever for the rest of a body.
+                self._inbound.taker.client_gone(exchange.request)
             if last:
                 self._linger()
                 return
@@ -639,6 +738,8 @@
 
     def _turn_away(self, status: int) -> None:
         """Answer what can't be read on from; requests before it are answered first."""
+        if self._deaf:
+            return
         message, self._message = self._message, None
         self._deaf = True
         if message is not None:
@@ -669,10 +770,12 @@
         self._deaf = True
         self._stop_clock()
         self.resume()
-        if self._message is None and not self._waiting and not framing.readable(self._transport):
+        sending = self._message is not None
+        self._forget_waiting()  # an answer that only the end of the connection ends may have some behind it
+        if not sending and not framing.readable(self._transport):
             self._transport.close()
             return
-        if self._transport.can_write_eof():
+        with contextlib.suppress(OSError):  # the client has reset it, as the loop will find in a turn
             self._transport.write_eof()
         self._half_sent = self._inbound.loop.call_later(LINGER_S, self._let_go)
 
@@ -683,10 +786,14 @@
         else:
             self._transport.abort()
 
-    def _bound_unfinished(self, count: int) -> None:
+    def _bound_unfinished(self, data: bytes) -> None:
         """Guards against half-sent requests: their size and their time are bounded."""
-        message = self._message
+        message, count = self._message, len(data)
         if message is None:
+            if data[0] in BLANK and not data.strip(BLANK):
+                self._blank += count
+                if self._blank > framing.MAX_HEAD:
+                    self._turn_away(400)
             return
         message.size += count
         if message.size - 8 * message.body_size > FRAMING_MOST:
@@ -709,7 +816,7 @@
         self._half_sent = None
         size = self._message.size if self._message is not None else 0
         until = self._begun_at + HALF_SENT_S + size / BODY_BYTES_PER_S
-        if self._body_waits:
+        if self._full or self._body_waits:
             until += self._inbound.loop.time() - self._waits_from + CLOCK_STEP_S * 100.0
         if until > self._inbound.loop.time() + CLOCK_STEP_S:
             self._half_sent = self._inbound.loop.call_at(until, self._unsent)
@@ -718,6 +825,9 @@
             self._turn_away(408)
         elif self.idle:
             self.close()
+        elif not self._waiting and not self._deaf:
+            # Something came just now: it may be a request, and may be more of nothing.
+            self._half_sent = self._inbound.loop.call_later(LOOK_S, self._unsent)
 
     def _stop_clock(self) -> None:
         if self._half_sent is not None:
@@ -744,18 +854,25 @@
         self._sweep: asyncio.TimerHandle | None = None
         self._names = config.names
         self._kept_back = NOT_FOR_SERVERS | (OWN_WORD if config.agreement is not None else frozenset())
-        self._before: Names | None = None  # what clients may still name, for a while
-        self._forget_before: asyncio.TimerHandle | None = None
+        self._before: deque[Names] = deque()  # what clients may still name, for a while; newest first
+        self._forgets: deque[asyncio.TimerHandle] = deque()
         self._connections: dict[Connection, None] = {}
+        self._look_again = 0.0  # for one that may give way, short of the limit
+        self._leaving: set[Connection] = set()  # made to give way: the loop closes them a turn later
         self._limits = config.limits
         self.budget = Budget(0)
         self.share(1.0)
         self._listener: Listener | None = None
+        self._own = True  # the listening socket, which no other process has
+        self._ending = False
 
     def listen(self, address: Address, descriptor: int | None = None) -> Address:
         """Accept connections from now on, on an inherited socket if there is one; where that is."""
+        self._own = descriptor is None
         sock = bound(address) if descriptor is None else inherited(descriptor)
-        self._listener = Listener(self.loop, sock, lambda: Connection(self))
+        self._listener = Listener(
+            self.loop, sock, lambda: Connection(self), self._room, lambda: self._make_room(1)
+        )
         return self._listener.address
 
     def share(self, part: float) -> None:
@@ -770,40 +887,53 @@
         self._make_room(max(0, len(self._connections) - self._crowded))
 
     def reload(self, names: Names) -> None:
-        """Other classes. Clients learn of them later: what they knew is served for a while."""
-        if self._forget_before is not None:
-            self._forget_before.cancel()
-        self._before, self._names = self._names, names
-        self._forget_before = self.loop.call_later(CLASSES_BEFORE_S, self._forget_classes)
+        """Other classes. Clients learn of them later: what they knew is served for a while, however
+        often others follow."""
+        if names == self._names:
+            return
+        self._before.appendleft(self._names)
+        self._names = names
+        self._forgets.append(self.loop.call_later(CLASSES_BEFORE_S, self._forget_oldest))
 
-    def _forget_classes(self) -> None:
-        self._before = self._forget_before = None
+    def _forget_oldest(self) -> None:
+        self._forgets.popleft()
+        self._before.pop()
 
     @property
     def bands(self) -> set[int]:
         """The classes that clients may name."""
-        known = (self._names, self._before)
-        return {kind.band for names in known if names for kind in names.classes.values()}
+        known = (self._names, *self._before)
+        return {kind.band for names in known for kind in names.classes.values()}
 
     def _read(self, exchange: Exchange, message: Message) -> None:
         try:
             exchange.read(message, self._names, self._kept_back)
         except BadRequest:
-            if self._before is None:
-                raise
-            exchange.read(message, self._before, self._kept_back)
+            for names in self._before:
+                with contextlib.suppress(BadRequest):
+                    exchange.read(message, names, self._kept_back)
+                    return
+            raise
+
+    def last_answers(self) -> None:
+        """Each answer from now on is the last on its connection."""
+        self._ending = True
 
     def stop_listening(self) -> None:
-        """Take no new connection; each answer from now on is the last on its own."""
-        if self._listener is not None:
+        """Take no new connection but those that the system has accepted for this process alone; each
+        answer from now on is the last on its own."""
+        self.last_answers()
+        if self._listener is None:
+            return
+        if self._own:
+            self._listener.finish()
+        else:
             self._listener.close()
 
     @property
     def closing(self) -> bool:
         """Whether each answer is the last on its connection."""
-        if self._life.lame_duck or len(self._connections) > self._crowded:
-            return True
-        return self._listener is not None and not self._listener.open
+        return self._ending or self._life.lame_duck or len(self._connections) > self._crowded
 
     def _life_changed(self) -> None:
         if self._sweep is not None:
@@ -814,13 +944,13 @@
 
     def _send_away(self) -> None:
         """Close what stands idle, as often as it takes until clients are to come again."""
-        self.close_idle()
+        self.close_idle(but_new=True)
         self._sweep = self.loop.call_later(SENT_AWAY_SWEEP_S, self._send_away)
 
-    def close_idle(self) -> None:
-        """Close what stands between requests."""
+    def close_idle(self, but_new: bool = False) -> None:
+        """Close what stands between requests, at will but for what has only just come."""
         for connection in list(self._connections):
-            if connection.idle:
+            if connection.idle and not (but_new and connection.new):
                 connection.close()
 
     @property
@@ -830,40 +960,61 @@
 
     @property
     def empty(self) -> bool:
-        """Whether all connections are closed."""
-        return not self._connections
+        """Whether all connections are closed, those included that are only just accepted."""
+        return not (self._connections or self._leaving or self._coming)
+
+    @property
+    def _coming(self) -> int:
+        return 0 if self._listener is None else self._listener.settling
 
     def close(self) -> None:
         """Close all at the end."""
         if self._listener is not None:
             self._listener.close()
-        for timer in (self._sweep, self._forget_before):
-            if timer is not None:
-                timer.cancel()
-        for connection in list(self._connections):
+        for timer in (*self._forgets, *([self._sweep] if self._sweep else [])):
+            timer.cancel()
+        for connection in (*self._connections, *self._leaving):
+            connection.close()  # seen at once, where nothing is left to be written
             connection.abort()
 
     # --- what connections report ----------------------------------------------
 
     def opened(self, connection: Connection) -> None:
         """A new connection; in a crowd one that makes no progress gives way to it."""
-        connection.quiet_since = self.clock.now()
-        if len(self._connections) >= self._crowded:
-            self._make_room(1)
+        now = connection.quiet_since = self.clock.now()
+        if len(self._connections) >= self._hard:
+            self._make_room(max(1, self._coming))  # for those too that came with it: one look is dear
+        elif len(self._connections) >= self._crowded and now >= self._look_again and not self._make_room(1):
+            # Guards against a look for each of a crowd, of which none rests and none is quiet for long.
+            self._look_again = now + LOOK_AGAIN_MS
         self._connections[connection] = None
         if len(self._connections) > self._hard:
-            connection.abort()
+            self._part_with(connection)
 
-    def _make_room(self, most: int) -> None:
+    def _room(self) -> int:
+        """How many connections may be accepted now. Guards against a crowd that takes, for a turn or
+        two, the descriptors that are kept for discovery, or more than there may be."""
+        return self._hard + COMING - len(self._connections) - len(self._leaving)
+
+    def _part_with(self, connection: Connection) -> None:
+        """Close one that has to give way."""
+        del self._connections[connection]
+        self._leaving.add(connection)
+        connection.close()
+
+    def _make_room(self, most: int) -> bool:
         """Close by least progress: what rests after its answer, then what never sent a byte, then what
-        stopped within a request, each the longest quiet first. Short of the limit it has some time."""
+        stopped within a request, each the longest quiet first. Short of the limit it has some time.
+        Whether any was closed."""
         until = self.clock.now() - (QUIET_MS if len(self._connections) < self._hard else 0.0)
         free = [c for c in self._connections if not c.busy and (c.resting or c.quiet_since <= until)]
+        before = len(self._connections)
         for connection in sorted(free, key=lambda c: (not c.resting, c.begun, c.quiet_since)):
-            if most and not connection.readable:
-                connection.abort()
-                del self._connections[connection]
-                most -= 1
+            if before - len(self._connections) == most:
+                break
+            if not connection.readable:
+                self._part_with(connection)
+        return len(self._connections) < before
 
     def _requests_held(self) -> int:
         return sum(connection.busy for connection in self._connections)
@@ -876,6 +1027,7 @@
     def closed(self, connection: Connection) -> None:
         """A connection is closed."""
         self._connections.pop(connection, None)
+        self._leaving.discard(connection)
 
     def serve(self, exchange: Exchange, message: Message, read_at: float) -> None:
         """A request, whole or large: answered here, or taken."""
@@ -885,7 +1037,7 @@
         elif len(self._connections) > self._soft and self._requests_held() > self._soft:
             exchange.keep_alive = False
             exchange.refused(0.0)
-        else:
+        elif not exchange.connection.left():
             try:
                 self._read(exchange, message)
                 exchange.request = self.taker.arrive(exchange, read_at)
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -12,10 +12,10 @@
 import random
 from collections import deque
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from poppypulley import model
+from poppypulley.records import HASH_MASK, HASH_MULTIPLIER, PACE_MEMORY, Attempt, Pace, Request, Server, Turn
 from poppypulley.shedding import SHED_GAIN, SHED_IDLE, SHED_LEAK_MS, Shed, Throttle
 from poppypulley.steering import Steering
 
@@ -56,15 +56,15 @@
 
 # Pace: time taken per unit of work asked. A few samples of one's own tell little, so a server
 # is held to its kind's pace and a kind to the service's until there is evidence.
-PACE_MEMORY = 0.98  # kept at each new answer: about the last fifty
 PACE_PRIOR = 6.0  # answers' worth of belief in the wider figure
+PACE_LEAST_MS = 1e-3  # an answer that began before its request's end took no time: no pace is without any
 PACE_POWER = 2.5  # how strongly draws shun the slow
 SPEED_LEAST = 0.2  # nothing is shunned so far that it cannot show that it is better
 SPEED_MOST = 1.6  # bounds what a draw may turn down
 
 # Subset: each sidecar keeps to a few servers: few connections, and something learned of each.
 SUBSET = 8
-SUBSET_PRICED = 4  # where open connections cost: full tables also slow servers down
+SUBSET_PRICED = 4  # where open connections cost, at least: full tables also slow servers down
 SUBSET_PER_OPEN = 2  # a busy sidecar widens with its own requests in flight
 GOLDEN = (math.sqrt(5.0) - 1.0) / 2.0  # spreads sidecars' starting places evenly
 
@@ -72,8 +72,6 @@
 KEY_SPREAD = 3.0  # servers for a key, as a multiple of its share of the whole ring
 KEY_LEAST = 2
 KEY_MEMORY = 128  # arrivals by which a key's share is judged
-HASH_MULTIPLIER = 0x9E3779B97F4A7C15  # 2^64 over the golden ratio: spreads bits upwards
-HASH_MASK = 0xFFFFFFFFFFFFFFFF
 
 OWN_HELD = 4.0  # own requests count as a crowd: other sidecars act alike
 WORK_MEMORY = 0.05  # weight of the newest cost hint in the mean
@@ -94,6 +92,7 @@
 COME_BACK = 0.1  # of the aim: soon enough that a client's retry may still be served in time
 COLD_SHARE = 0.5  # of what topples a cold server, were all warm ones fully loaded: subsets overlap unevenly
 RATE_MS = 10000.0  # memory of the own rate of sends
+TURNED_COUNTS = 1.0 / 3.0  # of a send: what was refused comes again up to a few times
 
 # Connections dropped unseen while idle: those unused for so much of the time at which one failed
 # are closed; this is forgotten again.
@@ -116,7 +115,7 @@
 
 FORGET_MS = 600000.0  # servers gone for longer are forgotten: sidecars run for months
 ASK_SPREAD_MS = 2500.0
-ASK_AGAIN_MS, ASK_MOST = 500.0, 0.2  # doubled up to this share of what may pass without an ask
+ASK_AGAIN_MS, ASK_PART = 500.0, 0.2  # doubled up to this share of what may pass without an ask
 # Why a request is given up: the formula; the shed level beyond it; work too heavy to end in time; no server
 # that may be sent to; its key's line too long; no try left after a failure.
 REASONS = ("formula", "level", "heavy", "room", "line", "failed")
@@ -127,125 +126,6 @@
 CLOSE = "close:"
 
 
-@dataclass(slots=True, eq=False)
-class Pace:
-    """Time taken for the work asked, with the newest evidence weighing most."""
-
-    spent: float = 0.0
-    work: float = 0.0
-    speed: float = 1.0
-
-    def add(self, spent: float, work: float) -> None:
-        self.spent = self.spent * PACE_MEMORY + spent
-        self.work = self.work * PACE_MEMORY + work
-
-    def rate(self, wider: float, belief: float) -> float:
-        """Time per work, leaning on a wider figure by `belief` units of work."""
-        return (self.spent + wider * belief) / (self.work + belief)
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this balancer knows of one server."""
-
-    name: str
-    salt: int
-    kind_pace: Pace
-    gone_at: float
-    zone: int = 0
-    kind: int = 0
-    cell: int = 0
-    weight: float = 1.0
-    started: float = 0.0
-    usable: bool = True
-    open: int = 0
-    out: dict[Attempt, None] = field(default_factory=dict)  # oldest first
-    strikes: int = 0
-    answered_at: float = -math.inf
-    fulls: int = 0  # in a row
-    ill: float = 0.0  # fading share of faults
-    rest_until: float = 0.0
-    seen_load: float = 0.0
-    mean_load: float = 0.0
-    seen_at: float = -math.inf
-    pace: Pace = field(default_factory=Pace)
-    releases: int = 0
-    idle: int = 0  # connections thought to be open and unused
-    used_at: float = 0.0  # last send or outcome there; 0 before the first
-    budget: float = 0.0  # sends that it may take while cold
-    budget_at: float = 0.0
-
-    def update(self, entry: model.Listing) -> None:
-        self.zone = entry.zone
-        self.kind = entry.kind
-        self.cell = entry.cell
-        self.weight = entry.weight if 0.0 < entry.weight < math.inf else 1.0
-        self.started = entry.started if math.isfinite(entry.started) else 0.0
-        self.usable = entry.state == "active"
-
-    def rank(self, mixed: int) -> float:
-        """Its place in a key's rendezvous order, lowest first, weighted by size and kind."""
-        drawn = ((mixed ^ self.salt) * HASH_MULTIPLIER & HASH_MASK | 1) / HASH_MASK
-        return -math.log(drawn) / (self.weight * self.kind_pace.speed)
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One send of a request."""
-
-    server: Server
-    sent: float
-    stalls_at: float
-    gap: float  # how long the server was unused before it; 0 for the first
-    out: bool = True
-    may_have_run: bool = True
-    fresh: bool = False  # whether it had to open a connection
-    stale: bool = False  # whether it met a dropped one
-    blamed: bool = False  # whether its server was blamed already, at its aim
-    answering: bool = False  # whether its answer has begun
-
-
-@dataclass(slots=True, eq=False)
-class Turn:
-    """The requests of one key, in the order taken; the first one's turn it is."""
-
-    line: deque[Request] = field(default_factory=deque)
-    rest_until: float = -math.inf
-    moving: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Request:
-    """A client's request from its arrival until its last outcome."""
-
-    id: int
-    band: int
-    key: int | None
-    profile: model.Profile
-    limits: model.Settings  # those of its arrival
-    arrived: float
-    give_up_at: float
-    tenant: int = 0
-    work: float = 1.0
-    over: bool = False
-    in_turn: bool = False
-    large: bool = False  # its body goes on coming after the send
-    gone: bool = False  # of its body more has flowed on than is held
-    attempts: list[Attempt] = field(default_factory=list)
-    out: int = 0
-    done: bool = False
-
-    def useful_until(self) -> float:
-        """When an answer stops earning anything."""
-        if self.profile.late_worth > 0.0:
-            return self.give_up_at
-        return min(self.give_up_at, self.arrived + self.profile.objective)
-
-    def bound(self) -> Attempt | None:
-        """The first attempt that may have run, which binds all that follow."""
-        return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
-
-
 class Balancer:
     """The decisions of one sidecar: events in, actions out."""
 
@@ -264,21 +144,21 @@
         told = {"inflight", "queue"} & set(settings.report_fields)
         self._reports = settings.report_how == "inline" and bool(told)
         self._mean_work = 0.0
+        self._lengths: dict[int, Pace] = {}  # by class, where no work is told: its answers' time over all's
         self._mean_load = 0.0  # of the newest reports
-        self._subset = SUBSET_PRICED if settings.prices.get("Connection") else SUBSET
         self._open = 0
         self._pace = Pace()
         self._kind_pace: dict[int, Pace] = {}
         self._keys: deque[int] = deque()
         self._key_counts: dict[int, int] = {}
-        self._weigh_crossings()
+        self._weigh_prices()
         self._spill = [0.0] * len(settings.profiles)  # part of each class that crosses
         self._far_miss = 0.0
         self._groups: dict[tuple[str, int], list[Server]] = {}
         self._near: list[Server] = []
         self._far: list[Server] = []
         self._silent_at = -math.inf  # when a server was last ejected for silence
-        self._idle_learned = settings.idle_close
+        self._idle_learned = math.inf  # until one is met that was dropped
         self._idle_at = now
         self._connect_ill = 0.0  # fading share of new connections that fail
         self._missed = 0.0  # fading share of sends that were not accepted: no refusal of one's own
@@ -287,13 +167,15 @@
         self._born = now
         self._sends = 0.0  # fading count of sends, for the own rate
         self._sends_at = now
+        self._turned, self._turned_at = 0.0, now  # refused for want of room, as of a memory ago
         self._most_servers = 1.0
         self._ask_pending = False
         self._ask_delay = ASK_AGAIN_MS
         self._out: list[model.Action] = []
 
-    def _weigh_crossings(self) -> None:
-        """The worth that a crossing costs, as a share of what a request of each class is worth."""
+    def _weigh_prices(self) -> None:
+        """What a crossing costs, as a share of a request's worth by class, and what connections cost."""
+        self._subset = SUBSET_PRICED if self._set.prices.get("Connection") else SUBSET
         worths = [profile.worth for profile in self._set.profiles]
         price = self._set.prices.get("CrossZone", 0.0)
         self._zoned = self._set.zones > 1 and price >= CROSS_PRICE_LEAST
@@ -306,10 +188,12 @@
         for the classes that are not kept: their slots may be another's now."""
         self._set = settings
         self._shed.reload(settings, kept)
-        self._weigh_crossings()
-        spill = enumerate(self._spill[: len(settings.profiles)])
-        self._spill = [part if slot in kept else 0.0 for slot, part in spill]
-        self._spill += [0.0] * (len(settings.profiles) - len(self._spill))
+        self._lengths = {slot: length for slot, length in self._lengths.items() if slot in kept}
+        self._weigh_prices()
+        self._spill = [self._spill[slot] if slot in kept else 0.0 for slot in range(len(settings.profiles))]
+        for server in self._servers.values():
+            server.budget = max(0.0, server.budget)  # a warm one owes nothing, if it counts as cold now
+            self._release(server)
         return self._take()
 
     def steer(self, now: float, steer: model.Steer) -> list[model.Action]:
@@ -326,7 +210,8 @@
         until = arrival.give_up_at if math.isfinite(arrival.give_up_at) else now + profile.deadline
         request = Request(arrival.request, arrival.band, key, profile, self._set, now, until)
         # A figure that is not finite must not reach a time-out: the class's own serves.
-        request.work = arrival.work if arrival.work and 0.0 < arrival.work < math.inf else 1.0
+        if arrival.work and 0.0 < arrival.work < math.inf:
+            request.work, request.told = arrival.work, True
         request.tenant = arrival.tenant
         request.in_turn = profile.in_turn and key is not None
         request.large = arrival.large
@@ -380,7 +265,8 @@
             self._hear(now, attempt.server, report)
         if request.in_turn and request.key is not None and status in DOUBTS:
             # It may be running still: the key rests, whatever becomes of the request.
-            self._turns[request.key].rest_until = now + self._set.settle_after_doubt
+            rest = max(request.limits.settle_after_doubt, self._set.settle_after_doubt)
+            self._turns[request.key].rest_until = now + rest
         self._learn(now, request, attempt, status, spent)
         self._release(attempt.server)
         if last:
@@ -439,7 +325,7 @@
         """What discovery says of the servers."""
         if form == "refused":
             self._ask(self._ask_delay * (1.0 + self._rng.random()))
-            self._ask_delay = min(self._ask_delay * 2.0, ASK_MOST * self._set.ask_within)
+            self._ask_delay = min(2.0 * self._ask_delay, model.ASK_MOST_MS, ASK_PART * self._set.ask_within)
             return self._take()
         if form == "remembered":
             if self._set.discovery == "subscribe":
@@ -512,7 +398,10 @@
         """Whether, under strain, a request would take a server and still come too late."""
         if request.profile.late_worth > 0.0 or self._shed.level(now) <= SHED_IDLE or not self._pace.work:
             return False
-        return request.work * self._pace.rate(0.0, 0.0) > HOPELESS * request.profile.objective
+        # Untold, a class asks for what it takes: held to the mean of all, short ones can't pass.
+        length = self._lengths.get(request.band)
+        work = request.work if request.told else length.rate(0.0, 0.0) if length else 0.0
+        return work * self._pace.rate(0.0, 0.0) > HOPELESS * request.profile.objective
 
     def _pick(self, now: float, request: Request) -> list[Server]:
         """The draw as steered: from the zone drawn by share, if it can take it, else from all."""
@@ -546,7 +435,7 @@
         ring, bound = self._ring, request.bound()
         if bound is not None and request.profile.semantics == "token" and request.profile.group != "all":
             # Only its group may have it again.
-            ring = self._groups.get(self._group(request.profile.group, bound.server), [])
+            ring = self._groups.get(bound.group, [])
         elif zone is not None:
             ring = self._groups.get(("zone", zone), [])
         elif self._zoned and self._near and self._far:
@@ -575,7 +464,10 @@
     def _reach(self, tried: int = 0) -> int:
         """How many servers on the ring a request is drawn from after so many attempts."""
         reach = self._subset * (1 + tried)
-        return reach + SUBSET_PER_OPEN * self._open if self._subset > SUBSET_PRICED else reach
+        if self._subset > SUBSET_PRICED:
+            return reach + SUBSET_PER_OPEN * self._open
+        # Each open request holds a connection, priced or not: a busy sidecar must not crowd a few servers.
+        return max(reach, self._open)
 
     @staticmethod
     def _group(group: str, server: Server) -> tuple[str, int]:
@@ -660,20 +552,32 @@
         warmth = self._warmth(now, server)
         if warmth >= 1.0:
             return True
-        # Only the sidecars whose subset holds the server send to it: theirs is the others' part too.
-        seen = min(1.0, self._reach() / max(1, len(self._ring)))
+        # The sidecars whose subset holds it send to it; beyond that, and with warm keys, each is one of all.
+        ring = self._groups[self._group("zone", server)] if self._zoned or self._steering.on else self._ring
+        reach = len(self._ring) if self._set.warm_keys else self._reach()
+        seen = min(1.0, reach / max(1, len(self._ring))) if server in ring[:reach] else 1.0
         usual = max(1.0 / (self._most_servers * seen), self._steering.usual(server.zone))
         part = warmth * min(SPEED_MOST, server.kind_pace.speed) * usual
-        share = self._rate(now) * part * self._set.fall_multiple * COLD_SHARE
-        gained = share * (now - server.budget_at)
-        server.budget = min(max(1.0, share * self._set.overload_for), server.budget + gained)
+        share = self._wanted(now) * part * self._set.fall_multiple * COLD_SHARE
+        server.budget = max(0.0, server.budget) + share * (now - server.budget_at)
         server.budget_at = now
+        # What was not used within the span lapses, whole sends at a time: hundreds of sidecars may not save
+        # one send each, and with the fractions left as drawn the sum of all stays the sum of their shares.
+        server.budget -= max(0, math.floor(server.budget - share * (self._set.overload_for or RATE_MS)))
         return server.budget >= 1.0
 
-    def _rate(self, now: float) -> float:
+    def _wanted(self, now: float) -> float:
+        """Own sends per millisecond, or a part of what was refused for want of room if that is more: a
+        sidecar restarted where all are cold would else never begin."""
+        turned = self.given_up["room"] - self._steering.capped
+        fade = math.exp((self._turned_at - now) / RATE_MS)
+        self._turned, self._turned_at = turned - (turned - self._turned) * fade, now
+        return self._rate(now, TURNED_COUNTS * (turned - self._turned))
+
+    def _rate(self, now: float, least: float = 0.0) -> float:
         """Own sends per millisecond: the count fades, and a young sidecar's has had less time to grow."""
         known = RATE_MS * (1.0 - math.exp((self._born - now - 1.0) / RATE_MS))
-        return self._sends * math.exp((self._sends_at - now) / RATE_MS) / known
+        return max(least, self._sends * math.exp((self._sends_at - now) / RATE_MS)) / known
 
     # --- health -----------------------------------------------------------
 
@@ -689,7 +593,7 @@
         self._missed += (status < CANCELLED) * (1.0 - PACE_MEMORY) * ((status != OK) - self._missed)
         if status in (OK, FULL, TIMEOUT):
             self._shed.strain(now, self._strain(server, status, now))
-            least = 0.0 if status == OK else request.profile.objective
+            least = PACE_LEAST_MS if status == OK else request.profile.objective
             self._learn_pace(server, max(spent, least), request.work)
         missed = float(status != OK or spent > request.profile.objective)
         if self._steering.on and status != MOOT and status != CANCELLED:
@@ -703,6 +607,8 @@
         if status == OK:
             taken = min(1.0, spent / request.profile.objective)
             self._slowness += (1.0 - SLOW_MEMORY) * (taken - self._slowness)
+            if not request.told and (usual := self._pace.rate(0.0, 0.0)):
+                self._lengths.setdefault(request.band, Pace()).add(spent, usual)
             server.strikes = server.fulls = 0
             server.answered_at = now
             server.ill *= ILL_MEMORY
@@ -886,14 +792,12 @@
             turn = self._turns[request.key]
             if turn.line[0] is not request or now < turn.rest_until:
                 return False
-        bound = request.bound()
-        profile = request.profile
+        bound, profile = request.bound(), request.profile
         if bound is None or profile.semantics == "pure":
             return True
         if profile.semantics == "side_effect" or now - bound.sent >= profile.key_ttl:
             return False
-        group = profile.group
-        return group == "all" or self._group(group, server) == self._group(group, bound.server)
+        return profile.group == "all" or self._group(profile.group, server) == bound.group
 
     def _may_refuse(self, request: Request) -> bool:
         return self._repeatable(request.profile) or request.bound() is None
@@ -903,9 +807,12 @@
         return profile.semantics == "pure" or (profile.semantics == "token" and profile.group == "all")
 
     def _send(self, now: float, request: Request, server: Server) -> None:
-        timeout = self._timeout(now, request)
+        timeout, profile, bound = self._timeout(now, request), request.profile, request.bound()
+        # Counted from the decision on the first that may have run: no server can have had that before.
+        until = bound.sent + profile.key_ttl if bound and profile.semantics == "token" else math.inf
         gap = now - server.used_at if server.used_at and not server.open else 0.0
-        attempt = Attempt(server, now, now + STALL * request.profile.objective, gap)
+        due = min(aim := profile.objective, timeout - AIM_ROUNDING_MS)
+        attempt = Attempt(server, now, now + STALL * aim, gap, self._group(profile.group, server))
         if gap > self._idle_safe(now):
             self._out.append(model.CloseIdle(server.name))
             server.idle = 0
@@ -913,8 +820,6 @@
         server.idle -= not attempt.fresh
         server.used_at = now
         request.attempts.append(attempt)
-        aim = request.profile.objective
-        due = min(aim, timeout - AIM_ROUNDING_MS)
         # A large body is long on its way: time since its send shows no stalled server.
         if not request.large:
             server.out[attempt] = None
@@ -926,7 +831,7 @@
         server.budget -= 1.0
         server.open += 1
         self._open += 1
-        self._out.append(model.Send(request.id, server.name, timeout))
+        self._out.append(model.Send(request.id, server.name, timeout, until))
 
     def _give_up(self, now: float, request: Request, why: str) -> None:
         """The final answer where no attempt has served. A client whose retry would come past its
