--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -231,7 +231,13 @@
     """A loop and a clock that stand still."""
 
     def call_later(self, delay, what, *args):
-        return None
+        return asyncio.TimerHandle(delay, what, args, self)
+
+    def time(self):
+        return 0.0
+
+    def get_debug(self):
+        return False
 
     def now(self):
         return 0.0
@@ -245,7 +251,7 @@
         running = take(running, raw(Profiles=profiles), made.bands).config
         made.reload(running.names)
         while len(made._before) > rng.randrange(1, 4):
-            made._forget_oldest()  # after their 4 s
+            made._forget_classes(made._before[-1])  # after their 4 s
         named = {}
         for names in (made._names, *made._before):
             for name, kind in names.classes.items():
