Let no late signal end a process that has done its work as if it were killed

Cause: a test that sends SIGTERM twice failed once in about ten runs with exit status -15. asyncio takes its handlers back as the loop closes, and the system's own action holds from there to the end of the interpreter: a signal in that time ended the process by it, SIGINT with a traceback. All that was taken had been answered by then. Change: SIGTERM, SIGINT and SIGHUP are blocked before the loop closes, so that one that comes later stays pending. Three new tests send each of them after the loop has closed: -15, -2 with a traceback, and -1 before; 0 now. The test of a crowd while discovery is down took a free port some time before it listened there, which one of its own 150 clients might have got (seen once): it now holds the port from the start, unheard.

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -231,7 +231,8 @@
         await sidecar.drain()
     if sidecar.part is not None:
         await sidecar.part.agent.leave()
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)  # nothing is left that it could change
+    # Nothing is left that they could change: one that comes as the loop closes would end this as if killed.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     sidecar.close()
 
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -157,8 +157,9 @@
         self.watches = []
         self.listed = listed
 
-    async def start(self, port=0):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+    async def start(self, port=0, sock=None):
+        place = {"sock": sock} if sock is not None else {"host": "127.0.0.1", "port": port}
+        self._server = await asyncio.start_server(self._serve, **place)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         return self
 
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -283,8 +283,10 @@
 
 @loopback
 async def test_idle_clients_fill_the_descriptors_while_discovery_is_down_and_its_return_is_heard(tmp_path):
-    limit, port = 96, free_port()
-    made = await Process.start(tmp_path, discovery=f"127.0.0.1:{port}", limits={"sockets": limit})
+    limit, held = 96, socket.socket()
+    held.bind(("127.0.0.1", 0))  # refuses calls until it listens; a free port might be a client's by then
+    discovery = "{}:{}".format(*held.getsockname())
+    made = await Process.start(tmp_path, discovery=discovery, limits={"sockets": limit})
     crowd = [asyncio.create_task(idler(made.address)) for _ in range(150)]
     path = f"/proc/{made.process.pid}/fd"
     most = 0
@@ -293,7 +295,7 @@
         await asyncio.sleep(0.001)
     assert 40 < most <= limit
     upstreams = [await Upstream([OK]).start() for _ in range(8)]
-    registry = await Registry().start(port)
+    registry = await Registry().start(sock=held)
     await until(lambda: registry.watches)
     registry.tell(
         2, *(entry(f"s{i}", upstream.address) for i, upstream in enumerate(upstreams)), snapshot=True
@@ -327,6 +329,38 @@
     )
 
 
+LATE = """
+import asyncio, os, sys
+from fordtrestle import __main__ as main
+run = asyncio.run
+def run_and_be_told_again(what):
+    run(what)
+    os.kill(os.getpid(), int(sys.argv[1]))
+main.asyncio.run = run_and_be_told_again
+sys.exit(main.main())
+"""
+
+
+@pytest.mark.parametrize("again", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+@loopback
+async def test_a_signal_that_comes_once_the_loop_is_closed_changes_nothing_about_the_end(tmp_path, again):
+    registry = await Registry().start()
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        LATE,
+        str(int(again)),
+        env=environment(tmp_path, discovery=registry.address),
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    await until(lambda: registry.watches)
+    process.send_signal(signal.SIGTERM)
+    _, said = await process.communicate()
+    assert (process.returncode, b"Traceback" in said) == (0, False)
+    registry.stop()
+
+
 @pytest.mark.parametrize("numbers", [(signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM)])
 @loopback
 async def test_a_process_that_is_told_to_stop_while_it_starts_ends_at_once(tmp_path, numbers):
