Have requests with a server as the lab's test kills it, however late the machine is

Cause: the test of a real fleet wants an attempt in flight at the server that is killed 500 ms after the start. Change: 200 a second in this test, at which some are there by far; what is asserted stays.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -35,11 +35,8 @@
     status, said = run(tmp_path, "test_sample.py::test_red | the socket is lost | 23\n")
     assert status == 0
     assert "KNOWN RED test_sample.py::test_red: the socket is lost (issue 23)" in said
-    status, said = run(
-        tmp_path,
-        "test_sample.py::test_red | the socket is lost | 23\n",
-        TESTS * 1 + TESTS.replace("red", "other"),
-    )
+    two = TESTS + TESTS.replace("red", "other")
+    status, said = run(tmp_path, "test_sample.py::test_red | the socket is lost | 23\n", two)
     assert status == 1 and "test_other" in said
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -255,7 +255,8 @@
 
 def test_a_real_fleet_is_played_and_its_ledger_is_whole(tmp_path):
     file, out = tmp_path / "e.toml", tmp_path / "out"
-    file.write_text(REAL)
+    # So many that some are with the server as it is killed, however late a busy machine makes that.
+    file.write_text(REAL.replace("120 /s", "200 /s"))
     done = brassfall("lab", "run", str(file), "--out", str(out))
     assert done.returncode in (0, 1), done.stderr
     [row] = [json.loads(line) for line in (out / "plays.jsonl").read_bytes().splitlines()]
