--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
+import copy
 import math
+import random
 from dataclasses import fields, replace
 
 import pytest
 
-from fordtrestle import config
+from fordtrestle import config, inbound, outbound
+from fordtrestle.config import parse_list
+from fordtrestle.driver import Clock
+from fordtrestle.lifecycle import Lifecycle
 from poppypulley import Balancer, Settings
 from poppypulley.model import Arrival, CloseIdle, Listing, Outcome, Send, Timer
 from tests.helpers import arrival, balancer, listing, of_type, raw_settings
+from tests.loopback import OK, App, Upstream, entry, listed, loopback, running, told
 from tests.test_reload import raw, row, take
 
+EFFECTS = ("pure", "token", "side_effect")
+NOWHERE = "127.0.0.1:9"
 CROSSING = {"CrossZone": 0.2}
 
 
@@ -143,6 +152,17 @@
     assert of_type(made.timer(120.0, "turn:7"), Send)
 
 
+def test_a_server_that_counts_as_cold_by_a_reload_owes_nothing_for_what_it_took_while_warm():
+    made = balancer(servers=0)
+    made.server_list(0.0, "changes", [Listing("s0", started=1.0)])
+    for number in range(1, 201):
+        assert of_type(made.request(number * 10.0, arrival(number, number * 10.0)), Send)
+        made.outcome(number * 10.0 + 5.0, number, 0, Outcome.OK, 5.0, last=True)
+    cold = {"WarmUp": 20000.0, "ColdFrom": 0.2, "OverloadFor": 2000.0, "FallMultiple": 4.0}
+    reloaded(made, 2010.0, {0}, Rules=cold)
+    assert of_type(made.request(2100.0, arrival(999, 2100.0)), Send)
+
+
 # --- slots of classes ---------------------------------------------------------------------
 
 
@@ -153,6 +173,14 @@
     assert made._spill == [0.1, 0.0, 0.3, 0.0]
 
 
+def test_a_class_that_is_gone_does_not_set_what_a_crossing_costs_the_others():
+    before = config.parse(raw(Profiles=[row("a", Worth=1.0), row("dear", Worth=100.0)], Prices=CROSSING), {})
+    after = take(before, raw(Profiles=[row("a", Worth=1.0)], Prices=CROSSING))
+    margins = [Balancer(0.0, c.settings, 1)._margins[0] for c in (before, after.config)]
+    alone = Balancer(0.0, config.parse(raw(Profiles=[row("a")], Prices=CROSSING), {}).settings, 1)
+    assert margins[0] > margins[1] == alone._margins[0]
+
+
 def test_an_open_request_of_a_class_that_is_gone_is_learned_from():
     before = config.parse(raw(Profiles=[row("a"), row("b")], Prices=CROSSING), {})
     made = Balancer(0.0, before.settings, 1)
@@ -166,4 +194,108 @@
     assert not made.outcome(5.0, 1, 0, Outcome.OK, 5.0, last=True) and not made._requests
 
 
+def test_classes_whose_effect_leaves_a_key_without_meaning_need_not_have_it():
+    def keyed(name, **changes):
+        return row(name, "token", KeyTtl=500.0, Group="all", **changes)
+
+    before = config.parse(raw(Profiles=[keyed("a"), keyed("b")]), {})
+    for profiles in ([row("a"), keyed("b")], [row("a"), row("b", "side_effect")]):
+        assert take(before, raw(Profiles=profiles)).config.names.classes.keys() == {"a", "b"}
+    lame = keyed("b")
+    del lame["KeyTtl"]
+    with pytest.raises(config.ConfigError, match=r"Profiles\.KeyTtl is missing"):
+        take(before, raw(Profiles=[row("a"), lame]))
+    # One that had no keyed class can't lack what binds those.
+    assert take(config.parse(raw(Profiles=[row("a")]), {}), raw(Profiles=[lame])).kept == frozenset()
+
+
+def test_zones_that_wait_for_a_restart_are_not_taken_for_one():
+    zones = {"FailureDomains": ["east", "west"]}
+    classes = [row("book", "token", Group="zone", KeyTtl=4000.0)]
+    before = config.parse(raw(Profiles=classes, **zones), {})
+    after = take(before, raw(Profiles=classes, FailureDomains=["north", "south"]))
+    assert "zones" in after.unchanged
+    rows = [entry(f"s{i}", zone=zone) for i, zone in enumerate(("north", "south", "north", "east"))]
+    entries = parse_list(listed(1, *rows), after.config.names).entries
+    zones_of = {listing.server: listing.zone for listing in entries}
+    assert zones_of["s0"] == zones_of["s2"] and len({0, -1, *zones_of.values()}) == 4
+    for seed in range(20):
+        made = Balancer(0.0, after.config.settings, seed)
+        made.server_list(0.0, "remembered", entries)
+        (first,) = of_type(made.request(0.0, Arrival(1, 0, 1000.0)), Send)
+        for again in of_type(made.outcome(1.0, 1, 0, Outcome.ERROR, 1.0), Send):
+            assert zones_of[again.server] == zones_of[first.server]
+
+
+class Still:
+    """A loop and a clock that stand still."""
+
+    def call_later(self, delay, what, *args):
+        return None
+
+    def now(self):
+        return 0.0
+
+
+def test_no_slot_is_taken_while_clients_may_name_its_class_of_before():
+    running, rng = config.parse(raw(), {}), random.Random(5)
+    made = inbound.Inbound(Still(), Still(), running, None, Lifecycle())
+    for _ in range(300):
+        profiles = [row(name, rng.choice(EFFECTS)) for name in rng.sample("abcdef", 3)]
+        running = take(running, raw(Profiles=profiles), made.bands).config
+        made.reload(running.names)
+        while len(made._before) > rng.randrange(1, 4):
+            made._forget_oldest()  # after their 4 s
+        named = {}
+        for names in (made._names, *made._before):
+            for name, kind in names.classes.items():
+                this = (name, kind.method, kind.keyed)
+                assert named.setdefault(kind.band, this) == this
+                effect = running.settings.profiles[kind.band].semantics
+                assert this[1:] == ("GET" if effect == "pure" else "POST", effect == "token")
+    assert len(running.settings.profiles) <= 15
+
+
+@loopback
+async def test_a_request_in_flight_keeps_the_effect_that_its_class_had():
+    held, answer = asyncio.Event(), asyncio.Event()
+
+    async def reset_then(reader, writer):
+        held.set()
+        await answer.wait()
+        writer.transport.abort()
+
+    upstreams = [await Upstream([reset_then, OK]).start(), await Upstream([reset_then, OK]).start()]
+    async with running(*upstreams) as made:
+        app = await App.connect(made.address)
+        app.send("POST", "/pay", b"x")
+        await held.wait()
+        made.adopt(config.parse({**raw(Profiles=[row("pay"), row("look")]), "discovery": NOWHERE}, {}))
+        answer.set()
+        assert (await app.answer()).start.split(" ")[1] == "502"
+        assert sum(len(upstream.seen) for upstream in upstreams) == 1
+        # The name stands for both now: what asks for it as before runs once, the new one as often as need be.
+        again, other = await App.connect(made.address), await App.connect(made.address)
+        assert (await again.ask("GET", "/pay")).body == b"done"
+        other.send("POST", "/pay", b"x")
+        codes = {(await other.answer()).start.split(" ")[1]}
+        assert codes <= {"200", "502"}
+        bodies = [seen.body for upstream in upstreams for seen in upstream.seen]
+        assert bodies.count(b"x") == 2
+
+
 # --- the pool -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("grace", "closed_from"), [(200.0, 1150.0), (5000.0, 1450.0)])
+@loopback
+async def test_a_shorter_grace_holds_for_servers_that_leave_already(grace, closed_from):
+    loop = asyncio.get_running_loop()
+    before, after = (told(Rules={"StopSendingWithin": ms}) for ms in (500.0, grace))
+    pool = outbound.Pool(loop, Clock(loop), before)
+    pool.update(0.0, True, parse_list(listed(1, entry("s0"), entry("s1")), before.names))
+    leaving = listed(2, entry("s0", status="leaving"), snapshot=False)
+    pool.update(1000.0, False, parse_list(leaving, before.names))
+    pool.reload(copy.copy(after))
+    assert pool._servers["s0"].closed_from == closed_from
+    assert pool._servers["s1"].closed_from == math.inf
