--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -459,15 +459,24 @@
     def pause_writing(self) -> None:
         """Answers pile up unread: guards against a peer that only asks and fills the memory."""
         self._full = True
-        self._unread = self._inbound.loop.call_later(UNREAD_S, self.abort)
+        self._await_reading()
         self._read_on()
         if self._waiting and self._waiting[0].passing is not None:
             self._waiting[0].passing.flow.pause()
 
+    def _await_reading(self, left: float = math.inf) -> None:
+        """Give a client time to read, and more as long as it reads as much as is held here: the buffer itself
+        falls late, since the kernel takes more only when a large part of what it holds is read."""
+        unread = framing.unread(self._transport)
+        if unread <= left - WRITE_MOST:
+            self._unread = self._inbound.loop.call_later(UNREAD_S, self._await_reading, unread)
+        else:
+            self.abort()
+
     def resume_writing(self) -> None:
         """The peer has read on."""
         self._full = False
-        if self._unread is not None:
+        if self._unread is not None and not self._transport.is_closing():  # or else it has to end
             self._unread.cancel()
             self._unread = None
         self._read_on()
@@ -478,23 +487,24 @@
         """The body that comes is not taken so fast."""
         if not self._body_waits and not self._lost:
             self._body_waits = True
-            self._waits_from = self._inbound.loop.time()
             self._read_on()
 
     def resume(self) -> None:
-        """More of the body is taken; the client had no part in the wait."""
+        """More of the body is taken."""
         if self._body_waits and not self._lost:
             self._body_waits = False
-            self._begun_at += self._inbound.loop.time() - self._waits_from
             self._read_on()
 
     def _read_on(self) -> None:
-        """Read, unless answers pile up or a body waits; until then its client's leaving is looked for."""
+        """Read, unless answers pile up or a body waits: that is no time in which the client could send. Until
+        then its leaving is looked for."""
         if not (self._full or self._body_waits):
             self._stop_looking()
             self._lay_here = True
+            self._begun_at += self._inbound.loop.time() - self._waits_from
             self._transport.resume_reading()
         elif self._look is None:
+            self._waits_from = self._inbound.loop.time()
             self._transport.pause_reading()
             self._look = self._inbound.loop.call_later(LOOK_S, self._look_again)
 
@@ -541,7 +551,7 @@
         self._transport.close()
         if self._unread is None:
             # It may have left a part of an answer unread, and never say so.
-            self._unread = self._inbound.loop.call_later(UNREAD_S, self.abort)
+            self._await_reading()
 
     def _forget_waiting(self) -> None:
         """Nobody is there any more to read what was asked for here."""
@@ -765,7 +775,7 @@
         if not sending and not framing.readable(self._transport):
             self._transport.close()
             return
-        if self._transport.can_write_eof():
+        with contextlib.suppress(OSError):  # the client has reset it, as the loop will find in a turn
             self._transport.write_eof()
         self._half_sent = self._inbound.loop.call_later(LINGER_S, self._let_go)
 
@@ -806,7 +816,7 @@
         self._half_sent = None
         size = self._message.size if self._message is not None else 0
         until = self._begun_at + HALF_SENT_S + size / BODY_BYTES_PER_S
-        if self._body_waits:
+        if self._full or self._body_waits:
             until += self._inbound.loop.time() - self._waits_from + CLOCK_STEP_S * 100.0
         if until > self._inbound.loop.time() + CLOCK_STEP_S:
             self._half_sent = self._inbound.loop.call_at(until, self._unsent)
