--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -57,6 +57,7 @@
 # Pace: time taken per unit of work asked. A few samples of one's own tell little, so a server
 # is held to its kind's pace and a kind to the service's until there is evidence.
 PACE_PRIOR = 6.0  # answers' worth of belief in the wider figure
+PACE_LEAST_MS = 1e-3  # an answer that began before its request's end took no time: no pace is without any
 PACE_POWER = 2.5  # how strongly draws shun the slow
 SPEED_LEAST = 0.2  # nothing is shunned so far that it cannot show that it is better
 SPEED_MOST = 1.6  # bounds what a draw may turn down
@@ -113,7 +114,7 @@
 
 FORGET_MS = 600000.0  # servers gone for longer are forgotten: sidecars run for months
 ASK_SPREAD_MS = 2500.0
-ASK_AGAIN_MS, ASK_MOST = 500.0, 0.2  # doubled up to this share of what may pass without an ask
+ASK_AGAIN_MS, ASK_PART = 500.0, 0.2  # doubled up to this share of what may pass without an ask
 # Why a request is given up: the formula; the shed level beyond it; work too heavy to end in time; no server
 # that may be sent to; its key's line too long; no try left after a failure.
 REASONS = ("formula", "level", "heavy", "room", "line", "failed")
@@ -143,20 +144,19 @@
         self._reports = settings.report_how == "inline" and bool(told)
         self._mean_work = 0.0
         self._mean_load = 0.0  # of the newest reports
-        self._subset = SUBSET_PRICED if settings.prices.get("Connection") else SUBSET
         self._open = 0
         self._pace = Pace()
         self._kind_pace: dict[int, Pace] = {}
         self._keys: deque[int] = deque()
         self._key_counts: dict[int, int] = {}
-        self._weigh_crossings()
+        self._weigh_prices()
         self._spill = [0.0] * len(settings.profiles)  # part of each class that crosses
         self._far_miss = 0.0
         self._groups: dict[tuple[str, int], list[Server]] = {}
         self._near: list[Server] = []
         self._far: list[Server] = []
         self._silent_at = -math.inf  # when a server was last ejected for silence
-        self._idle_learned = settings.idle_close
+        self._idle_learned = math.inf  # until one is met that was dropped
         self._idle_at = now
         self._connect_ill = 0.0  # fading share of new connections that fail
         self._missed = 0.0  # fading share of sends that were not accepted: no refusal of one's own
@@ -170,8 +170,10 @@
         self._ask_delay = ASK_AGAIN_MS
         self._out: list[model.Action] = []
 
-    def _weigh_crossings(self) -> None:
-        """The worth that a crossing costs, as a share of what a request of each class is worth."""
+    def _weigh_prices(self) -> None:
+        """The worth that a crossing costs, as a share of what a request of each class is worth; what a
+        connection costs decides how many servers to keep to."""
+        self._subset = SUBSET_PRICED if self._set.prices.get("Connection") else SUBSET
         worths = [profile.worth for profile in self._set.profiles]
         price = self._set.prices.get("CrossZone", 0.0)
         self._zoned = self._set.zones > 1 and price >= CROSS_PRICE_LEAST
@@ -184,10 +186,10 @@
         for the classes that are not kept: their slots may be another's now."""
         self._set = settings
         self._shed.reload(settings, kept)
-        self._weigh_crossings()
-        spill = enumerate(self._spill[: len(settings.profiles)])
-        self._spill = [part if slot in kept else 0.0 for slot, part in spill]
-        self._spill += [0.0] * (len(settings.profiles) - len(self._spill))
+        self._weigh_prices()
+        self._spill = [self._spill[slot] if slot in kept else 0.0 for slot in range(len(settings.profiles))]
+        for server in self._servers.values():
+            self._release(server)
         return self._take()
 
     def steer(self, now: float, steer: model.Steer) -> list[model.Action]:
@@ -258,7 +260,8 @@
             self._hear(now, attempt.server, report)
         if request.in_turn and request.key is not None and status in DOUBTS:
             # It may be running still: the key rests, whatever becomes of the request.
-            self._turns[request.key].rest_until = now + self._set.settle_after_doubt
+            rest = max(request.limits.settle_after_doubt, self._set.settle_after_doubt)
+            self._turns[request.key].rest_until = now + rest
         self._learn(now, request, attempt, status, spent)
         self._release(attempt.server)
         if last:
@@ -317,7 +320,7 @@
         """What discovery says of the servers."""
         if form == "refused":
             self._ask(self._ask_delay * (1.0 + self._rng.random()))
-            self._ask_delay = min(self._ask_delay * 2.0, ASK_MOST * self._set.ask_within)
+            self._ask_delay = min(2.0 * self._ask_delay, model.ASK_MOST_MS, ASK_PART * self._set.ask_within)
             return self._take()
         if form == "remembered":
             if self._set.discovery == "subscribe":
@@ -424,7 +427,7 @@
         ring, bound = self._ring, request.bound()
         if bound is not None and request.profile.semantics == "token" and request.profile.group != "all":
             # Only its group may have it again.
-            ring = self._groups.get(self._group(request.profile.group, bound.server), [])
+            ring = self._groups.get(bound.group, [])
         elif zone is not None:
             ring = self._groups.get(("zone", zone), [])
         elif self._zoned and self._near and self._far:
@@ -570,7 +573,7 @@
         self._missed += (status < CANCELLED) * (1.0 - PACE_MEMORY) * ((status != OK) - self._missed)
         if status in (OK, FULL, TIMEOUT):
             self._shed.strain(now, self._strain(server, status, now))
-            least = 0.0 if status == OK else request.profile.objective
+            least = PACE_LEAST_MS if status == OK else request.profile.objective
             self._learn_pace(server, max(spent, least), request.work)
         missed = float(status != OK or spent > request.profile.objective)
         if self._steering.on and status != MOOT and status != CANCELLED:
@@ -767,14 +770,12 @@
             turn = self._turns[request.key]
             if turn.line[0] is not request or now < turn.rest_until:
                 return False
-        bound = request.bound()
-        profile = request.profile
+        bound, profile = request.bound(), request.profile
         if bound is None or profile.semantics == "pure":
             return True
         if profile.semantics == "side_effect" or now - bound.sent >= profile.key_ttl:
             return False
-        group = profile.group
-        return group == "all" or self._group(group, server) == self._group(group, bound.server)
+        return profile.group == "all" or self._group(profile.group, server) == bound.group
 
     def _may_refuse(self, request: Request) -> bool:
         return self._repeatable(request.profile) or request.bound() is None
@@ -784,9 +785,12 @@
         return profile.semantics == "pure" or (profile.semantics == "token" and profile.group == "all")
 
     def _send(self, now: float, request: Request, server: Server) -> None:
-        timeout = self._timeout(now, request)
+        timeout, profile, bound = self._timeout(now, request), request.profile, request.bound()
+        # Counted from the decision on the first that may have run: no server can have had that before.
+        until = bound.sent + profile.key_ttl if bound and profile.semantics == "token" else math.inf
         gap = now - server.used_at if server.used_at and not server.open else 0.0
-        attempt = Attempt(server, now, now + STALL * request.profile.objective, gap)
+        due = min(aim := profile.objective, timeout - AIM_ROUNDING_MS)
+        attempt = Attempt(server, now, now + STALL * aim, gap, self._group(profile.group, server))
         if gap > self._idle_safe(now):
             self._out.append(model.CloseIdle(server.name))
             server.idle = 0
@@ -794,8 +798,6 @@
         server.idle -= not attempt.fresh
         server.used_at = now
         request.attempts.append(attempt)
-        aim = request.profile.objective
-        due = min(aim, timeout - AIM_ROUNDING_MS)
         # A large body is long on its way: time since its send shows no stalled server.
         if not request.large:
             server.out[attempt] = None
@@ -807,7 +809,7 @@
         server.budget -= 1.0
         server.open += 1
         self._open += 1
-        self._out.append(model.Send(request.id, server.name, timeout))
+        self._out.append(model.Send(request.id, server.name, timeout, until))
 
     def _give_up(self, now: float, request: Request, why: str) -> None:
         """The final answer where no attempt has served. A client whose retry would come past its
