--- a/tests/test_crossings_configuration.py
+++ b/tests/test_crossings_configuration.py
@@ -92,7 +92,8 @@
         (("known", "endpoints", 0, "weight"), math.inf, "known: endpoints[0]"),
         (("known", "endpoints", 0, "name"), "\ud800", "known: endpoints[0]"),
         (("known", "endpoints", 0, "name"), "s\r\nX-Call-Id: 1", "known: endpoints[0]"),
-        (("known", "endpoints", 0, "address"), "a..b:1", "known: endpoints[0]"),
+        (("known", "endpoints", 0, "address"), "host:²", "known: endpoints[0]"),
+        (("fleet",), {"registry": ["a..b:1"]}, "fleet.registry"),
         (("known", "endpoints", 0), None, "known: endpoints[0]"),
         (("settings", "Profiles"), [], "Profiles"),
         (("settings", "Profiles", 0, "Semantics"), "sometimes", "Semantics"),
@@ -149,6 +150,14 @@
     assert str(path) in str(caught.value)
 
 
+@pytest.mark.parametrize("name", ["NODE_LISTEN", "NODE_DISCOVERY", "NODE_OPERATOR"])
+def test_the_line_names_the_variable_that_stands_in_for_a_key(tmp_path, name):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(WHOLE))
+    with pytest.raises(config.ConfigError, match=f"{name}: 'nowhere' is not an address"):
+        config.load({"NODE_CONFIG": str(path), name: "nowhere"})
+
+
 def test_at_the_start_it_is_exit_2_with_file_key_and_reason(tmp_path):
     env = environment(tmp_path, limits={"sockets": "many"})
     code, said = start_fails(env)
