--- /dev/null
+++ b/brassfall/aggregation/messages.py
@@ -0,0 +1,169 @@
+"""Messages between an aggregator and the deciding service. Typed values, no I/O.
+
+An aggregator reports with `POST /aggregators/NAME` (body `AggregatorReport`, answer `AggregatorLease`), a
+quarter of a second apart, and sooner when a decision waits for it. The size of a report grows with what is
+unusual among its children (arrivals, departures, laggards, objections), not with their number: each list is
+bounded, and what finds no room follows with the next report.
+
+All durations are milliseconds. Revisions and epochs are the numbers that the paths `/rules` and `/edges` call
+`edition` and `life`.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from brassfall.errors import Refused
+
+REPORT_EVERY_MS = 250.0
+MEMBERS_MOST = 256  # arrivals, and departures, in one report
+LAGGING_MOST = 32
+OBJECTIONS_MOST = 16
+EXCEPTIONS_MOST = 32
+PLACES_MOST = 64
+TEXT_MOST = 200
+NUMBER_MOST = 2**53
+
+
+class AggregatorReportError(Refused):
+    """A report from an aggregator that can't be read, or contradicts itself."""
+
+    action = "See which version of the aggregator runs there; its lease runs out, its children move on."
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One child process: the name of its sidecar, and the process id that tells its runs apart."""
+
+    name: str
+    life: str
+
+
+class ChildCounts(msgspec.Struct, frozen=True):
+    """Children by what they last reported; those that were silent for too long are in none of them."""
+
+    known: int = 0
+    leased: int = 0  # may still act on a revision
+    lagging: int = 0  # leased, and have not acknowledged the pending revision
+    fallback: int = 0  # reported that they act on the fallback configuration
+    oldest_list_index: int = 0
+    oldest_list_age_ms: float | None = None
+
+
+class Place(msgspec.Struct, frozen=True, order=True):
+    """Where sidecars stand: their client group and their region."""
+
+    group: str = ""
+    region: str = ""
+
+
+class ChildException(msgspec.Struct, frozen=True):
+    """A child whose overrides differ from what is due at its place, or did so in the report before."""
+
+    name: str
+    life: str
+    place: Place = Place()
+    digest: str | None = None  # None: its version knows no overrides
+    acted: dict[str, int] | None = None  # id to revision, where it was asked for
+
+
+class AggregatorReport(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What one aggregator process says of itself and of all its children."""
+
+    life: str  # of its process
+    seq: int  # grows with each report of that process
+    region: str
+    listen: str = ""  # where its children reach it; an operator's `GET /edges` asks there for details
+    epoch: int | None = (
+        None  # of the deciding service whose messages it follows; None before the first answer
+    )
+    held: int = 0  # the newest revision held
+    acknowledged: int = 0  # pending revision: no child gets a lease any more without having acknowledged it
+    prepared: int = 0  # revision that every child which may still act has acknowledged
+    list_index: int = 0
+    list_age_ms: float | None = None
+    children: ChildCounts = ChildCounts()
+    joined: list[Member] = []
+    departed: list[Member] = []
+    lagging: list[str] = []
+    objections: dict[str, str] = {}  # to the pending revision, by child
+    exceptions: list[ChildException] = []
+    places: list[Place] = []  # for which it wants to know the digest that is due
+    measures: dict[str, Any] = {}  # merged over children
+    told: int = 0  # the newest revision of overrides whose time left is known here
+    leaving: bool = False
+
+
+class PlaceDigest(msgspec.Struct, frozen=True):
+    """The digest of overrides that is due at a place."""
+
+    place: Place
+    digest: str
+
+
+class ChildOrder(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What the deciding service has an aggregator do about one child, until another order comes."""
+
+    name: str
+    list_overrides: bool = False  # have it list what it acts on
+    retell: bool = False  # tell it all times left anew
+    barred: str = ""  # grant it no lease, and why
+
+
+class AggregatorLease(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The answer to a report: the lease, counted by the aggregator from its asking, and what else is due."""
+
+    epoch: int
+    revision: int  # in force
+    lease_ms: float = 0.0  # 0: none, and `why` says why
+    pending: int = 0
+    why: str = ""
+    seq: int = 0  # the report that it answers
+    list_index: int = 0
+    every_ms: float = REPORT_EVERY_MS
+    members: int = 1  # sidecars in the whole fleet, each counted once
+    moved: list[Member] = []  # children that another aggregator has heard since
+    resync: bool = False  # the service does not know this process: all members are to be reported anew
+    left: dict[str, dict[str, int]] = {}  # times left of overrides: id to `rev`, `same_from`, `left_ms`
+    digests: list[PlaceDigest] = []
+    orders: list[ChildOrder] = []
+
+
+def parse_report(body: bytes) -> AggregatorReport:
+    """Read a report; `AggregatorReportError` says what is wrong with it. Unknown fields are skipped."""
+    try:
+        report = msgspec.json.decode(body or b"{}", type=AggregatorReport)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as wrong:
+        raise AggregatorReportError("no report of an aggregator", str(wrong)) from wrong
+    _check_numbers(report)
+    _check_lengths(report)
+    return report
+
+
+def _check_numbers(report: AggregatorReport) -> None:
+    for name in ("seq", "epoch", "held", "acknowledged", "prepared", "list_index", "told"):
+        if not 0 <= (getattr(report, name) or 0) < NUMBER_MOST:
+            raise AggregatorReportError("no report of an aggregator", f"{name} is out of range")
+    age = report.list_age_ms
+    if age is not None and not (math.isfinite(age) and 0.0 <= age <= 1e12):
+        raise AggregatorReportError("no report of an aggregator", "list_age_ms is out of range")
+
+
+def _check_lengths(report: AggregatorReport) -> None:
+    bounds = {
+        "joined": MEMBERS_MOST,
+        "departed": MEMBERS_MOST,
+        "lagging": LAGGING_MOST,
+        "objections": OBJECTIONS_MOST,
+        "exceptions": EXCEPTIONS_MOST,
+        "places": PLACES_MOST,
+    }
+    for name, most in bounds.items():
+        if len(getattr(report, name)) > most:
+            raise AggregatorReportError("no report of an aggregator", f"{name}: more than {most}")
+    if not report.life or max(len(report.life), len(report.region), len(report.listen)) > TEXT_MOST:
+        raise AggregatorReportError(
+            "no report of an aggregator", "life, region or listen: a short text is wanted"
+        )
