--- a/brassfall/lab/agreement/flaws.py
+++ b/brassfall/lab/agreement/flaws.py
@@ -22,9 +22,9 @@
     Told,
 )
 from brassfall.agreement.edges import Fleet, Report
-from brassfall.lab.agreement.program import Program, holder, sidecar_rules
+from brassfall.lab.agreement.program import Program, lease_client, sidecar_rules
 
-RealHolder: Any = holder.Holder
+RealLeaseClient: Any = lease_client.LeaseClient
 SILENT_MS = 1200.0
 
 
@@ -206,66 +206,66 @@
 
 def from_the_answer(held: Any, asked: float, received: float, seq: int, raw: Mapping[str, Any]) -> bool:
     """A permission counts from when its answer came."""
-    return bool(held.answered(received, seq, raw))
+    return bool(held.receive_answer(received, seq, raw))
 
 
-class _Told(RealHolder):  # type: ignore[misc]
+class _LeaseClient(RealLeaseClient):  # type: ignore[misc]
     """What the next ones change of the sidecar's core, by type."""
 
-    _told: dict[int, tuple[Any, int]]
-    _until: float
-    _permitted: int
+    _concurrent: dict[int, tuple[Any, int]]
+    _lease_end: float
+    _granted: int
 
 
-class ClearsPromises(_Told):
+class ClearsPromises(_LeaseClient):
     """Any answer that does not name the promised edition ends the promise."""
 
-    def answered(self, asked: float, seq: int, raw: Any) -> bool:
+    def receive_answer(self, asked: float, seq: int, raw: Any) -> bool:
         """Take an answer as news of everything before it, whenever its report was sent."""
-        self._promised_at = 0
-        self._told = {number: (edition, 0) for number, (edition, _) in self._told.items()}
-        return bool(super().answered(asked, seq, raw))
+        self._acknowledged_by = 0
+        self._concurrent = {number: (edition, 0) for number, (edition, _) in self._concurrent.items()}
+        return bool(super().receive_answer(asked, seq, raw))
 
 
-class OneTold(_Told):
+class OneTold(_LeaseClient):
     """Keeps the last edition told alone: a promise before it is forgotten."""
 
-    def news(self, raw: Any) -> None:
+    def receive_update(self, raw: Any) -> None:
         """A line of the watch."""
-        super().news(raw)
-        self._told = {number: self._told[number] for number in list(self._told)[-1:]}
+        super().receive_update(raw)
+        self._concurrent = {number: self._concurrent[number] for number in list(self._concurrent)[-1:]}
 
 
-class TakesOldLives(_Told):
+class TakesOldLives(_LeaseClient):
     """Takes the word of a service that another has followed."""
 
-    def answered(self, asked: float, seq: int, raw: Any) -> bool:
+    def receive_answer(self, asked: float, seq: int, raw: Any) -> bool:
         """Take any answer for one of the service that counts."""
-        return bool(super().answered(asked, seq, {**raw, "life": max(raw["life"], self._of)}))
+        return bool(super().receive_answer(asked, seq, {**raw, "life": max(raw["life"], self._epoch)}))
 
 
-class KeepsPermission(_Told):
+class KeepsPermission(_LeaseClient):
     """Acts on what one service permitted while it takes another one's word."""
 
-    def answered(self, asked: float, seq: int, raw: Any) -> bool:
+    def receive_answer(self, asked: float, seq: int, raw: Any) -> bool:
         """Take an answer; the permission stays as it was."""
-        until = self._until
-        made = bool(super().answered(asked, seq, raw))
-        self._until = max(until, self._until)
+        until = self._lease_end
+        made = bool(super().receive_answer(asked, seq, raw))
+        self._lease_end = max(until, self._lease_end)
         return made
 
 
-class GoesBack(_Told):
+class GoesBack(_LeaseClient):
     """Acts on whatever is permitted, be it older than what it acted on."""
 
-    def answered(self, asked: float, seq: int, raw: Any) -> bool:
+    def receive_answer(self, asked: float, seq: int, raw: Any) -> bool:
         """Take an answer; the edition permitted before counts for nothing."""
-        if raw["permission_ms"] and raw["edition"] in self._documents:
-            self._permitted = min(self._permitted, raw["edition"])
-        return bool(super().answered(asked, seq, raw))
+        if raw["permission_ms"] and raw["edition"] in self._revisions:
+            self._granted = min(self._granted, raw["edition"])
+        return bool(super().receive_answer(asked, seq, raw))
 
 
-class LooksByTimer(RealHolder):  # type: ignore[misc]
+class LooksByTimer(RealLeaseClient):  # type: ignore[misc]
     """Ends a permission when it next does something about reports, not at each decision."""
 
     _looked = -math.inf
@@ -275,35 +275,35 @@
         self._looked = now
         return dict(super().report(now))
 
-    def stance(self, now: float) -> Any:
+    def active(self, now: float) -> Any:
         """What to act on, as of the last look."""
-        return super().stance(self._looked)
+        return super().active(self._looked)
 
 
-class TakesUnsound(_Told):
+class TakesUnsound(_LeaseClient):
     """Acts on a told edition as soon as it is told, without a permission for it."""
 
-    def news(self, raw: Any) -> None:
+    def receive_update(self, raw: Any) -> None:
         """A line of the watch."""
-        super().news(raw)
-        if self._pending and self._until > -math.inf:
-            self._permitted = self._pending
+        super().receive_update(raw)
+        if self._acknowledged and self._lease_end > -math.inf:
+            self._granted = self._acknowledged
 
 
-def without_meet(stance: Any) -> dict[str, Any]:
+def without_meet(active: Any) -> dict[str, Any]:
     """An acknowledgement that changes nothing of what is done."""
-    return dict(sidecar_rules.effective(stance if stance.safe else stance._replace(told=())))
+    return dict(sidecar_rules.effective(active if active.fallback else active._replace(concurrent=())))
 
 
-def pins_when_safe(stance: Any) -> dict[str, Any]:
+def pins_when_safe(active: Any) -> dict[str, Any]:
     """Safe rules that go on with everything."""
-    return dict(sidecar_rules.effective(stance._replace(safe=False, told=())))
+    return dict(sidecar_rules.effective(active._replace(fallback=False, concurrent=())))
 
 
-def open_when_safe(stance: Any) -> dict[str, Any]:
+def open_when_safe(active: Any) -> dict[str, Any]:
     """Safe rules that forget what an edition held."""
-    made = dict(sidecar_rules.effective(stance))
-    if stance.safe:
+    made = dict(sidecar_rules.effective(active))
+    if active.fallback:
         made.pop("regions", None)
     return made
 
@@ -331,7 +331,7 @@
 
 
 def _sidecar(kind: Any) -> Program:
-    return replace(REAL, holder=kind)
+    return replace(REAL, lease_client=kind)
 
 
 S1, S2, S3, S4, S5 = "S1 exclusive", "S2 contradiction", "S3 permission", "S4 content", "S5 halted"
--- a/brassfall/lab/agreement/program.py
+++ b/brassfall/lab/agreement/program.py
@@ -16,7 +16,7 @@
 from brassfall.agreement.edges import Fleet
 from brassfall.table.store import life_floor
 
-holder: Any = importlib.import_module("fordtrestle.fleet.holder")
+lease_client: Any = importlib.import_module("fordtrestle.fleet.lease_client")
 sidecar_rules: Any = importlib.import_module("fordtrestle.fleet.rules")
 
 
@@ -27,7 +27,7 @@
 
 def answered(held: Any, asked: float, received: float, seq: int, raw: Mapping[str, Any]) -> bool:
     """Hand an answer to the sidecar's core; times in seconds of its own clock."""
-    return bool(held.answered(asked, seq, raw))
+    return bool(held.receive_answer(asked, seq, raw))
 
 
 @dataclass(frozen=True)
@@ -37,7 +37,7 @@
     timing: Timing = field(default_factory=Timing)
     agreement: type[Agreement] = Agreement
     fleet: type[Fleet] = Fleet
-    holder: Any = holder.Holder
+    lease_client: Any = lease_client.LeaseClient
     effective: Callable[[Any], dict[str, Any]] = sidecar_rules.effective
     unknown: Callable[[Any], str] = sidecar_rules.unknown
     answered: Callable[[Any, float, float, int, Mapping[str, Any]], bool] = answered
--- a/brassfall/lab/agreement/reconcile.py
+++ b/brassfall/lab/agreement/reconcile.py
@@ -34,7 +34,7 @@
 
     def told(self, asked_s: float, answered_s: float, found: Any) -> None:
         """Times left."""
-        self.deadlines.told(asked_s, found, answered_s)
+        self.deadlines.receive(asked_s, found, answered_s)
 
     def layer(self, raw: list[dict[str, Any]]) -> None:
         """The overrides of an edition."""
--- a/brassfall/lab/agreement/rules.py
+++ b/brassfall/lab/agreement/rules.py
@@ -1,9 +1,9 @@
 """The safety rules, judged from outside at every instant at which a process could send.
 
 What a process acts on changes only when it is told something, when its permission ends, or when it is
-stopped, continued, started or ended: so its stance is looked at there, without its knowing, and what it would
-do is set against what every other running process would do at that time. That is stronger than to look at
-sends that happen to be made, and cheaper.
+stopped, continued, started or ended: so its active configuration is looked at there, without its knowing, and
+what it would do is set against what every other running process would do at that time. That is stronger than
+to look at sends that happen to be made, and cheaper.
 """
 
 from __future__ import annotations
@@ -155,17 +155,23 @@
 
     # --- what is acted on -----------------------------------------------------------------
 
-    def profile(self, stance: Any, known: frozenset[int], effective: Callable[[Any], Any]) -> Profile:
-        """What a stance amounts to."""
-        edition, others = stance.edition, stance.told
-        told = known if stance.safe else frozenset[int]()
-        key = (stance.safe, edition.number, marks(edition), tuple((e.number, marks(e)) for e in others), told)
+    def profile(self, active: Any, known: frozenset[int], effective: Callable[[Any], Any]) -> Profile:
+        """What an active configuration amounts to."""
+        edition, others = active.revision, active.concurrent
+        told = known if active.fallback else frozenset[int]()
+        key = (
+            active.fallback,
+            edition.number,
+            marks(edition),
+            tuple((e.number, marks(e)) for e in others),
+            told,
+        )
         found = self._profiles.get(key)
         if found is None:
-            settings = effective(stance)
+            settings = effective(active)
             floor = edition.settings.get("floor", {})
             found = self._profiles[key] = Profile(
-                stance.safe,
+                active.fallback,
                 edition.number,
                 marks(edition),
                 frozenset(e.number for e in others),
--- a/brassfall/lab/agreement/sidecar.py
+++ b/brassfall/lab/agreement/sidecar.py
@@ -30,7 +30,7 @@
         self.services = services
         self.newer = newer
         self.clock = kernel.clock()
-        self.holder = kernel.program.holder(life, self._check)
+        self.lease_client = kernel.program.lease_client(life, self._check)
         self._told_life = life
         self.profile: Profile | None = None
         self.highest = 0
@@ -71,16 +71,16 @@
         """Have the judge see what a decision made now would act on; it decides nothing by that."""
         profile = None
         if not (self.dead or self.stopped or self.liar):
-            stance = self.holder.stance(self.seconds())
-            known = self._knows(stance) if stance.safe else frozenset[int]()
-            profile = self.kernel.judge.profile(stance, known, self.kernel.program.effective)
+            active = self.lease_client.active(self.seconds())
+            known = self._knows(active) if active.fallback else frozenset[int]()
+            profile = self.kernel.judge.profile(active, known, self.kernel.program.effective)
         until = self._until.get(profile.number, -math.inf) if profile is not None else 0.0
         self.kernel.judge.changed(self.kernel.now, self, profile, until)
 
-    def _knows(self, stance: Any) -> frozenset[int]:
+    def _knows(self, active: Any) -> frozenset[int]:
         """Editions that it has to take account of on safe rules: told after the one that it acted on, or by a
         service that followed the one which permitted that."""
-        last, by = stance.edition.number, self._permitted_by
+        last, by = active.revision.number, self._permitted_by
         return frozenset(number for number, life in self._known.items() if number > last or life > by)
 
     # --- stops and ends ---------------------------------------------------------------------------
@@ -116,7 +116,7 @@
         for each in self.services:
             each.closed(self._connection)
         if leave and not self.stopped and not self.kernel.lost("report", self.name, service.number):
-            raw = {**self.holder.report(self.seconds()), "leaving": True}
+            raw = {**self.lease_client.report(self.seconds()), "leaving": True}
             body = json.dumps(raw).encode()
             self.kernel.after(self.kernel.delay(), service.report, self.name, body, lambda raw: None)
 
@@ -140,7 +140,7 @@
 
     def _soon(self) -> None:
         """An edition calls for a report: it takes the place of the one that waits, if that is later."""
-        if self._called or not self.holder.urgent:
+        if self._called or not self.lease_client.urgent:
             return
         if self._flight:
             self._called = True  # once that one is answered, if it is still called for
@@ -156,7 +156,7 @@
         self._called = False
         kernel, service = self.kernel, self.services[self._report_at]
         asked = self.seconds()
-        raw = self.holder.report(asked)
+        raw = self.lease_client.report(asked)
         self._flight = seq = raw["seq"]
         if self.liar:
             raw = self._lied(raw, service)
@@ -196,10 +196,10 @@
             over = true_ms + length / (1.0 - self.kernel.judge.drift)
             self._until[edition] = max(self._until.get(edition, -math.inf), over)
         now = self.seconds()
-        counts = self.kernel.program.answered(self.holder, asked, now, seq, raw)
-        if self.holder.life != self._told_life:
+        counts = self.kernel.program.answered(self.lease_client, asked, now, seq, raw)
+        if self.lease_client.process_id != self._told_life:
             # It goes on like a process that has just begun: so it is another observer.
-            self._told_life = self.holder.life
+            self._told_life = self.lease_client.process_id
             self._of = self._permitted_by = self.highest = 0
             self._until, self._known = {}, {}
             self.kernel.met["sidecars that took a lower life's word again"] += 1
@@ -208,18 +208,18 @@
                 # Whoever takes another service's word acts on nothing that the one before permitted.
                 self._until = {edition: self._until[edition]} if length else {}
             self._of = max(self._of, raw["life"])
-            if length and edition == self.holder.stance(now).edition.number:
+            if length and edition == self.lease_client.active(now).revision.number:
                 self._permitted_by = raw["life"]
         self.judged()
         if length:
-            left = self.holder.left_ms(now) / clock.rate
+            left = self.lease_client.left_ms(now) / clock.rate
             self.kernel.after(left + 1e-6, self.judged)
             self.kernel.at(self._until.get(edition, 0.0) + 1.0, self.judged)
         if self._flight == seq:
             self._flight = 0
             if not counts:
                 self._report_at = (self._report_at + 1) % len(self.services)
-            elif self.holder.lacks(raw):
+            elif self.lease_client.lacks(raw):
                 self._fetch(self.services[self._report_at])
             self._every, self._spread = raw["every_ms"], raw["spread_ms"]
             self._again(self._every * (1.0 - JITTER), self._every * (1.0 + JITTER))
@@ -287,6 +287,6 @@
             self._known |= {raw["edition"]: raw["life"], more: raw["life"]}
             while len(self._known) > KNOWN_MOST:
                 del self._known[min(self._known)]
-        self.holder.news(raw)
+        self.lease_client.receive_update(raw)
         self._soon()
         self.judged()
--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -23,7 +23,7 @@
 from poppypulley.model import Listing, Steer
 
 if TYPE_CHECKING:
-    from fordtrestle.fleet.part import Part
+    from fordtrestle.fleet.member import FleetMember
 
 # New connections go on coming for up to 0.4 s after SIGTERM; SIGKILL comes no sooner than the
 # longest deadline and 0.7 s after it: whatever comes late is answered before that.
@@ -62,24 +62,24 @@
             self.door.add("LIST", lambda: self.discovery.state)
         self.inbound = Inbound(loop, clock, told, self.driver, self.life)
         self.peers = Peers(told, self.driver.peer_message)
-        self.part = self._part(told) if told.agreement is not None else None
+        self.member = self._member(told) if told.agreement is not None else None
 
-    def _part(self, told: Config) -> Part:
-        """The part in the agreement, where the configuration has one; its code is loaded only then."""
-        from fordtrestle.fleet.part import Part
+    def _member(self, told: Config) -> FleetMember:
+        """This process as a member of the fleet, where it is one; the code is loaded only then."""
+        from fordtrestle.fleet.member import FleetMember
 
-        part = Part(self._loop, self, os.environ)
-        part.agent.measures.append(self.discovery.told)
+        member = FleetMember(self._loop, self, os.environ)
+        member.agent.report_extensions.append(self.discovery.told)
         if told.agreement is not None and told.agreement.group:
-            self.pool.delays = part.delays
-        self.driver.before = self.pool.stamp = part.stamp_at(self._loop)
-        self.door.add("RULES", lambda: part.agent.state)
-        return part
+            self.pool.delays = member.delays
+        self.driver.before = self.pool.stamp = member.stamp_at(self._loop)
+        self.door.add("RULES", lambda: member.agent.state)
+        return member
 
     def _server_list(self, form: str, news: ServerList | None) -> None:
         self.driver.server_list(form, news)
-        if self.part is not None:
-            self.part.listed(self._loop.time())
+        if self.member is not None:
+            self.member.listed(self._loop.time())
 
     def steer(self, steer: Steer) -> None:
         """Pick servers so from now on."""
@@ -115,8 +115,8 @@
         await self.peers.listen(self._loop)
         self.driver.connect(self.pool, self.discovery, self.peers)
         self.discovery.start()
-        if self.part is not None:
-            self.part.agent.start()
+        if self.member is not None:
+            self.member.agent.start()
         if self._share():
             log("another process of this sidecar serves: waiting for the list before taking clients")
             # The other one sees this one at its next look, and makes room then.
@@ -150,12 +150,12 @@
             return
         try:
             told = config.load({**environment, "NODE_DISCOVERY": ""})
-            self.adopt(told if self.part is None else self.part.over(told))
+            self.adopt(told if self.member is None else self.member.over(told))
         except ConfigError as error:
             log(f"reload: {error}; nothing is changed; mend the file and send SIGHUP again")
             return
-        if self.part is not None:
-            self.part.file_read(told)
+        if self.member is not None:
+            self.member.file_read(told)
         log(f"reload: done, classes {', '.join(self._told.names.classes)}")
 
     def adopt(self, told: Config) -> None:
@@ -206,8 +206,8 @@
         self.inbound.close()
         self.pool.close()
         self.discovery.close()
-        if self.part is not None:
-            self.part.agent.close()
+        if self.member is not None:
+            self.member.agent.close()
         self.peers.close()
         if self._look is not None:
             self._look.cancel()
@@ -229,8 +229,8 @@
         gc.freeze()
         await stop.wait()
         await sidecar.drain()
-    if sidecar.part is not None:
-        await sidecar.part.agent.leave()
+    if sidecar.member is not None:
+        await sidecar.member.agent.leave()
     # Nothing is left that they could change: one that comes as the loop closes would end this as if killed.
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     sidecar.close()
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -13,7 +13,7 @@
 
 from fordtrestle.config import Address, Config, ServerList, parse_list
 from fordtrestle.driver import log
-from fordtrestle.fleet.lists import Age, Doubt, Held, Sources
+from fordtrestle.fleet.lists import Age, Doubt, HeldList, Sources
 from poppypulley.model import ASK_MOST_MS, CALL_MS, SPARE_MS, TOLD_MS, Listing
 
 PATH = "/registry/instances"
@@ -210,7 +210,7 @@
         self._known = config.known
         self._rng = random.Random(config.seed)
         self._sources = Sources(config.registry, self._rng) if config.registry else None
-        self._held = Held(config.known) if config.registry else None
+        self._held = HeldList(config.known) if config.registry else None
         self._doubt = Doubt()
         self._age = Age()
         self._retry_after = 0.0
@@ -456,7 +456,7 @@
             raise Doubted(why, first)
         if bad:
             log(f"discovery: entries kept as they were: {bad}; register those servers anew, in good form")
-            news = self._held.mended(news, bad)
+            news = self._held.repaired(news, bad)
         return news
 
     def _changed(self, line: bytes) -> None:
@@ -479,7 +479,7 @@
         self._version = news.version
         if self._sources is not None and self._held is not None:
             self._sources.worked()
-            self._held.take(news)
+            self._held.apply(news)
         self._first.set()
         self._called.set()
         self._news(form, news)
--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -1,4 +1,4 @@
-"""This sidecar's part in the agreement: one small report now and then, one watch, and what to act on."""
+"""This sidecar's agent: one small report now and then, one watch, and which configuration to act on."""
 
 from __future__ import annotations
 
@@ -16,73 +16,75 @@
 from fordtrestle.discovery import SILENT_S, Channel
 from fordtrestle.driver import log
 from fordtrestle.fleet.calls import Caller, CallFailed
-from fordtrestle.fleet.holder import Edition, Holder, Stance
+from fordtrestle.fleet.lease_client import ActiveConfiguration, LeaseClient, Revision
 from fordtrestle.fleet.lists import Sources
 
 EVERY_MS, EVERY_MOST_MS = 750.0, 10_000.0
-SPREAD_MS, SPREAD_MOST_MS = 100.0, 10_000.0  # a report that an edition calls for comes within this
-JITTER = 1.0 / 3.0  # of that: from 0.5 to 1 s
-CALL_S = 1.0  # a service that takes longer for an answer is of no use: a permission is counted from asking
+SPREAD_MS, SPREAD_MOST_MS = 100.0, 10_000.0  # a report that a revision calls for comes within this
+JITTER = 1.0 / 3.0  # of the interval between reports: from 0.5 to 1 s
+CALL_S = 1.0  # a service that takes longer for an answer is of no use: a lease is counted from asking
 LEAVE_S = 0.3
-FAULT_S = 1.0  # after a fault in acting on an edition, until it is tried again
-AGAIN_S = 0.1  # after a failed report, where no other wait is told
+FAULT_S = 1.0  # after a fault in acting on a revision, until it is tried again
+RETRY_S = 0.1  # after a failed report, where the service names no other wait
 PATH = "/rules"
 # What a report leaves out where it is as in the one before on the same connection.
-KEPT = {"life", "of", "held", "prepared", "acting", "list_index", "list_age_ms"}
-KEPT |= {"overrides", "digest", "told", "group", "region"}
+DELTA_FIELDS = {"life", "of", "held", "prepared", "acting", "list_index", "list_age_ms"}
+DELTA_FIELDS |= {"overrides", "digest", "told", "group", "region"}
 
-Measures = Callable[[], dict[str, Any]]
-Answered = Callable[[float, float, Mapping[str, Any]], None]
+ReportExtension = Callable[[], dict[str, Any]]
+AnswerListener = Callable[[float, float, Mapping[str, Any]], None]
 
 
 class Agent:
-    """Keeps the holder fed, and calls `act` whenever what to act on has changed."""
+    """Renews the lease, and calls `act` whenever the configuration to act on has changed."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         name: str,
-        told: Agreement,
+        agreement: Agreement,
         addresses: tuple[Address, ...],
-        check: Callable[[Edition], str],
-        act: Callable[[Stance, float], float],
+        check: Callable[[Revision], str],
+        act: Callable[[ActiveConfiguration, float], float],
         seed: int,
     ) -> None:
+        """`check` is the lease client's; `act` takes what to act on at a time of the loop, in seconds, and
+        returns until when that holds by itself."""
         self._loop = loop
         self._name = name
-        self._told = told
+        self._agreement = agreement
         self._act = act
         self._rng = random.Random(seed)
         self._sources = Sources(addresses, self._rng)
         self._caller = Caller(loop)
-        self._every, self._spread = EVERY_MS, SPREAD_MS
-        self._called = asyncio.Event()  # an edition calls for a report before the next is due
+        self._every_ms, self._spread_ms = EVERY_MS, SPREAD_MS
+        self._called = asyncio.Event()  # a revision calls for a report before the next is due
         self._tasks: list[asyncio.Task[None]] = []
-        self._acted: int | str | None = None
+        self._acting: int | str | None = None
         self._failing = ""
-        self._before: dict[str, Any] = {}  # the report that was answered last
-        self.holder = Holder(os.urandom(8).hex(), check)
-        self.measures: list[Measures] = []  # what else rides on the reports
-        self.answered: list[Answered] = []  # and on the answers: asked at, heard at, what it tells
-        self.good_until = -math.inf  # until then, what was acted on last is what to act on
+        self._last_report: dict[str, Any] = {}  # of those that were answered
+        self.lease_client = LeaseClient(os.urandom(8).hex(), check)
+        self.report_extensions: list[ReportExtension] = []
+        self.answer_listeners: list[AnswerListener] = []  # asked at, received at, the answer
+        self.valid_until = -math.inf  # until then, what was acted on last is what to act on
         self.overrides: list[str] = []  # acted on now, by id
-        self.stamp = b""  # for each request to a server: which edition decided where it goes
+        self.stamp = b""  # for each request to a server: under which revision it was decided
 
     def start(self) -> None:
-        """Act on safe rules, and ask for more."""
+        """Act on the fallback configuration, and ask for a lease."""
         self.refresh(self._loop.time())
         work = (self._report(), self._watch())
         self._tasks = [self._loop.create_task(part) for part in work]
 
     async def leave(self) -> None:
-        """Say that this process acts on nothing more, and end."""
+        """Report that this process acts on nothing more, and end."""
         tasks = self._tasks
         self.close()
         # A call that is cut short closes the connection, and would take this one along.
         await asyncio.gather(*tasks, return_exceptions=True)
-        told: dict[str, Any] = self.holder.report(self._loop.time()) | {"leaving": True}
+        body: dict[str, Any] = self.lease_client.report(self._loop.time()) | {"leaving": True}
         try:
-            await self._caller.call(self._sources.current, "POST", f"/edges/{self._name}", LEAVE_S, told)
+            await self._caller.call(self._sources.current, "POST", f"/edges/{self._name}", LEAVE_S, body)
         except CallFailed as error:
             log(f"agreement: the end was not told: {error}")
         self._caller.close()
@@ -99,27 +101,27 @@
         """The stamp for what is decided at this moment, in seconds of the loop.
 
         Asked before each decision, so it costs one comparison while nothing has run out."""
-        if now >= self.good_until:
+        if now >= self.valid_until:
             self.refresh(now)
         return self.stamp
 
     def refresh(self, now: float) -> None:
-        """Act on what holds now; `act` does that, and says until when it will hold."""
-        stance = self.holder.stance(now)
-        self.good_until = math.inf if stance.safe else now + self.holder.left_ms(now) / 1000.0
-        if self._acted != stance.acting:
-            log(f"agreement: acting on {stance.acting}")
-            self._acted = stance.acting
-            self.stamp = f"X-Edition: {stance.acting}\r\n".encode()
+        """Act on what holds now; `act` does that, and returns until when it will hold."""
+        active = self.lease_client.active(now)
+        self.valid_until = math.inf if active.fallback else now + self.lease_client.left_ms(now) / 1000.0
+        if self._acting != active.acting:
+            log(f"agreement: acting on {active.acting}")
+            self._acting = active.acting
+            self.stamp = f"X-Edition: {active.acting}\r\n".encode()
         try:
-            until = self._act(stance, now)
+            until = self._act(active, now)
         except Exception:  # asked before each decision: a fault here would fail every request
             log(f"agreement: {traceback.format_exc()}what was acted on before stays; report it")
             until = now + FAULT_S
-        self.good_until = min(self.good_until, until)
+        self.valid_until = min(self.valid_until, until)
 
     def renew(self) -> None:
-        """What is decided from now on goes by other rules, if under the same edition: what was picked
+        """What is decided from now on goes by other rules, if under the same revision: what was picked
         before and is not yet written is not to be sent."""
         self.stamp = bytes(bytearray(self.stamp))
 
@@ -128,96 +130,97 @@
         """For operators: one line of JSON."""
         now = self._loop.time()
         self.at(now)
-        stance = self.holder.stance(now)
-        told: dict[str, Any] = {
-            "held": self.holder.held,
-            "acting": stance.acting,
-            "permission_ms": round(self.holder.left_ms(now)),
+        state: dict[str, Any] = {
+            "held": self.lease_client.held,
+            "acting": self.lease_client.active(now).acting,
+            "permission_ms": round(self.lease_client.left_ms(now)),
             "overrides": self.overrides,
             "at": "{}:{}".format(*self._sources.current),
             "failing": self._failing,
         }
-        return json.dumps(told)
+        return json.dumps(state)
 
     # --- reports ------------------------------------------------------------------------
 
     async def _report(self) -> None:
         while True:
-            wait = self._every / 1000.0 * (1.0 + JITTER * (2.0 * self._rng.random() - 1.0))
+            wait = self._every_ms / 1000.0 * (1.0 + JITTER * (2.0 * self._rng.random() - 1.0))
             pause: Callable[[float], Awaitable[None]] = asyncio.sleep
             try:
                 await self._ask()
                 self._sources.worked()
-                self._fails("")
+                self._note_failure("")
                 pause = self._pause
             except CallFailed as error:
-                self._fails(str(error))
+                self._note_failure(str(error))
                 again = self._sources.failed(error.retry_after)
-                wait = again if error.retry_after else min(again, AGAIN_S * (1.0 + self._rng.random()))
-            except Exception as error:  # without reports, this sidecar would be on safe rules for good
-                self._fails(f"an answer that is none: {error!r}")
+                wait = again if error.retry_after else min(again, RETRY_S * (1.0 + self._rng.random()))
+            except Exception as error:  # without reports, this sidecar would be on the fallback for good
+                self._note_failure(f"an answer that is none: {error!r}")
                 wait = min(wait, self._sources.failed())
             await pause(wait)
 
     async def _pause(self, wait: float) -> None:
-        """Wait for the next report. One that an edition calls for comes sooner, and in this one's place:
+        """Wait for the next report. One that a revision calls for comes sooner, and in this one's place:
         the service decides when all have acknowledged, and each acts when its report has asked after that.
-        Spread over a time that grows with the fleet, as the service tells, or all would come at once."""
-        if not self.holder.urgent:
+        Spread over a time that grows with the fleet, as the service says, or all would come at once."""
+        if not self.lease_client.urgent:
             self._called.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait):
                 await self._called.wait()
-                await asyncio.sleep(self._spread / 1000.0 * self._rng.random())
+                await asyncio.sleep(self._spread_ms / 1000.0 * self._rng.random())
         self._called.clear()
 
     async def _ask(self) -> None:
         """One report, and what its answer brings."""
         self.at(self._loop.time())
-        body = self.holder.report(self._loop.time())
+        body = self.lease_client.report(self._loop.time())
         seq = int(body["seq"])
-        body |= {"group": self._told.group, "region": self._told.region}
-        for measure in self.measures:
-            body |= measure()
+        body |= {"group": self._agreement.group, "region": self._agreement.region}
+        for extension in self.report_extensions:
+            body |= extension()
         path = f"/edges/{self._name}"
-        news = self._shortened(body) if self._caller.holds(self._sources.current) else body
-        told = await self._caller.call(self._sources.current, "POST", path, CALL_S, news)
+        delta = self._delta(body) if self._caller.holds(self._sources.current) else body
+        answer = await self._caller.call(self._sources.current, "POST", path, CALL_S, delta)
         asked = self._caller.asked_at
-        self._before = body
-        if isinstance(told, dict):
-            told.setdefault("life", body["of"])  # left out where it is the one that the report named
-            most = told.get("permission_ms", 0.0)
-            told["permission_ms"] = min(most, self._told.agree_ms) if isinstance(most, int | float) else most
-        if not self.holder.answered(asked, seq, told):
+        self._last_report = body
+        if isinstance(answer, dict):
+            answer.setdefault("life", body["of"])  # left out where it is the one that the report named
+            most = answer.get("permission_ms", 0.0)
+            answer["permission_ms"] = (
+                min(most, self._agreement.agree_ms) if isinstance(most, int | float) else most
+            )
+        if not self.lease_client.receive_answer(asked, seq, answer):
             raise CallFailed("an earlier life of the service answers there")
-        for take in self.answered:
-            take(asked, self._loop.time(), told)
-        every = told.get("every_ms", EVERY_MS)
-        self._every = min(EVERY_MOST_MS, max(EVERY_MS, float(every)))
-        self._spread = min(SPREAD_MOST_MS, max(SPREAD_MS, float(told.get("spread_ms", SPREAD_MS))))
-        if told.get("news") and self.holder.lacks(told):
-            # Reports come through where the watch may not: then editions come on their way, too.
-            news = await self._caller.call(self._sources.current, "GET", PATH, CALL_S)
-            self._heard(news)
+        for listener in self.answer_listeners:
+            listener(asked, self._loop.time(), answer)
+        every_ms = answer.get("every_ms", EVERY_MS)
+        self._every_ms = min(EVERY_MOST_MS, max(EVERY_MS, float(every_ms)))
+        self._spread_ms = min(SPREAD_MOST_MS, max(SPREAD_MS, float(answer.get("spread_ms", SPREAD_MS))))
+        if answer.get("news") and self.lease_client.lacks(answer):
+            # Reports come through where the watch may not: then revisions come on their way, too.
+            update = await self._caller.call(self._sources.current, "GET", PATH, CALL_S)
+            self._receive_update(update)
         self.refresh(self._loop.time())
 
-    def _shortened(self, body: dict[str, Any]) -> dict[str, Any]:
+    def _delta(self, body: dict[str, Any]) -> dict[str, Any]:
         """The report without what the service knows by the one before."""
-        before = self._before
-        if not before.keys() & KEPT <= body.keys():
-            return body  # what was told is told no more: only a whole report can say that
-        changed = {k: v for k, v in body.items() if k not in KEPT or k not in before or before[k] != v}
-        return changed | {"after": before["seq"]}
+        last = self._last_report
+        if not last.keys() & DELTA_FIELDS <= body.keys():
+            return body  # a field that was reported is reported no more: only a whole report can say that
+        changed = {k: v for k, v in body.items() if k not in DELTA_FIELDS or k not in last or last[k] != v}
+        return changed | {"after": last["seq"]}
 
-    def _fails(self, why: str) -> None:
+    def _note_failure(self, why: str) -> None:
         if bool(why) != bool(self._failing):
-            said = f"reports fail: {why}; {CallFailed.action}" if why else "reports are answered again"
-            log(f"agreement: {said}")
+            line = f"reports fail: {why}; {CallFailed.action}" if why else "reports are answered again"
+            log(f"agreement: {line}")
         self._failing = why
 
-    def _heard(self, told: Any) -> None:
-        self.holder.news(told)
-        if self.holder.urgent:
+    def _receive_update(self, raw: Any) -> None:
+        self.lease_client.receive_update(raw)
+        if self.lease_client.urgent:
             self._called.set()
 
     # --- the watch ------------------------------------------------------------------------
@@ -238,7 +241,8 @@
     async def _watch_once(self, address: Address) -> bool:
         """Watch until the connection ends or falls silent; whether anything came."""
         host, port = address
-        request = f"GET {PATH}?watch=1&from={self.holder.held} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        held = self.lease_client.held
+        request = f"GET {PATH}?watch=1&from={held} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
         called = self._loop.time()
         async with asyncio.timeout(SILENT_S):
             _, channel = await self._loop.create_connection(
@@ -254,7 +258,7 @@
         return channel.taken
 
     def _line(self, line: bytes) -> None:
-        told: Mapping[str, Any] = json.loads(line)
-        self._heard(told)
-        # The meet of two editions is acted on before the acknowledgement is told.
+        raw: Mapping[str, Any] = json.loads(line)
+        self._receive_update(raw)
+        # What two revisions have in common is acted on before the acknowledgement is reported.
         self.refresh(self._loop.time())
--- a/fordtrestle/fleet/calls.py
+++ b/fordtrestle/fleet/calls.py
@@ -42,7 +42,7 @@
         """The JSON of a 200 answer; `CallFailed` where there is none within `limit` seconds."""
         try:
             async with asyncio.timeout(limit):
-                status, told = await self._ask(address, method, path, body)
+                status, content = await self._ask(address, method, path, body)
         except (OSError, httptools.HttpParserError, EOFError) as error:  # a time-out is an OSError
             self.close()
             raise CallFailed(f"{address.host}:{address.port}: {error!r}") from error
@@ -51,9 +51,9 @@
             raise
         if status != 200:
             self.close()
-            raise CallFailed(f"status {status}: {told[:200]!r}", status, self._retry_after)
+            raise CallFailed(f"status {status}: {content[:200]!r}", status, self._retry_after)
         try:
-            return json.loads(told)
+            return json.loads(content)
         except (ValueError, RecursionError) as error:
             self.close()
             raise CallFailed(f"{address.host}:{address.port} answers no JSON") from error
--- a/fordtrestle/fleet/deadlines.py
+++ b/fordtrestle/fleet/deadlines.py
@@ -1,7 +1,7 @@
-"""Until when each override is acted on, from the times left that answers tell.
+"""Until when each override is acted on, from the times left in answers.
 
 No socket and no clock of its own: times are handed in, in seconds of the sidecar's monotonic clock. What is
-in force is judged at each decision by that clock alone, so that a process that was stopped, cut off, or told
+in force is judged at each decision by that clock alone, so that a process that was stopped, cut off, or heard
 late is right with its first decision.
 """
 
@@ -14,14 +14,14 @@
 from enum import IntEnum
 from typing import Any, TypeGuard
 
-# Two clocks whose rates are each within 1% of the true one differ by less than this. A deadline that was told
-# long before is early by it, so that it is never late; telling anew takes the margin back.
+# Two clocks whose rates are each within 1% of the true one differ by less than this. A deadline that was
+# received long before is early by it, so that it is never late; a new answer takes the margin back.
 DRIFT = 0.0203
-RETELL_PART = 0.5  # of the time left that was told last: with less left, it is asked for anew
+RETELL_PART = 0.5  # of the time left that was received last: with less left, it is asked for anew
 SLOW_S = 0.5  # an answer that took longer makes the end early by that much: it is asked for anew at once
 LONGEST_MS = 25 * 3_600_000.0  # more than an override can have left: such an answer is not believed
 OVERRIDES_MOST = 4096
-REVISIONS_MOST = 4  # of one override: an edition may still have the one before the newest that were told
+REVISIONS_MOST = 4  # of one override: a configuration revision may still have the one before the newest
 GRID_S = 0.0625  # ends are rounded to this, the safe way, so that a thousand in a second are sixteen changes
 FORGOTTEN_S = 60.0  # after its end; a late copy of an old answer is past by itself
 
@@ -35,14 +35,14 @@
 
 
 def digest(pairs: Iterable[tuple[str, int]]) -> str:
-    """A short word for a set of (id, revision); the list service makes the same one."""
+    """A short text that identifies a set of (id, revision); the list service makes the same one."""
     rows = sorted(pairs)
     return f"{len(rows)}-{zlib.crc32(''.join(f'{key}:{rev};' for key, rev in rows).encode()):08x}"
 
 
 @dataclass(slots=True)
-class _Told:
-    """What was told of one revision; times by the sidecar's clock."""
+class _Bounds:
+    """When one revision of an override ends, as far as known; times by the sidecar's clock."""
 
     rev: int
     same_from: int
@@ -64,22 +64,22 @@
 
 
 class Deadlines:
-    """Until when each override is acted on, from the times left that answers told."""
+    """Until when each override is acted on, from the times left in answers."""
 
     def __init__(self, drift: float = DRIFT) -> None:
         self._drift = drift
-        self._told: dict[str, list[_Told]] = {}  # newest revision first, and those before it
-        self.newest = 0  # the newest revision told, for the report: what is newer is to be told
+        self._bounds: dict[str, list[_Bounds]] = {}  # newest revision first, and those before it
+        self.newest = 0  # the newest revision received, for the report: what is newer is to be sent
 
-    def told(
-        self, asked_at_s: float, times: Mapping[str, Any], heard_at_s: float | None = None
+    def receive(
+        self, asked_at_s: float, times: Mapping[str, Any], received_at_s: float | None = None
     ) -> tuple[str, ...]:
         """An answer: `{ID: {"rev", "same_from", "left_ms"}}` to what was sent and came at these times.
 
-        The time left is counted from the asking, so that it is never too long; when the answer was heard
-        bounds it from above. The ids of what could not be read, or contradicts what was told of the same
+        The time left is counted from the asking, so that it is never too long; when the answer was received
+        bounds it from above. The ids of what could not be read, or contradicts what was received of the same
         revision before, are returned; they change nothing."""
-        heard = asked_at_s if heard_at_s is None else max(asked_at_s, heard_at_s)
+        received = asked_at_s if received_at_s is None else max(asked_at_s, received_at_s)
         bad = []
         for key, row in times.items():
             try:
@@ -88,21 +88,21 @@
                 bad.append(str(key))
                 continue
             low, high = left_ms / 1000.0 * (1.0 - self._drift), left_ms / 1000.0 * (1.0 + self._drift)
-            retell = asked_at_s + (left_ms / 1000.0 * RETELL_PART if heard - asked_at_s < SLOW_S else 0.0)
-            new = _Told(rev, same_from, asked_at_s + low, heard + high, retell)
+            retell = asked_at_s + (left_ms / 1000.0 * RETELL_PART if received - asked_at_s < SLOW_S else 0.0)
+            new = _Bounds(rev, same_from, asked_at_s + low, received + high, retell)
             if not self._take(str(key), new, asked_at_s):
                 bad.append(str(key))
         return tuple(bad)
 
-    def _take(self, key: str, new: _Told, now_s: float) -> bool:
-        held = self._told.get(key)
-        if held is None and len(self._told) >= OVERRIDES_MOST:
+    def _take(self, key: str, new: _Bounds, now_s: float) -> bool:
+        held = self._bounds.get(key)
+        if held is None and len(self._bounds) >= OVERRIDES_MOST:
             self._forget(now_s)
-            if len(self._told) >= OVERRIDES_MOST:
+            if len(self._bounds) >= OVERRIDES_MOST:
                 return False
         self.newest = max(self.newest, new.rev)
         if held is None or new.rev > held[0].rev:
-            self._told[key] = [new, *(held or [])[: REVISIONS_MOST - 1]]
+            self._bounds[key] = [new, *(held or [])[: REVISIONS_MOST - 1]]
         elif new.rev == held[0].rev:
             old = held[0]
             if new.low_s > old.high_s:
@@ -112,37 +112,38 @@
         return True
 
     def _forget(self, now_s: float) -> None:
-        self._told = {k: rows for k, rows in self._told.items() if rows[0].end_s > now_s - FORGOTTEN_S}
+        self._bounds = {k: rows for k, rows in self._bounds.items() if rows[0].end_s > now_s - FORGOTTEN_S}
 
     def phase(self, key: str, rev: int, now_s: float) -> Phase:
-        """Whether a revision that an edition has is to be acted on now.
+        """Whether a revision that a configuration document has is to be acted on now.
 
-        The times of a newer revision are told before the edition that has it: they count for an older one
-        that says the same. Never the other way: the newer one may have been shortened."""
-        for told in self._told.get(key, ()):
-            if told.same_from <= rev <= told.rev:
-                if now_s < told.end_s:
+        The times of a newer revision are received before the document that has it: they count for an older
+        one that says the same. Never the other way: the newer one may have been shortened."""
+        for bounds in self._bounds.get(key, ()):
+            if bounds.same_from <= rev <= bounds.rev:
+                if now_s < bounds.end_s:
                     return Phase.IN_FORCE
-                return Phase.DOUBTFUL if now_s < told.over_s else Phase.OVER
+                return Phase.DOUBTFUL if now_s < bounds.over_s else Phase.OVER
         return Phase.OVER
 
     def active(self, now_s: float) -> tuple[str, ...]:
         """Ids whose newest revision is not over."""
-        return tuple(sorted(key for key, rows in self._told.items() if now_s < rows[0].end_s))
+        return tuple(sorted(key for key, rows in self._bounds.items() if now_s < rows[0].end_s))
 
     def digest(self, now_s: float) -> str:
         """Of those ids, with their revisions."""
-        return digest((key, self._told[key][0].rev) for key in self.active(now_s))
+        return digest((key, self._bounds[key][0].rev) for key in self.active(now_s))
 
     def next_end(self, now_s: float) -> float | None:
-        """When a phase of something that was told ends next, or None."""
-        ends = (end for rows in self._told.values() for told in rows for end in (told.end_s, told.over_s))
+        """When the phase of an override ends next, or None."""
+        rows = (bounds for held in self._bounds.values() for bounds in held)
+        ends = (end for bounds in rows for end in (bounds.end_s, bounds.over_s))
         return min((end for end in ends if end > now_s), default=None)
 
     def wants(self, now_s: float) -> bool:
         """Whether the next report should ask for the times anew, since half of one has passed."""
-        newest = (rows[0] for rows in self._told.values())
-        return any(told.retell_s <= now_s < told.end_s for told in newest)
+        newest = (rows[0] for rows in self._bounds.values())
+        return any(bounds.retell_s <= now_s < bounds.end_s for bounds in newest)
 
 
 def _time(row: Any) -> tuple[int, int, float]:
--- a/fordtrestle/fleet/delays.py
+++ b/fordtrestle/fleet/delays.py
@@ -1,7 +1,7 @@
-"""What an edge notes of the delay to each region, out of requests that pass anyway. No clock, no socket.
+"""What a sidecar notes of the delay to each region, out of requests that pass anyway. No clock, no socket.
 
 Per region and window two sketches: times of handshakes, and first-byte times less what the server spent
-(where it does not tell, that is only an upper bound: readers use low quantiles). A sketch is counts in
+(where it does not say, that is only an upper bound: readers use low quantiles). A sketch is counts in
 buckets 5% wide; in a report it is thinned to points that keep its low quantiles. Times are in ms, clocks
 are handed in, in seconds. Nothing here raises on odd figures: they are left out.
 """
@@ -16,7 +16,10 @@
 LEAST_MS, MOST_MS = 0.05, 60_000.0
 BUCKETS = 1 + int(log(MOST_MS / LEAST_MS) / log(WIDTH))
 REGIONS_MOST = 64
-FIRST_SPAN_S, SPAN_MOST_MS = 1.0, 3_600_000  # of a window: one whose start nobody timed, and the longest told
+FIRST_SPAN_S, SPAN_MOST_MS = (
+    1.0,
+    3_600_000,
+)  # of a window: one whose start nobody timed, and the longest reported
 REPORT_BYTES = 400  # rows beyond it wait, with what they have gathered, for the next report
 EVERY_S = 2.5  # a region's row comes no sooner after the one before: one with more figures costs as much
 # A sketch is reported as one point for each of these parts of its counts: fine where readers look.
@@ -76,7 +79,7 @@
 
 
 class Delays:
-    """One edge's sketches of its delays, by region; `group` is the client group that it belongs to."""
+    """One sidecar's sketches of its delays, by region; `group` is the client group that it belongs to."""
 
     def __init__(self, group: str) -> None:
         self.group = group
@@ -105,7 +108,7 @@
         """The rows of the next report, and a new window for their regions.
 
         Regions that have waited longest come first, up to `REPORT_BYTES`; the others go on gathering.
-        A window's number is never used twice in an edge's life, so a row can be told twice without harm."""
+        A window's number is never used twice in a sidecar's run, so a row may come twice without harm."""
         self._window += 1
         rows: list[dict[str, object]] = []
         room = REPORT_BYTES - 2
--- a/fordtrestle/fleet/forms.py
+++ b/fordtrestle/fleet/forms.py
@@ -1,4 +1,4 @@
-"""The forms of what an edition says, as far as this program reads it. Pure code.
+"""The forms of what a configuration revision says, as far as this program reads it. Pure code.
 
 The list service checks the same before it publishes; one of another version may not, and what is acted on at
 each decision must never be what raises there.
@@ -47,11 +47,11 @@
 }
 
 
-def unread(settings: Mapping[str, Any]) -> frozenset[str]:
+def unreadable(settings: Mapping[str, Any]) -> frozenset[str]:
     """The keys of settings whose form this program can't read."""
     return frozenset(key for key, good in SETTINGS.items() if key in settings and not good(settings[key]))
 
 
-def plan_read(plan: Mapping[str, Any]) -> bool:
+def plan_readable(plan: Mapping[str, Any]) -> bool:
     """Whether this program can read the shares of a plan."""
     return _shares(plan.get("shares", {}))
--- a/fordtrestle/fleet/lists.py
+++ b/fordtrestle/fleet/lists.py
@@ -1,4 +1,4 @@
-"""How a sidecar rides on a list service of several addresses: where to ask, when, and what to believe.
+"""How a sidecar uses a list service of several addresses: where to ask, when, and what to believe.
 
 No socket and no clock of its own: times are handed in, in seconds of one monotonic clock. Used where
 the configuration has the key `fleet`, and only there.
@@ -15,7 +15,7 @@
 FIRST_WAIT_S, WAIT_MOST_S = 0.25, 1.0
 RETRY_MOST_S = 30.0
 # The k-th empty line of a watch is sent no sooner than so many seconds times k after the call.
-BEAT_S = 2.0
+HEARTBEAT_S = 2.0
 CLOCKS_DIFFER = 0.99  # by less than this, in their rate
 DOUBT_S = 30.0  # how long a list that can't be right is held off
 AGES_S = (5.0, 30.0, 300.0)  # each is logged when the list grows older
@@ -43,8 +43,8 @@
     def failed(self, retry_after: float = 0.0) -> float:
         """A call was turned away, or its watch is over; how long to wait before the next.
 
-        Who is told when to come again stays there: the others have a herd of their own. All waits are
-        spread, since every sidecar loses its watch in the same moment."""
+        A caller that is told when to come again stays there: the others have a herd of their own. All waits
+        are spread, since every sidecar loses its watch in the same moment."""
         chance = self._rng.random()
         if retry_after:
             return min(retry_after, RETRY_MOST_S) * (1.0 + 0.25 * chance)
@@ -65,16 +65,16 @@
         self._confirmed: float | None = None
         self._passed = 0
 
-    def confirmed(self, asked: float, heard: float, empties: int) -> None:
+    def confirmed(self, asked: float, received: float, empties: int) -> None:
         """A list came, or an empty line: the service had nothing newer when it sent that.
 
-        It was sent after the call, and the k-th empty line k beats after it; that is known whatever
-        the way back took, and nothing later is."""
-        sent = min(heard, asked + BEAT_S * CLOCKS_DIFFER * empties)
+        It was sent after the call, and the k-th empty line k heartbeats after it; that is known however
+        long the answer took, and nothing later is."""
+        sent = min(received, asked + HEARTBEAT_S * CLOCKS_DIFFER * empties)
         self._confirmed = sent if self._confirmed is None else max(self._confirmed, sent)
 
     def bound(self, now: float) -> float | None:
-        """Seconds, or None where nothing was told since the start."""
+        """Seconds, or None where nothing was received since the start."""
         return None if self._confirmed is None else now - self._confirmed
 
     def passed(self, now: float) -> str | None:
@@ -93,13 +93,13 @@
     def __init__(self) -> None:
         self._since: float | None = None
 
-    def of(self, news: ServerList, version: int, held: int, now: float) -> str | None:
+    def of(self, update: ServerList, version: int, held: int, now: float) -> str | None:
         """Why this list is not believed yet; None where it is, or where it has come for too long."""
         why = None
-        if news.whole and held and not news.entries:
+        if update.whole and held and not update.entries:
             why = f"a list without servers, where {held} are known"
-        elif news.whole and news.version < version:
-            why = f"version {news.version}, where {version} is held"
+        elif update.whole and update.version < version:
+            why = f"version {update.version}, where {version} is held"
         if why is None:
             self._since = None
             return None
@@ -113,12 +113,12 @@
         return self._since is None
 
 
-class Held:
+class HeldList:
     """The last good entry of each server."""
 
     def __init__(self, known: ServerList) -> None:
         self._entries: dict[str, tuple[Listing, Address | None]] = {}
-        self.take(known)
+        self.apply(known)
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -127,19 +127,19 @@
         """The entries."""
         return [entry for entry, _ in self._entries.values()]
 
-    def take(self, news: ServerList) -> None:
-        """What is believed from now on."""
-        if news.whole:
+    def apply(self, update: ServerList) -> None:
+        """Take in a whole list, or changes."""
+        if update.whole:
             self._entries.clear()
-        for entry in news.entries:
+        for entry in update.entries:
             if entry.state == "left":
                 self._entries.pop(entry.server, None)
             else:
-                self._entries[entry.server] = (entry, news.addresses.get(entry.server))
+                self._entries[entry.server] = (entry, update.addresses.get(entry.server))
 
-    def mended(self, news: ServerList, bad: Mapping[str, str]) -> ServerList:
+    def repaired(self, update: ServerList, bad: Mapping[str, str]) -> ServerList:
         """A list in which entries that could not be read are as they were last."""
-        entries, addresses = list(news.entries), dict(news.addresses)
+        entries, addresses = list(update.entries), dict(update.addresses)
         for name in bad:
             if name not in self._entries:
                 continue
@@ -147,4 +147,4 @@
             entries.append(entry)
             if address is not None:
                 addresses[name] = address
-        return ServerList(news.version, news.whole, entries, addresses)
+        return ServerList(update.version, update.whole, entries, addresses)
--- a/fordtrestle/fleet/part.py
+++ b/fordtrestle/fleet/member.py
@@ -1,4 +1,5 @@
-"""What an edition means for this process: checked against its own program, and laid over its own file."""
+"""This process as a member of the fleet: it checks configuration revisions against its own program, lays
+them over its own file, and acts on them."""
 
 from __future__ import annotations
 
@@ -14,15 +15,15 @@
 from fordtrestle.fleet import rules
 from fordtrestle.fleet.agent import Agent
 from fordtrestle.fleet.delays import Delays
-from fordtrestle.fleet.holder import Edition, Stance
+from fordtrestle.fleet.lease_client import ActiveConfiguration, Revision
 from fordtrestle.fleet.steering import NEUTRAL, Steering
 from poppypulley.model import Listing, Steer
 
-LIST_LATE_S = 2.0  # news of the list take far less on a watch that works
+LIST_LATE_S = 2.0  # changes of the list take far less on a watch that works
 
 
 class Process(Protocol):
-    """The sidecar's process, as far as editions change it."""
+    """The sidecar's process, as far as revisions change it."""
 
     @property
     def busy(self) -> Collection[int]:
@@ -46,11 +47,11 @@
         """The version of the list held."""
 
     def ask_for_list(self) -> None:
-        """Ask for the list anew: what tells of changes has fallen behind."""
+        """Ask for the list anew: the watch on its changes has fallen behind."""
 
 
-class Part:
-    """This process's part in the agreement."""
+class FleetMember:
+    """Acts on the revisions that this process may act on, and reports what it measures."""
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, process: Process, environment: Mapping[str, str]
@@ -59,19 +60,19 @@
         self._now = loop.time
         self._environment = {**environment, "NODE_DISCOVERY": ""}
         self._file = process.running
-        self._laid: Mapping[str, Any] = {}  # of an edition: what is laid over the file now
+        self._laid: Mapping[str, Any] = {}  # of a revision: what is laid over the file now
         self._steer = NEUTRAL
-        told = self._file
-        assert told.agreement is not None
+        file = self._file
+        assert file.agreement is not None
         self.agent = Agent(
-            loop, told.name, told.agreement, told.registry, self._objection, self._act, told.seed
+            loop, file.name, file.agreement, file.registry, self._objection, self._act, file.seed
         )
-        self.steering = Steering(told.agreement, lambda: process.running.names, process.listings)
-        self.delays = Delays(told.agreement.group)
-        self.agent.measures.append(self.steering.report)
-        if told.agreement.group:
-            self.agent.measures.append(lambda: self._delays(loop.time()))
-        self.agent.answered += [self.steering.answered, self._answered]
+        self.steering = Steering(file.agreement, lambda: process.running.names, process.listings)
+        self.delays = Delays(file.agreement.group)
+        self.agent.report_extensions.append(self.steering.report)
+        if file.agreement.group:
+            self.agent.report_extensions.append(lambda: self._delays(loop.time()))
+        self.agent.answer_listeners += [self.steering.receive_answer, self._receive_answer]
         self._ahead_since = math.inf
 
     def _delays(self, now: float) -> dict[str, Any]:
@@ -79,13 +80,13 @@
         return {"measures": {"delays": rows}} if rows else {}
 
     def stamp_at(self, loop: asyncio.AbstractEventLoop) -> Callable[[], bytes]:
-        """What is asked before each decision, and at each send: under which edition it is made."""
+        """What is asked before each decision, and at each send: under which revision it is made."""
         agent, clock = self.agent, loop.time
 
         def stamp() -> bytes:
             # As `agent.at`, without a call more: this is asked some five times a request.
             now = clock()
-            if now >= agent.good_until:
+            if now >= agent.valid_until:
                 agent.refresh(now)
             return agent.stamp
 
@@ -96,17 +97,17 @@
         return self._over(file, self._laid)
 
     def file_read(self, file: Config) -> None:
-        """This file is what editions are laid over from now on. Classes may have other numbers by it: what
-        is capped or shifted is said anew."""
+        """This file is what revisions are laid over from now on. Classes may have other numbers by it: what
+        is capped or shifted is stated anew."""
         self._file = file
         self.agent.refresh(self._now())
 
-    def _answered(self, asked: float, heard: float, told: Mapping[str, Any]) -> None:
-        """The service's list is ahead of the one held for longer than news takes: the watch is of no use."""
-        ahead = told.get("list_index")
+    def _receive_answer(self, asked: float, received: float, answer: Mapping[str, Any]) -> None:
+        """Ask for the list anew where the service's is ahead for longer than a change takes to come."""
+        ahead = answer.get("list_index")
         if not isinstance(ahead, int) or ahead <= self._process.list_version:
             self._ahead_since = math.inf
-        elif heard - min(self._ahead_since, asked) < LIST_LATE_S:
+        elif received - min(self._ahead_since, asked) < LIST_LATE_S:
             self._ahead_since = min(self._ahead_since, asked)
         else:
             log(
@@ -116,7 +117,7 @@
             self._process.ask_for_list()
 
     def _over(self, file: Config, settings: Mapping[str, Any]) -> Config:
-        """The file with settings of an edition laid over it; `ConfigError` if that is no configuration."""
+        """The file with settings of a revision laid over it; `ConfigError` if that is no configuration."""
         if file.agreement is None or not settings:
             return file
         raw = dict(file.agreement.raw)
@@ -126,25 +127,24 @@
         except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as error:
             raise ConfigError(f"{error}") from error
 
-    def _objection(self, edition: Edition) -> str:
-        """Why this program can't act on an edition; empty where it can."""
-        why = rules.unknown(edition) or self.steering.objection(edition)
+    def _objection(self, revision: Revision) -> str:
+        """Why this program can't act on a revision; empty where it can."""
+        why = rules.unknown(revision) or self.steering.objection(revision)
         if why:
             return why
         try:
-            laid = rules.laid(edition.settings)
+            laid = rules.laid(revision.settings)
             config.successor(self._process.running, self._over(self._file, laid), self._process.busy)
         except ConfigError as error:
             return str(error)
-        except (
-            Exception
-        ) as error:  # said, it halts the edition; unsaid, every sidecar would act on safe rules
+        except Exception as error:
+            # Reported, it halts the revision; unreported, every sidecar would act on the fallback.
             return f"a fault in this program, report it: {error!r}"
         return ""
 
-    def _act(self, stance: Stance, now: float) -> float:
-        """Act on an edition, on the meet of two, or on safe rules; until when that holds by itself."""
-        settings = rules.effective(stance)
+    def _act(self, active: ActiveConfiguration, now: float) -> float:
+        """Act on a revision, on what several have in common, or on the fallback; until when that holds."""
+        settings = rules.effective(active)
         laid = rules.laid(settings)
         if laid != self._laid:
             try:
@@ -152,9 +152,9 @@
                 self._laid = laid
             except ConfigError as error:
                 log(f"agreement: {error}; the settings before stay. Look at the edition and at this file")
-        found = self.steering.found(stance, now)
+        found = self.steering.found(active, now)
         self.agent.overrides = [name for name, _ in found.acted]
-        steer = self.steering.steer(stance, found, now)
+        steer = self.steering.steer(active, found, now)
         if steer != self._steer:
             self._steer = steer
             self.agent.renew()
--- a/fordtrestle/fleet/overrides.py
+++ b/fordtrestle/fleet/overrides.py
@@ -1,4 +1,4 @@
-"""Temporary overrides at a sidecar: what an edition has, and what those in force come to.
+"""Temporary overrides at a sidecar: what a configuration revision has, and what those in force come to.
 
 No socket and no clock of its own; until when each is acted on is `deadlines`' part. What is in force is made
 anew from the settings and the overrides that remain, whatever was before. Names of the wire are in
@@ -19,11 +19,11 @@
 EPS = 1e-9
 
 
-# --- the layer of an edition ---------------------------------------------------------------------
+# --- the layer of a revision ---------------------------------------------------------------------
 
 
-class Line(NamedTuple):
-    """One override as an edition has it."""
+class Override(NamedTuple):
+    """One override as a configuration revision has it."""
 
     id: str
     rev: int
@@ -37,9 +37,9 @@
     regions: frozenset[str] = frozenset()
 
 
-def read_layer(raw: Any) -> tuple[tuple[Line, ...], tuple[str, ...]]:
-    """The overrides of an edition, those that go first in front, and what this program can't read:
-    the reasons of its objection to the edition."""
+def read_layer(raw: Any) -> tuple[tuple[Override, ...], tuple[str, ...]]:
+    """The overrides of a configuration revision, those that go first in front, and what this program can't
+    read: the reasons of its objection to the revision."""
     lines, wrong = [], []
     if not isinstance(raw, list | tuple):
         return (), ("the layer of overrides is no list",)
@@ -53,7 +53,7 @@
     return tuple(lines), tuple(wrong)
 
 
-def _line(row: Any) -> Line:
+def _line(row: Any) -> Override:
     action, match, places = row["action"], row.get("match", {}), row.get("places", {})
     kinds = [kind for kind in action if action[kind] is not None and action[kind] is not False]
     if len(kinds) != 1 or kinds[0] not in KINDS:
@@ -69,7 +69,7 @@
     spec = _spec(kinds[0], action[kinds[0]])
     groups, regions = (frozenset(map(str, places.get(name, ()))) for name in ("groups", "regions"))
     cls, tenant = match.get("class"), match.get("tenant")
-    return Line(
+    return Override(
         str(row["id"]),
         row["rev"],
         row["from_ms"],
@@ -159,7 +159,7 @@
 def effective(
     now_s: float,
     settings: Rules,
-    layer: Sequence[Line],
+    layer: Sequence[Override],
     deadlines: Deadlines,
     place: Place,
     names: Names,
@@ -171,11 +171,11 @@
     does, or at `deadlines.next_end`."""
     here = [(line, deadlines.phase(line.id, line.rev, now_s)) for line in layer if _here(line, place)]
     lines = [line for line, phase in here if phase is Phase.IN_FORCE]
-    said: list[str] = []
+    notes: list[str] = []
     unknown: list[str] = []
     known = [line for line in lines if _known(line, names, unknown)]
     held = {
-        what: _holds(what, known, of_settings, all_known, said)
+        what: _holds(what, known, of_settings, all_known, notes)
         for what, of_settings, all_known in (
             ("region", settings.held_regions, names.regions),
             ("group", settings.held_groups, names.groups),
@@ -186,7 +186,7 @@
     # Near its end a pin is not acted on any more, nor against it: another sidecar may still do so.
     doubtful = [line for line, phase in here if phase and line.kind == "pin" and _known(line, names, [])]
     pins = _agreed(pins, _pins(settings.tenant_pins, doubtful))
-    said += [
+    notes += [
         f"tenant {t} is pinned to region {r}, which is held"
         for t, r in sorted(pins.items())
         if r in held["region"]
@@ -222,11 +222,11 @@
         frozen=any(line.kind == "freeze" for line in known),
         acted=tuple(sorted((line.id, line.rev) for line in lines)),
         unknown=tuple(unknown),
-        notes=tuple(said),
+        notes=tuple(notes),
     )
 
 
-def _pins(of_settings: Mapping[str, str], lines: Sequence[Line]) -> dict[str, str]:
+def _pins(of_settings: Mapping[str, str], lines: Sequence[Override]) -> dict[str, str]:
     pins = dict(of_settings)
     for line in reversed(lines):  # the one that goes first is written last
         if line.kind == "pin" and line.tenant is not None:
@@ -239,8 +239,8 @@
     return {name: one[name] if one.get(name) == other.get(name) else NOBODY for name in {**one, **other}}
 
 
-def met(one: Effective, other: Effective, regions: frozenset[str] = frozenset()) -> Effective:
-    """What to act on between two editions: of the first, with only those exclusive parts that both allow,
+def common(one: Effective, other: Effective, regions: frozenset[str] = frozenset()) -> Effective:
+    """What to act on between two revisions: of the first, with only those exclusive parts that both allow,
     and the least of what must not add up to more.
 
     `regions` are those with servers. Together the two never hold all of them: then the first alone counts."""
@@ -254,8 +254,8 @@
     )
 
 
-def safe(found: Effective, pins: Mapping[str, str], held: Iterable[str], part: float) -> Effective:
-    """What to act on without a permission: overrides in force, but for what another may have been given
+def fallback(found: Effective, pins: Mapping[str, str], held: Iterable[str], part: float) -> Effective:
+    """What to act on without a lease: overrides in force, but for what another may have been given
     meanwhile. `pins` and regions `held` are of the document's floor, `part` is what is taken of a cap."""
     return replace(
         found,
@@ -266,7 +266,7 @@
 
 
 def rules_of(settings: Mapping[str, Any], group: str) -> Rules:
-    """The settings of an edition, as far as overrides lie over them at a sidecar of this group."""
+    """The settings of a revision, as far as overrides lie over them at a sidecar of this group."""
     return Rules(
         shares=settings.get("shares", {}).get(group, {}),
         tenant_pins=settings.get("tenants", {}),
@@ -275,13 +275,13 @@
     )
 
 
-def _here(line: Line, place: Place) -> bool:
+def _here(line: Override, place: Place) -> bool:
     groups = not line.groups or place.group in line.groups
     return groups and (not line.regions or place.region in line.regions)
 
 
-def _known(line: Line, names: Names, unknown: list[str]) -> bool:
-    """Whether all that an override needs is known here; names that are not are said."""
+def _known(line: Override, names: Names, unknown: list[str]) -> bool:
+    """Whether all that an override needs is known here; names that are not are noted."""
     needs = []
     if line.cls is not None:
         needs.append(("class", line.cls, names.classes))
@@ -300,7 +300,7 @@
 
 
 def _holds(
-    what: str, lines: Sequence[Line], of_settings: frozenset[str], among: frozenset[str], said: list[str]
+    what: str, lines: Sequence[Override], of_settings: frozenset[str], among: frozenset[str], notes: list[str]
 ) -> frozenset[str]:
     """What is held off. Overrides together never hold all there is: the last of them is let go."""
     by: dict[str, str] = {}
@@ -312,13 +312,13 @@
     while free and among and among <= held:
         name = free.pop()
         held -= {name}
-        said.append(f"{by[name]}: {what} {name} is not held off, since no other {what} would be left")
+        notes.append(f"{by[name]}: {what} {name} is not held off, since no other {what} would be left")
     return held
 
 
 def _shares(
     base: Shares,
-    lines: Sequence[Line],
+    lines: Sequence[Override],
     cls: str | None,
     tenant: str | None,
     names: Names,
--- a/fordtrestle/fleet/steering.py
+++ b/fordtrestle/fleet/steering.py
@@ -1,4 +1,4 @@
-"""What editions, overrides in force and the plan come to for the picks of this sidecar. Pure code."""
+"""What revisions, overrides in force and the plan come to for the picks of this sidecar. Pure code."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 from fordtrestle.config import Agreement, Names
 from fordtrestle.fleet import overrides, rules
 from fordtrestle.fleet.deadlines import Deadlines, digest
-from fordtrestle.fleet.holder import Edition, Stance
-from fordtrestle.fleet.overrides import Effective, Line, Place
+from fordtrestle.fleet.lease_client import ActiveConfiguration, Revision
+from fordtrestle.fleet.overrides import Effective, Override, Place
 from poppypulley.model import Listing, Steer
 
 NEUTRAL = Steer()
@@ -23,82 +23,82 @@
     """Holds the times left of overrides, and makes a `Steer` of what holds now."""
 
     def __init__(
-        self, told: Agreement, names: Callable[[], Names], listings: Callable[[], Iterable[Listing]]
+        self, agreement: Agreement, names: Callable[[], Names], listings: Callable[[], Iterable[Listing]]
     ) -> None:
-        self._place = Place(told.group, told.region)
+        self._place = Place(agreement.group, agreement.region)
         self._names = names
         self._listings = listings
         self._deadlines = Deadlines()
-        self._edges = 1
-        self._wanted = False  # the service asks for details
-        self._retell = False  # times left are to be told anew
+        self._sidecars = 1
+        self._details_wanted = False  # the service asks for details
+        self._retell = False  # times left are to be sent anew
         self._acted: tuple[tuple[str, int], ...] = ()
-        self._layers: dict[int, tuple[tuple[Line, ...], tuple[str, ...]]] = {0: ((), ())}
-        self._plan: tuple[int, float] = (-1, -math.inf)  # the edition that stated the plan, and when it came
+        self._layers: dict[int, tuple[tuple[Override, ...], tuple[str, ...]]] = {0: ((), ())}
+        self._plan: tuple[int, float] = (-1, -math.inf)  # the revision that stated the plan, and when it came
         self._frozen: Steer | None = None  # as it was when steering was frozen
 
     # --- reports ------------------------------------------------------------------------
 
     def report(self) -> dict[str, Any]:
         """The part of a report that is about overrides."""
-        told: dict[str, Any] = {
+        part: dict[str, Any] = {
             "overrides": [name for name, _ in self._acted],
             "digest": digest(self._acted),
             "told": self._deadlines.newest,
         }
         if self._retell:
-            told["retell"] = True
-        if self._wanted:
-            told["acted"] = dict(self._acted)
-            self._wanted = False
-        return told
-
-    def answered(self, asked: float, heard: float, told: Mapping[str, Any]) -> None:
-        """What the answer to a report tells of times left."""
-        left = told.get("left")
+            part["retell"] = True
+        if self._details_wanted:
+            part["acted"] = dict(self._acted)
+            self._details_wanted = False
+        return part
+
+    def receive_answer(self, asked: float, received: float, answer: Mapping[str, Any]) -> None:
+        """What the answer to a report says of times left."""
+        left = answer.get("left")
         if isinstance(left, Mapping):
-            self._deadlines.told(asked, left, heard)
-        self._retell = self._deadlines.wants(heard)
-        self._wanted = told.get("list_overrides") is True
-        edges = told.get("edges")
+            self._deadlines.receive(asked, left, received)
+        self._retell = self._deadlines.wants(received)
+        self._details_wanted = answer.get("list_overrides") is True
+        edges = answer.get("edges")
         if isinstance(edges, int) and edges > 0:
-            self._edges = edges
+            self._sidecars = edges
 
     # --- what holds now -------------------------------------------------------------------
 
-    def objection(self, edition: Edition) -> str:
-        """Why the overrides of an edition can't be acted on here; empty where they can."""
-        return "; ".join(self._layer(edition)[1])
+    def objection(self, revision: Revision) -> str:
+        """Why the overrides of a revision can't be acted on here; empty where they can."""
+        return "; ".join(self._layer(revision)[1])
 
-    def _layer(self, edition: Edition) -> tuple[tuple[Line, ...], tuple[str, ...]]:
-        found = self._layers.get(edition.number)
+    def _layer(self, revision: Revision) -> tuple[tuple[Override, ...], tuple[str, ...]]:
+        found = self._layers.get(revision.number)
         if found is None:
-            found = self._layers[edition.number] = overrides.read_layer(edition.overrides)
+            found = self._layers[revision.number] = overrides.read_layer(revision.overrides)
             if len(self._layers) > LAYERS_MOST:
                 del self._layers[min(number for number in self._layers if number)]
         return found
 
-    def found(self, stance: Stance, now: float) -> Effective:
-        """Settings and overrides in force, together; between editions what all of them allow."""
-        found = self._effective(stance.edition, now)
+    def found(self, active: ActiveConfiguration, now: float) -> Effective:
+        """Settings and overrides in force, together; between revisions what all of them allow."""
+        found = self._effective(active.revision, now)
         regions = self._served()
         # Where not all of them can be heeded, what others may act on first goes first: what comes next, and
-        # then what is older. That a service with an old copy tells, and permits only after a season.
-        here = stance.edition.number
-        for edition in sorted(stance.told, key=lambda other: (other.number < here, other.number)):
-            found = overrides.met(found, self._effective(edition, now), regions)
-        if stance.safe:
-            floor = stance.edition.settings.get("floor", {})
+        # then what is older: a service with an old copy sends that, and grants it only after the epoch wait.
+        here = active.revision.number
+        for revision in sorted(active.concurrent, key=lambda other: (other.number < here, other.number)):
+            found = overrides.common(found, self._effective(revision, now), regions)
+        if active.fallback:
+            floor = active.revision.settings.get("floor", {})
             held = floor.get("regions", {}).get("held", ())
-            found = overrides.safe(found, floor.get("tenants", {}), held, rules.SAFE_PART)
+            found = overrides.fallback(found, floor.get("tenants", {}), held, rules.FALLBACK_PART)
         self._acted = found.acted
         return found
 
-    def _effective(self, edition: Edition, now: float) -> Effective:
-        settings = overrides.rules_of(self._settings(edition), self._place.group)
-        lines = self._layer(edition)[0]
+    def _effective(self, revision: Revision, now: float) -> Effective:
+        settings = overrides.rules_of(self._settings(revision), self._place.group)
+        lines = self._layer(revision)[0]
         return overrides.effective(
-            now, settings, lines, self._deadlines, self._place, self._known(), self._edges
+            now, settings, lines, self._deadlines, self._place, self._known(), self._sidecars
         )
 
     def _served(self) -> frozenset[str]:
@@ -106,10 +106,10 @@
         numbers = {entry.zone for entry in self._listings() if entry.state == "active"}
         return frozenset(name for name, number in self._names().zones.items() if number in numbers)
 
-    def _settings(self, edition: Edition) -> Mapping[str, Any]:
-        shares = edition.settings.get("shares", {})
-        planned = (edition.plan or {}).get("shares", {})
-        return {**edition.settings, "shares": {**planned, **shares}}
+    def _settings(self, revision: Revision) -> Mapping[str, Any]:
+        shares = revision.settings.get("shares", {})
+        planned = (revision.plan or {}).get("shares", {})
+        return {**revision.settings, "shares": {**planned, **shares}}
 
     def _known(self) -> overrides.Names:
         names, listed = self._names(), list(self._listings())
@@ -128,7 +128,7 @@
 
     # --- for the module -------------------------------------------------------------------
 
-    def steer(self, stance: Stance, found: Effective, now: float) -> Steer:
+    def steer(self, active: ActiveConfiguration, found: Effective, now: float) -> Steer:
         """The same by the numbers that the module knows."""
         names = self._names()
         zones, tenants = names.zones, names.tenants
@@ -158,8 +158,8 @@
             caps={
                 names.classes[name].band: rate for name, rate in found.caps.items() if name in names.classes
             },
-            weight=self._weight(stance.edition, now),
-            look=_share((stance.edition.plan or {}).get("look")),
+            weight=self._weight(active.revision, now),
+            look=_share((active.revision.plan or {}).get("look")),
             pins=pins,
         )
         if not found.frozen:
@@ -169,13 +169,13 @@
         self._frozen = self._frozen or steer
         return steer._replace(shares=self._frozen.shares, weight=self._frozen.weight, look=self._frozen.look)
 
-    def _weight(self, edition: Edition, now: float) -> float:
+    def _weight(self, revision: Revision, now: float) -> float:
         """How far shares count: settings' own always, a plan's less when no newer one comes."""
-        if edition.plan is None or self._place.group in edition.settings.get("shares", {}):
+        if revision.plan is None or self._place.group in revision.settings.get("shares", {}):
             return 1.0
-        if edition.plan_edition != self._plan[0]:
-            self._plan = (edition.plan_edition, now)
-        limit = edition.plan.get("age_limit_ms", PLAN_AGE_MS)
+        if revision.plan_revision != self._plan[0]:
+            self._plan = (revision.plan_revision, now)
+        limit = revision.plan.get("age_limit_ms", PLAN_AGE_MS)
         if isinstance(limit, bool) or not isinstance(limit, int | float) or not limit > 0.0:
             return 0.0
         weight = min(1.0, max(0.0, 2.0 - (now - self._plan[1]) * 1000.0 / limit))
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -76,10 +76,10 @@
 LIFE = 1 << 50
 
 
-def holder():
-    module = importlib.import_module("fordtrestle.fleet.holder")
+def lease_client():
+    module = importlib.import_module("fordtrestle.fleet.lease_client")
     rules = importlib.import_module("fordtrestle.fleet.rules")
-    return module.Holder("p1", lambda edition: ""), rules.effective
+    return module.LeaseClient("p1", lambda edition: ""), rules.effective
 
 
 def line(number, state, tenants, committed=None, life=LIFE):
@@ -91,53 +91,53 @@
     return {"edition": edition, "permission_ms": length, "pending": pending, "life": life}
 
 
-def test_a_promise_outlasts_the_next_one():
-    held, effective = holder()
+def test_an_acknowledgement_outlasts_the_next_one():
+    held, effective = lease_client()
     five, six = line(5, "committed", {"t": "a"}), line(6, "prepared", {"t": "b"})
-    held.news(five)
-    held.answered(0.0, held.report(0.0)["seq"], answer(5))
-    held.news({**six, "committed": five})
+    held.receive_update(five)
+    held.receive_answer(0.0, held.report(0.0)["seq"], answer(5))
+    held.receive_update({**six, "committed": five})
     assert held.report(0.1)["prepared"] == 6
     # 6 is committed, and 7 goes back to what 5 said: others act on 6 by now, which serves t elsewhere.
-    held.news(line(7, "prepared", {"t": "a"}, committed=six))
-    assert effective(held.stance(0.2))["tenants"] == {"t": ""}
-    held.answered(0.2, held.report(0.2)["seq"], answer(7))
-    assert effective(held.stance(0.3))["tenants"] == {"t": "a"}
+    held.receive_update(line(7, "prepared", {"t": "a"}, committed=six))
+    assert effective(held.active(0.2))["tenants"] == {"t": ""}
+    held.receive_answer(0.2, held.report(0.2)["seq"], answer(7))
+    assert effective(held.active(0.3))["tenants"] == {"t": "a"}
 
 
-def test_safe_rules_take_account_of_what_was_told():
-    held, effective = holder()
-    held.news(line(5, "committed", {"t": "a"}))
-    assert held.stance(0.0).safe
-    assert effective(held.stance(0.0))["tenants"] == {"t": ""}
+def test_the_fallback_takes_account_of_what_was_received():
+    held, effective = lease_client()
+    held.receive_update(line(5, "committed", {"t": "a"}))
+    assert held.active(0.0).fallback
+    assert effective(held.active(0.0))["tenants"] == {"t": ""}
 
 
 def test_nobody_goes_back():
-    held, _ = holder()
-    held.news(line(5, "committed", {}))
-    held.news(line(6, "committed", {}))
-    held.answered(0.0, held.report(0.0)["seq"], answer(6))
-    held.answered(0.1, held.report(0.1)["seq"], answer(5))
-    assert held.stance(0.2).acting == 6
-    held.answered(0.3, held.report(0.3)["seq"], answer(5, life=LIFE + 1))
-    assert held.stance(0.4).acting == "safe"
-
-
-def test_a_service_that_is_gone_for_good_is_left_for_one_with_a_lower_life():
-    held, effective = holder()
-    held.news(line(6, "committed", {"t": "a"}))
-    held.answered(0.0, held.report(0.0)["seq"], answer(6))
+    held, _ = lease_client()
+    held.receive_update(line(5, "committed", {}))
+    held.receive_update(line(6, "committed", {}))
+    held.receive_answer(0.0, held.report(0.0)["seq"], answer(6))
+    held.receive_answer(0.1, held.report(0.1)["seq"], answer(5))
+    assert held.active(0.2).acting == 6
+    held.receive_answer(0.3, held.report(0.3)["seq"], answer(5, life=LIFE + 1))
+    assert held.active(0.4).acting == "safe"
+
+
+def test_a_service_that_is_gone_for_good_is_left_for_one_with_a_lower_epoch():
+    held, effective = lease_client()
+    held.receive_update(line(6, "committed", {"t": "a"}))
+    held.receive_answer(0.0, held.report(0.0)["seq"], answer(6))
     lower = answer(5, life=LIFE - 1)
     for now in (3.0, 8.0, 14.9):
-        assert not held.answered(now, held.report(now)["seq"], lower)
+        assert not held.receive_answer(now, held.report(now)["seq"], lower)
     assert held.report(14.9)["of"] == LIFE
-    held.answered(15.0, held.report(15.0)["seq"], lower)
+    held.receive_answer(15.0, held.report(15.0)["seq"], lower)
     fresh = held.report(15.5)
-    assert (fresh["of"], fresh["seq"], fresh["life"]) == (0, 1, held.life) and held.life != "p1"
-    assert effective(held.stance(15.5))["tenants"] == {"t": ""}  # what it knew holds until it is permitted
-    held.news(line(5, "committed", {"t": "b"}, life=LIFE - 1))
-    assert held.answered(15.5, fresh["seq"], lower)
-    assert effective(held.stance(15.6))["tenants"] == {"t": "b"}
+    assert (fresh["of"], fresh["seq"], fresh["life"]) == (0, 1, held.process_id) and held.process_id != "p1"
+    assert effective(held.active(15.5))["tenants"] == {"t": ""}  # what it knew holds until it is permitted
+    held.receive_update(line(5, "committed", {"t": "b"}, life=LIFE - 1))
+    assert held.receive_answer(15.5, fresh["seq"], lower)
+    assert effective(held.active(15.6))["tenants"] == {"t": "b"}
 
 
 def agreement(names, kept, now=1e6):
--- a/tests/test_agreement_agent.py
+++ b/tests/test_agreement_agent.py
@@ -14,7 +14,7 @@
 from fordtrestle.fleet import agent as agents
 from fordtrestle.fleet import rules
 from fordtrestle.fleet.agent import Agent
-from fordtrestle.fleet.holder import Holder, Stance
+from fordtrestle.fleet.lease_client import ActiveConfiguration, LeaseClient
 from fordtrestle.fleet.steering import Steering
 
 RARELY_MS, SOON_S = 9_000.0, 3.0  # a report in time would come after 6 s or more
@@ -60,7 +60,7 @@
     at = Address("127.0.0.1", site._server.sockets[0].getsockname()[1])
     told = Agreement(3000.0, "", "", {})
     agent = Agent(
-        asyncio.get_running_loop(), "e1", told, (at,), lambda edition: "", lambda *_: float("inf"), 1
+        asyncio.get_running_loop(), "e1", told, (at,), lambda revision: "", lambda *_: float("inf"), 1
     )
     agent.start()
     seen = []
@@ -71,7 +71,7 @@
         service.edition = 2
         service.lines.put_nowait({"edition": 2, "life": 1, "state": "committed"})
         seen.append(await service.reported())
-        while agent.holder.stance(0.0).edition.number != 2:
+        while agent.lease_client.active(0.0).revision.number != 2:
             await asyncio.sleep(0)
     finally:
         agent.close()
@@ -80,7 +80,7 @@
     return seen
 
 
-def test_an_edition_calls_for_a_report_when_it_is_prepared_and_when_it_is_committed():
+def test_a_revision_calls_for_a_report_when_it_is_prepared_and_when_it_is_committed():
     seen = asyncio.run(_called())
     assert [row[:2] for row in seen] == [(0, 0), (2, 2), (2, 2)]
     # Each goes on from the one before on its connection; the first has nothing to go on from.
@@ -99,7 +99,7 @@
 
 def _agent(addresses, act):
     told = Agreement(3000.0, "", "", {})
-    return Agent(asyncio.get_running_loop(), "e1", told, addresses, lambda edition: "", act, 1)
+    return Agent(asyncio.get_running_loop(), "e1", told, addresses, lambda revision: "", act, 1)
 
 
 async def _astray(answer, act):
@@ -118,7 +118,7 @@
     agent.start()
     try:
         await asyncio.wait_for(other.wait(), SOON_S)
-        agent.at(agent.good_until)
+        agent.at(agent.valid_until)
         return agent.state
     finally:
         agent.close()
@@ -180,16 +180,19 @@
 
 
 @pytest.mark.parametrize("strange", STRANGE, ids=json.dumps)
-def test_an_edition_of_another_form_is_objected_to_and_breaks_no_decision(strange):
-    holder = Holder("l", rules.unknown)
-    holder.news({"edition": 5, "state": "prepared", "committed": {"edition": 4}, **strange})
-    assert "does not know this form" in holder.report(0.0)["objection"]["reason"]
+def test_a_revision_of_another_form_is_objected_to_and_breaks_no_decision(strange):
+    client = LeaseClient("l", rules.unknown)
+    client.receive_update({"edition": 5, "state": "prepared", "committed": {"edition": 4}, **strange})
+    assert "does not know this form" in client.report(0.0)["objection"]["reason"]
     steering = Steering(Agreement(3000.0, "g", "a", {}), lambda: NAMES, list)
-    (_, odd), now = holder.stance(0.0).told, 1.0
-    for safe in (True, False):
-        for stance in (Stance(safe, odd, ()), Stance(safe, holder.stance(0.0).edition, (odd,))):
-            rules.effective(stance)
-            steering.steer(stance, steering.found(stance, now), now)
+    (_, odd), now = client.active(0.0).concurrent, 1.0
+    for fallback in (True, False):
+        for active in (
+            ActiveConfiguration(fallback, odd, ()),
+            ActiveConfiguration(fallback, client.active(0.0).revision, (odd,)),
+        ):
+            rules.effective(active)
+            steering.steer(active, steering.found(active, now), now)
 
 
 BEFORE = {"life": "a", "seq": 4, "of": 9, "held": 7, "prepared": 7, "retell": True, "measures": {"x": 1}}
@@ -218,4 +221,4 @@
 
 
 def test_both_sides_leave_out_the_same():
-    assert agents.KEPT == edges.KEPT <= set(edges.Report.__struct_fields__)
+    assert agents.DELTA_FIELDS == edges.KEPT <= set(edges.Report.__struct_fields__)
--- a/tests/test_overrides.py
+++ b/tests/test_overrides.py
@@ -23,7 +23,7 @@
         self.deadlines, self.lines, self.place = Deadlines(), (), Place("", region)
 
     def told(self, asked_s, answered_s, found):
-        self.deadlines.told(asked_s, found, answered_s)
+        self.deadlines.receive(asked_s, found, answered_s)
 
     def layer(self, raw):
         self.lines, wrong = read_layer(raw)
@@ -65,8 +65,11 @@
 
     def told(self, asked_s, answered_s, found):
         for key, row in found.items():
-            if self.deadlines._told.get(key, [None])[0] and self.deadlines._told[key][0].rev == row["rev"]:
-                self.deadlines._told.pop(key)
+            if (
+                self.deadlines._bounds.get(key, [None])[0]
+                and self.deadlines._bounds[key][0].rev == row["rev"]
+            ):
+                self.deadlines._bounds.pop(key)
         super().told(asked_s, answered_s, found)
 
 
@@ -75,12 +78,12 @@
 
     def told(self, asked_s, answered_s, found):
         for key in found:
-            self.deadlines._told.pop(key, None)
+            self.deadlines._bounds.pop(key, None)
         super().told(asked_s, answered_s, found)
 
     def decide(self, now_s):
         for line in self.lines:  # and acts on what it has, at whichever revision
-            for told in self.deadlines._told.get(line.id, ()):
+            for told in self.deadlines._bounds.get(line.id, ()):
                 told.same_from = min(told.same_from, line.rev)
                 told.rev = max(told.rev, line.rev)
         return super().decide(now_s)
--- a/tests/test_overrides_parts.py
+++ b/tests/test_overrides_parts.py
@@ -16,7 +16,7 @@
 from brassfall.overrides.document import BadOverride, layer, listed, parse, times
 from brassfall.overrides.history import History, Ring
 from fordtrestle import config
-from fordtrestle.fleet import deadlines, holder, rules, steering
+from fordtrestle.fleet import deadlines, lease_client, rules, steering
 from fordtrestle.fleet import overrides as edge
 from fordtrestle.fleet.deadlines import Deadlines
 from poppypulley import model
@@ -284,7 +284,7 @@
 
 def test_a_deadline_counts_from_the_asking_and_the_first_decision_after_a_stop_is_right():
     held = Deadlines()
-    held.told(100.0, told(10_000), 100.2)
+    held.receive(100.0, told(10_000), 100.2)
     end = held.next_end(100.0)
     assert 109.7 < end <= 110.0  # less what two clocks may differ by
     assert held.active(end - 0.001) == ("x",) and held.phase("x", 5, end - 0.001) == 2
@@ -330,7 +330,7 @@
 def test_what_is_told_of_a_revision_only_bounds_it_and_a_newer_one_replaces_it(tellings, wanted):
     held, ends = Deadlines(), []
     for asked, heard, left, rev, same_from in tellings:
-        bad = held.told(float(asked), told(left, rev, same_from), float(heard))
+        bad = held.receive(float(asked), told(left, rev, same_from), float(heard))
         ends.append(held.next_end(100.0))
         assert not bad or ends[-1] == ends[-2]  # what contradicts what is known changes nothing at all
         assert (bad == ("x",)) is (left == 60_000 and len(ends) > 1 and rev == 5)
@@ -348,13 +348,13 @@
 @pytest.mark.parametrize("row", BAD_TIMES)
 def test_a_malformed_time_left_is_named_and_changes_nothing(row):
     held = Deadlines()
-    assert held.told(0.0, {"x": row, "y": {"rev": 1, "left_ms": 1000}}) == ("x",)
+    assert held.receive(0.0, {"x": row, "y": {"rev": 1, "left_ms": 1000}}) == ("x",)
     assert held.active(0.5) == ("y",)
 
 
 def test_a_thousand_ends_in_one_second_are_few_changes_at_a_sidecar():
     held, now, changes = Deadlines(), 0.0, 0
-    held.told(0.0, {f"k{n}": {"rev": n + 1, "left_ms": 10_000 + n} for n in range(1000)})
+    held.receive(0.0, {f"k{n}": {"rev": n + 1, "left_ms": 10_000 + n} for n in range(1000)})
     while (end := held.next_end(now)) is not None:
         now, changes = end, changes + 1
     assert changes <= 25 and held.active(now) == ()
@@ -363,15 +363,15 @@
 def test_times_are_asked_for_anew_as_they_run_out_so_that_the_margin_is_small_at_the_end():
     held, end, asked = Deadlines(), 86_400.0, 0
     now = 0.0
-    held.told(now, told(end * 1000.0))
+    held.receive(now, told(end * 1000.0))
     while held.active(now):
         now += 0.9
         if held.wants(now):
             asked += 1
-            held.told(now, told(max(0.0, end - now) * 1000.0))
+            held.receive(now, told(max(0.0, end - now) * 1000.0))
     assert end - 1.0 < now < end + 0.9 and asked < 25
     held = Deadlines()
-    held.told(0.0, told(60_000), 3.0)  # a slow answer makes it early: asked for anew at once
+    held.receive(0.0, told(60_000), 3.0)  # a slow answer makes it early: asked for anew at once
     assert held.wants(3.1)
 
 
@@ -385,7 +385,7 @@
 
 def in_force(rows, settings=None, left=None, at=0.0, sidecars=4):
     held = Deadlines(drift=0.0)
-    held.told(
+    held.receive(
         0.0, {key: {"rev": r["rev"], "left_ms": (left or {}).get(key, 60_000)} for key, r in rows.items()}
     )
     lines, wrong = edge.read_layer([{"id": key, **r} for key, r in rows.items()])
@@ -482,7 +482,7 @@
 )
 def test_near_the_end_of_a_pin_nobody_serves_its_tenant_in_a_way_that_another_may_contradict(settings, pins):
     held = Deadlines()
-    held.told(0.0, {"x": {"rev": 1, "left_ms": 10_000}}, 0.3)
+    held.receive(0.0, {"x": {"rev": 1, "left_ms": 10_000}}, 0.3)
     lines, _ = edge.read_layer([{"id": "x", **pin("a")}])
     rules_now = edge.Rules(tenant_pins=settings or {})
     for at, region in zip((9.7, 10.0, 10.6), pins, strict=True):
@@ -495,13 +495,13 @@
 def test_between_two_editions_and_without_a_permission_only_what_none_contradicts_is_acted_on():
     rows = {"x": pin("a"), "y": hold("a"), "z": cap(80.0), "s": shift(b=1.0)}
     one, other = in_force(rows, BASE), in_force({"x": pin("b"), "y": hold("b"), "z": cap(40.0)}, BASE)
-    met = edge.met(one, other)
+    met = edge.common(one, other)
     assert met.tenant_pins == {"t1": rules.NOBODY, "t2": "b"} and met.held_regions == frozenset("ab")
     assert (met.caps, met.shares, met.acted) == ({"c1": 10.0}, one.shares, one.acted)
     # Where the two hold all that there is, the one that is acted on counts: it may go where that lets it.
-    assert edge.met(one, other, frozenset("ab")).held_regions == one.held_regions
-    assert edge.met(one, other, frozenset("abc")).held_regions == frozenset("ab")
-    safe = edge.safe(one, {"t2": "c"}, (), 0.5)
+    assert edge.common(one, other, frozenset("ab")).held_regions == one.held_regions
+    assert edge.common(one, other, frozenset("abc")).held_regions == frozenset("ab")
+    safe = edge.fallback(one, {"t2": "c"}, (), 0.5)
     assert safe.tenant_pins == {"t1": rules.NOBODY, "t2": "c"} and safe.caps == {"c1": 10.0}
     assert safe.held_regions == one.held_regions
     settings = {
@@ -517,7 +517,7 @@
 
 
 @pytest.mark.parametrize(
-    ("told", "held"),
+    ("received", "held"),
     [
         ({6: "b"}, "ab"),
         ({6: "b", 7: "c"}, "ab"),  # together they hold all: nobody acts on 7 before 6
@@ -526,16 +526,18 @@
         ({6: "a", 7: "abc", 8: "c"}, "ac"),
     ],
 )
-def test_between_editions_that_hold_all_regions_those_that_come_next_are_heeded(told, held):
-    def edition(number, names):
-        return holder.Edition(number, {"regions": {"held": list(names)}}, None, ())
+def test_between_revisions_that_hold_all_regions_those_that_come_next_are_heeded(received, held):
+    def revision(number, names):
+        return lease_client.Revision(number, {"regions": {"held": list(names)}}, None, ())
 
     names = config.Names({}, {}, {"a": 0, "b": 1, "c": 2, "empty": 3}, {})
     listed = [model.Listing(f"s{zone}", zone) for zone in range(3)]
     agreement = config.Agreement(3000.0, "", "", {})
     made = steering.Steering(agreement, lambda: names, lambda: listed)
-    stance = holder.Stance(False, edition(5, "a"), tuple(edition(*row) for row in reversed(told.items())))
-    assert made.found(stance, 0.0).held_regions == frozenset(held)
+    active = lease_client.ActiveConfiguration(
+        False, revision(5, "a"), tuple(revision(*row) for row in reversed(received.items()))
+    )
+    assert made.found(active, 0.0).held_regions == frozenset(held)
 
 
 @pytest.mark.parametrize(
@@ -589,7 +591,7 @@
     wire = json.loads(json.dumps({"layer": layer(active), "times": times(active, shell.at)}))
     lines, wrong = edge.read_layer(wire["layer"])
     held = Deadlines()
-    assert not wrong and held.told(0.0, wire["times"]) == ()
+    assert not wrong and held.receive(0.0, wire["times"]) == ()
     assert held.newest == active[0].rev and times(active, shell.at, held.newest) == {}
     found = edge.effective(1.0, edge.Rules(), lines, held, edge.Place("g1", "a"), NAMES)
     assert found.class_shares == {"c1": {"a": 0.5, "b": 0.25, "c": 0.25}}
--- a/tests/test_sidecar_lists.py
+++ b/tests/test_sidecar_lists.py
@@ -277,7 +277,7 @@
         ([(0.5, 9)], 1.0, 0.5),  # never younger than heard
     ],
 )
-def test_the_age_of_a_list_is_never_told_too_low(heard, now, bound):
+def test_the_age_of_a_list_is_never_stated_too_low(heard, now, bound):
     age = fleet.Age()
     for at, empties in heard:
         age.confirmed(0.0, at, empties)
--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -49,7 +49,7 @@
                 if path.startswith("/edges/"):
                     body = json.loads(message.body)
                     if "after" in body:  # what is as it was in that report is left out
-                        kept = {k: v for k, v in self.reports[-1].items() if k in agent.KEPT}
+                        kept = {k: v for k, v in self.reports[-1].items() if k in agent.DELTA_FIELDS}
                         body = kept | body
                     self.reports.append(body)
                     await asyncio.sleep(self.late_s)
@@ -105,7 +105,7 @@
         await until(lambda: self.state()["acting"] == wanted)
 
     def state(self):
-        return json.loads(self.sidecar.part.agent.state)
+        return json.loads(self.sidecar.member.agent.state)
 
     async def ask(self, *args, **headers):
         answer = await self.app.ask(*args, **headers)
@@ -214,7 +214,7 @@
         side.rules.publish(5, settings={"Profiles": [row], "PolicyLimits": {"MaxAttempts": 1}})
         await side.acting(5)
         assert (await tries(), figures()) == (1, [700.0, 2000.0, 2000.0])
-        raw = copy.deepcopy(dict(side.sidecar.part._file.agreement.raw))
+        raw = copy.deepcopy(dict(side.sidecar.member._file.agreement.raw))
         for profile in raw["settings"]["Profiles"]:
             profile["Objective"] = 900.0
         file = tmp_path / "sidecar.json"
@@ -231,13 +231,13 @@
     async with fleet(await Upstream().start()) as side:
         side.rules.publish(5, settings={"caps": {"gaze": 7.0}})
         await side.acting(5)
-        raw = copy.deepcopy(dict(side.sidecar.part._file.agreement.raw))
+        raw = copy.deepcopy(dict(side.sidecar.member._file.agreement.raw))
         raw["settings"]["Profiles"].append(raw["settings"]["Profiles"][0] | {"Name": "gaze"})
         file = tmp_path / "sidecar.json"
         file.write_text(json.dumps(raw))
-        assert not side.sidecar.part._steer.caps
+        assert not side.sidecar.member._steer.caps
         side.sidecar.reload({"NODE_CONFIG": str(file)})  # no report comes between
-        assert list(side.sidecar.part._steer.caps.values()) == [7.0]
+        assert list(side.sidecar.member._steer.caps.values()) == [7.0]
 
 
 OBJECTED = (
@@ -310,13 +310,13 @@
         side.rules.publish(5, settings={"tenants": {"globex": "east"}})
         await side.acting(5)
         await side.ask()  # a connection is open
-        driver, part = side.sidecar.driver, side.sidecar.part
+        driver, member = side.sidecar.driver, side.sidecar.member
         request = driver._balancer.request
 
         def stopped(*args):
             """The permission ends between the decision and the send."""
             actions = request(*args)
-            part.agent.holder._until = part.agent.good_until = -math.inf
+            member.agent.lease_client._lease_end = member.agent.valid_until = -math.inf
             return actions
 
         side.rules.open.clear()
