Judge the waits of a herd by their spread, not by how many distinct ones there are

The test of a herd of 2000 wanted more distinct waits than a tenth of their number. Waits are told in hundredths of a second over little more than a second, so there are 122 at most, and with 1,239 callers turned away the check failed though nothing was wrong. How many are turned away depends on the machine.

What took its place doesn't depend on that number: - No window of 1, 5, 25 or 40 hundredths may hold more of the waits than the binomial quantile at 1e-9.

--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import socket
+import time
 
 import aiohttp
 import pytest
@@ -18,6 +19,7 @@
 from brassfall.registry.membership import Place
 from tests.loopback import bounded, until
 from tests.processes import Service
+from tests.spread import crowded
 
 ENTRY = {"address": "127.0.0.1:7001", "zone": "a", "type": "m2", "group": 3, "weight": 1.0}
 
@@ -233,7 +235,7 @@
     for number in range(50):
         await call(session, service, "PUT", f"/registry/instances/s{number}", {**ENTRY, "ttl_ms": 0})
     before = await figures(session, service)
-    waits = []
+    waits, began = [], time.monotonic()
     herd = [asyncio.create_task(watch_until_told(service.listen, 0, waits)) for _ in range(2000)]
     versions = 0
     while not all(task.done() for task in herd):
@@ -242,11 +244,15 @@
         assert (await call(session, service, "PATCH", "/registry/instances/s1", weight))[0] == 200
         await asyncio.sleep(0.02)
     watching = await asyncio.gather(*herd)
-    after = await figures(session, service)
+    took, after = time.monotonic() - began, await figures(session, service)
     assert after["brassfall_watches"] == 2000
     assert 0 < after["brassfall_lists_built_total"] - before["brassfall_lists_built_total"] <= versions + 1
-    assert waits and len(set(waits)) > len(waits) / 10  # they come back spread out, and not at once
-    assert max(waits) - min(waits) > 0.5
+    # How many are turned away depends on how fast they come; that no more get in than should doesn't.
+    joins = settings.Limits().joins_per_s
+    assert took >= (2000 - joins / 4.0) / joins
+    turned_away = after["brassfall_turned_away_total"] - before["brassfall_turned_away_total"]
+    assert turned_away == len(waits)
+    assert not crowded(waits, 0.5)  # they come back spread out, and not at once
     await call(session, service, "DELETE", "/registry/instances/s7")
     for reader, writer, _ in watching:
         assert b'"left"' in await reader.readuntil(b'"left"')
