--- /dev/null
+++ b/brassfall/aggregation/revisions.py
@@ -0,0 +1,79 @@
+"""What an aggregator knows of the deciding service's revisions, whichever way it came. Pure code.
+
+It hears of them by its watch, by a snapshot that it fetches, and by the answers to its reports; each may be
+late. Within an epoch numbers only grow, so what is older is told apart by its number.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+PREPARED, COMMITTED = "prepared", "committed"
+
+
+@dataclass(slots=True)
+class RevisionView:
+    """The newest state known of one epoch; numbers are 0 where there is none."""
+
+    epoch: int = 0
+    committed: int = 0
+    pending: int = 0
+    decided: int = 0  # the newest revision known to be committed or halted
+    _pending_seq: int = 0  # the first report that was made knowing of `pending`
+    _documents: set[int] = field(default_factory=set)  # revisions whose documents came
+
+    @property
+    def newest(self) -> int:
+        """The newest revision known of."""
+        return max(self.committed, self.pending, self.decided)
+
+    @property
+    def in_hand(self) -> bool:
+        """Whether the document in force is held here."""
+        return self.committed == 0 or self.committed in self._documents
+
+    @property
+    def lacks(self) -> bool:
+        """Whether a document in force or pending is not held here."""
+        return not self.in_hand or (self.pending != 0 and self.pending not in self._documents)
+
+    def adopt(self, epoch: int) -> None:
+        """Begin anew with another epoch."""
+        self.epoch, self.committed, self.pending, self.decided = epoch, 0, 0, 0
+        self._pending_seq = 0
+        self._documents = set()
+
+    def received(self, revision: int, state: str, committed: int, next_seq: int) -> bool:
+        """Take in a state as the service tells it; whether it is no older than what is known."""
+        in_force = revision if state == COMMITTED else committed
+        decided = revision if state != PREPARED else in_force
+        if in_force < self.committed or revision < self.newest:
+            return False
+        if state == PREPARED and revision <= self.decided:
+            return False
+        self._documents = {number for number in self._documents if number >= in_force} | {revision, in_force}
+        self._decide(in_force, decided)
+        if state == PREPARED:
+            self._prepare(revision, next_seq)
+        return True
+
+    def answered(self, revision: int, pending: int, seq: int, next_seq: int) -> None:
+        """Take in the answer to report `seq`, the newest one that was answered."""
+        self._decide(revision, revision)
+        if self.pending and seq >= self._pending_seq and pending != self.pending:
+            # The service knew that it is known here, and does not name it any more: it is decided.
+            self._decide(self.committed, self.pending)
+        if pending > self.newest:
+            self._prepare(pending, next_seq)
+
+    def _decide(self, committed: int, decided: int) -> None:
+        self.committed = max(self.committed, committed)
+        self.decided = max(self.decided, committed, decided)
+        if self.pending <= self.decided:
+            self.pending = 0
+
+    def _prepare(self, revision: int, next_seq: int) -> None:
+        if revision != self.pending:
+            # An earlier one that was pending is decided: there is one at a time.
+            self.decided = max(self.decided, self.pending)
+            self.pending, self._pending_seq = revision, next_seq
