Grant an aggregator its lease by what it acknowledged, commit by what is prepared

With one member standing for 900 sidecars, a lease that needs `prepared` would cost them all theirs as soon as one of them is stopped across a publish. A report may now say `acknowledged` beside it: no child gets a lease any more without having acknowledged that revision. Leases go by it, commits by `prepared` as before, so nothing that may still act is passed over. From a sidecar's own report the field is dropped: it would be renewed without ever acknowledging, and hold up every commit.

--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -304,7 +304,8 @@
         if objection is not None and objection.edition == self.kept.committed.number:
             return f"it objects to this edition: {objection.reason}"
         # What it had ends by itself: so nobody holds up an edition for longer than that lasts.
-        if pending is not None and report.prepared != pending.number and not self.objections:
+        acknowledged = report.prepared if report.acknowledged is None else report.acknowledged
+        if pending is not None and acknowledged != pending.number and not self.objections:
             return "it has not acknowledged the edition that is prepared"
         return ""
 
--- a/brassfall/agreement/edges.py
+++ b/brassfall/agreement/edges.py
@@ -44,6 +44,9 @@
     of: int | None = None  # the life of the service whose word it takes; 0 before the first answer
     held: int = 0
     prepared: int = 0  # acknowledged: from then on it acts on what is common to that one and the one before
+    # Of an aggregator: the edition without whose acknowledgement none of its children gets a permission any
+    # more, while `prepared` waits for those that they hold. None from a sidecar, for which the two are one.
+    acknowledged: int | None = None
     acting: int | str = 0  # an edition or "safe"
     objection: Objection | None = None
     list_index: int = 0
@@ -79,6 +82,7 @@
             if before is None or after != before.get("seq"):
                 raise ReportError("no report", "it goes on from one that did not come on its connection")
             raw = {name: value for name, value in before.items() if name in KEPT} | raw
+        raw.pop("acknowledged", None)  # not a sidecar's to say: it would get permissions, and hold up commits
         report = msgspec.convert(raw, Report)
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as wrong:
         raise ReportError("no report", str(wrong)) from wrong
