--- a/brassfall/aggregation/core.py
+++ b/brassfall/aggregation/core.py
@@ -34,7 +34,7 @@
 from brassfall.aggregation.revisions import RevisionView
 from brassfall.aggregation.timing import AggregatorTiming
 from brassfall.agreement import pace
-from brassfall.agreement.edges import Report
+from brassfall.agreement.edges import Objection, Report
 
 EPOCH_GONE_MS = 12_000.0  # more than twice the time that a service needs to count a majority
 FETCH_EVERY_MS = 250.0
@@ -197,7 +197,8 @@
         self._list = ListReceived(0, started)
         self._list_index_due = 0  # of the list, to be held before the first grant after a gap
         self._seq = self._answered_seq = 0
-        self._objections: dict[str, str] = {}  # to what is pending, by child
+        self._objected = 0  # the revision that children objected to last
+        self._objections: dict[str, str] = {}  # and why, by child
         self._objects_untold = False
         self._withheld: tuple[float, int, bytes] | None = None  # since when, and the revision it waits for
         self._line = b""  # what children were told last
@@ -314,8 +315,14 @@
         self.exceptions.heard(now, child)
         objection = report.objection
         if objection is not None and objection.edition == self.pending != 0:
-            self._objects_untold |= not self._objections
-            self._objections[key.name] = objection.reason[:TEXT_MOST]
+            self._object(key.name, objection)
+
+    def _object(self, name: str, objection: Objection) -> None:
+        """Keep an objection to what is pending, also where the service is another one meanwhile."""
+        if self._objected != objection.edition:
+            self._objected, self._objections = objection.edition, {}
+        self._objects_untold |= not self._objections
+        self._objections[name] = objection.reason[:TEXT_MOST]
 
     def _refusal(self, now: float, name: str, report: Report) -> str:
         """Why a child gets no lease now; empty where it does."""
@@ -404,7 +411,6 @@
         self.revisions.adopt(epoch)
         self.lease.drop()
         self.endings.begin_anew()
-        self._objections = {}
         self._hurried_for = 0
         self._follow_pending()
         return True
@@ -445,7 +451,6 @@
     def _follow_pending(self) -> None:
         """Wait for the acknowledgements of what is pending now."""
         if self.leases.pending != self.pending:
-            self._objections = {}
             self.leases.await_all(self.pending)
 
     def _release_line(self, now: float) -> list[Action]:
@@ -490,6 +495,7 @@
         leaving = self._leaving and not self.leases.any(now)
         if leaving and not self._leaving_seq:
             self._leaving_seq = self._seq
+        objections = self._objections if self.pending and self._objected == self.pending else {}
         prepared = self.pending if self.pending and self.leases.all_acknowledged(now) else 0
         return AggregatorReport(
             life=self.life,
@@ -506,7 +512,7 @@
             joined=self.membership.arrivals(self._seq, MEMBERS_MOST),
             departed=self.membership.departures(self._seq, MEMBERS_MOST),
             lagging=list(islice(self.leases.lagging(now), LAGGING_MOST)),
-            objections=dict(islice(self._objections.items(), OBJECTIONS_MOST)),
+            objections=dict(islice(objections.items(), OBJECTIONS_MOST)),
             exceptions=self.exceptions.rows(now, self.membership.children),
             places=self.exceptions.places(),
             measures=self.delays.take(now),
--- a/brassfall/lab/agreement/scale.py
+++ b/brassfall/lab/agreement/scale.py
@@ -54,8 +54,8 @@
         self.heard: dict[int, float] = {}
         super().start()
 
-    def _line(self, connection: int, raw: dict[str, Any]) -> None:
-        super()._line(connection, raw)
+    def _line(self, raw: dict[str, Any]) -> None:
+        super()._line(raw)
         self.heard.setdefault(raw["edition"], self.kernel.now)
 
 
--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -96,6 +96,11 @@
         """The life whose word is told; 0 before the first."""
         return self.agreement.fleet.life if self._run else 0
 
+    @property
+    def pending(self) -> int:
+        """The edition that is prepared; 0 where none is."""
+        return self.agreement.kept.pending.number if self.agreement.kept.pending is not None else 0
+
     # --- lives ----------------------------------------------------------------------------
 
     def start(self) -> None:
--- a/brassfall/lab/agreement/sidecar.py
+++ b/brassfall/lab/agreement/sidecar.py
@@ -5,26 +5,52 @@
 import json
 import math
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import Any, Protocol
 
 from brassfall.agreement import pace
 from brassfall.lab.agreement.base import Kernel
 from brassfall.lab.agreement.rules import Profile
-from brassfall.lab.agreement.service import Service
+from brassfall.lab.agreement.watching import Watch, Watched
 
 JITTER = 1.0 / 3.0
 TIMEOUT_MS = 1000.0
-SILENT_MS = (2000.0, 3000.0)
 KNOWN_MOST = 12  # more than can be acted on by anybody within `agree_ms`
 NOVEL = "novel"  # a key that only the newer version of the program knows
 
 
+class Address(Watched, Protocol):
+    """Where a sidecar reports and watches: a service, or an aggregator."""
+
+    up: bool
+
+    @property
+    def life(self) -> int:
+        """Of the service whose word is told there."""
+
+    @property
+    def pending(self) -> int:
+        """The edition that is prepared, as is known there; 0 where none is."""
+
+    def report(self, name: str, body: bytes, answer: Callable[[dict[str, Any]], None]) -> bool:
+        """A report arrives; whether anybody was there."""
+
+    def state(self) -> dict[str, Any] | None:
+        """What is told to whoever asks now."""
+
+
 class Sidecar:
     """One process. What it acts on is judged at each moment at which that may change."""
 
     def __init__(
-        self, kernel: Kernel, name: str, life: str, services: Sequence[Service], newer: bool = True
+        self,
+        kernel: Kernel,
+        name: str,
+        life: str,
+        services: Sequence[Address],
+        newer: bool = True,
+        near: int = 0,
     ) -> None:
+        """`near` of the addresses come first: it begins at one of those; 0: at any."""
         self.kernel = kernel
         self.name, self.label = name, f"{name}/{life}"
         self.services = services
@@ -36,9 +62,10 @@
         self.highest = 0
         self.dead = self.stopped = self.liar = False
         self.lax = False  # takes answers that come after it gave up on them
-        self._report_at = kernel.random.randrange(len(services))
-        self._watch_at = kernel.random.randrange(len(services))
-        self._connection = 0
+        self.follows = True  # goes to another address where an answer says so: not so in older versions
+        self.restless = False  # reports to another address each time
+        self._report_at = kernel.random.randrange(near or len(services))
+        self._watch = Watch(kernel, name, services, self._do, self._line, near)
         self._flight = 0
         self._every, self._spread = pace.every_ms(1), pace.spread_ms(1)
         self._timer = 0  # the newest wait for a report: another that is due is void
@@ -58,7 +85,7 @@
         self.judged()
         span = self.kernel.random.uniform(0.0, 500.0)
         self._wait(span)
-        self.kernel.after(self.kernel.random.uniform(0.0, 100.0), self._do, "timer", self._open)
+        self.kernel.after(self.kernel.random.uniform(0.0, 100.0), self._do, "timer", self._watch.open)
 
     # --- what it acts on -----------------------------------------------------------------------
 
@@ -113,8 +140,7 @@
         self.judged()
         self.dead = True
         self.judged()
-        for each in self.services:
-            each.closed(self._connection)
+        self._watch.close()
         if leave and not self.stopped and not self.kernel.lost("report", self.name, service.number):
             raw = {**self.holder.report(self.seconds()), "leaving": True}
             body = json.dumps(raw).encode()
@@ -164,6 +190,8 @@
         kernel.after(TIMEOUT_MS / self.clock.rate, self._do, "timer", self._gave_up, seq)
         if kernel.lost("report", self.name, service.number):
             return
+        if self.restless:
+            self._move()
         call = (service, seq, asked, kernel.now, body)
         kernel.after(kernel.delay(), self._arrives, *call)
         while kernel.net.replay and kernel.random.random() < kernel.net.replay:
@@ -171,7 +199,10 @@
             span = kernel.random.uniform(1.0, 10_000.0)
             kernel.after(span, service.report, self.name, body, lambda raw: None)
 
-    def _arrives(self, service: Service, seq: int, asked: float, true_ms: float, body: bytes) -> None:
+    def _move(self) -> None:
+        self._report_at = (self._report_at + 1) % len(self.services)
+
+    def _arrives(self, service: Address, seq: int, asked: float, true_ms: float, body: bytes) -> None:
         kernel = self.kernel
 
         def answer(raw: dict[str, Any]) -> None:
@@ -184,10 +215,20 @@
     def _gave_up(self, seq: int) -> None:
         if self._flight == seq:
             self._flight = 0
-            self._report_at = (self._report_at + 1) % len(self.services)
+            self._move()
             self._again(20.0, 200.0)
 
+    def _turned_away(self, seq: int, retry_ms: float) -> None:
+        """It is to come again later."""
+        if self._flight == seq:
+            self._flight = 0
+            self._move()
+            self._again(retry_ms, retry_ms * 1.05)
+
     def _answered(self, seq: int, asked: float, true_ms: float, raw: dict[str, Any]) -> None:
+        if "retry_ms" in raw:
+            self._turned_away(seq, raw["retry_ms"])
+            return
         if self._flight != seq and not self.lax:
             return
         clock, length, edition = self.clock, raw["permission_ms"], raw["edition"]
@@ -217,8 +258,8 @@
             self.kernel.at(self._until.get(edition, 0.0) + 1.0, self.judged)
         if self._flight == seq:
             self._flight = 0
-            if not counts:
-                self._report_at = (self._report_at + 1) % len(self.services)
+            if not counts or (self.follows and raw.get("elsewhere")):
+                self._move()
             elif self.holder.lacks(raw):
                 self._fetch(self.services[self._report_at])
             self._every, self._spread = raw["every_ms"], raw["spread_ms"]
@@ -227,59 +268,30 @@
                 self._called = False
                 self._soon()
 
-    def _fetch(self, service: Service) -> None:
+    def _fetch(self, service: Address) -> None:
         """Reports come through where the watch may not: editions come on their way, too."""
         kernel = self.kernel
 
         def arrives() -> None:
-            if service.up and not kernel.lost("answer", self.name, service.number):
-                kernel.after(kernel.delay(), self._do, "answer", self._news, service.state())
+            raw = service.state() if service.up else None
+            if raw is not None and not kernel.lost("answer", self.name, service.number):
+                kernel.after(kernel.delay(), self._do, "answer", self._news, raw)
 
         if not kernel.lost("report", self.name, service.number):
             kernel.after(kernel.delay(), arrives)
 
-    def _lied(self, raw: dict[str, Any], service: Service) -> dict[str, Any]:
+    def _lied(self, raw: dict[str, Any], service: Address) -> dict[str, Any]:
         """Whatever may do the most harm."""
-        chance, pending = self.kernel.random, 0
-        if service.up and service.agreement.kept.pending is not None:
-            pending = service.agreement.kept.pending.number
+        chance = self.kernel.random
+        pending = service.pending if service.up else 0
         lies = {"prepared": pending, "held": chance.choice((0, 2**53 - 1)), "acting": pending}
         return {**raw, **lies, "of": chance.choice((0, service.life, 2**53 - 1))}
 
-    # --- the watch ---------------------------------------------------------------------------------------
-
-    def _open(self) -> None:
-        kernel = self.kernel
-        self.services[self._watch_at].closed(self._connection)
-        kernel.watches += 1
-        self._connection = connection = kernel.watches
-        service = self.services[self._watch_at]
-        if kernel.lost("open", self.name, service.number):
-            kernel.after(kernel.random.uniform(*SILENT_MS), self._do, "timer", self._reopen, connection)
-            return
-        kernel.after(kernel.delay(), self._opens, service, connection)
-
-    def _opens(self, service: Service, connection: int) -> None:
-        if connection == self._connection and not self.dead and not service.watch(connection, self):
-            self.broken(connection, False)
-
-    def _reopen(self, connection: int) -> None:
-        if connection == self._connection:
-            self._watch_at = (self._watch_at + 1) % len(self.services)
-            self._open()
-
-    def broken(self, connection: int, silent: bool) -> None:
-        """The watch has ended: at once where that was told, else after a silence."""
-        span = self.kernel.random.uniform(*SILENT_MS) if silent else self.kernel.random.uniform(20.0, 500.0)
-        self.kernel.after(span, self._do, "timer", self._reopen, connection)
-
-    def line(self, connection: int, raw: dict[str, Any]) -> None:
-        """A line has come."""
-        self._do("watch", self._line, connection, raw)
+    # --- what is told ------------------------------------------------------------------------------------
 
-    def _line(self, connection: int, raw: dict[str, Any]) -> None:
-        if connection == self._connection:
-            self._news(raw)
+    def _line(self, raw: dict[str, Any]) -> None:
+        """A line of the watch."""
+        self._news(raw)
 
     def _news(self, raw: dict[str, Any]) -> None:
         if raw["life"] >= self._of:
