--- a/brassfall/lab/agreement/command.py
+++ b/brassfall/lab/agreement/command.py
@@ -16,6 +16,7 @@
 from brassfall.lab.agreement import schedule
 from brassfall.lab.agreement.flaws import FLAWS, REAL
 from brassfall.lab.agreement.rules import Broken
+from brassfall.lab.agreement.tier import TIER, TierWorld
 from brassfall.lab.agreement.world import World
 
 FLAW_NODES = (3, 5)
@@ -30,6 +31,7 @@
     nodes: int
     seed: int
     flaw: str = ""
+    tier: bool = False  # with aggregators
 
 
 @dataclass(slots=True)
@@ -62,10 +64,11 @@
 
 def _world(task: Task, faults: list[schedule.Fault] | None = None) -> tuple[World, list[schedule.Fault]]:
     flaw = FLAWS.get(task.flaw)
-    world = World(task.seed, task.nodes, flaw.program if flaw is not None else REAL)
-    drawn = schedule.draw(world, flaw.themes if flaw is not None else ())
+    kind, catalogue = (TierWorld, TIER) if task.tier else (World, schedule.DIRECT)
+    world = kind(task.seed, task.nodes, flaw.program if flaw is not None else REAL)
+    drawn = schedule.draw(world, flaw.themes if flaw is not None else (), catalogue)
     faults = drawn if faults is None else faults
-    schedule.arrange(world, faults)
+    schedule.arrange(world, faults, catalogue)
     return world, faults
 
 
--- a/brassfall/lab/agreement/program.py
+++ b/brassfall/lab/agreement/program.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from brassfall.aggregation.core import Aggregator
+from brassfall.aggregation.timing import AggregatorTiming
 from brassfall.agreement.core import Agreement, Timing
 from brassfall.agreement.edges import Fleet
 from brassfall.table.store import life_floor
@@ -37,6 +39,8 @@
     timing: Timing = field(default_factory=Timing)
     agreement: type[Agreement] = Agreement
     fleet: type[Fleet] = Fleet
+    aggregator: type[Aggregator] = Aggregator
+    aggregator_timing: AggregatorTiming = field(default_factory=AggregatorTiming)
     holder: Any = holder.Holder
     effective: Callable[[Any], dict[str, Any]] = sidecar_rules.effective
     unknown: Callable[[Any], str] = sidecar_rules.unknown
--- a/brassfall/lab/agreement/schedule.py
+++ b/brassfall/lab/agreement/schedule.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from brassfall.agreement.core import DRIFT
 from brassfall.lab.agreement.base import HOUR_MS, KINDS
@@ -24,47 +25,59 @@
     seed: int  # of what the fault itself draws
 
 
-def draw(world: World, only: tuple[str, ...] = ()) -> list[Fault]:
-    """A schedule: some themes, each with some faults. A split of the sidecars over two services does not
-    go together with a liar, nor with two processes of one name: each may take both services' words; nor with
-    an empty disk, which knows no roster. The agreement does not promise to stand those, see
-    docs/agreement-defects.md."""
-    chance = world.kernel.random
-    names = list(only or chance.sample(sorted(THEMES), chance.choice((1, 2, 3))))
-    if {"twin", "crowd", "exodus"} & {*names}:
-        names = [name for name in names if name not in ("liar", "beside", "lost disk")]
+@dataclass(frozen=True)
+class Catalogue:
+    """The faults that a kind of world knows."""
+
+    themes: Mapping[str, tuple[Callable[[Any], None], tuple[int, ...]]]  # what happens, and how often
+    calm: frozenset[str]  # with these an edition has to be decided in time
+    away: frozenset[str]  # each takes some away: two at once may take the majority
+    split: frozenset[str]  # these split who reports over two services
+    confusing: frozenset[str]  # and these do not go together with that
+
+
+def draw(world: World, only: tuple[str, ...] = (), catalogue: Catalogue | None = None) -> list[Fault]:
+    """A schedule: some themes out of a catalogue, each with some faults.
+
+    A split of the sidecars over two services does not go together with a liar, nor with two processes of one
+    name: each may take both services' words; nor with an empty disk, which knows no roster. The agreement
+    does not promise to stand those, see docs/agreement-defects.md."""
+    chance, known = world.kernel.random, catalogue or DIRECT
+    names = list(only or chance.sample(sorted(known.themes), chance.choice((1, 2, 3))))
+    if known.split & {*names}:
+        names = [name for name in names if name not in known.confusing]
     made = []
     for name in names:
-        for _ in range(chance.choice(THEMES[name][1])):
+        for _ in range(chance.choice(known.themes[name][1])):
             at = chance.uniform(FAULTS_MS[0], FAULTS_MS[1] - 3000.0)
             made.append(Fault(at, name, chance.randrange(2**32)))
     return sorted(made, key=lambda fault: fault.at_ms)
 
 
-def arrange(world: World, faults: list[Fault]) -> None:
+def arrange(world: World, faults: list[Fault], catalogue: Catalogue | None = None) -> None:
     """Have them happen."""
-    # Each of these takes up to a third of the sidecars away: two at once may take the majority.
-    away = sum(fault.name in ("stop", "beside", "restart", "cut") for fault in faults)
-    world.calm = away <= 1 and all(fault.name in CALM for fault in faults)
+    known = catalogue or DIRECT
+    away = sum(fault.name in known.away for fault in faults)
+    world.calm = away <= 1 and all(fault.name in known.calm for fault in faults)
     for fault in faults:
-        world.kernel.at(fault.at_ms, _begin, world, fault)
+        world.kernel.at(fault.at_ms, _begin, world, fault, known)
 
 
-def _begin(world: World, fault: Fault) -> None:
+def _begin(world: World, fault: Fault, known: Catalogue) -> None:
     # Its draws are its own: a schedule from which another fault is taken keeps this one as it was.
     world.drawn = random.Random(fault.seed)
     world.note(fault.name)
-    THEMES[fault.name][0](world)
+    known.themes[fault.name][0](world)
 
 
-def _some(world: World, part: float = 0.34) -> list[Sidecar]:
+def some_of(world: World, part: float = 0.34) -> list[Sidecar]:
     """A few sidecars that run, fewer than half of all."""
     chance, running = world.drawn, [s for s in world.sidecars if not s.stopped]
     most = max(1, int(len(running) * part))
     return chance.sample(running, min(len(running), chance.randint(1, most)))
 
 
-def _later(world: World, span: float, run: Callable[..., object], *args: object) -> None:
+def later(world: World, span: float, run: Callable[..., object], *args: object) -> None:
     """The end of a fault, at the latest with all others."""
     world.kernel.at(min(world.kernel.now + span, FAULTS_MS[1] - 1.0), run, *args)
 
@@ -72,7 +85,7 @@
 # --- the service and its disk ----------------------------------------------------------------------
 
 
-def _restart(world: World, disk: Disk | None = None) -> None:
+def restart_service(world: World, disk: Disk | None = None) -> None:
     service = world.services[0]
     service.crash()
     if disk is not None:
@@ -82,7 +95,7 @@
         if not service.up:
             service.start()
 
-    _later(world, world.drawn.choice((20.0, 500.0, 3000.0)), again)
+    later(world, world.drawn.choice((20.0, 500.0, 3000.0)), again)
 
 
 def crash(world: World) -> None:
@@ -93,20 +106,20 @@
     def over() -> None:
         service.faults.crash = 0.0
 
-    _later(world, 5000.0, over)
+    later(world, 5000.0, over)
     if world.drawn.random() < 0.3:
-        _restart(world)
+        restart_service(world)
 
 
 def lost(world: World) -> None:
     """The disk is empty."""
-    _restart(world, Disk())
+    restart_service(world, Disk())
 
 
 def restored(world: World) -> None:
     """An older copy is put back."""
     if world.snapshots:
-        _restart(world, world.drawn.choice(world.snapshots[-3:]).copy())
+        restart_service(world, world.drawn.choice(world.snapshots[-3:]).copy())
 
 
 def disk(world: World) -> None:
@@ -117,7 +130,7 @@
     def over() -> None:
         faults.fail = faults.slow = 0.0
 
-    _later(world, world.drawn.uniform(1000.0, 6000.0), over)
+    later(world, world.drawn.uniform(1000.0, 6000.0), over)
 
 
 def twin(world: World) -> None:
@@ -129,11 +142,11 @@
     second.disk = chance.choice(copies).copy()
     second.start()
     part, both = chance.choice((0.4, 0.5, 0.6)), chance.choice((0.0, 0.0, 0.3))
-    for sidecar in world.sidecars:
+    for name in world.members:
         if chance.random() >= both:
-            _cut(world, sidecar.name, 0 if chance.random() < part else 1)
-    _later(world, chance.uniform(2000.0, 6000.0), _swap, world)
-    _later(world, chance.uniform(4000.0, 15_000.0), _one_stays, world)
+            _cut(world, name, 0 if chance.random() < part else 1)
+    later(world, chance.uniform(2000.0, 6000.0), _swap, world)
+    later(world, chance.uniform(4000.0, 15_000.0), _one_stays, world)
 
 
 def crowd(world: World) -> None:
@@ -148,8 +161,8 @@
     for number in range(len(world.sidecars) + 1):
         name = f"c{number}-{world.drawn.randrange(10**6)}"
         _cut(world, name, 0)
-        _later(world, world.drawn.uniform(0.0, 2000.0), world.join, name)
-    _later(world, world.drawn.uniform(9000.0, 15_000.0), _one_stays, world)
+        later(world, world.drawn.uniform(0.0, 2000.0), world.join, name)
+    later(world, world.drawn.uniform(9000.0, 15_000.0), _one_stays, world)
 
 
 def exodus(world: World) -> None:
@@ -160,14 +173,14 @@
         return
     second.disk = world.services[0].disk.copy()
     second.start()
-    stay = _some(world)
+    stay = some_of(world)
     for sidecar in list(world.sidecars):
         if sidecar in stay:
             _cut(world, sidecar.name, 1)
         elif not sidecar.stopped:
             world.succeed(sidecar, True)
             _cut(world, sidecar.name, 0)
-    _later(world, world.drawn.uniform(9000.0, 15_000.0), _one_stays, world)
+    later(world, world.drawn.uniform(9000.0, 15_000.0), _one_stays, world)
 
 
 def _cut(world: World, name: str, service: int) -> None:
@@ -177,11 +190,11 @@
 def _swap(world: World) -> None:
     """Some come over to the other side."""
     chance = world.drawn
-    for sidecar in world.sidecars:
+    for name in world.members:
         if chance.random() < 0.4:
             for service in (0, 1):
-                world.kernel.net.cuts -= {(sidecar.name, service, kind) for kind in KINDS}
-            _cut(world, sidecar.name, chance.choice((0, 1)))
+                world.kernel.net.cuts -= {(name, service, kind) for kind in KINDS}
+            _cut(world, name, chance.choice((0, 1)))
 
 
 def _one_stays(world: World) -> None:
@@ -193,12 +206,12 @@
 def jump(world: World) -> None:
     """Wall clocks jump by an hour."""
     chance = world.drawn
-    for clock in [service.clock for service in world.services] + [s.clock for s in _some(world)]:
+    for clock in [service.clock for service in world.services] + [s.clock for s in some_of(world)]:
         clock.wall += chance.choice((HOUR_MS, -HOUR_MS))
     for sidecar in world.sidecars:
         sidecar.judged()
     if chance.random() < 0.5:
-        _restart(world)
+        restart_service(world)
 
 
 # --- sidecars -----------------------------------------------------------------------------------------
@@ -206,19 +219,19 @@
 
 def stop(world: World) -> None:
     """Stopped for ten seconds, across whatever comes, and continued."""
-    for sidecar in _some(world):
+    for sidecar in some_of(world):
         sidecar.stop()
         span = world.drawn.choice((STOPPED_MS, world.drawn.uniform(500.0, STOPPED_MS)))
-        _later(world, span, sidecar.resume)
+        later(world, span, sidecar.resume)
 
 
 def beside(world: World) -> None:
     """A stopped process gets a successor of its name, and comes back beside it."""
-    for sidecar in _some(world):
+    for sidecar in some_of(world):
         sidecar.stop()
         after = world.drawn.uniform(10.0, 3000.0)
-        _later(world, after, _given_up, world, sidecar)
-        _later(world, after + world.drawn.uniform(10.0, 4000.0), sidecar.resume)
+        later(world, after, _given_up, world, sidecar)
+        later(world, after + world.drawn.uniform(10.0, 4000.0), sidecar.resume)
 
 
 def _given_up(world: World, sidecar: Sidecar) -> None:
@@ -228,7 +241,7 @@
 
 def restart(world: World) -> None:
     """A process ends, with a word or without, and another follows at once."""
-    for sidecar in _some(world):
+    for sidecar in some_of(world):
         world.succeed(sidecar, world.drawn.random() < 0.5)
 
 
@@ -236,8 +249,8 @@
     """All are restarted within some seconds, and an edition is published in the middle."""
     names = [sidecar.name for sidecar in world.sidecars]
     for number, name in enumerate(names):
-        _later(world, 3000.0 * number / len(names), _rolled, world, name)
-    _later(world, 1000.0, world.publish)
+        later(world, 3000.0 * number / len(names), _rolled, world, name)
+    later(world, 1000.0, world.publish)
 
 
 def _rolled(world: World, name: str) -> None:
@@ -250,7 +263,7 @@
     world.publish()
     number = len(world.sidecars)
     name = f"n{number}-{world.drawn.randrange(10**6)}"
-    _later(world, world.drawn.uniform(0.0, 1500.0), world.join, name)
+    later(world, world.drawn.uniform(0.0, 1500.0), world.join, name)
 
 
 def liar(world: World) -> None:
@@ -268,15 +281,15 @@
     for sidecar in world.sidecars:
         sidecar.clock.turn(now, 1.0 - DRIFT)
     for number in range(4):
-        _later(world, 4000.0 * number, _cut_one, world)
+        later(world, 4000.0 * number, _cut_one, world)
 
 
 def _cut_one(world: World) -> None:
     world.publish()
     name = world.drawn.choice(world.sidecars).name
-    rows = {(name, number, kind) for number in (0, 1) for kind in KINDS}
+    rows = {(name, number, kind) for number in world.numbers for kind in KINDS}
     world.kernel.net.cuts |= rows
-    _later(world, 3800.0, world.kernel.net.cuts.difference_update, rows)
+    later(world, 3800.0, world.kernel.net.cuts.difference_update, rows)
 
 
 # --- the network ------------------------------------------------------------------------------------------
@@ -288,13 +301,13 @@
     kinds = chance.choice(
         (KINDS, ("report",), ("answer",), ("watch",), ("watch", "open"), ("report", "watch"))
     )
-    rows = {(s.name, number, kind) for s in _some(world) for number in (0, 1) for kind in kinds}
+    rows = {(s.name, number, kind) for s in some_of(world) for number in world.numbers for kind in kinds}
     world.kernel.net.cuts |= rows
 
     def over() -> None:
         world.kernel.net.cuts -= rows
 
-    _later(world, chance.uniform(500.0, 9000.0), over)
+    later(world, chance.uniform(500.0, 9000.0), over)
 
 
 def rough(world: World) -> None:
@@ -306,7 +319,7 @@
     def over() -> None:
         net.loss = net.slow = 0.0
 
-    _later(world, chance.uniform(1000.0, 8000.0), over)
+    later(world, chance.uniform(1000.0, 8000.0), over)
 
 
 def replay(world: World) -> None:
@@ -317,16 +330,17 @@
     def over() -> None:
         net.replay = 0.0
 
+    address = world.addresses[0]
     for body in (b"", b"[]", b'{"seq":NaN}', b'{"held":1e300}', b'{"seq":-1}', b"{" * 5000):
-        if world.services[0].up and body:
-            world.services[0].report("s0", body, lambda raw: None)
-    _later(world, world.drawn.uniform(3000.0, 12_000.0), over)
+        if address.up and body:
+            address.report("s0", body, lambda raw: None)
+    later(world, world.drawn.uniform(3000.0, 12_000.0), over)
 
 
 def burst(world: World) -> None:
     """Ten editions in a second."""
     for number in range(10):
-        _later(world, 100.0 * number, world.publish)
+        later(world, 100.0 * number, world.publish)
 
 
 THEMES: dict[str, tuple[Callable[[World], None], tuple[int, ...]]] = {
@@ -350,4 +364,10 @@
     "replay": (replay, (1, 2)),
     "burst": (burst, (1, 2)),
 }
-CALM = frozenset(("stop", "beside", "restart", "join", "cut", "burst"))
+DIRECT = Catalogue(
+    THEMES,
+    calm=frozenset(("stop", "beside", "restart", "join", "cut", "burst")),
+    away=frozenset(("stop", "beside", "restart", "cut")),  # up to a third of the sidecars
+    split=frozenset(("twin", "crowd", "exodus")),
+    confusing=frozenset(("liar", "beside", "lost disk")),
+)
--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from brassfall.aggregation.messages import AggregatorLease, AggregatorReport, Member, parse_report
 from brassfall.agreement import core, pace
 from brassfall.agreement.document import Edition
-from brassfall.agreement.edges import ReportError, parse
+from brassfall.agreement.edges import Objection, Report, ReportError, parse
 from brassfall.lab.agreement.base import Clock, Kernel
 from brassfall.lab.agreement.rules import Line
 
@@ -70,6 +71,23 @@
     return {"edition": edition.number, "settings": edition.settings, "plan": plan, "overrides": overrides}
 
 
+def _as_member(told: AggregatorReport) -> Report:
+    """An aggregator's report as that of a member of the agreement. An objection goes by its child's name."""
+    objection = next(
+        (Objection(told.acknowledged, f"{name}: {why}") for name, why in told.objections.items()), None
+    )
+    return Report(
+        life=told.life,
+        seq=told.seq,
+        of=told.epoch,
+        held=told.held,
+        prepared=told.prepared,
+        acknowledged=told.acknowledged,
+        objection=objection,
+        leaving=told.leaving,
+    )
+
+
 class Service:
     """One process of the list service at one address, life after life."""
 
@@ -87,7 +105,11 @@
         self._ticket = 0
         self._free = 0.0
         self._writing: deque[core.Action] = deque()
-        self._answers: dict[int, Callable[[dict[str, Any]], None]] = {}
+        self._answers: dict[int, Callable[[core.Granted], None]] = {}
+        self._where: dict[
+            str, tuple[str, str, str]
+        ] = {}  # child: its life, its aggregator and that one's life
+        self._moved: dict[str, list[Member]] = {}  # by aggregator
         self._watchers: dict[int, tuple[Watcher, float]] = {}
         self.agreement: core.Agreement
 
@@ -112,6 +134,7 @@
         life = program.life(self.clock.unix(kernel.now), self.disk.index, kernel.random)
         self.disk.index = life
         self._objected: set[int] = set()
+        self._where, self._moved = {}, {}
         fleet = program.fleet(life, set(self.disk.names))
         self.agreement = program.agreement(program.timing, now, self.disk.kept, fleet)
         self._tick(self._run)
@@ -167,7 +190,7 @@
                 case core.Granted():
                     answer = self._answers.pop(action.ticket, None)
                     if answer is not None:
-                        answer(self._answer(action))
+                        answer(action)
                 case core.Told():
                     self._tell()
                 case core.Published():
@@ -196,6 +219,10 @@
         except ReportError:
             self.kernel.met["malformed reports"] += 1
             return True
+        self._reported(name, report, lambda granted: answer(self._answer(granted)))
+        return True
+
+    def _reported(self, name: str, report: Report, answer: Callable[[core.Granted], None]) -> None:
         self._ticket += 1
         self._answers[self._ticket] = answer
         deciding = any(isinstance(row, core.Persist) for row in self._writing)
@@ -204,8 +231,44 @@
         news = edge is not None and (edge.report.life, edge.report.seq) == (report.life, report.seq)
         if report.objection is not None and news and not deciding:
             self._objected.add(report.objection.edition)
+
+    def aggregator_report(self, name: str, body: bytes, answer: Callable[[AggregatorLease], None]) -> bool:
+        """An aggregator's report arrives; whether anybody was there."""
+        if not self.up:
+            return False
+        told = parse_report(body)
+        known = self.agreement.fleet.edges.get(name)
+        resync = known is None or known.report.life != told.life
+        self._reported(
+            name, _as_member(told), lambda granted: answer(self._lease(name, told, resync, granted))
+        )
         return True
 
+    def _lease(
+        self, name: str, told: AggregatorReport, resync: bool, granted: core.Granted
+    ) -> AggregatorLease:
+        """The answer to an aggregator; where its children are is noted by the way."""
+        for member in told.joined:
+            before = self._where.get(member.name)
+            if before is not None and before[1] != name:
+                self._moved.setdefault(before[1], []).append(Member(member.name, before[0]))
+            self._where[member.name] = (member.life, name, told.life)
+        for member in told.departed:
+            if self._where.get(member.name) == (member.life, name, told.life):
+                del self._where[member.name]
+        return AggregatorLease(
+            epoch=self.life,
+            revision=granted.edition,
+            lease_ms=granted.permission_ms,
+            pending=granted.pending,
+            why=granted.why,
+            seq=told.seq,
+            list_index=int(self.kernel.now // 1000.0),
+            members=max(1, len(self._where)),
+            moved=self._moved.pop(name, []),
+            resync=resync,
+        )
+
     # --- the disk -------------------------------------------------------------------------------
 
     def _write(self, action: core.Action) -> None:
--- a/brassfall/lab/agreement/sidecar.py
+++ b/brassfall/lab/agreement/sidecar.py
@@ -21,7 +21,9 @@
 class Address(Watched, Protocol):
     """Where a sidecar reports and watches: a service, or an aggregator."""
 
-    up: bool
+    @property
+    def up(self) -> bool:
+        """Whether anybody is there."""
 
     @property
     def life(self) -> int:
@@ -191,7 +193,7 @@
         if kernel.lost("report", self.name, service.number):
             return
         if self.restless:
-            self._move()
+            self.move()
         call = (service, seq, asked, kernel.now, body)
         kernel.after(kernel.delay(), self._arrives, *call)
         while kernel.net.replay and kernel.random.random() < kernel.net.replay:
@@ -199,7 +201,8 @@
             span = kernel.random.uniform(1.0, 10_000.0)
             kernel.after(span, service.report, self.name, body, lambda raw: None)
 
-    def _move(self) -> None:
+    def move(self) -> None:
+        """Report to the next address from now on."""
         self._report_at = (self._report_at + 1) % len(self.services)
 
     def _arrives(self, service: Address, seq: int, asked: float, true_ms: float, body: bytes) -> None:
@@ -215,14 +218,14 @@
     def _gave_up(self, seq: int) -> None:
         if self._flight == seq:
             self._flight = 0
-            self._move()
+            self.move()
             self._again(20.0, 200.0)
 
     def _turned_away(self, seq: int, retry_ms: float) -> None:
         """It is to come again later."""
         if self._flight == seq:
             self._flight = 0
-            self._move()
+            self.move()
             self._again(retry_ms, retry_ms * 1.05)
 
     def _answered(self, seq: int, asked: float, true_ms: float, raw: dict[str, Any]) -> None:
@@ -259,7 +262,7 @@
         if self._flight == seq:
             self._flight = 0
             if not counts or (self.follows and raw.get("elsewhere")):
-                self._move()
+                self.move()
             elif self.holder.lacks(raw):
                 self._fetch(self.services[self._report_at])
             self._every, self._spread = raw["every_ms"], raw["spread_ms"]
--- a/brassfall/lab/agreement/world.py
+++ b/brassfall/lab/agreement/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from typing import Any
 
 from brassfall.agreement import core
@@ -10,7 +11,7 @@
 from brassfall.lab.agreement.program import Program
 from brassfall.lab.agreement.rules import Broken, Judge
 from brassfall.lab.agreement.service import Disk, Service
-from brassfall.lab.agreement.sidecar import NOVEL, Sidecar
+from brassfall.lab.agreement.sidecar import NOVEL, Address, Sidecar
 
 FAULTS_MS = (7_000.0, 24_000.0)
 LIVE_MS = 20_000.0  # S6: after the faults, all that can be reached act on the newest edition within this
@@ -36,11 +37,30 @@
         self.snapshots: list[Disk] = []
         self._drafts = self._lives = 0
         first.start()
+        self._prepare()
         for number in range(nodes):
             self.join(f"s{number}", newer=kernel.random.random() < 0.9)
         kernel.at(500.0, self._publishing)
         kernel.at(6_000.0, self._copying)
 
+    def _prepare(self) -> None:
+        """What else there is before the sidecars."""
+
+    @property
+    def addresses(self) -> Sequence[Address]:
+        """Where sidecars report and watch."""
+        return self.services
+
+    @property
+    def numbers(self) -> tuple[int, ...]:
+        """Of these addresses."""
+        return tuple(address.number for address in self.addresses)
+
+    @property
+    def members(self) -> list[str]:
+        """Names of those that report to the services themselves."""
+        return [sidecar.name for sidecar in self.sidecars]
+
     @property
     def met(self) -> dict[str, int]:
         """How often each fault met each phase of the agreement."""
@@ -60,12 +80,15 @@
     def join(self, name: str, newer: bool = True) -> Sidecar:
         """A new process of a sidecar."""
         self._lives += 1
-        made = Sidecar(self.kernel, name, f"p{self._lives}", self.services, newer)
+        made = self._sidecar(name, f"p{self._lives}", newer)
         made.lax = self.kernel.random.random() < 0.3
         self.sidecars.append(made)
         made.start()
         return made
 
+    def _sidecar(self, name: str, life: str, newer: bool) -> Sidecar:
+        return Sidecar(self.kernel, name, life, self.services, newer)
+
     def succeed(self, old: Sidecar, leave: bool) -> Sidecar:
         """A process is followed by another of its name, which knows nothing."""
         self.sidecars.remove(old)
