--- a/brassfall/aggregation/admission.py
+++ b/brassfall/aggregation/admission.py
@@ -41,18 +41,20 @@
         self._forget(now)
         due = self._reserved.get(name)
         if due is None:
-            step = 1000.0 / self.timing.newcomers_per_s
-            # Who waits for nothing after a quiet time is admitted ahead of time, up to the burst.
-            self._next_ms = max(self._next_ms, now - self.timing.newcomers_burst * step) + step
-            if self._next_ms <= now:
-                return 0.0
-            due = self._next_ms
-            if len(self._reserved) < RESERVED_MOST:
-                self._reserved[name] = due
-        if due <= now + EARLY_MS:
-            self._reserved.pop(name, None)
-            return 0.0
-        return due - now
+            return self._reserve(now, name)
+        if due > now + EARLY_MS:
+            return due - now
+        del self._reserved[name]
+        return 0.0
+
+    def _reserve(self, now: float, name: str) -> float:
+        step = 1000.0 / self.timing.newcomers_per_s
+        # After a quiet time, places that nobody took are there for a burst.
+        self._next_ms = max(self._next_ms, now - self.timing.newcomers_burst * step) + step
+        wait = max(0.0, self._next_ms - now)
+        if wait and len(self._reserved) < RESERVED_MOST:
+            self._reserved[name] = self._next_ms
+        return wait
 
     def _forget(self, now: float) -> None:
         while self._reserved:
--- a/brassfall/aggregation/merging.py
+++ b/brassfall/aggregation/merging.py
@@ -78,10 +78,9 @@
 
 
 def _add(counts: dict[int, int], points: Points) -> None:
-    total = sum(count for _, count in points)
-    part = min(1.0, CHILD_FIGURES_MOST / total) if total else 1.0
+    total = max(CHILD_FIGURES_MOST, sum(count for _, count in points))
     for bucket, count in points:
-        counts[bucket] = counts.get(bucket, 0) + max(1, int(count * part))
+        counts[bucket] = counts.get(bucket, 0) + max(1, count * CHILD_FIGURES_MOST // total)
 
 
 def thinned(counts: Mapping[int, int]) -> dict[int, int]:
--- a/brassfall/aggregation/timing.py
+++ b/brassfall/aggregation/timing.py
@@ -13,4 +13,4 @@
     newcomers_burst: int = 100  # of them at once, after a quiet time
     commit_message_wait_ms: float = 500.0  # children are told of a commit at the latest so long after it
     elsewhere_after_ms: float = 1000.0  # without an answer from above for so long, children are sent on
-    late_ms: float = 2000.0  # how long a child may act on other overrides than are due before it is named
+    late_ms: float = 1500.0  # how long a child may act on other overrides than are due before it is named
