--- a/brassfall/lab/real/child.py
+++ b/brassfall/lab/real/child.py
@@ -90,7 +90,10 @@
     return hard
 
 
-def main(work: Callable[[dict[str, Any], Commands, Lateness], Coroutine[Any, Any, None]]) -> None:
+def main(
+    work: Callable[[dict[str, Any], Commands, Lateness], Coroutine[Any, Any, None]],
+    loop_factory: Callable[[], asyncio.AbstractEventLoop] = uvloop.new_event_loop,
+) -> None:
     """Run a child whose first command is its order."""
 
     async def run() -> None:
@@ -102,5 +105,5 @@
         measuring.cancel()
 
     raise_descriptors()
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
         runner.run(run())
