Send to a server that its share alone turned down rather than refuse the request

No server was cold, ejected or held anything. Cause: Balancer._draw turns a server down by chance at its share of the top capacity, and ends after 16 draws. After slow answers from all (a stall of the sidecar itself will do) the mean of the last 50 answers is quick again, while each server's own last 50 still hold the stall: all 17 stand at 0.2 of the mean's speed, an eighth of the draws passes, and now and then none does. That was told as "no server that may be sent to". Change: where nothing was drawn, up to three of the warm servers that only their share turned down, and that may be sent to, are the candidates. Cold ones keep their guard, and with a hold-off that ends the present way stays. No random number more or less is drawn: picks for a seed differ only where the request was refused before.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -427,6 +427,7 @@
     def _draw(self, now: float, request: Request, zone: int | None = None, luck: float = 0.0) -> list[Server]:
         """A few random servers, each as likely as its share of the capacity."""
         drawn: list[Server] = []
+        passed: dict[Server, None] = {}  # what was drawn and turned down for its share alone
         tried = [attempt.server for attempt in request.attempts if not attempt.stale]
         if self._set.warm_keys and request.key is not None:
             drawn = self._draw_for_key(now, request, request.key, luck)
@@ -449,18 +450,27 @@
             server = ring[int(self._rng.random() * reach)]
             share = self._capacity(now, server) / (self._top_weight * SPEED_MOST)
             if share < 1.0 and self._rng.random() >= share:
+                passed[server] = None
                 continue
-            if server in tried or server in drawn:
-                continue
-            if luck and not self._steering.back(now, luck, server.name, server.zone):
-                continue
-            if not self._fit(now, server) or not self._may_send(now, request, server):
+            if server in drawn or not self._can_take(now, request, server, tried, luck):
                 continue
             drawn.append(server)
             if len(drawn) >= CANDIDATES + FRESH_CANDIDATES * max(0.0, self._connect_ill - FRESH_ILL):
                 break
+        if not drawn and zone is None and not luck:
+            # Shares are odds, no reason to refuse: after slow answers all may look slower than their mean.
+            warm = (server for server in passed if self._warmth(now, server) >= 1.0)
+            drawn = [s for s in warm if self._can_take(now, request, s, tried, luck)][:CANDIDATES]
         return drawn
 
+    def _can_take(
+        self, now: float, request: Request, server: Server, tried: list[Server], luck: float
+    ) -> bool:
+        """Whether a server that was drawn may have this request."""
+        if server in tried or (luck and not self._steering.back(now, luck, server.name, server.zone)):
+            return False
+        return self._fit(now, server) and self._may_send(now, request, server)
+
     def _reach(self, tried: int = 0) -> int:
         """How many servers on the ring a request is drawn from after so many attempts."""
         reach = self._subset * (1 + tried)
@@ -501,9 +511,7 @@
             fitness = warmth * server.pace.speed
             if fitness < 1.0 and self._rng.random() >= fitness:
                 continue
-            if luck and not self._steering.back(now, luck, server.name, server.zone):
-                continue
-            if server in tried or not self._fit(now, server) or not self._may_send(now, request, server):
+            if not self._can_take(now, request, server, tried, luck):
                 continue
             drawn.append(server)
             if len(drawn) >= width:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from poppypulley.model import Send
-from tests.helpers import arrival, balancer, of_type
+from poppypulley.model import Outcome, Send
+from tests.helpers import arrival, balancer, listing, of_type
 
 PRICED = {"Connection": 0.05}
 
@@ -32,3 +32,34 @@
     servers = sent(count, Prices=PRICED)
     assert len(servers) > 4
     assert max(servers.values()) <= 2 * max(4, count // 8)
+
+
+def refused_of(made, first: int, count: int, spent: float) -> int:
+    """How many of so many requests, each answered after `spent`, get no server."""
+    refused = 0
+    for number in range(first, first + count):
+        now = float(number)
+        sends = of_type(made.request(now, arrival(number, now)), Send)
+        refused += not sends
+        if sends:
+            made.outcome(now + 0.5, number, 0, int(Outcome.OK), spent, True)
+    return refused
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_after_slow_answers_from_all_no_request_is_refused_by_servers_that_idle(seed):
+    """The mean forgets a stall sooner than each server's own pace: all looked slower than it, each draw
+    turned all of them down, and the request was answered with a refusal."""
+    made = balancer(servers=17, seed=seed)
+    assert refused_of(made, 0, 500, 0.5) == 0
+    assert refused_of(made, 500, 50, 60.0) == 0
+    assert refused_of(made, 550, 2000, 0.5) == 0
+
+
+def test_a_cold_server_that_its_share_turned_down_is_not_sent_to_instead():
+    """Its share guards it from what it can't bear yet, which a warm one's does not."""
+    rules = {"ColdFrom": 0.02, "WarmUp": 20000.0, "FallMultiple": 1000.0, "OverloadFor": 2000.0}
+    made = balancer(servers=0, now=1000.0, Rules=rules)
+    made.server_list(1000.0, "all", listing(1, started=1000.0))
+    sends = [made.request(1000.0 + n, arrival(n, 1000.0 + n)) for n in range(100)]
+    assert sum(bool(of_type(actions, Send)) for actions in sends) < 50
