Measure what the fleet costs with hollow sidecars: `lab capacity`

Need: the design is to be decided by 5,400 sidecars, and the only load there was came from an imitation of a sidecar's reports (`lab/agreement/reporters.py`), which acted on nothing.

Change: a hollow sidecar is the real control part of `fordtrestle` (agent, lease, lists, steering, the watch of the list) with a stand-in for the process around it, some hundreds in one process, on sockets of their own. `python -m brassfall lab capacity` starts the list service and such a fleet, measures the parts `reports` and `revisions` at several sizes, and writes figures.json and capacity.md with slopes, errors of the fits and what is extrapolated. `lab editions-cost` uses the same fleet; the imitation goes. Tests hold the fit, the tables, what is refused before the start, a fleet of 60 with its counts and bytes, and that SIGINT leaves nothing behind.

--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -286,6 +286,31 @@
     _run(cost.run(cost.chosen(parts), seconds, pairs, count, out, say))
 
 
+@lab.command("capacity")
+def capacity_(
+    out: Annotated[Path, typer.Option(help="Folder for figures.json and capacity.md.")],
+    parts: Annotated[str, typer.Option(help="Parts to measure, with commas; all where none is named.")] = "",
+    sizes: Annotated[str, typer.Option(help="Numbers of sidecars, with commas.")] = "300,900,2700,5400",
+    seconds: Annotated[float, typer.Option(min=1.0, max=120.0, help="How long a rate is measured.")] = 15.0,
+    repeats: Annotated[int, typer.Option(min=1, max=20, help="Revisions of each kind.")] = 4,
+    page: Annotated[
+        Path | None, typer.Option(help="Measure nothing: write this page's tables from the folder's figures.")
+    ] = None,
+) -> None:
+    """Measure what each role costs at several sizes of the fleet, with real services and hollow sidecars."""
+    from brassfall.lab.capacity import command
+    from brassfall.lab.capacity.part import Options
+
+    def say(text: str) -> None:
+        typer.echo(text, err=True)
+
+    if page is not None:
+        command.write_page(out, page, say)
+        return
+    options = Options(command.chosen_sizes(sizes), out, say, seconds, repeats)
+    _run(command.run(command.chosen_parts(parts), options))
+
+
 @lab.command("server")
 def server_(
     name: str,
--- a/brassfall/lab/agreement/cost.py
+++ b/brassfall/lab/agreement/cost.py
@@ -1,7 +1,7 @@
 """`lab editions-cost`: what the agreement costs real processes on loopback, in bytes, time and memory.
 
 - *wire*: a sidecar with the key, under requests, behind a relay that counts what it and the service say.
-- *load*: the service under reports and watches of many sidecars, played by a few processes.
+- *load*: the service under reports and watches of many hollow sidecars, in a few processes.
 - *request*: processor time a request of a sidecar with the key beside one of the same commit without it, and
   their memory; both take turns on the same servers.
 
@@ -15,10 +15,9 @@
 import json
 import os
 import random
-import socket
 import statistics
-import sys
 import tempfile
+import time
 import tomllib
 from collections import Counter
 from collections.abc import Callable
@@ -27,15 +26,24 @@
 
 import psutil
 
-from brassfall.errors import ExperimentError, UsageError
+from brassfall.errors import UsageError
+from brassfall.lab.capacity.environment import (
+    ROOT,
+    Environment,
+    MeasurementError,
+    Service,
+    free_port,
+    start_service,
+    until,
+)
+from brassfall.lab.capacity.fleet import HollowFleet, rates
+from brassfall.lab.capacity.machine import cpu_s, uss_mib
 from brassfall.registry import client
-from brassfall.registry.client import CallError
 
-ROOT = Path(__file__).resolve().parent.parent.parent.parent
 PARTS = ("wire", "load", "request")
 READY_S = 10.0
-WARM_S, LOADERS, EACH = 25.0, 3, 667  # reporters are counted after that; processes, and reporters of each
-TRIES = 5
+SIDECARS = 2000  # hollow ones under which the service is measured
+SLICES = 5  # of the time of that measurement, told one by one
 TURNS = 10  # of each of a pair
 CLIENTS = 4  # connections that send one request after the other
 SETTINGS = {
@@ -48,46 +56,20 @@
 Say = Callable[[str], None]
 
 
-class CostError(ExperimentError):
-    """A measurement could not be made; its text is one line."""
-
-    action = "Run it again on a machine with less to do; if it fails there too, report this line."
-
-
-class Stage(contextlib.AsyncExitStack):
+class Stage(Environment):
     """Processes and sockets of one measurement."""
 
-    def __init__(self, folder: Path) -> None:
-        super().__init__()
-        self.folder = folder
-
-    async def process(self, name: str, *words: str, env: dict[str, str] | None = None) -> Any:
-        """A process whose log is a file of the folder; it is killed with the stage."""
-        log = (self.folder / f"{name}.log").open("wb")
-        made = await asyncio.create_subprocess_exec(*words, cwd=ROOT, env=env, stderr=log, stdout=log)
-        log.close()
-        self.push_async_callback(_end, made)
-        return made
-
-    async def service(self) -> tuple[str, psutil.Process]:
-        """A list service, and where it listens."""
-        address = f"127.0.0.1:{free_port()}"
-        config = self.folder / "registry.toml"
-        config.write_text(f'[registry]\nlisten = "{address}"\ndata = "{self.folder / "data"}"\n')
-        words = (sys.executable, "-m", "brassfall", "registry", "serve", "--config", str(config))
-        made = await self.process("service", *words)
-        await _until(lambda: client.call(address, "GET", "/health/ready"))
-        return address, psutil.Process(made.pid)
-
-    async def servers(self, service: str) -> None:
-        """Three servers in three regions, of this process, registered."""
+    async def service(self) -> Service:
+        """A list service with three servers in three regions, of this process."""
+        made = await start_service(self)
         loop = asyncio.get_running_loop()
         for zone in ("a", "b", "c"):
-            made = await loop.create_server(Server, "127.0.0.1", 0)
-            self.callback(made.close)
-            port = made.sockets[0].getsockname()[1]
+            server = await loop.create_server(Server, "127.0.0.1", 0)
+            self.callback(server.close)
+            port = server.sockets[0].getsockname()[1]
             entry = {"address": f"127.0.0.1:{port}", "zone": zone, "ttl_ms": 0}
-            await client.call(service, "PUT", f"/registry/instances/s{zone}", body=entry)
+            await client.call(made.address, "PUT", f"/registry/instances/s{zone}", body=entry)
+        return made
 
     async def sidecar(self, name: str, registry: str, keyed: bool) -> tuple[str, psutil.Process]:
         """A sidecar by the command that the platform runs, once it serves."""
@@ -103,38 +85,10 @@
         kept = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
         words = ("/bin/sh", "-c", f"exec {run.removeprefix('exec ')}")
         made = await self.process(name, *words, env={**kept, "NODE_CONFIG": str(path)})
-        await _until(lambda: requests(address, 1))
+        await until(lambda: requests(address, 1), READY_S)
         return address, psutil.Process(made.pid)
 
 
-async def _end(process: asyncio.subprocess.Process) -> None:
-    if process.returncode is None:
-        process.kill()
-    await process.wait()
-
-
-async def _until(work: Callable[[], Any]) -> None:
-    last: Exception | None = None
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(READY_S):
-            while True:
-                try:
-                    await work()
-                    return
-                except Exception as error:  # whatever a process that is not ready does
-                    last = error
-                    await asyncio.sleep(0.05)
-    raise CostError("a process was not ready in time", repr(last))
-
-
-def free_port() -> int:
-    """A port that was free just now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 # --- servers and clients --------------------------------------------------------------------------
 
 
@@ -170,11 +124,11 @@
     finally:
         writer.close()
     if 5 * refused > count:
-        raise CostError(f"{refused} of {count} requests were not served")
+        raise MeasurementError(f"{refused} of {count} requests were not served")
 
 
 async def requests(address: str, count: int, pause_s: float = 0.0) -> None:
-    """Send requests over a few connections, each one at a time; `CostError` where one is not served."""
+    """Send requests over a few connections, one at a time on each; `MeasurementError` if some are refused."""
     each = max(1, count // CLIENTS)
     await asyncio.gather(*(_requests(address, each, pause_s) for _ in range(min(CLIENTS, count))))
 
@@ -218,8 +172,7 @@
 async def wire(folder: Path, seconds: float, say: Say) -> dict[str, Any]:
     """Bytes a second between a sidecar with the key and the service, at 20 requests/s."""
     async with Stage(folder) as stage:
-        service, _ = await stage.service()
-        await stage.servers(service)
+        service = (await stage.service()).address
         relay = Relay(service)
         address, _ = await stage.sidecar("n1", await relay.serve(stage), True)
         await client.call(service, "PUT", "/rules", body={"PolicyLimits": SETTINGS["PolicyLimits"]})
@@ -239,50 +192,31 @@
 # --- load -----------------------------------------------------------------------------------------
 
 
-async def _status(service: str) -> dict[str, Any]:
-    for _ in range(TRIES):
-        with contextlib.suppress(CallError):
-            return dict((await client.call(service, "GET", "/status"))["rules"])
-    raise CostError("the service does not say how it is")
-
-
 async def load(folder: Path, seconds: float, say: Say) -> dict[str, Any]:
-    """Processor time of the service, in parts of a core, under reports and watches of many."""
+    """Processor time of the service, in parts of a core, under reports and watches of hollow sidecars."""
     async with Stage(folder) as stage:
-        service, process = await stage.service()
-        await stage.servers(service)
-        await client.call(service, "PUT", "/rules", body={"PolicyLimits": SETTINGS["PolicyLimits"]})
-        some = []
-        for number in range(LOADERS):
-            words = ("-m", "brassfall.lab.agreement.reporters", str(number * EACH), str(EACH), service)
-            source = f"127.0.0.{2 + number}"
-            name = f"load{number}"
-            some.append(await stage.process(name, sys.executable, *words, source, str(WARM_S + seconds)))
-        await asyncio.sleep(WARM_S)
-        begun, reports = (
-            cpu_us(process),
-            (await _status(service))["reports"],
-        )
-        now = asyncio.get_running_loop().time()
+        service = await stage.service()
+        await client.call(service.address, "PUT", "/rules", body={"PolicyLimits": SETTINGS["PolicyLimits"]})
+        hollow = HollowFleet(stage)
+        await hollow.start(SIDECARS, [service.address])
+        say(f"{SIDECARS} sidecars hold a lease after {await hollow.leased():.1f} s more")
+        before, spent = await hollow.snapshots(), cpu_s(service.pid)
         slices = []
-        for _ in range(5):
-            at, spent = asyncio.get_running_loop().time(), cpu_us(process)
-            await asyncio.sleep(seconds / 5 - 0.2)
-            slices.append((cpu_us(process) - spent) / 1e6 / (asyncio.get_running_loop().time() - at))
-        took = asyncio.get_running_loop().time() - now
-        status = await _status(service)
-        core = (cpu_us(process) - begun) / 1e6 / took
-        rss = process.memory_info().rss / 2**20
-        for each in some:
-            await each.wait()
-    counts = [json.loads((folder / f"load{n}.log").read_text().splitlines()[-1]) for n in range(LOADERS)]
+        for _ in range(SLICES):
+            at, begun = time.monotonic(), cpu_s(service.pid)
+            await asyncio.sleep(seconds / SLICES)
+            slices.append((cpu_s(service.pid) - begun) / (time.monotonic() - at))
+        after = await hollow.snapshots()
+        found, core = rates(before, after), cpu_s(service.pid) - spent
+        memory = uss_mib(service.pid)
     return {
-        "core": round(core, 3),
+        "core": round(core / found.seconds, 3),
         "core_by_fifth": [round(part, 3) for part in slices],
-        "reports_per_s": round((status["reports"] - reports) / took, 1),
-        "may_act": status["may_act"],
-        "rss_mib": round(rss, 1),
-        "reporters": counts,
+        "reports_per_s": round(found.reports * SIDECARS, 1),
+        "may_act": sum(each.leased for each in after),
+        "uss_mib": round(memory, 1),
+        "sent_bytes_per_s": round(found.sent_bytes, 1),
+        "received_bytes_per_s": round(found.received_bytes, 1),
     }
 
 
@@ -297,8 +231,7 @@
 async def request(folder: Path, pairs: int, count: int, say: Say) -> dict[str, Any]:
     """Processor time a request with and without the key, in turns; and memory after it."""
     async with Stage(folder) as stage:
-        service, _ = await stage.service()
-        await stage.servers(service)
+        service = (await stage.service()).address
         made = {keyed: await stage.sidecar(f"n{int(keyed)}", service, keyed) for keyed in (False, True)}
         await client.call(service, "PUT", "/rules", body={"PolicyLimits": SETTINGS["PolicyLimits"]})
         await asyncio.sleep(9.0)
--- a/brassfall/lab/capacity/figures.py
+++ b/brassfall/lab/capacity/figures.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import msgspec
 
+from brassfall.errors import UsageError
+
 
 class Figure(msgspec.Struct, frozen=True):
     """One measured quantity of one role at one size of the fleet: the median of `repeats` measurements."""
@@ -14,3 +18,40 @@
     size: int
     value: float
     repeats: int
+
+
+class FiguresError(UsageError):
+    """A file of figures that can't be read."""
+
+    action = "Name a figures.json that `lab capacity` has written, or measure anew."
+
+
+def read(path: Path) -> list[Figure]:
+    """The rows of a file; `FiguresError` says what is wrong with it."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=list[Figure])
+    except OSError as error:
+        raise FiguresError(str(path), error.strerror or str(error)) from error
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise FiguresError(str(path), str(error)) from error
+
+
+def write(path: Path, figures: list[Figure]) -> None:
+    """Write a file, a row a line, in the order of roles as they first come."""
+    lines = ",\n".join(msgspec.json.encode(figure).decode() for figure in figures)
+    path.write_text(f"[\n{lines}\n]\n")
+
+
+def merged(held: list[Figure], new: list[Figure]) -> list[Figure]:
+    """Rows held before with newer ones in place of those of the same role, quantity and size."""
+    rows = {(each.role, each.quantity, each.size): each for each in held}
+    rows |= {(each.role, each.quantity, each.size): each for each in new}
+    order: dict[str, int] = {}
+    for each in (*held, *new):
+        order.setdefault(each.role, len(order))
+    quantities: dict[tuple[str, str], int] = {}
+    for each in (*held, *new):
+        quantities.setdefault((each.role, each.quantity), len(quantities))
+    return sorted(
+        rows.values(), key=lambda row: (order[row.role], quantities[row.role, row.quantity], row.size)
+    )
--- /dev/null
+++ b/brassfall/lab/capacity/fit.py
@@ -0,0 +1,59 @@
+"""A straight line through what was measured at several sizes, and how far it can be trusted. Pure code."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+import numpy
+
+from brassfall.lab.capacity.figures import Figure
+
+TARGET = 5400  # sidecars for which the design is made
+PERCENT = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """`at_zero + slope * size`, by least squares; `error` is the root mean square of the residuals.
+
+    Without a second size there is no slope: the value measured is taken to hold at each size. With two sizes
+    nothing is left over to judge the line by, and `error` is not a number."""
+
+    sizes: tuple[int, ...]
+    slope: float
+    at_zero: float
+    error: float
+
+    def at(self, size: int) -> float:
+        """The value that the line gives at a size."""
+        return self.at_zero + self.slope * size
+
+    @property
+    def error_percent(self) -> float:
+        """The error as a part of the value at the largest size that was measured."""
+        largest = abs(self.at(self.sizes[-1]))
+        return PERCENT * self.error / largest if largest else math.nan
+
+
+def line(rows: list[Figure]) -> Line:
+    """The line through the rows of one quantity."""
+    ordered = sorted(rows, key=lambda row: row.size)
+    sizes = tuple(row.size for row in ordered)
+    values = numpy.array([row.value for row in ordered], dtype=float)
+    if len(set(sizes)) < 2:
+        return Line(sizes[:1], 0.0, float(values.mean()), math.nan)
+    slope, at_zero = numpy.polyfit(numpy.array(sizes, dtype=float), values, 1)
+    residuals = values - (at_zero + slope * numpy.array(sizes))
+    freedom = len(sizes) - 2
+    error = math.sqrt(float((residuals**2).sum()) / freedom) if freedom > 0 else math.nan
+    return Line(sizes, float(slope), float(at_zero), error)
+
+
+def value_at_target(rows: list[Figure], target: int = TARGET) -> tuple[float, float]:
+    """The value at the target size, and how many times the largest size measured that is (1: measured)."""
+    for row in rows:
+        if row.size == target:
+            return row.value, 1.0
+    fitted = line(rows)
+    return fitted.at(target), target / fitted.sizes[-1]
--- /dev/null
+++ b/brassfall/lab/capacity/page.py
@@ -0,0 +1,162 @@
+"""The tables of the capacity page, made of figures alone. Pure code.
+
+In a page each table stands between `<!-- table NAME -->` and `<!-- end -->`; what stands there is replaced.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Iterable
+
+from brassfall.errors import UsageError
+from brassfall.lab.capacity.budgets import BUDGETS, Budget
+from brassfall.lab.capacity.figures import Figure
+from brassfall.lab.capacity.fit import TARGET, line, value_at_target
+
+MARKED = re.compile(r"(<!-- table (?P<name>[a-z ,']+) -->\n).*?(<!-- end -->)", re.DOTALL)
+BUDGET_TABLE = "budgets"
+THOUSAND = 1000
+FAR = 1.05  # times the largest size measured: beyond, a value counts as extrapolated
+
+
+class PageError(UsageError):
+    """A page whose tables can't be written."""
+
+    action = "Name one of the tables in the marker, or measure the part that gives it."
+
+
+def number(value: float) -> str:
+    """A figure with three digits that count."""
+    if math.isnan(value):
+        return "-"
+    if math.isinf(value):
+        return "never"
+    if abs(value) >= THOUSAND:
+        return f"{value:,.0f}"
+    text = f"{value:.3g}"
+    return text if "e" not in text else f"{value:.6f}".rstrip("0").rstrip(".")
+
+
+def with_unit(value: float, unit: str) -> str:
+    """A figure and its unit."""
+    return f"{number(value)} {unit}".rstrip()
+
+
+def by_quantity(figures: Iterable[Figure]) -> dict[tuple[str, str], list[Figure]]:
+    """Rows of each quantity of each role, by size."""
+    found: dict[tuple[str, str], list[Figure]] = {}
+    for figure in figures:
+        found.setdefault((figure.role, figure.quantity), []).append(figure)
+    return {key: sorted(rows, key=lambda row: row.size) for key, rows in found.items()}
+
+
+def roles(figures: Iterable[Figure]) -> list[str]:
+    """The roles, in the order in which they come first."""
+    return list(dict.fromkeys(figure.role for figure in figures))
+
+
+def table(head: list[str], rows: list[list[str]]) -> str:
+    """A table in Markdown."""
+    lines = [f"| {' | '.join(head)} |", f"|{'---|' * len(head)}"]
+    return "\n".join([*lines, *(f"| {' | '.join(row)} |" for row in rows)]) + "\n"
+
+
+def measured(rows: list[Figure]) -> str:
+    """What was measured at each size."""
+    return "; ".join(f"{number(row.value)} at {row.size:,}" for row in rows)
+
+
+def slope(rows: list[Figure]) -> str:
+    """What a thousand more add, and the fit's error."""
+    fitted = line(rows)
+    if len(fitted.sizes) < 2:
+        return "-"
+    error = fitted.error_percent
+    told = "two sizes: no error" if math.isnan(error) else f"error {error:.0f}%"
+    return f"{number(THOUSAND * fitted.slope)} ({told})"
+
+
+def at_target(rows: list[Figure]) -> str:
+    """The value at the target size, and how far that is extrapolated."""
+    value, times = value_at_target(rows)
+    if len(rows) == 1 and rows[0].size != TARGET:
+        return f"not measured beyond {rows[0].size:,}"
+    told = with_unit(value, rows[0].unit)
+    return f"{told} (x{times:.1f} beyond what was measured)" if times > FAR else told
+
+
+def role_table(figures: list[Figure], role: str) -> str:
+    """All quantities of a role."""
+    rows = [
+        [quantity, measured(held), held[0].unit, slope(held), at_target(held), _repeats(held)]
+        for (of, quantity), held in by_quantity(figures).items()
+        if of == role
+    ]
+    return table(["quantity", "measured", "unit", "slope, per 1,000", f"at {TARGET:,}", "repeats"], rows)
+
+
+def _repeats(rows: list[Figure]) -> str:
+    least, most = min(row.repeats for row in rows), max(row.repeats for row in rows)
+    return str(least) if least == most else f"{least} to {most}"
+
+
+def budget_table(figures: list[Figure]) -> str:
+    """Each budget, and how much of it is used at the target size. What is over says so."""
+    held = by_quantity(figures)
+    rows = [_budget_row(budget, held.get((budget.role, budget.quantity), [])) for budget in BUDGETS]
+    head = ["role", "quantity", "measured", "slope, per 1,000", f"at {TARGET:,}", "budget", "part of it used"]
+    return table([*head, "what carries it"], rows)
+
+
+def _budget_row(budget: Budget, rows: list[Figure]) -> list[str]:
+    if not rows:
+        none = ["not measured", "-", "-"]
+        return [budget.role, budget.quantity, *none, f"{budget.of}", "not known", budget.mechanism]
+    value, _ = value_at_target(rows)
+    allowed = f"{with_unit(budget.limit, rows[0].unit)} ({budget.of})"
+    return [
+        budget.role,
+        budget.quantity,
+        measured(rows),
+        slope(rows),
+        at_target(rows),
+        allowed,
+        verdict(value / budget.limit),
+        budget.mechanism,
+    ]
+
+
+def verdict(part: float) -> str:
+    """How much of a budget is used, in words where that is more than all."""
+    if math.isinf(part):
+        return "**over budget: it is never reached**"
+    if part > 1.0:
+        return f"**over budget: {part:.1f} times what is allowed**"
+    return f"{100.0 * part:.1f}%"
+
+
+def tables(figures: list[Figure]) -> dict[str, str]:
+    """Each table by its name."""
+    made = {BUDGET_TABLE: budget_table(figures)}
+    return made | {role: role_table(figures, role) for role in roles(figures)}
+
+
+def document(figures: list[Figure]) -> str:
+    """All tables, as a page of their own."""
+    made = tables(figures)
+    first = f"# Capacity, from figures.json\n\n## Budgets at {TARGET:,} sidecars\n\n{made[BUDGET_TABLE]}"
+    return first + "".join(f"\n## {role}\n\n{made[role]}" for role in roles(figures))
+
+
+def filled(text: str, figures: list[Figure]) -> str:
+    """A page with its tables written anew; `PageError` names a table that there is none of."""
+    made = tables(figures)
+
+    def put(found: re.Match[str]) -> str:
+        name = found["name"]
+        if name not in made:
+            raise PageError(f"table {name!r}", f"there are {', '.join(made)}")
+        return f"{found[1]}{made[name]}{found[3]}"
+
+    return MARKED.sub(put, text)
