Measure lists, overrides, geo, the log and a fleet behind aggregators, too

Need: the capacity page has a row for each role, and the same fleet is to be measured with one list service and with aggregators in between.

Change: parts `lists`, `overrides`, `geo`, `durable` and `tier`; faults (one sidecar stopped, service killed, aggregator killed or cut off one way, a region cut off) that say who can still be reached; a way that can be cut and counts bytes; the time until a changed entry has reached all.

--- a/brassfall/lab/capacity/budgets.py
+++ b/brassfall/lab/capacity/budgets.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from brassfall.lab.capacity.roles import ONE, TIER
+
 
 @dataclass(frozen=True, slots=True)
 class Budget:
@@ -20,17 +22,40 @@
 CORE = "control: 4.7% of a core of a sidecar"
 FORCE = "a change in force everywhere within 6 s"
 MACHINES = "7 machines for control: one core of one process"
-SIDECAR = "sidecar's control path"
-ONE = "list service, one for all sidecars"
-ONE_AGREES = "agreement, one list service"
 REACHED = "publish to acted on by all that can be reached"
 
+FAULTS = {
+    "healthy, p99": "watch, report, commit, report; each spread",
+    "one sidecar stopped, last": "its lease runs out (2.75 s)",
+    "one aggregator killed, last": "its lease runs out (2.75 s), its children go to the other",
+    "one aggregator not heard, last": "its lease runs out (2.75 s), its children go to the other",
+    "one aggregator not told, last": "its lease runs out (2.75 s), its children go to the other",
+    "a region cut off, last": "the leases of its aggregators run out (2.75 s)",
+    "service killed, last": "none: one service decides",
+}
+ONE_FAULTS = ("healthy, p99", "one sidecar stopped, last", "service killed, last")
+
+
+def _control(role: str) -> tuple[Budget, ...]:
+    return (
+        Budget(role, "processor time", 4.7, CORE, "short reports on a kept connection, 0.75 s apart"),
+        Budget(role, "bytes out", 14.0, BYTES, "reports leave out what is as before"),
+        Budget(role, "bytes in", 14.0, BYTES, "answers leave out what is as usual; watches send changes"),
+    )
+
+
+def _in_force(role: str, names: tuple[str, ...]) -> tuple[Budget, ...]:
+    return tuple(Budget(role, f"{REACHED}, {name}", 6.0, FORCE, FAULTS[name]) for name in names)
+
+
+ONE_CORE = "one process, one thread: it ends where its core is full"
 BUDGETS = (
-    Budget(SIDECAR, "processor time", 4.7, CORE, "short reports on a kept connection, 0.75 s apart"),
-    Budget(SIDECAR, "bytes out", 14.0, BYTES, "reports leave out what is as before"),
-    Budget(SIDECAR, "bytes in", 14.0, BYTES, "answers leave out what is as usual; watches send changes"),
-    Budget(ONE, "processor time", 1.0, MACHINES, "one process, one thread: it ends where its core is full"),
-    Budget(ONE_AGREES, f"{REACHED}, healthy, p99", 6.0, FORCE, "watch, report, commit, report; each spread"),
-    Budget(ONE_AGREES, f"{REACHED}, one sidecar stopped, last", 6.0, FORCE, "its lease runs out (2.75 s)"),
-    Budget(ONE_AGREES, f"{REACHED}, service killed, last", 6.0, FORCE, "none: one service decides"),
+    *_control(ONE.sidecar),
+    Budget(ONE.service, "processor time", 1.0, MACHINES, ONE_CORE),
+    *_in_force(ONE.agreement, ONE_FAULTS),
+    *_control(TIER.sidecar),
+    Budget(
+        TIER.service, "processor time", 1.0, MACHINES, "six reports a quarter of a second, not one a sidecar"
+    ),
+    *_in_force(TIER.agreement, tuple(FAULTS)),
 )
--- a/brassfall/lab/capacity/command.py
+++ b/brassfall/lab/capacity/command.py
@@ -8,7 +8,18 @@
 from pathlib import Path
 
 from brassfall.errors import UsageError
-from brassfall.lab.capacity import figures, machine, page, reports, revisions
+from brassfall.lab.capacity import (
+    durable,
+    figures,
+    geo,
+    lists,
+    machine,
+    overrides,
+    page,
+    reports,
+    revisions,
+    tier,
+)
 from brassfall.lab.capacity.environment import MeasurementError
 from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.part import Options, Part
@@ -16,6 +27,11 @@
 PARTS: dict[str, Part] = {
     "reports": reports.measure,
     "revisions": revisions.measure,
+    "tier": tier.measure,
+    "lists": lists.measure,
+    "overrides": overrides.measure,
+    "geo": geo.measure,
+    "durable": durable.measure,
 }
 SIZE_LEAST, SIZE_MOST = 3, 6000
 PART_S = 1500.0  # no part takes longer
--- a/brassfall/lab/capacity/environment.py
+++ b/brassfall/lab/capacity/environment.py
@@ -53,9 +53,11 @@
         self.push_async_callback(end, made)
         return made
 
-    async def python(self, name: str, *words: str, piped: bool = False) -> asyncio.subprocess.Process:
-        """Start a module of this interpreter."""
-        return await self.process(name, sys.executable, "-m", *words, piped=piped)
+    async def python(
+        self, name: str, *words: str, env: dict[str, str] | None = None, piped: bool = False
+    ) -> asyncio.subprocess.Process:
+        """Start a module with this interpreter."""
+        return await self.process(name, sys.executable, "-m", *words, env=env, piped=piped)
 
 
 async def end(process: asyncio.subprocess.Process) -> None:
--- /dev/null
+++ b/brassfall/lab/capacity/roles.py
@@ -0,0 +1,32 @@
+"""What the roles are called in figures and tables."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SIDECAR = "sidecar's control path"
+AGGREGATOR = "aggregator, by children"
+
+
+@dataclass(frozen=True, slots=True)
+class Roles:
+    """What the roles of a topology are called in its figures."""
+
+    service: str
+    agreement: str
+    fan_out: str
+    sidecar: str
+
+
+ONE = Roles(
+    "list service, one for all sidecars",
+    "agreement, one list service",
+    "watch fan-out, one list service",
+    f"{SIDECAR}, one list service",
+)
+TIER = Roles(
+    "deciding service, with aggregators",
+    "agreement, with aggregators",
+    "watch fan-out, with aggregators",
+    f"{SIDECAR}, with aggregators",
+)
--- a/brassfall/lab/capacity/topology.py
+++ b/brassfall/lab/capacity/topology.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from itertools import count
@@ -9,11 +10,59 @@
 
 import aiohttp
 
-from brassfall.lab.capacity.environment import Environment, MeasurementError, Service, register, start_service
-from brassfall.lab.capacity.fleet import HollowFleet
+from brassfall.lab.capacity.environment import (
+    Environment,
+    MeasurementError,
+    Service,
+    free_port,
+    register,
+    start_service,
+    until,
+)
+from brassfall.lab.capacity.fleet import HollowFleet, Worker
+from brassfall.lab.capacity.relay import Relay
+from brassfall.registry import client
+from brassfall.settings import address
 
 _drafts = count(1)
 PUBLISH_S = 30.0
+REGIONS = ("a", "b", "c")
+IN_REGION = 2  # aggregators
+CHILDREN_MOST = 2000
+# As the deciding service, an aggregator may get more of a fleet on one machine than its defaults allow.
+CHILD_LIMITS = {"connections": 9000, "watches": 6000, "caller_share": 1.0, "caller_calls_per_s": 0.0}
+
+
+class Aggregator:
+    """One aggregator as a process, behind a way to the service that can be cut."""
+
+    def __init__(self, environment: Environment, name: str, region: str, relay: Relay) -> None:
+        self._environment = environment
+        self.name, self.region, self.relay = name, region, relay
+        self.address = f"127.0.0.1:{free_port()}"
+        self._config = environment.folder / f"{name}.toml"
+        rows = "".join(f"{key} = {str(value).lower()}\n" for key, value in CHILD_LIMITS.items())
+        self._config.write_text(
+            f'[aggregator]\nname = "{name}"\nregion = "{region}"\nlisten = "{self.address}"\n'
+            f'upstream = ["{relay.address}"]\nchildren_most = {CHILDREN_MOST}\n[aggregator.limits]\n{rows}'
+        )
+        self.process: asyncio.subprocess.Process
+
+    @property
+    def pid(self) -> int:
+        """The id of its process."""
+        return self.process.pid
+
+    async def start(self) -> None:
+        """Start it, also anew; until it is ready."""
+        words = ("brassfall", "registry", "aggregate", "--config", str(self._config))
+        self.process = await self._environment.python(self.name, *words)
+        await until(lambda: client.call(self.address, "GET", "/health/ready"))
+
+    async def kill(self) -> None:
+        """End it without a word."""
+        self.process.kill()
+        await self.process.wait()
 
 
 @dataclass(slots=True)
@@ -23,9 +72,27 @@
     environment: Environment
     service: Service
     hollow: HollowFleet
-    addresses: list[str] = field(default_factory=list)  # for the sidecars
+    aggregators: list[Aggregator] = field(default_factory=list)
     after_publish: Callable[[], Awaitable[None]] | None = None  # a fault that comes with the answer
 
+    @property
+    def regions(self) -> dict[str, list[str]]:
+        """Where the sidecars of each region are sent; of any region, with one service."""
+        if not self.aggregators:
+            return {"": [self.service.address]}
+        return {
+            region: [each.address for each in self.aggregators if each.region == region] for region in REGIONS
+        }
+
+    async def start(self, sidecars: int, per_s: float = 400.0) -> dict[str, list[Worker]]:
+        """Start so many sidecars, evenly over the regions; the processes of each."""
+        regions = self.regions
+        made = {}
+        for number, (region, addresses) in enumerate(regions.items()):
+            share = sidecars * (number + 1) // len(regions) - sidecars * number // len(regions)
+            made[region] = await self.hollow.start(share, addresses, region, per_s)
+        return made
+
     async def publish(self) -> int:
         """Publish other settings than before; the number of the revision."""
         number = next(_drafts)
@@ -49,4 +116,19 @@
     service = await start_service(environment)
     if list_length:
         await register(service.address, list_length)
-    return Topology(environment, service, HollowFleet(environment), [service.address])
+    return Topology(environment, service, HollowFleet(environment))
+
+
+async def with_aggregators(environment: Environment, list_length: int) -> Topology:
+    """A deciding service, and two aggregators in each region between it and the sidecars."""
+    topology = await one_service(environment, list_length)
+    host, port = address(topology.service.address)
+    for region in REGIONS:
+        for number in range(IN_REGION):
+            relay = Relay(host, port)
+            await relay.start()
+            environment.push_async_callback(relay.close)
+            made = Aggregator(environment, f"{region}{number + 1}", region, relay)
+            await made.start()
+            topology.aggregators.append(made)
+    return topology
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,7 +12,7 @@
 import psutil
 import pytest
 
-from brassfall.lab.capacity import command, control, figures, fit, fleet, machine, page
+from brassfall.lab.capacity import command, control, figures, fit, fleet, machine, page, relay
 from brassfall.lab.capacity.environment import Environment, register, start_service
 from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.hollow import HollowSidecar, SourceLoop, sidecar_config
@@ -176,6 +176,34 @@
         await asyncio.sleep(0.2)
 
 
+@bounded(10.0)
+async def test_a_relay_holds_back_what_a_cut_keeps_and_counts_what_passes():
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data.upper())
+        writer.close()
+
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    way = relay.Relay(*server.sockets[0].getsockname()[:2])
+    await way.start()
+    host, port = way.address.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"one")
+    assert await reader.readexactly(3) == b"ONE"
+    for cut, passed in ((relay.UP, 3), (relay.DOWN, 6)):
+        way.cut(cut)
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.readexactly(1), 0.1)
+        assert way.passed[cut] == passed
+        way.heal()
+        assert await reader.readexactly(3) == b"TWO"
+    assert way.passed == {relay.UP: 9, relay.DOWN: 9}
+    await way.close()
+    assert await reader.read() == b""
+    server.close()
+
+
 def test_the_command_ends_what_it_started_when_it_is_told_to_stop(tmp_path):
     words = ("lab", "capacity", "--out", str(tmp_path), "--parts", "reports", "--sizes", "20")
     made = subprocess.Popen(
