Give the HTTP side of the list service a module that another process can use

A regional aggregator needs the same connections, limits of callers, refusals, watches and signals as the list service, which had them in server.py. front.py has them now; the watches of a small state (Lines), the reports that go on from the one before on their connection, and the metrics of calls and watches stand on their own. What is sent on the wire does not change.

--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
 from typing import Any, Protocol
@@ -16,15 +15,15 @@
 from brassfall.agreement import document, pace
 from brassfall.agreement.core import Agreement, Event, Kept, Reported, Timing
 from brassfall.agreement.document import DocumentError, Edition, HarmfulError
-from brassfall.agreement.edges import Edge, Fleet, Report, ReportError, read
+from brassfall.agreement.edges import Edge, Fleet, Report, ReportError
 from brassfall.errors import Missing, Stale, Unavailable
 from brassfall.logs import faults, logger
 from brassfall.registry import calls, entries
-from brassfall.registry.callers import Connection
 from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES
+from brassfall.registry.reports import read_report
 from brassfall.registry.tasks import Tasks
-from brassfall.registry.watches import Channel, Form, chunk
+from brassfall.registry.watches import Channel, Lines
 from brassfall.settings import AgreementSettings
 from brassfall.table.core import Delete, Put
 from brassfall.table.store import NotWritten, Store
@@ -72,37 +71,6 @@
     action = "Look at the disk of the list service (/status says what it answered), then publish again."
 
 
-class Lines(Channel):
-    """Watches that are told the whole state of the rules at each change of it."""
-
-    def __init__(self, store: Store, told: Callable[[], bytes], most: int, stuck_s: float) -> None:
-        super().__init__(lambda: store.table, RULES, Form("rules", list, list), most, stuck_s)
-        self._told = told
-        self._version = 1
-
-    @property
-    def last(self) -> int:
-        """How often the state has changed."""
-        return self._version
-
-    def whole(self) -> bytes:
-        """The state now."""
-        return self._told()
-
-    def first(self, index: int) -> bytes:
-        """Whoever comes, and whatever it holds, is told the state: it may have missed how it came about."""
-        return self._told()
-
-    def poke(self) -> None:
-        """The state has changed."""
-        self._version += 1
-        if self._flush is None:
-            self._flush = asyncio.get_running_loop().call_soon(self._tell)
-
-    def _news(self) -> bytes:
-        return chunk(self._told())
-
-
 @dataclass(slots=True)
 class Figures:
     """What the agreement has done since the start."""
@@ -143,7 +111,7 @@
         timing = Timing(agree_ms=self.settings.agree_ms)
         self._started = self._now()
         self.core = Agreement(timing, self._started, kept, fleet, barred=self.barred)
-        self.channel = Lines(store, self.line, watch_bytes, stuck_s)
+        self.channel = Lines(self.line, watch_bytes, stuck_s)
         self.host.channels[PLACE] = self.channel
         self._tasks.spawn(self._tick())
 
@@ -381,7 +349,7 @@
     async def _report(self, request: web.Request) -> web.Response:
         name = entries.name(request.match_info["name"])
         try:
-            report = _read(request, name, await self.host.body(request))
+            report = read_report(request, name, await self.host.body(request))
         except ReportError:
             self.figures.refused_reports += 1
             raise
@@ -508,13 +476,3 @@
             "harmful_refused": self.figures.harmful,
             "harmful_forced": self.figures.forced,
         }
-
-
-def _read(request: web.Request, name: str, body: bytes) -> Report:
-    """A report may go on from the one before of its name, on the same connection alone."""
-    connection = request.protocol
-    assert isinstance(connection, Connection)
-    (whose, before), connection.report = connection.report, ("", {})
-    report, raw = read(body, before if whose == name else None)
-    connection.report = (name, raw)
-    return report
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -2,49 +2,38 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
-import random
-import resource
-import signal
-import socket
-import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import msgspec
 from aiohttp import web
 
-from brassfall.errors import CantListen, Refused, Unavailable
+from brassfall.errors import Refused, Unavailable
 from brassfall.logs import logger
-from brassfall.registry import calls, entries
-from brassfall.registry.callers import HEAD_BYTES, QUIET, Callers, Connection, NoSuchPath, error, refusal
+from brassfall.registry import calls, entries, front
+from brassfall.registry.callers import error
 from brassfall.registry.calls import OWNED, answer
 from brassfall.registry.entries import INSTANCES
+from brassfall.registry.front import Front, Watched
 from brassfall.registry.geo import Geo
-from brassfall.registry.limits import Door, Rates, Shares
 from brassfall.registry.metrics import Metrics
 from brassfall.registry.overrides import Overrides
 from brassfall.registry.rules import PLACE, Rules
-from brassfall.registry.watches import AGED_S, BEAT_S, SLOTS, Channel, Form, chunk
-from brassfall.settings import RegistrySettings, address
+from brassfall.registry.watches import AGED_S, Channel, Form
+from brassfall.settings import RegistrySettings
 from brassfall.table.core import Change, Command, Delete, Put, Result, Status
 from brassfall.table.leases import Guard
-from brassfall.table.log import Log, LogError
+from brassfall.table.log import Log
 from brassfall.table.store import Options, Store
 
-SWITCH_S = 0.0002
-BACKLOG = 4096  # a fleet connects at once
 MORE_ROOM = "Delete what is not needed, or raise the limit in the service's configuration."
-BODY_S = 5.0  # for a body to arrive
 HELD = "X-Held-Index"  # a caller of the whole list says here which one it holds
 ANSWERED = {Status.DONE: 200, Status.MISSING: 404, Status.CONFLICT: 409, Status.STALE: 412}
 
 log = logger("registry")
 _encode = msgspec.json.Encoder().encode
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 class Service:
@@ -62,36 +51,25 @@
             guarded=entries.guarded,
         )
         self.store = Store(Log(Path(settings.data)), options, self._changed)
-        self.callers = Callers(limits)
-        self.watching = Shares(limits.watches, limits.caller_share)
-        self.channels: dict[str, Channel] = {}
+        self.metrics = Metrics(self)
+        self.front = Front(limits, self.metrics.called)
+        self.channels = self.front.channels
+        self.body = self.front.body
         self.rules = Rules(self, settings.agreement)
         self.overrides = Overrides(self, self.rules)
         self.geo = Geo(self, self.rules, settings.geo)
         self.rules.riders += [self.overrides, self.geo]
-        self.metrics = Metrics(self)
-        self.refusals = 0
-        self.turned_away = 0
         self.started = time.monotonic()
-        self._rates = Rates(limits.caller_calls_per_s)
-        self._door = Door(limits.joins_per_s)
-        self._rng = random.Random()
         self._gathering_until = 0.0
         self._evidence = False  # somebody knows an index of a life that this table has forgotten
-        self._runner: web.AppRunner | None = None
-        self._server: asyncio.Server | None = None
-        self._beating: asyncio.Task[None] | None = None
 
     async def start(self) -> str:
         """Load the table and take calls; where. `LogError` or `OSError` if that can't be done."""
-        _raise_descriptors()
-        sock = socket.create_server(address(self.settings.listen), backlog=BACKLOG)
-        # Else the kernel holds megabytes for each slow reader, unseen by the bound on its watch.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.settings.limits.watch_bytes // 2)
+        self.front.bind(self.settings.listen)
         try:
             await self.store.start()
         except BaseException:
-            sock.close()
+            self.front.unbind()
             raise
         limits = self.settings.limits
         self.rules.start(limits.watch_bytes, limits.watch_stuck_ms / 1000.0)
@@ -99,42 +77,11 @@
         self.geo.start()
         if self.store.fresh:
             self._gathering_until = time.monotonic() + self.settings.leases.gather_ms / 1000.0
-        self._runner = web.AppRunner(self._application(), handler_cancellation=True)
-        await self._runner.setup()
-        manager = self._runner.server
-        assert manager is not None
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: Connection(
-                self.callers,
-                manager,
-                loop=loop,
-                access_log=None,
-                logger=QUIET,
-                max_line_size=HEAD_BYTES,
-                max_field_size=HEAD_BYTES,
-                max_headers=64,
-                lingering_time=0.5,
-                read_bufsize=16_384,
-            ),
-            sock=sock,
-            backlog=BACKLOG,
-        )
-        self._beating = loop.create_task(self._beat())
-        host, port = sock.getsockname()[:2]
-        return f"{host}:{port}"
+        return await self.front.serve(self._routes(), self._gathered)
 
     async def close(self) -> None:
         """Take no more calls, end the watches, and let what is being written become durable."""
-        if self._server is not None:
-            self._server.close()
-        if self._beating is not None:
-            self._beating.cancel()
-        for channel in self.channels.values():
-            channel.end()
-        if self._runner is not None:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._runner.cleanup(), 5.0)
+        await self.front.close()
         await self.geo.close()
         await self.overrides.close()
         await self.rules.close()
@@ -179,18 +126,13 @@
         if table in self.channels:
             self.channels[table].changed(change)
 
-    async def _beat(self) -> None:
-        """Empty lines, sweeps and the end of the gathering. A beat that is late is not made up for."""
-        while True:
-            await asyncio.sleep(BEAT_S / SLOTS)
+    def _gathered(self) -> None:
+        """Whether the gathering is over: then what waits for it is told."""
+        if self._gathering_until and time.monotonic() >= self._gathering_until:
+            self._gathering_until = 0.0
+            log.info("gathered", instances=self.store.table.count(INSTANCES), needed=self._evidence)
             for channel in self.channels.values():
-                channel.beat()
-            self.callers.sweep()
-            if self._gathering_until and time.monotonic() >= self._gathering_until:
-                self._gathering_until = 0.0
-                log.info("gathered", instances=self.store.table.count(INSTANCES), needed=self._evidence)
-                for channel in self.channels.values():
-                    channel.release()
+                channel.release()
 
     @property
     def gathering(self) -> bool:
@@ -204,88 +146,28 @@
 
     # --- calls ----------------------------------------------------------------
 
-    def _application(self) -> web.Application:
-        app = web.Application(middlewares=[self._call], client_max_size=self.settings.limits.body_bytes)
-        app.on_response_prepare.append(calls.shorten)
+    def _routes(self) -> list[web.RouteDef]:
         one, table = "/registry/instances/{name}", "/tables/{table}/{key}"
-        app.router.add_routes(
-            [
-                web.get("/registry/instances", self._instances),
-                web.get(one, self._instance),
-                web.put(one, self._register),
-                web.post(one + "/renew", self._renew),
-                web.patch(one, self._alter),
-                web.delete(one, self._leave),
-                web.get("/tables/{table}", self._table),
-                web.get(table, self._get),
-                web.put(table, self._put),
-                web.delete(table, self._delete),
-                web.post(table + "/renew", self._renew_row),
-                *self.rules.routes(),
-                *self.overrides.routes(),
-                *self.geo.routes(),
-                web.get("/health/live", self._live),
-                web.get("/health/ready", self._ready),
-                web.get("/metrics", self._metrics),
-                web.get("/status", self._status),
-            ]
-        )
-        return app
-
-    @web.middleware
-    async def _call(self, request: web.Request, handler: Handler) -> web.StreamResponse:
-        """Around each call: the caller's rate, and whatever goes wrong as an answer in JSON."""
-        connection = request.protocol
-        assert isinstance(connection, Connection)
-        self.callers.busy(connection)
-        begun = time.perf_counter()
-        status = 500
-        try:
-            wait = self._rates.wait(connection.caller, time.monotonic())
-            made = (
-                error(429, f"{connection.caller} calls too often", wait)
-                if wait
-                else await self._handle(request, handler)
-            )
-            status = made.status
-            return made
-        finally:
-            self.metrics.called(request.method, status, time.perf_counter() - begun)
-            self.callers.free(connection)
-
-    async def _handle(self, request: web.Request, handler: Handler) -> web.StreamResponse:
-        try:
-            return await handler(request)
-        except Unavailable as told:
-            return refusal(told, told.retry_s * (0.5 + self._rng.random()))
-        except Refused as told:
-            return refusal(told)
-        except web.HTTPNotFound:
-            return refusal(NoSuchPath("no such path", request.path[:200]))
-        except web.HTTPRequestEntityTooLarge:
-            made = error(413, f"the body is larger than {self.settings.limits.body_bytes} bytes")
-            made.force_close()
-            return made
-        except web.HTTPException as http:
-            return error(http.status, http.reason)
-        except TimeoutError:
-            made = error(408, f"the body did not come within {BODY_S} s")
-            made.force_close()
-            return made
-        except (ConnectionError, asyncio.CancelledError, web.RequestPayloadError):
-            raise
-        except Exception:
-            log.exception("fault", path=request.path)
-            return error(500, "a fault in the service")
-
-    async def body(self, request: web.Request) -> bytes:
-        """The whole body of a call; `TimeoutError` where it does not come in time."""
-        if not request.can_read_body:
-            return b""
-        if request.content.is_eof():
-            return await request.read()  # it came with the head, as small ones do
-        async with asyncio.timeout(BODY_S):
-            return await request.read()
+        return [
+            web.get("/registry/instances", self._instances),
+            web.get(one, self._instance),
+            web.put(one, self._register),
+            web.post(one + "/renew", self._renew),
+            web.patch(one, self._alter),
+            web.delete(one, self._leave),
+            web.get("/tables/{table}", self._table),
+            web.get(table, self._get),
+            web.put(table, self._put),
+            web.delete(table, self._delete),
+            web.post(table + "/renew", self._renew_row),
+            *self.rules.routes(),
+            *self.overrides.routes(),
+            *self.geo.routes(),
+            web.get("/health/live", self._live),
+            web.get("/health/ready", self._ready),
+            web.get("/metrics", self._metrics),
+            web.get("/status", self._status),
+        ]
 
     async def _run(self, command: Command) -> web.Response:
         result = await self.store.submit(command)
@@ -317,12 +199,12 @@
     def _list(self, table: str) -> web.Response:
         if self.gathering:
             left = self._gathering_until - time.monotonic()
-            return self._turn_away(
-                "servers are coming back to a list that was lost", left + 0.5 * self._rng.random()
+            return self.front.turn_away(
+                "servers are coming back to a list that was lost", left + 0.5 * self.front.rng.random()
             )
-        wait = self._door.wait(time.monotonic(), self._rng.random())
-        if wait:
-            return self._turn_away("too many ask for the whole list at once", wait)
+        refused = self.front.joins("too many ask for the whole list at once")
+        if refused is not None:
+            return refused
         whole = answer(self.channel(table).whole())
         self._forget(table)
         return whole
@@ -332,10 +214,6 @@
         if table != PLACE and not self.channel(table).count and table not in self.store.table.names:
             del self.channels[table]
 
-    def _turn_away(self, reason: str, wait: float) -> web.Response:
-        self.turned_away += 1
-        return error(503, reason, wait)
-
     async def _instance(self, request: web.Request) -> web.Response:
         row = self.store.table.get(INSTANCES, entries.name(request.match_info["name"]))
         if row is None:
@@ -423,43 +301,17 @@
     async def watch(self, request: web.Request, table: str) -> web.StreamResponse:
         """Keep a watch on a table, or on the rules, until it ends."""
         index = calls.number(request.query.get("from", "0"), "from")
-        connection = request.protocol
-        assert isinstance(connection, Connection)
-        wait = self._door.wait(time.monotonic(), self._rng.random())
-        if wait:
-            return self._turn_away("too many open a watch at once", wait)
-        why = self.watching.take(connection.caller)
-        if why:
-            return self._turn_away(why, 5.0 + 5.0 * self._rng.random())
+        watched = Watched(index, lambda: self.channel(table), lambda: self._held(table, index))
         try:
-            return await self._tell(request, table, index)
+            return await self.front.watch(request, watched)
         finally:
-            self.watching.give(connection.caller)
             self._forget(table)
 
-    async def _tell(self, request: web.Request, table: str, index: int) -> web.StreamResponse:
-        """Keep a watch until it ends. Its lines are written past aiohttp's stream, to all watches alike."""
-        response = web.StreamResponse(headers={"Content-Type": "application/json"})
-        response.enable_chunked_encoding()
+    def _held(self, table: str, index: int) -> bool:
+        """Whether the first line of a watch waits until servers have come back to a list that was lost."""
         if index and table != PLACE and self.store.table.since(INSTANCES, index) is None:
             self._earlier_life()
-        held = self.gathering and table != PLACE
-        await response.prepare(request)
-        # The head goes out with the first byte: half of the first line, or of an empty one.
-        await response.write(b" " if held else b"{")
-        transport = request.transport
-        ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        if transport is None:
-            return response
-        channel = self.channel(table)
-        if not held:
-            transport.write(chunk(channel.first(index)[1:]))
-        watch = channel.add(transport, index if held else channel.last, held, ended)
-        try:
-            await ended
-        finally:
-            channel.drop(watch)
-        return response
+        return self.gathering and table != PLACE
 
     # --- operation --------------------------------------------------------------------
 
@@ -521,41 +373,13 @@
                 name: made.count for name, made in self.channels.items() if name != PLACE or made.count
             },
             "watches_behind": sum(channel.behind for channel in self.channels.values()),
-            "connections": len(self.callers),
+            "connections": len(self.front.callers),
             "writes_waiting": store.waiting,
-            "turned_away": self.turned_away,
+            "turned_away": self.front.turned_away,
             "rules": self.rules.status(),
         }
 
 
-def _raise_descriptors() -> None:
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft != hard:
-        with contextlib.suppress(ValueError, OSError):
-            resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-
-
 async def serve(settings: RegistrySettings) -> int:
     """Run until SIGTERM or SIGINT; the exit status."""
-    # The thread of the log asks for the interpreter several times in each commit, and would wait 5 ms
-    # for it each time while calls come in.
-    sys.setswitchinterval(SWITCH_S)
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    service = Service(settings)
-    try:
-        listen = await service.start()
-    except (LogError, OSError) as error:
-        wrong = (
-            error
-            if isinstance(error, LogError)
-            else CantListen(settings.listen, error.strerror or str(error))
-        )
-        log.error("can't start", reason=wrong.told, action=wrong.action)
-        return wrong.exit_status
-    log.info("ready", listen=listen, data=settings.data)
-    await stop.wait()
-    log.info("stopping")
-    await service.close()
-    return 0
+    return await front.run(Service(settings), settings.listen, "registry", data=settings.data)
--- a/brassfall/registry/watches.py
+++ b/brassfall/registry/watches.py
@@ -209,15 +209,20 @@
             self._flush.cancel()
             self._tell()
         self._beats += 1
+        empty = self.heartbeat()
         for watch in self._slots[self._beats % SLOTS]:
             if watch.new:
                 watch.new = False
             elif watch.behind_at is None:
-                watch.transport.write(EMPTY)
+                watch.transport.write(empty)
         now = asyncio.get_running_loop().time()
         for watch in list(self._behind):
             self._look(watch, now)
 
+    def heartbeat(self) -> bytes:
+        """What a watch is sent every 2 s, as a chunk: it says that all before it was told."""
+        return EMPTY
+
     def _send(self, watch: Watch, data: bytes) -> None:
         transport = watch.transport
         transport.write(data)
@@ -245,3 +250,34 @@
             self.figures.cut += 1
             watch.cut()
             self.drop(watch)
+
+
+class Lines(Channel):
+    """Watches that are told the whole of one small state, encoded by `told`, at each change of it."""
+
+    def __init__(self, told: Callable[[], bytes], most: int, stuck_s: float) -> None:
+        super().__init__(Table, "", Form("", list, list), most, stuck_s)
+        self._told = told
+        self._version = 1
+
+    @property
+    def last(self) -> int:
+        """How often the state has changed."""
+        return self._version
+
+    def whole(self) -> bytes:
+        """The state now."""
+        return self._told()
+
+    def first(self, index: int) -> bytes:
+        """Whoever comes, and whatever it holds, is told the state: it may have missed how it came about."""
+        return self._told()
+
+    def poke(self) -> None:
+        """The state has changed."""
+        self._version += 1
+        if self._flush is None:
+            self._flush = asyncio.get_running_loop().call_soon(self._tell)
+
+    def _news(self) -> bytes:
+        return chunk(self._told())
