--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -63,7 +63,7 @@
 
 @app.command()
 def check(file: Path) -> None:
-    """Is this configuration good? It may be a list service's, or an experiment."""
+    """Is this configuration good? It may be a list service's, an aggregator's, or an experiment."""
     from brassfall.lab import spec
     from brassfall.lab.editions import spec as editions
 
@@ -71,6 +71,8 @@
         editions.load(file)
     elif spec.is_experiment(file):
         spec.load(file)
+    elif settings.is_aggregator(file):
+        settings.load_aggregator(file)
     else:
         settings.load(file)
     typer.echo(f"{file}: good")
@@ -87,14 +89,28 @@
 @registry.command()
 def serve(config: Config) -> None:
     """Run one list service, until SIGTERM."""
-    import uvloop
-
     from brassfall.registry import server
 
     told = settings.load(config)
+    _serve(server.serve(told))
+
+
+@registry.command()
+def aggregate(config: Config) -> None:
+    """Run one aggregator between sidecars and the list service that decides, until SIGTERM."""
+    from brassfall.registry.aggregator import service
+
+    told = settings.load_aggregator(config)
+    _serve(service.serve(told))
+
+
+def _serve(work: Coroutine[Any, Any, int]) -> None:
+    """Run a process of the registry, until SIGTERM; ends the command with its exit status."""
+    import uvloop
+
     logs.set_up()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        raise typer.Exit(runner.run(server.serve(told)))
+        raise typer.Exit(runner.run(work))
 
 
 def _run(work: Coroutine[Any, Any, Any]) -> Any:
--- /dev/null
+++ b/brassfall/registry/aggregator/mirror.py
@@ -0,0 +1,166 @@
+"""The list of servers as an aggregator holds it: rows and changes by the deciding service's own indices.
+
+A sidecar can so go on here from an index that it was told elsewhere. The mirror never goes back: a list that
+is older than the one held, or empty, is held off for as long as that may be a fault. Pure code; times are
+milliseconds of one monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from brassfall.errors import Refused
+from brassfall.registry.entries import INSTANCES, NAME
+from brassfall.table.core import Change, Record, Row, Snapshot, Table
+
+DOUBT_MS = 30_000.0  # how long a list that can't be right is held off
+HEARTBEAT_MS = 2000.0  # the k-th empty line of a watch comes no sooner than k times this after the call
+CLOCKS_DIFFER = 0.99  # by less than this, in their rate
+LEFT = "left"
+
+
+class MirrorError(Refused):
+    """A line from above that is no list, or not believed; the list held stays."""
+
+    action = "Look at the list service, which lost its list or runs twice; past 30 s it is believed."
+
+
+class ListLine(msgspec.Struct, frozen=True):
+    """A whole list, or a line of a watch on it."""
+
+    index: int
+    snapshot: bool
+    endpoints: list[dict[str, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """What a line has changed. `replaced`: the list began anew, and nobody can go on from an earlier one."""
+
+    changes: tuple[Change, ...] = ()
+    replaced: bool = False
+
+
+def parse_line(line: bytes) -> ListLine:
+    """Read a line of the watch; `MirrorError` says what is wrong with it."""
+    try:
+        made = msgspec.json.decode(line, type=ListLine)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as wrong:
+        raise MirrorError("no list", str(wrong)[:200]) from wrong
+    if not 0 < made.index < 2**53:
+        raise MirrorError("no list", "index is out of range")
+    for entry in made.endpoints:
+        name, status = entry.get("name"), entry.get("status")
+        if not (isinstance(name, str) and NAME.fullmatch(name) and isinstance(status, str)):
+            raise MirrorError("no list", f"an entry without name or status: {str(entry)[:100]}")
+    return made
+
+
+class Mirror:
+    """The list held, and the last changes of it."""
+
+    def __init__(self, ring: int) -> None:
+        self.table = Table(ring)
+        self.holds_list = False
+        self.confirmed_ms = 0.0  # when the service last had nothing newer, as far as is known
+        self._ring = ring
+        self._doubted_since: float | None = None
+
+    @property
+    def index(self) -> int:
+        """Of the list held; 0 before the first."""
+        return self.table.last(INSTANCES)
+
+    @property
+    def count(self) -> int:
+        """How many servers are listed."""
+        return self.table.count(INSTANCES)
+
+    def age_ms(self, now: float) -> float:
+        """An upper bound on how long ago the list held was last the newest."""
+        return max(0.0, now - self.confirmed_ms)
+
+    # --- what the service tells -------------------------------------------------------------
+
+    def take(self, now: float, line: ListLine) -> Taken:
+        """Take in a line of the watch; `MirrorError` where it is not believed yet."""
+        why = self._unbelievable(line) if line.snapshot else ""
+        if why:
+            self._doubt(now, why)
+        self._doubted_since = None
+        if not line.snapshot:
+            return self._take_changes(line)
+        if not self.holds_list or line.index < self.index:
+            return self._begin(line)
+        return self._take_list(line)
+
+    def _unbelievable(self, line: ListLine) -> str:
+        if self.count and not line.endpoints:
+            return f"a list without servers, where {self.count} are known"
+        return f"index {line.index}, where {self.index} is held" if line.index < self.index else ""
+
+    def _doubt(self, now: float, why: str) -> None:
+        """Raise `MirrorError`, unless nothing else has come for long."""
+        if self._doubted_since is None:
+            self._doubted_since = now
+        if now - self._doubted_since < DOUBT_MS:
+            raise MirrorError("a list that is not believed", why)
+
+    def _begin(self, line: ListLine) -> Taken:
+        replaced = self.holds_list
+        rows = [Row(entry["name"], line.index, entry) for entry in line.endpoints]
+        self.table = Table.load(Snapshot(line.index, 0, {INSTANCES: rows}, []), self._ring)
+        self.holds_list = True
+        return Taken(replaced=replaced)
+
+    def _take_list(self, line: ListLine) -> Taken:
+        """Whoever holds the present list, or one before it, can go on from it; nobody from between the two:
+        what came between was told by others, and may not be there any more."""
+        if line.index == self.index:
+            return Taken()
+        records = [Record("life", line.index, 0)]
+        listed = {entry["name"]: entry for entry in line.endpoints}
+        for row in self.table.rows(INSTANCES):
+            if row.key not in listed:
+                records.append(Record("delete", line.index, 0, INSTANCES, row))
+        for name, entry in listed.items():
+            held = self.table.get(INSTANCES, name)
+            if held is None or held.value != entry:
+                records.append(Record("put", line.index, 0, INSTANCES, Row(name, line.index, entry)))
+        return self._absorb(records)
+
+    def _take_changes(self, line: ListLine) -> Taken:
+        if not self.holds_list:
+            raise MirrorError("no list", "changes came before a whole list")
+        if line.index < self.index:
+            return Taken()  # a list that came meanwhile has them
+        records = []
+        for entry in line.endpoints:
+            row = Row(entry["name"], line.index, entry)
+            if entry["status"] != LEFT:
+                records.append(Record("put", line.index, 0, INSTANCES, row))
+            elif (held := self.table.get(INSTANCES, row.key)) is not None:
+                records.append(Record("delete", line.index, 0, INSTANCES, held))
+        return self._absorb(records)
+
+    def _absorb(self, records: list[Record]) -> Taken:
+        return Taken(tuple(change for _, change in self.table.absorb(records)))
+
+    # --- how old it is ------------------------------------------------------------------------
+
+    def confirmed(self, at: float) -> None:
+        """At this time, or later, the service had nothing newer than the list held."""
+        if self.holds_list and self._doubted_since is None:
+            self.confirmed_ms = max(self.confirmed_ms, at)
+
+    def confirmed_by_watch(self, asked: float, heard: float, empties: int) -> None:
+        """A line came on a watch that was opened at `asked`, after so many empty ones."""
+        self.confirmed(min(heard, asked + HEARTBEAT_MS * CLOCKS_DIFFER * empties))
+
+    def confirmed_by_answer(self, asked: float, index: int) -> None:
+        """An answer told the index of the service's list, at some time after `asked`."""
+        if index <= self.index:
+            self.confirmed(asked)
--- a/brassfall/registry/callers.py
+++ b/brassfall/registry/callers.py
@@ -10,7 +10,7 @@
 
 from brassfall.errors import Conflict, Missing, Refused, Stale, TooLarge, TooOften, Unavailable
 from brassfall.registry.limits import Shares
-from brassfall.settings import Limits
+from brassfall.settings import CallerLimits
 
 HEAD_BYTES = 4096  # a line of a request's head
 # aiohttp tells of every malformed request with its traceback; what callers get wrong is counted instead.
@@ -49,6 +49,14 @@
     slug = "internal error"
 
 
+class Elsewhere(Refused):
+    """Not here: another address has what is asked for (503, without a time to come back here)."""
+
+    action = "Ask another aggregator, or the list service; /health/ready here says what is missing."
+    status = 503
+    slug = "unavailable"
+
+
 KINDS: dict[int, type[Refused]] = {
     kind.status: kind
     for kind in (
@@ -125,7 +133,7 @@
 class Callers:
     """All connections. Where there is no place for a newcomer, the one idle for longest makes it."""
 
-    def __init__(self, limits: Limits) -> None:
+    def __init__(self, limits: CallerLimits) -> None:
         self._limits = limits
         self._shares = Shares(limits.connections, limits.caller_share)
         self._idle: dict[Connection, None] = {}  # longest idle first
--- a/brassfall/registry/client.py
+++ b/brassfall/registry/client.py
@@ -112,7 +112,7 @@
         try:
             async with session.request(call.method, url, json=call.body) as answer:
                 body = await answer.read()
-                retry = _seconds(answer.headers.get("Retry-After"))
+                retry = seconds(answer.headers.get("Retry-After"))
                 reason = "" if answer.status == 200 else _reason(body)
                 self.state.ended(_now(), answer.status, chance, retry, reason)
         except UNANSWERED:
@@ -155,6 +155,17 @@
         raise CallError(address, str(error)[:200] or "the watch fell silent") from error
 
 
+async def read_bounded(answer: aiohttp.ClientResponse, most: int) -> bytes:
+    """The whole body of an answer; `ValueError`, and the end of its connection, where it is longer."""
+    body = bytearray()
+    async for part in answer.content.iter_any():
+        body += part
+        if len(body) > most:
+            answer.close()
+            raise ValueError(f"an answer of more than {most} bytes")
+    return bytes(body)
+
+
 def read(address: str, kind: type[Kind], raw: Any) -> Kind:
     """An answer, or a line of a watch, as its type; `CallError` where it is none."""
     try:
@@ -167,7 +178,8 @@
     return time.monotonic() * 1000.0
 
 
-def _seconds(text: str | None) -> float:
+def seconds(text: str | None) -> float:
+    """What `Retry-After` says, up to a minute; 0 where it says nothing usable."""
     try:
         return min(max(float(text or 0.0), 0.0), 60.0)
     except ValueError:
--- a/brassfall/registry/front.py
+++ b/brassfall/registry/front.py
@@ -22,7 +22,7 @@
 from brassfall.registry.callers import HEAD_BYTES, QUIET, Callers, Connection, NoSuchPath, error, refusal
 from brassfall.registry.limits import Door, Rates, Shares
 from brassfall.registry.watches import BEAT_S, SLOTS, Channel, chunk
-from brassfall.settings import Limits, address
+from brassfall.settings import CallerLimits, address
 
 SWITCH_S = 0.0002
 BACKLOG = 4096  # a fleet connects at once
@@ -49,7 +49,7 @@
 
     `called` is given the method, status and seconds of each call that was answered."""
 
-    def __init__(self, limits: Limits, called: Called) -> None:
+    def __init__(self, limits: CallerLimits, called: Called) -> None:
         self.limits = limits
         self.callers = Callers(limits)
         self.watching = Shares(limits.watches, limits.caller_share)
--- a/brassfall/registry/tasks.py
+++ b/brassfall/registry/tasks.py
@@ -17,11 +17,12 @@
     def __init__(self) -> None:
         self._running: set[asyncio.Task[Any]] = set()
 
-    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
-        """Do it beside the rest."""
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Do it beside the rest; the task may be cancelled, which is no failure."""
         task = asyncio.get_running_loop().create_task(work)
         self._running.add(task)
         task.add_done_callback(self._done)
+        return task
 
     def _done(self, task: asyncio.Task[Any]) -> None:
         self._running.discard(task)
--- a/brassfall/settings.py
+++ b/brassfall/settings.py
@@ -17,6 +17,9 @@
 HOST = re.compile(r"(?=.{1,253}$)[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*\.?")
 
 
+LABEL = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
+UPSTREAM_MOST = 16
+
 # Figures that may be 0; all others are more.
 ZERO = ("caller_calls_per_s", "gather_ms", "per_weight_per_s", "crossing_ms", "floor", "look")
 
@@ -27,8 +30,8 @@
     action = "Mend the file there; `python -m brassfall check FILE` looks at it alone."
 
 
-class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What callers may take up."""
+class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What callers of any process may take up."""
 
     body_bytes: int = 65_536
     connections: int = 8192
@@ -39,6 +42,11 @@
     watch_bytes: int = 262_144  # unread by a slow watcher, before its changes are merged
     watch_stuck_ms: int = 10_000  # how long it may read nothing, before it is cut off
     idle_ms: int = 15_000  # a connection without a call
+
+
+class Limits(CallerLimits, frozen=True, forbid_unknown_fields=True):
+    """The same, and what they may have a list service keep."""
+
     queue: int = 4096  # writes that wait for the disk
     rows: int = 100_000  # of all tables
     tables: int = 256
@@ -109,6 +117,30 @@
     registry: RegistrySettings
 
 
+class AggregatorSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One aggregator between sidecars and the deciding service."""
+
+    name: str  # no other aggregator has it
+    region: str
+    listen: str
+    upstream: list[str]  # addresses of the deciding service
+    advertise: str = ""  # where others reach it; empty: at `listen`
+    children_most: int = 2000  # child processes at once
+    newcomers_per_s: float = 300.0  # children without a lease that are admitted in a second
+    newcomers_burst: int = 100  # of them at once, after a quiet time
+    agree_ms: float = 3000.0  # as the deciding service has it
+    ring: int = 8192  # changes of the list that watchers can go on from
+    writes_at_once: int = 32  # that are passed up
+    writes_waiting: int = 256  # for those; more get 503
+    limits: CallerLimits = CallerLimits()
+
+
+class AggregatorFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A configuration file of an aggregator."""
+
+    aggregator: AggregatorSettings
+
+
 def address(text: str) -> tuple[str, int]:
     """`HOST:PORT` as a pair; `ValueError` if it is none."""
     host, _, port = text.rpartition(":")
@@ -146,6 +178,49 @@
         raise SettingsError(str(path), str(error)) from error
 
 
+def is_aggregator(path: Path) -> bool:
+    """Whether a file configures an aggregator; `SettingsError` if it can't be read."""
+    return "aggregator" in read_toml(path)
+
+
+def load_aggregator(path: Path) -> AggregatorSettings:
+    """Read the file of an aggregator; `SettingsError` says what is wrong with it, and where."""
+    raw = read_toml(path)
+    try:
+        return check_aggregator(msgspec.convert(raw, AggregatorFile, strict=True).aggregator)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise SettingsError(str(path), str(error)) from error
+
+
+def check_aggregator(settings: AggregatorSettings) -> AggregatorSettings:
+    """The same settings, if their values make sense; `ValueError` names the first that does not."""
+    for key, text in (("name", settings.name), ("region", settings.region)):
+        if not LABEL.fullmatch(text):
+            raise ValueError(
+                f"aggregator.{key}: {text[:140]!r}: 1 to 64 letters, digits, '.', '_', ':' or '-' are wanted"
+            )
+    if not 1 <= len(settings.upstream) <= UPSTREAM_MOST:
+        raise ValueError(f"aggregator.upstream: 1 to {UPSTREAM_MOST} addresses are wanted")
+    advertised = [settings.advertise] if settings.advertise else []
+    for key, texts in (
+        ("listen", [settings.listen]),
+        ("advertise", advertised),
+        ("upstream", settings.upstream),
+    ):
+        for text in texts:
+            try:
+                address(text)
+            except ValueError as error:
+                raise ValueError(f"aggregator.{key}: {error}") from error
+    _positive("aggregator.", settings, zero=("newcomers_burst",))
+    _positive("aggregator.limits.", settings.limits, zero=ZERO)
+    if settings.limits.caller_share > 1.0:
+        raise ValueError(
+            f"aggregator.limits.caller_share: {settings.limits.caller_share} is more than all, 1.0"
+        )
+    return settings
+
+
 def check(settings: RegistrySettings) -> RegistrySettings:
     """The same settings, if their values make sense; `ValueError` names the first that does not."""
     address(settings.listen)
