Test the mirror of the list with sidecars that move between service and aggregators

40 seeds of moves, restarts and short rings; one of them found that a server which left, and was unknown to the mirror, was not told as left to a sidecar that had heard of it elsewhere: it is now.

--- a/brassfall/registry/aggregator/mirror.py
+++ b/brassfall/registry/aggregator/mirror.py
@@ -139,11 +139,10 @@
             return Taken()  # a list that came meanwhile has them
         records = []
         for entry in line.endpoints:
+            # What has left may be unknown here, and known to who was told elsewhere: it is told all the same.
             row = Row(entry["name"], line.index, entry)
-            if entry["status"] != LEFT:
-                records.append(Record("put", line.index, 0, INSTANCES, row))
-            elif (held := self.table.get(INSTANCES, row.key)) is not None:
-                records.append(Record("delete", line.index, 0, INSTANCES, held))
+            gone = entry["status"] == LEFT
+            records.append(Record("delete" if gone else "put", line.index, 0, INSTANCES, row))
         return self._absorb(records)
 
     def _absorb(self, records: list[Record]) -> Taken:
--- /dev/null
+++ b/tests/test_aggregator_mirror.py
@@ -0,0 +1,204 @@
+"""The mirror of the list: never back, changes by the service's own indices, and an honest age."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+
+from brassfall.registry import entries
+from brassfall.registry.aggregator.addresses import Addresses
+from brassfall.registry.aggregator.channels import FRESH_MS, ListChannel
+from brassfall.registry.aggregator.mirror import DOUBT_MS, ListLine, Mirror, MirrorError, parse_line
+from brassfall.registry.entries import INSTANCES
+from brassfall.registry.watches import EMPTY
+from brassfall.table.core import Delete, Put, Table
+
+
+def endpoint(name, weight=1.0):
+    return {"name": name, "address": "127.0.0.1:7001", "status": "active", "weight": weight}
+
+
+def whole(index, *names):
+    return ListLine(index, True, [endpoint(name) for name in names])
+
+
+class Above:
+    """The list service's table, and what it tells who asks from an index."""
+
+    def __init__(self, ring):
+        self.table = Table(ring)
+
+    def write(self, *commands):
+        stage = self.table.stage(0)
+        for command in commands:
+            stage.run(command)
+        self.table.absorb(stage.records)
+
+    def line(self, index):
+        changes = self.table.since(INSTANCES, index)
+        told = entries.endpoints(self.table.rows(INSTANCES)) if changes is None else entries.changed(changes)
+        return ListLine(self.table.last(INSTANCES), changes is None, told)
+
+
+def taken(held, line):
+    """What a sidecar holds that takes in a line: its index, and its entries by name."""
+    index, rows = held
+    rows = {} if line.snapshot else dict(rows)
+    for entry in line.endpoints:
+        if entry["status"] == "left":
+            rows.pop(entry["name"], None)
+        else:
+            rows[entry["name"]] = entry
+    assert line.snapshot or line.index >= index
+    return line.index, rows
+
+
+def told(mirror, index):
+    """What the mirror tells who asks from an index."""
+    made = Above(1)
+    made.table = mirror.table
+    return made.line(index)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_who_moves_between_service_and_mirrors_holds_what_the_service_lists(seed):
+    rng = random.Random(seed)
+    above = Above(ring=rng.choice((3, 50)))
+    above.write(Put(table=INSTANCES, key="s0", value=endpoint("s0")))
+    mirrors = [Mirror(rng.choice((2, 50))) for _ in range(2)]
+    held = [(0, {}) for _ in range(3)]
+    wholes = 0
+    for step in range(300):
+        key = f"s{rng.randrange(8)}"
+        if rng.random() < 0.02:
+            above.table.absorb([above.table.life(above.table.index + 1000, 0)])  # a restart of the service
+        elif rng.random() < 0.6:
+            above.write(Put(table=INSTANCES, key=key, value=endpoint(key, rng.random())))
+        elif above.table.count(INSTANCES) > 1:
+            above.write(Delete(table=INSTANCES, key=key))
+        above.write(Put(table="other", key="k", value=step))  # indices are of all tables
+        if rng.random() < 0.5:
+            mirror = rng.choice(mirrors)
+            mirror.take(0.0, above.line(mirror.index if mirror.holds_list else 0))
+        at = rng.randrange(len(held))
+        index, rows = held[at]
+        source = rng.choice([above, *(m for m in mirrors if m.holds_list and m.index >= index)])
+        line = above.line(index) if source is above else told(source, index)
+        wholes += line.snapshot
+        held[at] = taken((index, rows), line)
+        # What it holds now is the service's list at that index, from wherever it came.
+        if held[at][0] == above.table.last(INSTANCES):
+            assert held[at][1] == {row.key: row.value for row in above.table.rows(INSTANCES)}
+    assert wholes < 150  # the others went on from where they were
+
+
+def test_changes_since_an_index_come_from_the_ring_and_the_whole_list_only_once_that_is_gone():
+    mirror = Mirror(ring=4)
+    mirror.take(0.0, whole(100, "a", "b"))
+    for index in range(101, 104):
+        mirror.take(0.0, ListLine(index, False, [endpoint("a", index)]))
+    line = told(mirror, 101)
+    assert (line.index, line.snapshot, [e["weight"] for e in line.endpoints]) == (103, False, [103])
+    assert not told(mirror, 100).snapshot and told(mirror, 99).snapshot  # never told by this one
+    for index in range(104, 110):
+        mirror.take(0.0, ListLine(index, False, [{**endpoint("b"), "status": "left"}, endpoint(f"n{index}")]))
+    assert told(mirror, 106).snapshot and not told(mirror, 107).snapshot
+
+
+def test_a_whole_list_amid_a_watch_is_told_as_changes_but_not_to_who_was_told_what_came_between():
+    mirror = Mirror(ring=50)
+    mirror.take(0.0, whole(100, "a", "b"))
+    changes = mirror.take(0.0, whole(200, "b", "c")).changes
+    assert sorted((change.row.key, change.gone) for change in changes) == [("a", True), ("c", False)]
+    assert not told(mirror, 100).snapshot and told(mirror, 150).snapshot
+
+
+@pytest.mark.parametrize("line", [whole(99, "a"), whole(300)])
+def test_a_list_that_is_older_or_empty_is_held_off_and_then_believed(line):
+    mirror = Mirror(ring=50)
+    mirror.take(0.0, whole(100, "a"))
+    mirror.confirmed(5.0)
+    with pytest.raises(MirrorError):
+        mirror.take(10.0, line)
+    mirror.confirmed(20.0)
+    assert (mirror.index, mirror.count, mirror.confirmed_ms) == (100, 1, 5.0)  # nor is it fresh meanwhile
+    with pytest.raises(MirrorError):
+        mirror.take(9.0 + DOUBT_MS, line)
+    assert mirror.take(11.0 + DOUBT_MS, line).replaced == (line.index < 100)
+    assert mirror.index == line.index
+
+
+def test_a_good_line_ends_the_doubt():
+    mirror = Mirror(ring=50)
+    mirror.take(0.0, whole(100, "a"))
+    with pytest.raises(MirrorError):
+        mirror.take(0.0, whole(90, "a"))
+    mirror.take(1.0, ListLine(101, False, []))
+    with pytest.raises(MirrorError):
+        mirror.take(2.0 + DOUBT_MS, whole(90, "a"))
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        {"index": 0, "snapshot": True, "endpoints": []},
+        {"index": 1, "endpoints": []},
+        {"index": 1, "snapshot": True, "endpoints": [{"status": "active"}]},
+        {"index": 1, "snapshot": True, "endpoints": [{"name": "a/b", "status": "active"}]},
+        [1],
+    ],
+)
+def test_what_is_no_list_is_refused(raw):
+    with pytest.raises(MirrorError):
+        parse_line(msgspec.json.encode(raw))
+    with pytest.raises(MirrorError):
+        parse_line(b"[" * 5000)
+    with pytest.raises(MirrorError):
+        Mirror(4).take(0.0, ListLine(5, False, [endpoint("a")]))  # changes, of what?
+
+
+def test_the_age_is_counted_from_the_asking_and_from_empty_lines():
+    mirror = Mirror(ring=50)
+    mirror.take(1000.0, whole(100, "a"))
+    mirror.confirmed_by_watch(900.0, 1000.0, 0)
+    assert mirror.age_ms(1000.0) == 100.0
+    mirror.confirmed_by_watch(900.0, 5000.0, 2)  # sent 2 * 1.98 s after the asking, or later
+    assert mirror.age_ms(5000.0) == pytest.approx(140.0)
+    mirror.confirmed_by_answer(6000.0, 101)  # the service has a newer one
+    mirror.confirmed_by_watch(900.0, 6100.0, 2)
+    assert mirror.age_ms(6000.0) == pytest.approx(1140.0)
+    mirror.confirmed_by_answer(6000.0, 100)
+    assert mirror.age_ms(6250.0) == 250.0
+
+
+def test_no_empty_line_makes_an_old_list_look_fresh():
+    mirror, clock = Mirror(ring=50), [0.0]
+    channel = ListChannel(mirror, lambda: clock[0], 65536, 10.0)
+    mirror.take(0.0, whole(100, "a"))
+    mirror.confirmed(0.0)
+    clock[0] = FRESH_MS
+    assert (channel.heartbeat(), channel.promised_age_ms()) == (EMPTY, FRESH_MS)
+    clock[0] = FRESH_MS + 1500.0
+    line = msgspec.json.decode(channel.heartbeat().split(b"\r\n")[1])
+    assert line == {"index": 100, "snapshot": False, "endpoints": [], "age_ms": 3500}
+    assert channel.promised_age_ms() == 3500
+    mirror.confirmed(clock[0])
+    beats = [channel.heartbeat() for _ in range(60)]
+    fresh = [beat for beat in beats if beat != EMPTY]
+    assert (
+        len(fresh) == 41 and beats[:41] == fresh
+    )  # each watch is told once or twice, on its part of the beat
+    assert msgspec.json.decode(fresh[0].split(b"\r\n")[1])["age_ms"] == FRESH_MS
+
+
+def test_the_next_address_is_asked_after_a_failure_but_who_is_told_a_time_comes_back_there():
+    addresses = Addresses(("a", "b"), random.Random(1))
+    first = addresses.current
+    assert 2.0 <= addresses.failed(2.0) <= 2.5 and addresses.current == first
+    assert 0.05 <= addresses.failed() <= 0.15 and addresses.current != first
+    waits = [addresses.failed() for _ in range(40)]
+    assert 0.5 <= max(waits) <= 1.5
+    addresses.worked()
+    assert addresses.failed() <= 0.15
