--- a/fordtrestle/outbound.py
+++ b/fordtrestle/outbound.py
@@ -362,6 +362,7 @@
         self.loop = loop
         self._clock = clock
         self._servers: dict[str, Server] = {}
+        self._resting: dict[Server, None] = {}  # those with idle connections, and some that had them lately
         self._grace = 0.0
         self.reload(config)
         settings = config.settings
@@ -463,6 +464,7 @@
             return
         connection.idle_since = self._clock.now()
         server.idle.append(connection)
+        self._resting[server] = None
         if not self._sweeping:
             self._sweeping = True
             self.loop.call_later(SWEEP_MS / 1000.0, self._sweep)
@@ -588,7 +590,7 @@
 
     def _close_oldest(self) -> bool:
         """Close the connection that has been idle for longest, to make room."""
-        idle = [server.idle[0] for server in self._servers.values() if server.idle]
+        idle = [server.idle[0] for server in self._resting if server.idle]
         if not idle:
             return False
         oldest = min(idle, key=lambda connection: connection.idle_since)
@@ -607,13 +609,13 @@
         return False
 
     def _sweep(self) -> None:
-        """Retire what has been idle for long, before the server does."""
+        """Retire what has been idle for long, before the server does. Only servers that have some are looked
+        at: a list of thousands would hold up the loop at each sweep."""
         until = self._clock.now() - self._idle_most
-        left = False
-        for server in self._servers.values():
+        for server in self._resting:
             while server.idle and server.idle[0].idle_since <= until:
                 server.idle.pop(0).abort()
-            left = left or bool(server.idle)
-        self._sweeping = left
-        if left:
+        self._resting = {server: None for server in self._resting if server.idle}
+        self._sweeping = bool(self._resting)
+        if self._sweeping:
             self.loop.call_later(SWEEP_MS / 1000.0, self._sweep)
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -292,6 +292,34 @@
         await until(lambda: not sidecar.pool._sweeping)
 
 
+@loopback
+async def test_a_sweep_looks_at_no_more_servers_than_have_idle_connections():
+    """With a list of thousands it held up the loop five times a second."""
+
+    class Counting(dict):
+        walked = 0
+
+        def values(self):
+            self.walked += 1
+            return super().values()
+
+    upstream = await Upstream([OK]).start()
+    async with running(*[upstream] * 50) as sidecar:
+        app = await App.connect(sidecar.address)
+        await app.ask()
+        pool = sidecar.pool
+        pool._servers = Counting(pool._servers)
+        (server,) = pool._resting
+        pool._sweep()
+        assert list(pool._resting) == [server] and server.idle
+        server.idle[0].idle_since -= 1e6
+        pool._sweep()
+        assert not server.idle and not pool._resting and not pool._sweeping
+        assert not pool._servers.walked
+        await app.ask()
+        assert pool._sweeping and len(pool._resting) == 1
+
+
 @loopback
 async def test_a_request_on_a_dropped_connection_is_reset_and_never_sent_again_by_itself():
     upstream = await Upstream([OK, break_off]).start()
