Take back the module's timers about a request once it is over

Observed: a sidecar at 185 calls/s wakes up 1.7 times a call (a sleep ends, psutil; six turns of 4 s, load average 11 to 16), and runs 2.5 turns of its loop a call (profile): the request, the answer, and half a second later the timer for its aim, which finds the attempt over. Change: Timer names the request that it is about; the driver cancels what is armed for a request as it forgets it. Such a timer did nothing then: no decision, no random number and nothing on the wire differs. The test counts what is armed past the end of a request: none.

--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -226,6 +226,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
     guard: asyncio.TimerHandle | None = None
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)  # the module's, about this request
 
 
 class Driver:
@@ -497,8 +498,8 @@
         match action:
             case model.Send():
                 self._send(action)
-            case model.Timer(delay, token):
-                self._loop.call_later(max(0.0, delay) / 1000.0, self._timer, token)
+            case model.Timer():
+                self._arm(action)
             case model.Refuse(number, retry_after):
                 request = self._requests.get(number)
                 if request is not None and self._end(request):
@@ -529,6 +530,11 @@
             case model.Log(text):
                 log(text)
 
+    def _arm(self, action: model.Timer) -> None:
+        timer = self._loop.call_later(max(0.0, action.delay) / 1000.0, self._timer, action.token)
+        if action.request is not None and (request := self._requests.get(action.request)) is not None:
+            request.timers.append(timer)
+
     def _send(self, action: model.Send) -> None:
         request = self._requests.get(action.request)
         if request is None:
@@ -608,8 +614,10 @@
         self._loop.call_soon(self._forget, request)
 
     def _forget(self, request: Request) -> None:
-        if request.ended and request.out == 0:
-            self._requests.pop(request.id, None)
+        if request.ended and request.out == 0 and self._requests.pop(request.id, None) is not None:
+            # Each would wake the process for nothing, half a second after most requests are over.
+            for timer in request.timers:
+                timer.cancel()
 
 
 def log(text: str) -> None:
--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -756,7 +756,7 @@
         turn.line.append(request)
         self._advance(now, key)
         if not request.done and not request.attempts:
-            self._out.append(model.Timer(max(left, 0.0), f"{LATE}{request.id}"))
+            self._out.append(model.Timer(max(left, 0.0), f"{LATE}{request.id}", request.id))
 
     def _advance(self, now: float, key: int) -> None:
         """Start whose turn it is: all before it are over, and the key has rested from doubts."""
@@ -832,7 +832,7 @@
         if not request.large:
             server.out[attempt] = None
         if due > aim - 2.0 * AIM_ROUNDING_MS and not request.large:
-            self._out.append(model.Timer(due, f"{DUE}{request.id}:{len(request.attempts) - 1}"))
+            self._out.append(model.Timer(due, f"{DUE}{request.id}:{len(request.attempts) - 1}", request.id))
         request.out += 1
         self._sends = self._sends * math.exp((self._sends_at - now) / RATE_MS) + 1.0
         self._sends_at = now
--- a/poppypulley/model.py
+++ b/poppypulley/model.py
@@ -65,10 +65,14 @@
 
 
 class Timer(NamedTuple):
-    """Ask for a timer event with this token after `delay` milliseconds."""
+    """Ask for a timer event with this token after `delay` milliseconds.
+
+    One that is about a `request` means nothing once that is answered and no attempt of it is out: its
+    event may come then, or be left out."""
 
     delay: float
     token: str
+    request: int | None = None
 
 
 class Fetch(NamedTuple):
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -10,7 +10,7 @@
 from fordtrestle import outbound
 from fordtrestle.config import parse_list
 from fordtrestle.driver import Clock
-from poppypulley.model import Cancel, CloseIdle, Fail, Outcome, Probe, Refuse, Send
+from poppypulley.model import Cancel, CloseIdle, Fail, Outcome, Probe, Refuse, Send, Timer
 from tests.loopback import (
     OK,
     App,
@@ -292,6 +292,49 @@
         await until(lambda: not sidecar.pool._sweeping)
 
 
+def timers_of(driver):
+    """The module's timers that are still to wake the process."""
+    due = asyncio.get_running_loop()._scheduled
+    return [timer for timer in due if not timer.cancelled() and timer._callback == driver._timer]
+
+
+@loopback
+async def test_no_timer_about_a_request_outlasts_it():
+    """Each call woke the process once more, at its aim, when it was long answered."""
+    upstream = await Upstream([OK, OK, ERROR, OK]).start()
+    async with running(upstream, upstream) as sidecar:
+        armed = []
+        balancer, arm = sidecar.driver._balancer, sidecar.driver._arm
+        sidecar.driver._arm = lambda action: (armed.append(action.token), arm(action))
+        before = timers_of(sidecar.driver)
+        app = await App.connect(sidecar.address)
+        for _ in range(5):
+            assert (await app.ask()).start.split(" ")[1] == "200"
+        await until(lambda: not sidecar.driver._requests)
+        assert len(armed) == 6
+        assert timers_of(sidecar.driver) == before
+        level = balancer._shed._level
+        assert not any(balancer.timer(sidecar.driver._clock.now(), token) for token in armed)
+        assert balancer._shed._level == level, "a timer that was left out would have changed something"
+
+
+@loopback
+async def test_a_timer_about_a_request_that_is_out_comes():
+    upstream = await Upstream([hang]).start()
+    module = Scripted(
+        request=lambda now, arrival: [
+            Timer(20.0, "due", arrival.request),
+            Send(arrival.request, "s0", 0.0),
+        ],
+        timer=lambda now, token: [Cancel(module.named("request")[0][0].request, 0)],
+        outcome=failing,
+    )
+    async with running(upstream, balancer=module) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert (await app.ask()).start.split(" ")[1] == "502"
+        assert module.named("timer") == [["due"]]
+
+
 @loopback
 async def test_a_sweep_looks_at_no_more_servers_than_have_idle_connections():
     """With a list of thousands it held up the loop five times a second."""
