--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -63,7 +63,7 @@
 
 @app.command()
 def check(file: Path) -> None:
-    """Is this configuration good? It may be a list service's, or an experiment."""
+    """Is this configuration good? It may be a list service's, an aggregator's, or an experiment."""
     from brassfall.lab import spec
     from brassfall.lab.editions import spec as editions
 
@@ -71,6 +71,8 @@
         editions.load(file)
     elif spec.is_experiment(file):
         spec.load(file)
+    elif settings.is_aggregator(file):
+        settings.load_aggregator(file)
     else:
         settings.load(file)
     typer.echo(f"{file}: good")
@@ -87,14 +89,28 @@
 @registry.command()
 def serve(config: Config) -> None:
     """Run one list service, until SIGTERM."""
-    import uvloop
-
     from brassfall.registry import server
 
     told = settings.load(config)
+    _serve(server.serve(told))
+
+
+@registry.command()
+def aggregate(config: Config) -> None:
+    """Run one aggregator between sidecars and the list service that decides, until SIGTERM."""
+    from brassfall.registry.aggregator import service
+
+    told = settings.load_aggregator(config)
+    _serve(service.serve(told))
+
+
+def _serve(work: Coroutine[Any, Any, int]) -> None:
+    """Run a process of the registry, until SIGTERM; ends the command with its exit status."""
+    import uvloop
+
     logs.set_up()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        raise typer.Exit(runner.run(server.serve(told)))
+        raise typer.Exit(runner.run(work))
 
 
 def _run(work: Coroutine[Any, Any, Any]) -> Any:
@@ -290,6 +306,31 @@
     _run(cost.run(cost.chosen(parts), seconds, pairs, count, out, say))
 
 
+@lab.command("capacity")
+def capacity_(
+    out: Annotated[Path, typer.Option(help="Folder for figures.json and capacity.md.")],
+    parts: Annotated[str, typer.Option(help="Parts to measure, with commas; all where none is named.")] = "",
+    sizes: Annotated[str, typer.Option(help="Numbers of sidecars, with commas.")] = "300,900,2700,5400",
+    seconds: Annotated[float, typer.Option(min=1.0, max=120.0, help="How long a rate is measured.")] = 15.0,
+    repeats: Annotated[int, typer.Option(min=1, max=20, help="Revisions of each kind.")] = 4,
+    page: Annotated[
+        Path | None, typer.Option(help="Measure nothing: write this page's tables from the folder's figures.")
+    ] = None,
+) -> None:
+    """Measure what each role costs at several sizes of the fleet, with real services and hollow sidecars."""
+    from brassfall.lab.capacity import command
+    from brassfall.lab.capacity.part import Options
+
+    def say(text: str) -> None:
+        typer.echo(text, err=True)
+
+    if page is not None:
+        command.write_page(out, page, say)
+        return
+    options = Options(command.chosen_sizes(sizes), out, say, seconds, repeats)
+    _run(command.run(command.chosen_parts(parts), options))
+
+
 @lab.command("server")
 def server_(
     name: str,
