--- a/brassfall/agreement/core.py
+++ b/brassfall/agreement/core.py
@@ -27,6 +27,7 @@
 from brassfall.agreement.edges import Fleet, Objection, Report
 
 DRIFT = 0.01
+CHILDREN_SPANS = 2.0  # permissions' lengths after which no child can act that has not acknowledged
 COUNTED_MS = 100.0  # how long a count of the roster is good for
 LOOK_MS = 0.01  # between two looks at whether all have acknowledged, for each process that may act
 REQUESTS_MOST = 64
@@ -95,11 +96,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Reported:
-    """A sidecar reports, and asks for a permission."""
+    """A sidecar reports, and asks for a permission; or an aggregator, for itself and all its children.
+
+    `objections` are those of children, by sidecar; none of them costs the aggregator its permission."""
 
     ticket: int
     name: str
     report: Report
+    objections: Mapping[str, Objection] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,6 +207,9 @@
     _taken: int = 0  # the life that this run has taken
     _counted: tuple[float, str] = (-math.inf, "")
     _look_again: float = -math.inf
+    # Since when aggregators say that no child gets a permission without having acknowledged the pending one.
+    _acknowledged: dict[tuple[str, str], float] = field(default_factory=dict)
+    _lonely: tuple[float, str] = (-math.inf, "")  # `_alone`, when it was looked at last
 
     def step(self, now: float, event: Event) -> list[Action]:
         """Take in what happened; what to do about it. `now` in monotonic ms."""
@@ -268,9 +275,10 @@
             return [self._answer(event, "it is leaving")]
         if not self.fleet.heard(now, name, report, self.timing.over_ms):
             return [self._answer(event, "a later report of this process came before")]
-        pending, objection = self.kept.pending, report.objection
-        if pending is not None and objection is not None and objection.edition == pending.number:
-            self.objections[name] = objection
+        own = {name: report.objection} if report.objection is not None else {}
+        for who, objection in (own | dict(event.objections)).items():
+            if self.kept.pending is not None and objection.edition == self.kept.pending.number:
+                self.objections[who] = objection
         why = self._refusal(now, event)
         if not why:
             until = now + self.timing.over_ms
@@ -305,8 +313,15 @@
             return f"it objects to this edition: {objection.reason}"
         # What it had ends by itself: so nobody holds up an edition for longer than that lasts.
         acknowledged = report.prepared if report.acknowledged is None else report.acknowledged
-        if pending is not None and acknowledged != pending.number and not self.objections:
+        if pending is None or self.objections:
+            return ""
+        if acknowledged != pending.number:
             return "it has not acknowledged the edition that is prepared"
+        if report.prepared == pending.number:
+            return ""
+        since = self._acknowledged.setdefault((event.name, report.life), now)
+        if now - since > CHILDREN_SPANS * self.timing.over_ms:
+            return "children of it act on without having acknowledged, for longer than what it granted lasts"
         return ""
 
     def _gone(self, now: float) -> list[Action]:
@@ -405,7 +420,9 @@
         if pending is None:
             return kept
         if self.objections:
-            if self._alone(now):
+            if now - self._lonely[0] > COUNTED_MS:  # a look costs as much as there are sidecars
+                self._lonely = (now, self._alone(now))
+            if self._lonely[1]:
                 return kept  # another service may be the one that decides, and none that objects be there
             reasons = {name: objection.reason for name, objection in sorted(self.objections.items())}
             if waiting is not None:
@@ -439,7 +456,7 @@
         if kept.life > before.life:
             self.fleet.life = self._taken = kept.life
         if kept.pending != before.pending:
-            self.objections = {}
+            self.objections, self._acknowledged = {}, {}
         if kept.committed.number != before.committed.number:
             self._note(kept.committed.number, "committed")
             self._before[before.committed.number] = before.committed
--- a/tests/test_aggregators_agreement.py
+++ b/tests/test_aggregators_agreement.py
@@ -8,7 +8,7 @@
 
 from brassfall.agreement.core import Agreement, Durable, Granted, Kept, Persist, Publish, Reported, Timing
 from brassfall.agreement.document import Edition
-from brassfall.agreement.edges import Fleet, Report, parse
+from brassfall.agreement.edges import Fleet, Objection, Report, parse
 
 EPOCH = 1 << 50
 START = 1e6
@@ -30,12 +30,12 @@
         self.core.step(self.now, Durable())
         assert self.core.kept.pending.number == NEXT and len(self.core.fleet.holding(self.now)) == len(names)
 
-    def report(self, name, prepared, acknowledged):
+    def report(self, name, prepared, acknowledged, objections=None):
         self.seq += 1
         self.now += 1.0  # reports at one moment are looked at together
         held = self.core.kept.newest
         report = Report("p", self.seq, EPOCH, held=held, prepared=prepared, acknowledged=acknowledged)
-        actions = self.core.step(self.now, Reported(0, name, report))
+        actions = self.core.step(self.now, Reported(0, name, report, objections or {}))
         if any(isinstance(action, Persist) for action in actions):
             self.core.step(self.now, Durable())
         return next(action for action in actions if isinstance(action, Granted))
@@ -62,5 +62,24 @@
     assert world.core.kept.committed.number == NEXT
 
 
+def test_one_that_never_claims_what_it_acknowledged_holds_a_commit_up_for_a_bounded_time():
+    world, reasons = World(["a", "b"]), set()
+    began, over_ms = world.now, world.core.timing.over_ms
+    while world.core.kept.committed.number == 1:
+        world.now += 250.0
+        world.report("a", NEXT, NEXT)
+        reasons.add(world.report("b", 1, NEXT).why)
+    assert any("longer than what it granted" in why for why in reasons)
+    assert 3.0 * over_ms < world.now - began < 3.0 * over_ms + 1000.0
+
+
+def test_a_child_objects_by_its_own_name_and_to_what_is_pending_alone():
+    world = World(["a", "b"])
+    world.report("a", 1, NEXT, {"c": Objection(1, "to what is in force")})
+    assert world.core.kept.halted is None and world.core.kept.pending.number == NEXT
+    assert world.report("a", 1, NEXT, {"c": Objection(NEXT, "why")}).permission_ms > 0.0
+    assert world.core.kept.halted.objections == {"c": "why"} and world.core.kept.pending is None
+
+
 def test_a_sidecar_has_no_say_in_what_only_an_aggregator_acknowledges():
     assert parse(json.dumps({"prepared": 1, "acknowledged": NEXT}).encode()).acknowledged is None
