Take aggregators' reports at the deciding service, and list their children

`POST /aggregators/NAME` makes an aggregator one member of the agreement, and answers its lease, moves, resync, the number of sidecars in the whole fleet (each once: caps are divided by it), digests of overrides by place, times left and orders about children that differ, through the one reconciler. Merged delays become evidence by client group. Malformed or contradictory reports get 400, a name that is another's 409, both counted in /status and /metrics. `GET /aggregators` lists them; `GET /edges` asks down for at most a second, with the age and the aggregator of each row, and names who did not answer. A sidecar that moves from the service to an aggregator leaves the roster once it is silent here.

--- a/brassfall/overrides/reconciler.py
+++ b/brassfall/overrides/reconciler.py
@@ -268,6 +268,14 @@
             if found.until_ms > now and found.places.holds(group, region)
         }
 
+    def expected_digest(self, now: int, group: str, region: str) -> str:
+        """The digest that a sidecar at a place is to report."""
+        return self._digest(now, (group, region))
+
+    def knows(self, node: str) -> bool:
+        """Whether anything is known of a sidecar."""
+        return node in self._nodes
+
     def _digest(self, now: int, place: tuple[str, str]) -> str:
         kept = self._digests.get(place)
         if kept is None or now >= kept[1]:
--- a/brassfall/registry/geo.py
+++ b/brassfall/registry/geo.py
@@ -12,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from brassfall.aggregation.messages import AggregatorReport
 from brassfall.agreement.core import Kept
 from brassfall.agreement.edges import Report
 from brassfall.errors import Refused
@@ -90,20 +91,42 @@
         """A sidecar's report: what it measured is added to the evidence."""
         rows = report.measures.get("delays")
         if rows:
-            now = time.monotonic()
-            sifted = evidence.sift(rows)
-            self.refused += sum(sifted.refused.values())
-            self._heard.append(evidence.Heard(name, report.life, report.group, sifted.rows, now))
-            if len(self._heard) >= HEARD_MOST:
-                self._gather()
-            answers = sum(evidence.count(first) for _, _, _, first in sifted.rows)
-            _, _, before = self._demand.get(name, ("", 0.0, now - 1.0))
-            self._demand[name] = (report.group, answers / max(0.25, now - before), now)
+            self._add(name, report.life, report.group, rows)
         return {}
 
+    def _add(self, name: str, life: str, group: str, rows: Any) -> None:
+        now = time.monotonic()
+        sifted = evidence.sift(rows)
+        self.refused += sum(sifted.refused.values())
+        self._heard.append(evidence.Heard(name, life, group, sifted.rows, now))
+        if len(self._heard) >= HEARD_MOST:
+            self._gather()
+        answers = sum(evidence.count(first) for _, _, _, first in sifted.rows)
+        _, _, before = self._demand.get(name, ("", 0.0, now - 1.0))
+        self._demand[name] = (group, answers / max(0.25, now - before), now)
+
+    def merged(self, name: str, report: AggregatorReport) -> None:
+        """An aggregator's report: what its children measured, by client group, is added to the evidence."""
+        rows = report.measures.get("delays")
+        if not isinstance(rows, list):
+            self.refused += rows is not None
+            return
+        groups: dict[str, list[Any]] = {}
+        for row in rows:
+            group = row.get("group") if isinstance(row, dict) else None
+            if isinstance(group, str) and 0 < len(group) <= evidence.NAME_MOST:
+                groups.setdefault(group, []).append(row)
+            else:
+                self.refused += 1
+        for group, some in groups.items():
+            # An edge is here the part of a group that reports to one aggregator.
+            self._add(f"{name}/{group}", report.life, group, some)
+
     def gone(self, name: str) -> None:
-        """A sidecar has left the fleet."""
+        """A sidecar, or an aggregator, has left the fleet."""
         self._demand.pop(name, None)
+        for part in [edge for edge in self._demand if edge.startswith(f"{name}/")]:
+            del self._demand[part]
 
     def findings(self) -> dict[str, list[str]]:
         """Nothing here is wrong with a single sidecar."""
--- a/brassfall/registry/overrides.py
+++ b/brassfall/registry/overrides.py
@@ -13,6 +13,8 @@
 import msgspec
 from aiohttp import web
 
+from brassfall.aggregation.messages import AggregatorReport, ChildException, ChildOrder, PlaceDigest
+from brassfall.aggregation.orders import Orders
 from brassfall.agreement.edges import Report
 from brassfall.errors import Unavailable
 from brassfall.logs import faults, logger
@@ -57,6 +59,15 @@
         """Have an edition published."""
 
 
+@dataclass(frozen=True, slots=True)
+class OverrideMessages:
+    """What the answer to an aggregator's report tells of overrides."""
+
+    left: dict[str, dict[str, int]]
+    digests: list[PlaceDigest]
+    orders: list[ChildOrder]
+
+
 @dataclass(slots=True)
 class Overrides:
     """All overrides of one list service."""
@@ -240,6 +251,34 @@
             told["list_overrides"] = True
         return told
 
+    def merged(
+        self, now: float, rows: Iterable[ChildException], report: AggregatorReport, orders: Orders
+    ) -> OverrideMessages:
+        """An aggregator's report: what its answer tells of overrides. `rows` are of children that differ;
+        `now` in monotonic ms."""
+        names = []
+        for row in rows:
+            names.append(row.name)
+            place = (row.place.group, row.place.region)
+            self._compare(comparing.Reported(row.name, row.life, *place, row.digest))
+            if row.acted is not None:
+                self._compare(comparing.Details(row.name, row.acted))
+        due = orders.due(now, names, self.editions.barred, self._ask, self._tell)
+        self._ask.difference_update(names)
+        self._tell.difference_update(names)
+        at = self.now()
+        digests = [
+            PlaceDigest(place, self.reconciler.expected_digest(at, place.group, place.region))
+            for place in report.places
+        ]
+        times = document.times(self.book.active(at), at, report.told)
+        return OverrideMessages(times, digests, due)
+
+    def parted(self, name: str) -> None:
+        """A sidecar has gone to another aggregator, or left one: what was found wrong with it is over."""
+        if self.reconciler.knows(name):
+            self.gone(name)
+
     def gone(self, name: str) -> None:
         """A sidecar has left the fleet."""
         self._compare(comparing.Gone(name))
--- a/brassfall/registry/rules.py
+++ b/brassfall/registry/rules.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from itertools import count
 from typing import Any, Protocol
@@ -11,17 +12,19 @@
 import msgspec
 from aiohttp import web
 
+from brassfall.aggregation.directory import AggregatorNameError, Directory
 from brassfall.agreement import core as deciding
 from brassfall.agreement import document, pace
 from brassfall.agreement.core import Agreement, Event, Kept, Reported, Timing
-from brassfall.agreement.document import DocumentError, Edition, HarmfulError
-from brassfall.agreement.edges import Edge, Fleet, Report, ReportError
+from brassfall.agreement.document import DocumentError, HarmfulError
+from brassfall.agreement.edges import Fleet, Objection, Report, ReportError
 from brassfall.errors import Missing, Stale, Unavailable
 from brassfall.logs import faults, logger
-from brassfall.registry import calls, entries
+from brassfall.registry import calls, entries, revision_state
 from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES
 from brassfall.registry.reports import read_report
+from brassfall.registry.sidecar_rows import NEVER, SidecarRow, View, reported_row
 from brassfall.registry.tasks import Tasks
 from brassfall.registry.watches import Channel, Lines
 from brassfall.settings import AgreementSettings
@@ -32,8 +35,8 @@
 STATE = "state"
 PLACE = "/rules"  # among the channels of watches
 TICK_S = 0.05
-LIST_OLD_MS = 10_000.0  # a watch brings a word every 2 s, and is opened anew after 4.5 s of silence
 SWEEP_S = 60.0
+COUNTED_MS = 100.0  # how long a count of all sidecars is good for
 
 log = logger("rules")
 _encode = msgspec.json.Encoder().encode
@@ -94,6 +97,8 @@
     figures: Figures = field(default_factory=Figures)
     barred: dict[str, str] = field(default_factory=dict)  # sidecars without permission, and why
     riders: list[Rider] = field(default_factory=list)  # what else reports carry
+    directory: Directory = field(init=False)  # of the children of aggregators
+    _counted: tuple[float, int] = (float("-inf"), 0)  # sidecars, when they were counted last
     _tickets: count[int] = field(default_factory=count)
     _waiting: dict[int, asyncio.Future[int]] = field(default_factory=dict)
     _granted: dict[int, deciding.Granted] = field(default_factory=dict)
@@ -109,8 +114,9 @@
         kept = msgspec.convert(row.value, Kept) if row is not None else Kept()
         fleet = Fleet(life=store.life, names={row.key for row in store.table.rows(ROSTER)})
         timing = Timing(agree_ms=self.settings.agree_ms)
-        self._started = self._now()
+        self._started = self.now()
         self.core = Agreement(timing, self._started, kept, fleet, barred=self.barred)
+        self.directory = Directory(timing.over_ms, self.settings.edges_most)
         self.channel = Lines(self.line, watch_bytes, stuck_s)
         self.host.channels[PLACE] = self.channel
         self._tasks.spawn(self._tick())
@@ -126,26 +132,25 @@
             web.put("/rules", self._put),
             web.post("/edges/{name}", self._report),
             web.delete("/edges/{name}", self._forget),
-            web.get("/edges", self._edges),
         ]
 
     # --- the core ---------------------------------------------------------------------
 
     @staticmethod
-    def _now() -> float:
+    def now() -> float:
+        """Monotonic ms, as the core is given them."""
         return time.monotonic() * 1000.0
 
     def step(self, event: Event) -> None:
         """Give the core an event, and do what it says."""
-        for action in self.core.step(self._now(), event):
+        for action in self.core.step(self.now(), event):
             match action:
                 case deciding.Persist(kept):
                     self._tasks.spawn(self._persist(kept))
                 case deciding.Enrol(name, on):
                     self._enrol(name, on)
                     if not on:
-                        for rider in self.riders:
-                            rider.gone(name)
+                        self._gone(name)
                 case deciding.Granted(ticket):
                     self._granted[ticket] = action
                 case deciding.Published(ticket, edition):
@@ -158,6 +163,23 @@
                     self._encoded = None
                     self.channel.poke()
 
+    def report(
+        self, name: str, report: Report, objections: Mapping[str, Objection] | None = None
+    ) -> deciding.Granted:
+        """Have the core decide on a report; `objections` are those of an aggregator's children."""
+        ticket = next(self._tickets)
+        self.step(Reported(ticket, name, report, objections or {}))
+        granted = self._granted.pop(ticket)
+        self.figures.reports += 1
+        self.figures.granted += granted.permission_ms > 0.0
+        return granted
+
+    def _gone(self, name: str) -> None:
+        """A member has left for good, and what was known of it goes."""
+        for sidecar in (name, *self.directory.forget(name)):
+            for rider in self.riders:
+                rider.gone(sidecar)
+
     def _settle(self, ticket: int, result: int | Exception) -> None:
         future = self._waiting.pop(ticket, None)
         if future is None or future.done():
@@ -207,13 +229,13 @@
             self._enrolling.discard(name)
 
     async def _tick(self) -> None:
-        swept = self._now()
+        swept = self.now()
         while True:
             await asyncio.sleep(TICK_S)
             with faults(log):
                 self.step(deciding.Tick())
-                if self._now() - swept > SWEEP_S * 1000.0:
-                    swept = self._now()
+                if self.now() - swept > SWEEP_S * 1000.0:
+                    swept = self.now()
                     self._sweep(swept)
 
     def _sweep(self, now: float) -> None:
@@ -231,8 +253,7 @@
             if (edge.last_ms if edge is not None else self._started) < limit:
                 log.warning("forgotten", name=name, reason="no report for too long")
                 self.step(deciding.Forget(name))
-                for rider in self.riders:
-                    rider.gone(name)
+                self._gone(name)
 
     # --- /rules -----------------------------------------------------------------------
 
@@ -244,30 +265,7 @@
 
     def state(self) -> dict[str, Any]:
         """The same as plain values."""
-        kept = self.core.kept
-        if kept.pending is not None:
-            return self._told(kept.pending, "prepared") | {"committed": self._plain(kept.committed)}
-        if kept.halted is not None and kept.halted.edition.number > kept.committed.number:
-            told = self._told(kept.halted.edition, "halted", kept.halted.objections)
-            return told | {"committed": self._plain(kept.committed)}
-        return self._told(kept.committed, "committed")
-
-    def _told(self, edition: Edition, state: str, objections: dict[str, str] | None = None) -> dict[str, Any]:
-        reasons = [{"edge": name, "reason": why} for name, why in (objections or {}).items()]
-        more = {"life": self.core.fleet.life, "state": state, "objections": reasons}
-        return {**self._plain(edition), **more, "newest": self.core.kept.newest}
-
-    @staticmethod
-    def _plain(edition: Edition) -> dict[str, Any]:
-        return {
-            "edition": edition.number,
-            "follows": edition.follows,
-            "list_index": edition.list_index,
-            "settings": edition.settings,
-            "plan": edition.plan,
-            "plan_edition": edition.plan_edition,
-            "overrides": edition.overrides,
-        }
+        return revision_state.current_state(self.core.kept, self.core.fleet.life)
 
     async def _get(self, request: web.Request) -> web.StreamResponse:
         if request.query.get("watch", "0") not in ("0", ""):
@@ -275,26 +273,9 @@
         asked = request.query.get("edition")
         if asked is None:
             return answer(self.line())
-        return answer(_encode(self._one(calls.number(asked, "edition"))))
-
-    def _one(self, number: int) -> dict[str, Any]:
-        """What became of one edition."""
-        kept = self.core.kept
-        if number == kept.committed.number:
-            return self._told(kept.committed, "committed")
-        for edition in (kept.pending, kept.waiting):
-            if edition is not None and edition.number == number:
-                return self._told(edition, "prepared")
-        if kept.halted is not None and kept.halted.edition.number == number:
-            return self._told(kept.halted.edition, "halted", kept.halted.objections)
-        if number in self.core.outcomes:
-            was = self.core.outcomes[number]
-            state = "committed" if was == "committed" else "halted"
-            reasons = [] if state == "committed" else [{"edge": "", "reason": was}]
-            return {"edition": number, "life": self.core.fleet.life, "state": state, "objections": reasons}
-        raise Missing(
-            "no such edition", f"{number} is neither in force nor among the last that were published"
-        )
+        core = self.core
+        number = calls.number(asked, "edition")
+        return answer(_encode(revision_state.state_of(core.kept, core.fleet.life, core.outcomes, number)))
 
     async def _put(self, request: web.Request) -> web.Response:
         try:
@@ -316,7 +297,7 @@
         return answer(_encode({"edition": number}))
 
     def _harmless(self, settings: dict[str, Any], forced: bool) -> None:
-        others = [edition.settings for edition in self.core.current(self._now())]
+        others = [edition.settings for edition in self.core.current(self.now())]
         harm = document.harm(settings, self._regions(), others)
         if harm and not forced:
             self.figures.harmful += 1
@@ -353,6 +334,9 @@
         except ReportError:
             self.figures.refused_reports += 1
             raise
+        if self.directory.live(self.now(), name):
+            self.figures.refused_reports += 1
+            raise AggregatorNameError(f"sidecar {name}", "an aggregator has this name")
         if name not in self.core.fleet.edges and len(self.core.fleet.edges) >= self.settings.edges_most:
             self.figures.refused_reports += 1
             raise Unavailable("no place", f"all {self.settings.edges_most} sidecars are known", retry_s=10.0)
@@ -362,11 +346,7 @@
         more: dict[str, Any] = {}
         for rider in () if report.leaving else self.riders:  # it says nothing of what it acted on
             more |= rider.reported(name, report)
-        ticket = next(self._tickets)
-        self.step(Reported(ticket, name, report))
-        granted = self._granted.pop(ticket)
-        self.figures.reports += 1
-        self.figures.granted += granted.permission_ms > 0.0
+        granted = self.report(name, report)
         kept, index = self.core.kept, self.host.store.table.last(INSTANCES)
         newest = kept.pending.number if kept.pending is not None else kept.committed.number
         return {
@@ -378,98 +358,67 @@
             **({"life": self.core.fleet.life} if report.of != self.core.fleet.life else {}),
             **({"pending": granted.pending} if granted.pending else {}),
             **({"why": granted.why} if granted.why else {}),
-            **pace.told(len(self.core.fleet.edges), len(self.core.fleet.names)),
+            **pace.told(len(self.core.fleet.edges), self.sidecars()),
             **more,
         }
 
     async def _forget(self, request: web.Request) -> web.Response:
         name = entries.name(request.match_info["name"])
         if name not in self.core.fleet.names and name not in self.core.fleet.edges:
-            raise Missing("no such sidecar", f"{name} has not reported to this service")
+            via = self.directory.owner(name)
+            why = f"reports to aggregator {via}: end it there" if via else "has not reported to this service"
+            raise Missing("no such member", f"{name} {why}")
         self.step(deciding.Forget(name))
-        for rider in self.riders:
-            rider.gone(name)
+        self._gone(name)
         return answer(_encode({"name": name}))
 
-    async def _edges(self, request: web.Request) -> web.Response:
-        return answer(_encode(self.edges()))
-
-    def edges(self) -> dict[str, Any]:
-        """Every sidecar, by its newest report, and the spread of their lists."""
-        now, fleet, index = self._now(), self.core.fleet, self.host.store.table.last(INSTANCES)
-        rows = [self._edge(name, now) for name in sorted(fleet.edges.keys() | fleet.names)]
-        found = [rider.findings() for rider in self.riders]
-        for row in rows:
-            more = [line for each in found for line in each.get(row["name"], ())]
-            row["behind"] = "; ".join([*([row["behind"]] if row["behind"] else []), *more])
-        fresh = [
-            row for row in rows if row["age_ms"] is not None and row["age_ms"] <= self.core.timing.over_ms
-        ]
-        lists = [row["list_index"] for row in fresh]
-        ages = [row["list_age_ms"] for row in fresh if row["list_age_ms"] is not None]
-        return {
-            "edges": rows,
-            "edition": self.core.kept.committed.number,
-            "permits": self.core.may_permit(now) or "yes",
-            "list": {
-                "index": index,
-                "oldest": min(lists, default=index),
-                "newest": max(lists, default=index),
-                "oldest_age_ms": max(ages, default=None),
-            },
-        }
+    def sidecars(self) -> int:
+        """How many sidecars there are in the whole fleet, each counted once: those on the roster, and the
+        children of aggregators."""
+        now, names = self.now(), self.core.fleet.names
+        if not self.directory.aggregators:
+            return len(names)
+        if now - self._counted[0] > COUNTED_MS:
+            direct = sum(name not in self.directory and not self.directory.knows(name) for name in names)
+            self._counted = (now, direct + self.directory.count())
+        return self._counted[1]
+
+    def leave_roster(self) -> None:
+        """Take off the roster who reports to an aggregator by now: its vote would be missed for good.
+
+        Only the service that permits may do so, as with all that leave."""
+        now, fleet = self.now(), self.core.fleet
+        if self.core.may_permit(now):
+            return
+        for name in [name for name in fleet.names if name in self.directory]:
+            edge = fleet.edges.get(name)
+            if edge is None or now - edge.last_ms > self.core.timing.season_ms:
+                self.step(deciding.Forget(name))
 
-    def _edge(self, name: str, now: float) -> dict[str, Any]:
-        edge = self.core.fleet.edges.get(name)
-        if edge is None:
-            told = dict.fromkeys(("held", "prepared", "acting", "age_ms", "list_index", "list_age_ms"))
-            return {
-                "name": name,
-                **told,
-                "overrides": [],
-                "behind": "has not reported since the service began",
-            }
-        report = edge.report
-        return {
-            "name": name,
-            "held": report.held,
-            "prepared": report.prepared,
-            "acting": report.acting,
-            "age_ms": round(now - edge.last_ms),
-            "list_index": report.list_index,
-            "list_age_ms": report.list_age_ms,
-            "overrides": report.overrides or [],
-            "group": report.group,
-            "region": report.region,
-            "behind": self._behind(edge, now),
-        }
+    def view(self) -> View:
+        """What the listing of sidecars is compared with."""
+        return View(self.core.kept.committed.number, self.core.fleet.life, self.core.timing.over_ms)
 
-    def _behind(self, edge: Edge, now: float) -> str:
-        """In what a sidecar lags, as a line; empty where it does not."""
-        report, kept = edge.report, self.core.kept
-        if now - edge.last_ms > self.core.timing.over_ms:
-            return "silent: it acts on safe rules, or is gone"
-        if report.objection is not None and report.objection.edition >= kept.committed.number:
-            return f"objects to edition {report.objection.edition}: {report.objection.reason}"
-        if report.held < kept.committed.number:
-            return f"does not hold edition {kept.committed.number}"
-        if report.of not in (None, 0, self.core.fleet.life):
-            return f"takes the word of another life of the service, {report.of}"
-        age = report.list_age_ms
-        if age is not None and age > LIST_OLD_MS:
-            return f"its list may be {age / 1000.0:.1f} s old: it keeps it, and asks on"
-        if report.acting != kept.committed.number:
-            return "acts on safe rules" if report.acting == "safe" else f"acts on edition {report.acting}"
-        return ""
+    def rows(self) -> list[SidecarRow]:
+        """Every sidecar that reports here itself, or did, by its newest report."""
+        now, fleet, view = self.now(), self.core.fleet, self.view()
+        names = sorted(fleet.edges.keys() | fleet.names)
+        reported = {name: reported_row(edge, now, view) for name, edge in fleet.edges.items()}
+        return [
+            reported.get(name) or SidecarRow(name=name, behind=NEVER)
+            for name in names
+            if name not in self.directory and not self.directory.knows(name)
+        ]
 
     def status(self) -> dict[str, Any]:
         """For `/status`."""
-        kept, now = self.core.kept, self._now()
+        kept, now = self.core.kept, self.now()
         return {
             "edition": kept.committed.number,
             "prepared": kept.pending.number if kept.pending is not None else 0,
             "permits": self.core.may_permit(now) or "yes",
             "edges": len(self.core.fleet.names),
+            "sidecars": self.sidecars(),
             "may_act": len(self.core.fleet.holding(now)),
             "reports": self.figures.reports,
             "reports_refused": self.figures.refused_reports + self.core.fleet.stale,
--- a/brassfall/registry/server.py
+++ b/brassfall/registry/server.py
@@ -13,6 +13,7 @@
 from brassfall.errors import Refused, Unavailable
 from brassfall.logs import logger
 from brassfall.registry import calls, entries, front
+from brassfall.registry.aggregators import Aggregators
 from brassfall.registry.callers import error
 from brassfall.registry.calls import OWNED, answer
 from brassfall.registry.entries import INSTANCES
@@ -59,6 +60,7 @@
         self.overrides = Overrides(self, self.rules)
         self.geo = Geo(self, self.rules, settings.geo)
         self.rules.riders += [self.overrides, self.geo]
+        self.aggregators = Aggregators(self, self.rules, self.overrides, self.geo)
         self.started = time.monotonic()
         self._gathering_until = 0.0
         self._evidence = False  # somebody knows an index of a life that this table has forgotten
@@ -75,6 +77,7 @@
         self.rules.start(limits.watch_bytes, limits.watch_stuck_ms / 1000.0)
         await self.overrides.start()
         self.geo.start()
+        self.aggregators.start()
         if self.store.fresh:
             self._gathering_until = time.monotonic() + self.settings.leases.gather_ms / 1000.0
         return await self.front.serve(self._routes(), self._gathered)
@@ -82,6 +85,7 @@
     async def close(self) -> None:
         """Take no more calls, end the watches, and let what is being written become durable."""
         await self.front.close()
+        await self.aggregators.close()
         await self.geo.close()
         await self.overrides.close()
         await self.rules.close()
@@ -161,6 +165,7 @@
             web.delete(table, self._delete),
             web.post(table + "/renew", self._renew_row),
             *self.rules.routes(),
+            *self.aggregators.routes(),
             *self.overrides.routes(),
             *self.geo.routes(),
             web.get("/health/live", self._live),
@@ -332,13 +337,17 @@
 
     def figures(self) -> tuple[dict[str, tuple[str, float]], dict[str, tuple[str, float]]]:
         """Gauges and counters of editions, overrides and delays."""
-        rules = self.rules.status()
+        rules, tier = self.rules.status(), self.aggregators.status()
         gauges = {
             "edition": ("The edition in force", rules["edition"]),
             "edition_prepared": ("The edition that is prepared; 0 is none", rules["prepared"]),
             "permits": ("1 while sidecars can get permissions", float(rules["permits"] == "yes")),
             "edges": ("Sidecars on the roster", rules["edges"]),
             "edges_permitted": ("Sidecars that may act on an edition", rules["may_act"]),
+            "sidecars": ("Sidecars in the whole fleet, each counted once", rules["sidecars"]),
+            "aggregators": ("Aggregators that are known", tier["known"]),
+            "aggregators_live": ("Aggregators that have reported of late", tier["live"]),
+            "children": ("Sidecars that report to aggregators", tier["children"]),
             "overrides": ("Overrides in force", len(self.overrides.book.active(self.overrides.now()))),
             "findings": ("Sidecars that act on other overrides than are due", len(self.overrides.findings())),
         }
@@ -347,6 +356,20 @@
             "reports_refused": ("Reports that said nothing usable", rules["reports_refused"]),
             "editions_harmful": ("Editions refused as harmful", rules["harmful_refused"]),
             "editions_forced": ("Harmful editions that were forced", rules["harmful_forced"]),
+            "aggregator_reports": ("Reports of aggregators answered", tier["reports"]),
+            "aggregator_reports_malformed": (
+                "Reports of aggregators that said nothing usable",
+                tier["reports_malformed"],
+            ),
+            "aggregator_name_conflicts": (
+                "Reports of aggregators whose name is another's",
+                tier["name_conflicts"],
+            ),
+            "aggregator_reports_superseded": (
+                "Reports of aggregator processes that another of their name has followed",
+                tier["reports_superseded"],
+            ),
+            "children_unplaced": ("Arrivals of children that found no place", tier["children_unplaced"]),
             "delays_refused": ("Rows of delays that were none", self.geo.refused),
         }
         return gauges, counters
@@ -377,6 +400,7 @@
             "writes_waiting": store.waiting,
             "turned_away": self.front.turned_away,
             "rules": self.rules.status(),
+            "aggregators": self.aggregators.status(),
         }
 
 
--- a/tests/test_rules_shell.py
+++ b/tests/test_rules_shell.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import json
+from itertools import count
 
 import msgspec
 import pytest
 from typer.testing import CliRunner
 
 from brassfall import cli, logs
+from brassfall.aggregation.messages import AggregatorReport, ChildException, ChildOrder, Member, Place
 from brassfall.agreement.core import Agreement, Forget
 from brassfall.agreement.edges import Report
 from brassfall.overrides import book as books
@@ -56,7 +58,7 @@
     made = service(tmp_path, agreement=AgreementSettings(forget_ms=0.0))
     await made.start()
     try:
-        rules, now = made.rules, made.rules._now()
+        rules, now = made.rules, made.rules.now()
         row = {"region": "a", "window": 1, "span_ms": 500.0, "shake": {}, "first": {"100": 5}}
         for name, life in (("on", "p"), ("on", "q"), ("off", "p"), ("left", "p")):
             rules._permission(name, Report(life=life, seq=1, group="g", measures={"delays": [row]}))
@@ -79,6 +81,36 @@
         await made.close()
 
 
+@bounded(30.0)
+async def test_a_child_that_acts_on_other_overrides_is_barred_through_its_aggregator(tmp_path, monkeypatch):
+    made, now, seen = service(tmp_path), [1_000_000], []
+    monkeypatch.setattr(type(made.overrides), "now", lambda _: now[0])
+    await made.start()
+    try:
+        place, seq = Place("g", "a"), count(1)
+
+        def orders(digest, acted=None, joined=(), name="x"):
+            now[0] += 500
+            row = ChildException("c", "1", place, digest, acted)
+            report = AggregatorReport("p", next(seq), "a", exceptions=[row], joined=list(joined))
+            return made.aggregators.reported(name, report).orders
+
+        assert orders("1-00000000") == []  # it is nobody's child that is known
+        orders("1-00000000", None, [Member("c", "1")])
+        while not seen or not seen[-1].barred:
+            seen += orders("1-00000000", {"o9": 5})
+        assert any(order.list_overrides for order in seen) and any(order.retell for order in seen)
+        assert list(made.overrides.findings()) == ["c"] and now[0] < 1_030_000
+        assert orders("0-00000000") == [ChildOrder("c")] and made.overrides.findings() == {}
+        while not orders("1-00000000", {"o9": 5})[0].barred:
+            pass
+        # Who goes to another aggregator is looked at anew there.
+        assert orders("1-00000000", None, [Member("c", "1")], "y") == [ChildOrder("c")]
+        assert made.overrides.findings() == {}
+    finally:
+        await made.close()
+
+
 def test_how_long_an_override_lasts_is_counted_by_the_clock_of_the_service(tmp_path, monkeypatch):
     sent = []
 
