--- a/brassfall/lab/capacity/command.py
+++ b/brassfall/lab/capacity/command.py
@@ -10,6 +10,7 @@
 from brassfall.errors import UsageError
 from brassfall.lab.capacity import (
     durable,
+    events,
     figures,
     geo,
     lists,
@@ -28,6 +29,8 @@
     "reports": reports.measure,
     "revisions": revisions.measure,
     "tier": tier.measure,
+    "events": events.measure,
+    "tier-events": events.measure_tier,
     "lists": lists.measure,
     "overrides": overrides.measure,
     "geo": geo.measure,
--- a/brassfall/lab/capacity/control.py
+++ b/brassfall/lab/capacity/control.py
@@ -19,9 +19,10 @@
 
 
 class Stop(msgspec.Struct, frozen=True, tag="stop"):
-    """End one sidecar: by its own farewell, or without a word."""
+    """End sidecars `first` to `first + number - 1`: with a farewell each, or without a word."""
 
-    index: int
+    first: int
+    number: int = 1
     farewell: bool = True
 
 
--- a/brassfall/lab/capacity/faults.py
+++ b/brassfall/lab/capacity/faults.py
@@ -61,13 +61,13 @@
         fleet.topology.after_publish = None
 
 
-def _last_region(fleet: Fleet) -> str:
+def last_region(fleet: Fleet) -> str:
     """One whose sidecars have the fewest to do with the one that is stopped."""
     return list(fleet.regions)[-1]
 
 
 def _aggregators(fleet: Fleet) -> list[Aggregator]:
-    region = _last_region(fleet)
+    region = last_region(fleet)
     return [each for each in fleet.topology.aggregators if each.region == region]
 
 
@@ -111,5 +111,5 @@
 async def region_cut_off(fleet: Fleet) -> AsyncIterator[list[Worker]]:
     """Nothing passes between a region and the service, either way."""
     async with _cut(_aggregators(fleet), (UP, DOWN)):
-        cut = fleet.regions[_last_region(fleet)]
+        cut = fleet.regions[last_region(fleet)]
         yield [worker for worker in fleet.all if worker not in cut]
--- a/brassfall/lab/capacity/hollow.py
+++ b/brassfall/lab/capacity/hollow.py
@@ -261,8 +261,8 @@
         match command:
             case control.Start():
                 await self._start(command)
-            case control.Stop(index, farewell):
-                await self._stop(index, farewell)
+            case control.Stop():
+                await self._stop(command)
             case control.AskSnapshot():
                 return self._snapshot()
             case control.AskActed(revision):
@@ -272,7 +272,7 @@
         return control.Done(len(self._sidecars))
 
     async def _start(self, start: control.Start) -> None:
-        pause = start.over_s / start.number
+        pause = start.over_s / max(1, start.number)
         for index in range(start.first, start.first + start.number):
             sidecar = HollowSidecar(self._loop, sidecar_config(index, start))
             self._sidecars[index] = sidecar
@@ -282,11 +282,12 @@
         gc.collect()
         gc.freeze()
 
-    async def _stop(self, index: int, farewell: bool) -> None:
-        sidecar = self._sidecars.pop(index)
-        if farewell:
-            await sidecar.leave()
-        else:
+    async def _stop(self, stop: control.Stop) -> None:
+        ended = [self._sidecars.pop(index) for index in range(stop.first, stop.first + stop.number)]
+        if stop.farewell:
+            await asyncio.gather(*(sidecar.leave() for sidecar in ended))
+            return
+        for sidecar in ended:
             sidecar.close()
 
     async def feed(self) -> None:
--- a/brassfall/lab/capacity/revisions.py
+++ b/brassfall/lab/capacity/revisions.py
@@ -42,16 +42,17 @@
         number = await fleet.topology.publish()
         if fleet.topology.after_publish is not None:
             await fleet.topology.after_publish()
-        found = await _reached(fleet, number, begun, reachable)
+        found = await reached(fleet.topology, number, begun, reachable)
     back_s = await fleet.topology.hollow.leased(BACK_S)
     await asyncio.sleep(PAUSE_S)
     return found, back_s
 
 
-async def _reached(fleet: Fleet, number: int, begun: float, reachable: list[Worker]) -> Spread:
+async def reached(topology: Topology, number: int, begun: float, reachable: list[Worker]) -> Spread:
+    """Wait until all these act on a revision, or for `LIMIT_S`."""
     while True:
         await asyncio.sleep(LOOK_S)
-        found = await fleet.topology.hollow.acted(number, begun, reachable)
+        found = await topology.hollow.acted(number, begun, reachable)
         if found.reached == found.sidecars or time.monotonic() - begun > LIMIT_S:
             return found
 
