--- a/brassfall/lab/agreement/program.py
+++ b/brassfall/lab/agreement/program.py
@@ -12,11 +12,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from brassfall.aggregation.core import Aggregator
+from brassfall.aggregation.timing import AggregatorTiming
 from brassfall.agreement.core import Agreement, Timing
 from brassfall.agreement.edges import Fleet
 from brassfall.table.store import life_floor
 
-holder: Any = importlib.import_module("fordtrestle.fleet.holder")
+lease_client: Any = importlib.import_module("fordtrestle.fleet.lease_client")
 sidecar_rules: Any = importlib.import_module("fordtrestle.fleet.rules")
 
 
@@ -27,7 +29,7 @@
 
 def answered(held: Any, asked: float, received: float, seq: int, raw: Mapping[str, Any]) -> bool:
     """Hand an answer to the sidecar's core; times in seconds of its own clock."""
-    return bool(held.answered(asked, seq, raw))
+    return bool(held.receive_answer(asked, seq, raw))
 
 
 @dataclass(frozen=True)
@@ -37,7 +39,9 @@
     timing: Timing = field(default_factory=Timing)
     agreement: type[Agreement] = Agreement
     fleet: type[Fleet] = Fleet
-    holder: Any = holder.Holder
+    aggregator: type[Aggregator] = Aggregator
+    aggregator_timing: AggregatorTiming = field(default_factory=AggregatorTiming)
+    lease_client: Any = lease_client.LeaseClient
     effective: Callable[[Any], dict[str, Any]] = sidecar_rules.effective
     unknown: Callable[[Any], str] = sidecar_rules.unknown
     answered: Callable[[Any, float, float, int, Mapping[str, Any]], bool] = answered
