--- a/brassfall/lab/capacity/command.py
+++ b/brassfall/lab/capacity/command.py
@@ -25,6 +25,14 @@
 from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.part import Options, Part
 
+
+async def _datapath(options: Options) -> list[Figure]:
+    """What a sidecar adds to a call. Its sizes are entries on the list, and rates."""
+    from brassfall.lab.capacity import datapath
+
+    return await datapath.measure(datapath.DatapathOptions(), options.progress)
+
+
 PARTS: dict[str, Part] = {
     "reports": reports.measure,
     "revisions": revisions.measure,
@@ -35,6 +43,7 @@
     "overrides": overrides.measure,
     "geo": geo.measure,
     "durable": durable.measure,
+    "datapath": _datapath,
 }
 SIZE_LEAST, SIZE_MOST = 3, 6000
 PART_S = 1500.0  # no part takes longer
--- a/brassfall/lab/capacity/hollow.py
+++ b/brassfall/lab/capacity/hollow.py
@@ -26,7 +26,7 @@
 
 config_module: Any = importlib.import_module("fordtrestle.config")
 discovery_module: Any = importlib.import_module("fordtrestle.discovery")
-part_module: Any = importlib.import_module("fordtrestle.fleet.part")
+member_module: Any = importlib.import_module("fordtrestle.fleet.member")
 
 GROUPS = 7  # client groups over which a fleet is spread
 REGIONS = ("a", "b", "c")
@@ -134,45 +134,45 @@
         self.listed: dict[int, float] = {}  # version of the list to when it was held
         self.reports = 0
         self.discovery = discovery_module.Discovery(loop, told, self._list_changed)
-        self.part = part_module.Part(loop, self, {})
-        agent = self.part.agent
-        agent.measures.append(self.discovery.told)
-        agent.answered.append(self._answered)
+        self.member = member_module.FleetMember(loop, self, {})
+        agent = self.member.agent
+        agent.report_extensions.append(self.discovery.told)
+        agent.answer_listeners.append(self._answered)
         agent.refresh = self._observed(agent.refresh)
 
     def start(self) -> None:
         """Ask for the list and for a lease, as a sidecar does once it serves."""
         self.discovery.start()
-        self.part.agent.start()
+        self.member.agent.start()
 
     async def leave(self) -> None:
         """End with a farewell."""
         self.discovery.close()
-        await self.part.agent.leave()
+        await self.member.agent.leave()
 
     def close(self) -> None:
         """End without a word."""
         self.discovery.close()
-        self.part.agent.close()
+        self.member.agent.close()
 
     def feed(self) -> None:
         """Note delays, as requests to each region would."""
         for region in REGIONS:
             for delay_ms in FED_MS:
-                self.part.delays.first_byte(region, delay_ms)
+                self.member.delays.first_byte(region, delay_ms)
 
     @property
     def acting(self) -> int | str:
         """The revision acted on now, or the word for the fallback configuration."""
         now = self._loop.time()
-        self.part.agent.at(now)
-        found: int | str = self.part.agent.holder.stance(now).acting
+        self.member.agent.at(now)
+        found: int | str = self.member.agent.lease_client.active(now).acting
         return found
 
     def _observed(self, refresh: Callable[[float], None]) -> Callable[[float], None]:
         def observed(now: float) -> None:
             refresh(now)
-            acting = self.part.agent.holder.stance(now).acting
+            acting = self.member.agent.lease_client.active(now).acting
             if isinstance(acting, int) and acting not in self.acted:
                 _keep(self.acted, acting, self._loop.time())
 
@@ -184,9 +184,7 @@
     def _list_changed(self, form: str, news: Any) -> None:
         if news is not None:
             _keep(self.listed, news.version, self._loop.time())
-        part = getattr(self, "part", None)  # the list that the configuration names comes first
-        if part is not None:
-            part.listed(self._loop.time())
+        self.member.listed(self._loop.time())
 
     # --- what a sidecar's control part asks of its process ------------------------------
 
