Write what was measured size by size, also when it is stopped

Cause: a part wrote its figures only after its last size, so that a measurement that was stopped lost all.

Change: parts measure one size; the command keeps what there is after each, whatever ends it.

--- a/brassfall/lab/capacity/command.py
+++ b/brassfall/lab/capacity/command.py
@@ -23,14 +23,15 @@
 )
 from brassfall.lab.capacity.environment import MeasurementError
 from brassfall.lab.capacity.figures import Figure
-from brassfall.lab.capacity.part import Options, Part
+from brassfall.lab.capacity.part import Options, Part, Recorder
 
 
-async def _datapath(options: Options) -> list[Figure]:
-    """What a sidecar adds to a call. Its sizes are entries on the list, and rates."""
+async def _datapath(options: Options, recorder: Recorder, size: int) -> None:
+    """What a sidecar adds to a call. It has sizes of its own: entries on the list."""
     from brassfall.lab.capacity import datapath
 
-    return await datapath.measure(datapath.DatapathOptions(), options.progress)
+    if size == min(options.sizes):
+        recorder.take(await datapath.measure(datapath.DatapathOptions(), options.progress))
 
 
 PARTS: dict[str, Part] = {
@@ -46,7 +47,7 @@
     "datapath": _datapath,
 }
 SIZE_LEAST, SIZE_MOST = 3, 6000
-PART_S = 1500.0  # no part takes longer
+PART_S = 600.0  # no part takes longer at one size
 FIGURES, TABLES = "figures.json", "capacity.md"
 
 
@@ -70,32 +71,41 @@
 
 
 async def run(names: list[str], options: Options) -> None:
-    """Measure part after part; what each found is written at once."""
+    """Measure part after part, size after size; what each found is written at once.
+
+    Stopped by a signal or by a failure, it ends what it started, writes what it has, and raises."""
     machine.check(machine.look(), options.sizes)
     options.out.mkdir(parents=True, exist_ok=True)
     task = asyncio.current_task()
     assert task is not None
-    told_to_stop: list[int] = []
+    stopped: list[int] = []
 
     def stop(number: int) -> None:
-        """All that was started is ended on the way out."""
-        told_to_stop.append(number)
+        stopped.append(number)
         task.cancel()
 
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop, number)
     for name in names:
-        options.progress(f"part {name}")
-        try:
-            async with asyncio.timeout(PART_S):
-                found = await PARTS[name](options)
-        except TimeoutError:
-            raise MeasurementError(f"part {name}", f"took longer than {PART_S:g} s") from None
-        except asyncio.CancelledError:
-            if not told_to_stop:
-                raise
-            raise MeasurementError(f"part {name}", "told to stop") from None
-        _keep(options.out, found)
+        for size in options.sizes:
+            try:
+                await _measure(name, options, size)
+            except asyncio.CancelledError:
+                if not stopped:
+                    raise
+                raise MeasurementError(f"part {name} at {size}", "told to stop") from None
+
+
+async def _measure(name: str, options: Options, size: int) -> None:
+    recorder = Recorder()
+    options.progress(f"part {name}, size {size}")
+    try:
+        async with asyncio.timeout(PART_S):
+            await PARTS[name](options, recorder, size)
+    except TimeoutError:
+        raise MeasurementError(f"part {name} at {size}", f"took longer than {PART_S:g} s") from None
+    finally:
+        _keep(options.out, recorder.figures())
 
 
 def _keep(out: Path, found: list[Figure]) -> None:
--- a/brassfall/lab/capacity/durable.py
+++ b/brassfall/lab/capacity/durable.py
@@ -15,7 +15,6 @@
 import aiohttp
 
 from brassfall.lab.capacity.environment import Service, register
-from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.lists import alter
 from brassfall.lab.capacity.part import Options, Recorder
 from brassfall.lab.capacity.topology import Topology, one_service
@@ -50,19 +49,16 @@
     return Spent(float(found["writes"]), float(found["commits"]), disk_bytes)
 
 
-async def measure(options: Options) -> list[Figure]:
-    """Each length of the list in turn."""
-    recorder = Recorder()
-    for rows in options.sizes:
-        async with options.environment() as environment:
-            topology = await one_service(environment, 0)
-            await register(topology.service.address, rows)
-            await topology.publish()
-            await topology.hollow.start(SIDECARS, [topology.service.address], alone=True)
-            await topology.hollow.leased()
-            await _kinds(options, recorder, topology, rows)
-            recorder.load("durable", rows)
-    return recorder.figures()
+async def measure(options: Options, recorder: Recorder, rows: int) -> None:
+    """One length of the list."""
+    async with options.environment() as environment:
+        topology = await one_service(environment, 0)
+        await register(topology.service.address, rows)
+        await topology.publish()
+        await topology.hollow.start(SIDECARS, [topology.service.address], alone=True)
+        await topology.hollow.leased()
+        await _kinds(options, recorder, topology, rows)
+        recorder.load("durable", rows)
 
 
 async def _committed(service: Service, override: str = "") -> None:
--- a/brassfall/lab/capacity/events.py
+++ b/brassfall/lab/capacity/events.py
@@ -16,7 +16,6 @@
 from brassfall.errors import BrassfallError
 from brassfall.lab.capacity import control, machine
 from brassfall.lab.capacity.faults import Fleet, region_cut_off
-from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.fleet import Spread, Worker, rates
 from brassfall.lab.capacity.lists import alter
 from brassfall.lab.capacity.part import Options, Recorder
@@ -270,21 +269,15 @@
     recorder.load("events", size)
 
 
-async def measure(options: Options) -> list[Figure]:
-    """Each size in turn, with one list service."""
-    recorder = Recorder()
-    for size in options.sizes:
-        async with options.environment() as environment:
-            topology = await one_service(environment, options.list_length)
-            await _play(options, recorder, topology, size, ONE_EVENTS)
-    return recorder.figures()
-
-
-async def measure_tier(options: Options) -> list[Figure]:
-    """Each size in turn, with aggregators."""
-    recorder = Recorder()
-    for size in options.sizes:
-        async with options.environment() as environment:
-            topology = await with_aggregators(environment, options.list_length)
-            await _play(options, recorder, topology, size, TIER_EVENTS)
-    return recorder.figures()
+async def measure(options: Options, recorder: Recorder, size: int) -> None:
+    """One size, with one list service."""
+    async with options.environment() as environment:
+        topology = await one_service(environment, options.list_length)
+        await _play(options, recorder, topology, size, ONE_EVENTS)
+
+
+async def measure_tier(options: Options, recorder: Recorder, size: int) -> None:
+    """One size, with aggregators."""
+    async with options.environment() as environment:
+        topology = await with_aggregators(environment, options.list_length)
+        await _play(options, recorder, topology, size, TIER_EVENTS)
--- a/brassfall/lab/capacity/geo.py
+++ b/brassfall/lab/capacity/geo.py
@@ -14,7 +14,6 @@
 import psutil
 
 from brassfall.geo import evidence, model, plan
-from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.part import Options, Recorder
 
 delays: Any = importlib.import_module("fordtrestle.fleet.delays")
@@ -29,12 +28,9 @@
 Result = TypeVar("Result")
 
 
-async def measure(options: Options) -> list[Figure]:
-    """Each size in turn, in a thread."""
-    recorder = Recorder()
-    for size in options.sizes:
-        await asyncio.to_thread(_size, options, recorder, size)
-    return recorder.figures()
+async def measure(options: Options, recorder: Recorder, size: int) -> None:
+    """One size, in a thread."""
+    await asyncio.to_thread(_size, options, recorder, size)
 
 
 def _timed(work: Callable[[], Result]) -> tuple[float, Result]:
--- a/brassfall/lab/capacity/lists.py
+++ b/brassfall/lab/capacity/lists.py
@@ -15,7 +15,6 @@
 
 from brassfall.lab.capacity import machine
 from brassfall.lab.capacity.environment import MeasurementError, Service, register
-from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.part import Options, Recorder
 from brassfall.lab.capacity.sidecar import start_sidecar
 from brassfall.lab.capacity.topology import Topology, one_service
@@ -28,23 +27,20 @@
 SETTLE_S = 6.0  # for the whole list to be taken in, and the start to be over
 
 
-async def measure(options: Options) -> list[Figure]:
-    """Each length in turn."""
-    recorder = Recorder()
-    for entries in options.sizes:
-        async with options.environment() as environment:
-            topology = await one_service(environment, 0)
-            version = await register(topology.service.address, entries)
-            await topology.publish()
-            await _wire(recorder, topology.service, entries, version)
-            await topology.hollow.start(HOLLOWS, [topology.service.address], alone=True)
-            await topology.hollow.leased()
-            _, whole = await start_sidecar(environment, "whole", [topology.service.address])
-            await asyncio.sleep(SETTLE_S)
-            await _memory(recorder, topology, whole.pid, entries)
-            await _changes(options, recorder, topology, whole.pid, entries)
-            recorder.load("lists", entries)
-    return recorder.figures()
+async def measure(options: Options, recorder: Recorder, entries: int) -> None:
+    """One length."""
+    async with options.environment() as environment:
+        topology = await one_service(environment, 0)
+        version = await register(topology.service.address, entries)
+        await topology.publish()
+        await _wire(recorder, topology.service, entries, version)
+        await topology.hollow.start(HOLLOWS, [topology.service.address], alone=True)
+        await topology.hollow.leased()
+        _, whole = await start_sidecar(environment, "whole", [topology.service.address])
+        await asyncio.sleep(SETTLE_S)
+        await _memory(recorder, topology, whole.pid, entries)
+        await _changes(options, recorder, topology, whole.pid, entries)
+        recorder.load("lists", entries)
 
 
 async def _wire(recorder: Recorder, service: Service, entries: int, version: int) -> None:
--- a/brassfall/lab/capacity/overrides.py
+++ b/brassfall/lab/capacity/overrides.py
@@ -8,7 +8,6 @@
 from brassfall.errors import BrassfallError
 from brassfall.lab.capacity import machine
 from brassfall.lab.capacity.environment import MeasurementError, Service
-from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.fleet import rates
 from brassfall.lab.capacity.part import Options, Recorder
 from brassfall.lab.capacity.topology import Topology, one_service
@@ -21,20 +20,17 @@
 LOOK_S = 0.5
 
 
-async def measure(options: Options) -> list[Figure]:
-    """Each size in turn, with one list service."""
-    recorder = Recorder()
-    for size in options.sizes:
-        async with options.environment() as environment:
-            topology = await one_service(environment, options.list_length)
-            await topology.publish()
-            try:
-                await topology.start(size)
-                await topology.hollow.leased()
-                await _size(options, recorder, topology, size)
-            except BrassfallError as error:
-                options.progress(f"overrides: {size} sidecars are not held: {error.told}")
-    return recorder.figures()
+async def measure(options: Options, recorder: Recorder, size: int) -> None:
+    """One size, with one list service."""
+    async with options.environment() as environment:
+        topology = await one_service(environment, options.list_length)
+        await topology.publish()
+        try:
+            await topology.start(size)
+            await topology.hollow.leased()
+            await _size(options, recorder, topology, size)
+        except BrassfallError as error:
+            options.progress(f"overrides: {size} sidecars are not held: {error.told}")
 
 
 async def _size(options: Options, recorder: Recorder, topology: Topology, size: int) -> None:
--- a/brassfall/lab/capacity/part.py
+++ b/brassfall/lab/capacity/part.py
@@ -41,26 +41,31 @@
                 yield made
 
 
-Part = Callable[[Options], Awaitable[list[Figure]]]
-
-
 class Recorder:
     """Gathers measurements, and makes figures of their medians."""
 
     def __init__(self) -> None:
         self._values: dict[tuple[str, str, str, int], list[float]] = {}
+        self._made: list[Figure] = []
 
     def add(self, role: str, quantity: str, unit: str, size: int, value: float) -> None:
         """One measurement."""
         self._values.setdefault((role, quantity, unit, size), []).append(value)
 
+    def take(self, made: list[Figure]) -> None:
+        """Figures that are medians already."""
+        self._made += made
+
     def load(self, part: str, size: int) -> None:
         """The load average of the machine at this moment of a part."""
         self.add(MACHINE, f"load average, {part}", "", size, machine.load_average())
 
     def figures(self) -> list[Figure]:
         """All of them."""
-        return [
+        return self._made + [
             Figure(role, quantity, unit, size, float(f"{median(values):.4g}"), len(values))
             for (role, quantity, unit, size), values in self._values.items()
         ]
+
+
+Part = Callable[[Options, Recorder, int], Awaitable[None]]  # measures at one size
--- a/brassfall/lab/capacity/revisions.py
+++ b/brassfall/lab/capacity/revisions.py
@@ -9,7 +9,6 @@
 from brassfall.errors import BrassfallError
 from brassfall.lab.capacity import faults
 from brassfall.lab.capacity.faults import Fault, Fleet
-from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.fleet import Spread, Worker
 from brassfall.lab.capacity.part import Options, Recorder
 from brassfall.lab.capacity.steady import at_rest, roles
@@ -96,17 +95,14 @@
     }
 
 
-async def measure(options: Options) -> list[Figure]:
-    """Each size in turn, with one list service."""
-    recorder = Recorder()
-    for size in options.sizes:
-        async with options.environment() as environment:
-            topology = await one_service(environment, options.list_length)
-            fleet = await start(options, recorder, topology, size)
-            if fleet is None:
-                continue
-            try:
-                await play(options, recorder, fleet, size, plan(options))
-            except BrassfallError as error:
-                options.progress(f"revisions: {size} sidecars: {error.told}")
-    return recorder.figures()
+async def measure(options: Options, recorder: Recorder, size: int) -> None:
+    """One size, with one list service."""
+    async with options.environment() as environment:
+        topology = await one_service(environment, options.list_length)
+        fleet = await start(options, recorder, topology, size)
+        if fleet is None:
+            return
+        try:
+            await play(options, recorder, fleet, size, plan(options))
+        except BrassfallError as error:
+            options.progress(f"revisions: {size} sidecars: {error.told}")
--- a/brassfall/lab/capacity/tier.py
+++ b/brassfall/lab/capacity/tier.py
@@ -4,7 +4,6 @@
 
 from brassfall.errors import BrassfallError
 from brassfall.lab.capacity import faults
-from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.part import Options, Recorder
 from brassfall.lab.capacity.revisions import Plan, play, start
 from brassfall.lab.capacity.steady import fan_out, steady
@@ -25,20 +24,17 @@
     }
 
 
-async def measure(options: Options) -> list[Figure]:
-    """Each size in turn."""
-    recorder = Recorder()
-    for size in options.sizes:
-        async with options.environment() as environment:
-            topology = await with_aggregators(environment, options.list_length)
-            options.progress(f"tier: {size} sidecars start at {len(topology.aggregators)} aggregators")
-            fleet = await start(options, recorder, topology, size)
-            if fleet is None:
-                continue
-            try:
-                await steady(options, recorder, topology, size)
-                await fan_out(options, recorder, topology, size)
-                await play(options, recorder, fleet, size, plan(options))
-            except BrassfallError as error:
-                options.progress(f"tier: {size} sidecars: {error.told}")
-    return recorder.figures()
+async def measure(options: Options, recorder: Recorder, size: int) -> None:
+    """One size."""
+    async with options.environment() as environment:
+        topology = await with_aggregators(environment, options.list_length)
+        options.progress(f"tier: {size} sidecars start at {len(topology.aggregators)} aggregators")
+        fleet = await start(options, recorder, topology, size)
+        if fleet is None:
+            return
+        try:
+            await steady(options, recorder, topology, size)
+            await fan_out(options, recorder, topology, size)
+            await play(options, recorder, fleet, size, plan(options))
+        except BrassfallError as error:
+            options.progress(f"tier: {size} sidecars: {error.told}")
