--- a/brassfall/lab/capacity/revisions.py
+++ b/brassfall/lab/capacity/revisions.py
@@ -9,7 +9,6 @@
 from brassfall.errors import BrassfallError
 from brassfall.lab.capacity import faults
 from brassfall.lab.capacity.faults import Fault, Fleet
-from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.fleet import Spread, Worker
 from brassfall.lab.capacity.part import Options, Recorder
 from brassfall.lab.capacity.steady import at_rest, roles
@@ -42,16 +41,17 @@
         number = await fleet.topology.publish()
         if fleet.topology.after_publish is not None:
             await fleet.topology.after_publish()
-        found = await _reached(fleet, number, begun, reachable)
+        found = await reached(fleet.topology, number, begun, reachable)
     back_s = await fleet.topology.hollow.leased(BACK_S)
     await asyncio.sleep(PAUSE_S)
     return found, back_s
 
 
-async def _reached(fleet: Fleet, number: int, begun: float, reachable: list[Worker]) -> Spread:
+async def reached(topology: Topology, number: int, begun: float, reachable: list[Worker]) -> Spread:
+    """Wait until all these act on a revision, or for `LIMIT_S`."""
     while True:
         await asyncio.sleep(LOOK_S)
-        found = await fleet.topology.hollow.acted(number, begun, reachable)
+        found = await topology.hollow.acted(number, begun, reachable)
         if found.reached == found.sidecars or time.monotonic() - begun > LIMIT_S:
             return found
 
@@ -95,17 +95,14 @@
     }
 
 
-async def measure(options: Options) -> list[Figure]:
-    """Each size in turn, with one list service."""
-    recorder = Recorder()
-    for size in options.sizes:
-        async with options.environment() as environment:
-            topology = await one_service(environment, options.list_length)
-            fleet = await start(options, recorder, topology, size)
-            if fleet is None:
-                continue
-            try:
-                await play(options, recorder, fleet, size, plan(options))
-            except BrassfallError as error:
-                options.progress(f"revisions: {size} sidecars: {error.told}")
-    return recorder.figures()
+async def measure(options: Options, recorder: Recorder, size: int) -> None:
+    """One size, with one list service."""
+    async with options.environment() as environment:
+        topology = await one_service(environment, options.list_length)
+        fleet = await start(options, recorder, topology, size)
+        if fleet is None:
+            return
+        try:
+            await play(options, recorder, fleet, size, plan(options))
+        except BrassfallError as error:
+            options.progress(f"revisions: {size} sidecars: {error.told}")
