--- a/brassfall/lab/agreement/tier.py
+++ b/brassfall/lab/agreement/tier.py
@@ -68,9 +68,10 @@
     def _settle(self) -> None:
         """Let come together what has to, and see whether it stays."""
         kernel, due = self.kernel, self.kernel.now + LIVE_MS
-        while kernel.now < due and not self._together():
+        since = kernel.now
+        while kernel.now < due and kernel.now - since < STAYS_MS:
             kernel.run(kernel.now + LOOK_MS)
-        kernel.run(min(due, kernel.now + STAYS_MS))
+            since = since if self._together() else kernel.now
 
     def _together(self) -> bool:
         newest = self.survivor.agreement.kept.newest
--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -406,9 +406,8 @@
         at = now + way[1] + way[2]
         if child.newest == 0 or child.wants(at * rates[2] / 1000.0):
             rows = endings.for_child(at * rates[1], 0)
-            low = {key: {**row, "left_ms": row["left_ms"]} for key, row in rows.items()}
             asked, heard = ((at - way[2]) * rates[2] / 1000.0, (at + way[3]) * rates[2] / 1000.0)
-            child.told(asked, low, heard)
+            child.receive(asked, rows, heard)
             knows = knows or bool(rows)
         now = at + way[3] + rng.uniform(0.0, 3000.0)
         phase = child.phase("o", 1, now * rates[2] / 1000.0)
