--- a/brassfall/aggregation/children.py
+++ b/brassfall/aggregation/children.py
@@ -30,7 +30,7 @@
 
     until_ms: float
     seq: int  # the newest report of its process
-    prepared: int  # the pending revision, where it has acknowledged that; else 0
+    prepared: int  # the revision that it has promised to act with, and goes on promising
 
 
 @dataclass(slots=True)
@@ -56,15 +56,14 @@
         self.heard(key, seq, prepared)
 
     def heard(self, key: ChildKey, seq: int, prepared: int) -> None:
-        """A child reported what it has acknowledged last; its lease stays as it is.
-
-        What is not pending here counts for nothing: the answer to such a report may end the promise."""
+        """A child reported what it has acknowledged last, if the answer does not end that promise; its lease
+        stays as it is."""
         lease = self._leases.get(key)
         if lease is None:
             return
         lease.seq = seq
-        lease.prepared = prepared if prepared == self.pending else 0
-        if lease.prepared != self.pending:
+        lease.prepared = prepared
+        if self.pending and prepared != self.pending:
             self._lagging[key] = None
         else:
             self._lagging.pop(key, None)
--- a/brassfall/aggregation/core.py
+++ b/brassfall/aggregation/core.py
@@ -38,6 +38,7 @@
 
 EPOCH_GONE_MS = 12_000.0  # more than twice the time that a service needs to count a majority
 FETCH_EVERY_MS = 250.0
+BEHIND_MS = 500.0  # how long children that know more are kept waiting before they are sent on
 SWEEP_MS = 250.0
 
 
@@ -203,6 +204,7 @@
         self._withheld: tuple[float, int, bytes] | None = None  # since when, and the revision it waits for
         self._line = b""  # what children were told last
         self._hurried_for = 0  # the pending revision that all were said to have acknowledged
+        self._behind_since: float | None = None  # since when children know of later revisions
         self._lower_since: float | None = None  # since when none but a lower epoch answers
         self._fetched_ms = self._swept_ms = -math.inf
         self._leaving = self._ended = False
@@ -296,7 +298,8 @@
         why = self._refusal(now, event.name, report)
         if not why:
             self._grant(now, key, report)
-        return [self._answer(now, event, why), *self._decided(now)]
+        lag = self._notice_lag(now, report)
+        return [self._answer(now, event, why), *lag, *self._decided(now)]
 
     def _admission_wait_ms(self, now: float, event: ChildReported) -> float:
         holds_lease = event.report.acting != FALLBACK
@@ -310,7 +313,7 @@
 
     def _take_in(self, now: float, key: ChildKey, report: Report) -> None:
         child = self.membership.heard(now, key, report)
-        self.leases.heard(key, report.seq, report.prepared)
+        self.leases.heard(key, report.seq, self._promised(report))
         self.delays.add(now, key.name, report.group, report.measures)
         self.exceptions.heard(now, child)
         objection = report.objection
@@ -347,6 +350,12 @@
             return True
         return report.of == self.epoch and isinstance(report.acting, int) and report.acting > self.committed
 
+    def _promised(self, report: Report) -> int:
+        """The revision that a child has acknowledged and goes on promising after its answer: that is what is
+        pending here, or is not known here yet; 0 where it is another."""
+        goes_on = report.prepared == self.pending or self._promises_unknown(report)
+        return report.prepared if goes_on else 0
+
     def _promises_unknown(self, report: Report) -> bool:
         """Whether a child has acknowledged a revision that is not known here yet.
 
@@ -354,14 +363,28 @@
         and tells what it took over from the one before with its first message."""
         return report.prepared > self.revisions.newest and report.prepared >= self.epoch
 
+    def _sends_on(self, now: float, report: Report) -> bool:
+        """Whether a child had better ask another aggregator."""
+        behind = self._behind_since is not None and now - self._behind_since > BEHIND_MS
+        if self.unready(now) or self.lease.stale(now) or (report.of or 0) > self.epoch:
+            return True
+        return behind and self._ahead(report)
+
+    def _notice_lag(self, now: float, report: Report) -> list[Action]:
+        """See whether this aggregator has missed what its children know, and if so ask for it."""
+        if not self._ahead(report) or (report.of or 0) > self.epoch:
+            return []
+        if self._behind_since is None:
+            self._behind_since = now
+        return self._fetch(now)
+
     def _grant(self, now: float, key: ChildKey, report: Report) -> None:
         length = self.lease.child_lease_ms(now)
         until = now + expiry_bound_ms(length, self.settings.drift)
-        self.leases.grant(key, until, report.seq, report.prepared)
+        self.leases.grant(key, until, report.seq, self._promised(report))
 
     def _answer(self, now: float, event: ChildReported, why: str) -> AnswerChild:
         report, pending = event.report, self.pending
-        ahead = self._ahead(report)
         if self._promises_unknown(report):
             pending = report.prepared  # its promise goes on: nothing is known here that ended it
         order = self.exceptions.order(event.name)
@@ -373,7 +396,7 @@
             0.0 if why else self.lease.child_lease_ms(now),
             pending,
             why,
-            elsewhere=ahead or bool(self.unready(now)) or self.lease.stale(now),
+            elsewhere=self._sends_on(now, report),
             order=order,
             left=self.endings.for_child(now, 0 if anew else report.told),
         )
@@ -441,6 +464,7 @@
             return []
         if not self.revisions.received(event.revision, event.state, event.committed, self._seq + 1):
             return []
+        self._behind_since = None
         self._follow_pending()
         if event.line != self._line:
             since = self._withheld[0] if self._withheld is not None else now
@@ -451,6 +475,7 @@
     def _follow_pending(self) -> None:
         """Wait for the acknowledgements of what is pending now."""
         if self.leases.pending != self.pending:
+            self._behind_since = None
             self.leases.await_all(self.pending)
 
     def _release_line(self, now: float) -> list[Action]:
--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -281,12 +281,14 @@
     out: Annotated[Path, typer.Option(help="Folder for rows and tables.")],
     nodes: Annotated[str, typer.Option(help="Sizes, with commas.")] = "20,200,2000",
     seeds: Annotated[int, typer.Option(min=1, help="How many fleets of each size.")] = 5,
+    tier: Annotated[bool, typer.Option(help="With aggregators between sidecars and the service.")] = False,
     jobs: Annotated[int, typer.Option(min=0, max=256, help="Processes; 0 for one a core.")] = 0,
 ) -> None:
     """How long an edition takes with the size of the fleet, in simulated time; 1 if one took no effect."""
-    from brassfall.lab.agreement import command, scale
+    from brassfall.lab.agreement import command, scale, tier_scale
 
-    raise typer.Exit(scale.run(command.sizes(nodes), seeds, jobs or os.cpu_count() or 1, out))
+    play = tier_scale.run if tier else scale.run
+    raise typer.Exit(play(command.sizes(nodes), seeds, jobs or os.cpu_count() or 1, out))
 
 
 @lab.command("editions-cost")
--- a/brassfall/lab/agreement/command.py
+++ b/brassfall/lab/agreement/command.py
@@ -25,6 +25,7 @@
 TIER_DEFECT_NODES = (6,)
 FLAW_SEEDS = 150
 PROGRESS_S = 2.0
+NODES_MOST = 6000
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,8 +225,8 @@
 def sizes(text: str) -> list[int]:
     """Numbers of sidecars with commas; `UsageError` if that is none."""
     parts = text.split(",")
-    if not all(part.isdecimal() and 3 <= int(part) <= 2000 for part in parts):
-        raise UsageError(f"--nodes: {text!r}", "numbers from 3 to 2000 with commas are wanted")
+    if not all(part.isdecimal() and 3 <= int(part) <= NODES_MOST for part in parts):
+        raise UsageError(f"--nodes: {text!r}", f"numbers from 3 to {NODES_MOST} with commas are wanted")
     return [int(part) for part in parts]
 
 
--- a/brassfall/lab/agreement/tier_defects.py
+++ b/brassfall/lab/agreement/tier_defects.py
@@ -198,21 +198,11 @@
         return replace(super()._answer(now, event, why), revision=self.lease.revision)
 
 
-class _TrustingLeases(ChildLeases):
-    def heard(self, key: ChildKey, seq: int, prepared: int) -> None:
-        """A child reported what it has acknowledged last, whether or not it is known here."""
-        super().heard(key, seq, prepared)
-        lease = self._leases.get(key)
-        if lease is not None:
-            lease.prepared = prepared
-
-
 class EndsPromises(Aggregator):
     """Answers a child that knows later editions as any other: so it forgets what it has acknowledged."""
 
-    def __init__(self, *args: Any) -> None:
-        super().__init__(*args)
-        self.leases = _TrustingLeases()
+    def _promised(self, report: Report) -> int:
+        return report.prepared
 
     def _ahead(self, report: Report) -> bool:
         return False
--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -50,6 +50,7 @@
         actions = self.core.step(self.now, event)
         self.told += [action.line for action in actions if isinstance(action, core.TellChildren)]
         self.hurried = any(isinstance(action, core.Hurry) for action in actions)
+        self.fetches = core.FetchState() in actions
         return actions
 
     def line(self, revision, state, committed, epoch=EPOCH):
@@ -229,8 +230,24 @@
     ],
 )
 def test_a_child_that_knows_more_gets_no_lease_and_keeps_its_promise(ahead, pending):
-    made = Chain().child(**ahead)
-    assert (made.lease_ms, made.elsewhere, made.pending) == (0.0, True, pending)
+    chain = Chain()
+    made = chain.child(**ahead)
+    assert (made.lease_ms, made.pending) == (0.0, pending)
+    assert (made.elsewhere, chain.fetches) == ((True, False) if ahead.get("of") else (False, True))
+    chain.now += 600.0  # it does not catch up
+    assert chain.child(**ahead).elsewhere
+    chain.line(NEXT, "prepared", OLD)
+    chain.lease(pending=NEXT)
+    made = chain.child(prepared=NEXT)
+    assert made.lease_ms and not made.elsewhere
+
+
+def test_a_promise_of_what_is_not_known_yet_counts_once_it_is():
+    chain = Chain()
+    chain.child()
+    assert not chain.child(prepared=NEXT).lease_ms
+    chain.line(NEXT, "prepared", OLD)
+    assert chain.hurried and chain.report().prepared == NEXT
 
 
 def test_a_promise_of_an_epoch_that_is_over_is_no_reason():
