Send on sidecars of an older version that stay with an aggregator which has no lease to give

They do not read the field elsewhere, and would act on the fallback configuration for as long as it is cut off; a refusal makes them ask their next address.

--- a/brassfall/registry/aggregator/children.py
+++ b/brassfall/registry/aggregator/children.py
@@ -13,10 +13,12 @@
 from brassfall.agreement import pace
 from brassfall.agreement.edges import Report, ReportError
 from brassfall.registry import calls, entries
-from brassfall.registry.callers import Elsewhere
+from brassfall.registry.callers import Connection, Elsewhere
 from brassfall.registry.front import Front
 from brassfall.registry.reports import read_report
 
+STAYS_MOST = 1  # reports after one that was answered with `elsewhere`, and without a lease
+
 Step = Callable[[Event], list[Action]]
 
 _encode = msgspec.json.Encoder().encode
@@ -71,10 +73,26 @@
         except ReportError:
             self.figures.refused += 1
             raise
-        return self.answer(name, report)
-
-    def answer(self, name: str, report: Report) -> web.Response:
-        """Take a report in, and answer it; `Elsewhere` while there is nothing to answer it with."""
+        made = self.answer(name, report)
+        if isinstance(made, AnswerChild):
+            self._send_on(request, made)
+            return self._encoded(report, made)
+        return made
+
+    @staticmethod
+    def _send_on(request: web.Request, made: AnswerChild) -> None:
+        """Refuse a sidecar that stays here although it was told to ask elsewhere: one of an older version
+        does not read that, but goes to the next address after a refusal."""
+        connection = request.protocol
+        assert isinstance(connection, Connection)
+        connection.stayed = connection.stayed + 1 if made.elsewhere and not made.lease_ms else 0
+        if connection.stayed > STAYS_MOST:
+            connection.stayed = 0
+            raise Elsewhere("no lease", made.why)
+
+    def answer(self, name: str, report: Report) -> AnswerChild | web.Response:
+        """Take a report in: the core's answer, or that of one which is told to come again; `Elsewhere` while
+        there is nothing to answer it with."""
         core = self.core
         if not core.epoch:
             raise Elsewhere("no lease", f"the list service has not answered yet: {core.why_no_lease}")
@@ -82,7 +100,7 @@
         for action in self.step(ChildReported(next(self._tickets), name, report)):
             match action:
                 case AnswerChild():
-                    return self._answer(report, action)
+                    return action
                 case TurnAway(_, retry_ms, why):
                     self.figures.turned_away += 1
                     if len(core.membership.children) >= core.settings.children_most:
@@ -90,7 +108,7 @@
                     return self.front.turn_away(why, retry_ms / 1000.0)
         raise Elsewhere("no answer", "the report was not taken in")
 
-    def _answer(self, report: Report, granted: AnswerChild) -> web.Response:
+    def _encoded(self, report: Report, granted: AnswerChild) -> web.Response:
         core, index = self.core, self.list_index()
         self.figures.granted += granted.lease_ms > 0.0
         answer = ChildAnswer(
--- a/brassfall/registry/callers.py
+++ b/brassfall/registry/callers.py
@@ -91,7 +91,7 @@
 class Connection(web.RequestHandler):
     """One connection; it stands idle from its start, or from its last answer, to its next call."""
 
-    __slots__ = ("_callers", "busy", "caller", "idle_since", "report")
+    __slots__ = ("_callers", "busy", "caller", "idle_since", "report", "stayed")
 
     def __init__(self, callers: Callers, manager: web.Server, **options: Any) -> None:
         super().__init__(manager, **options)
@@ -99,6 +99,7 @@
         self.busy = False
         self.caller = ""
         self.idle_since = 0.0
+        self.stayed = 0  # reports on it since its sidecar was told to ask elsewhere
         self.report: tuple[str, dict[str, Any]] = ("", {})  # the last on it, and of whom: a next one goes on
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
