Count a sidecar that two aggregators know once

A child that reports to two aggregators by turns was counted by both: the count took what aggregators state, if that was more than the names known (found in the simulated worlds: 6 sidecars told as 7 and 8). What one states now stands only for what it has not told by name yet.

--- a/brassfall/aggregation/directory.py
+++ b/brassfall/aggregation/directory.py
@@ -38,6 +38,7 @@
     children: dict[str, str] = field(default_factory=dict)  # name of the sidecar: its process id
     moved: dict[Member, int] = field(default_factory=dict)  # how often it is still to be told
     unknown: bool = False  # of its children not all are known here
+    complete: bool = False  # whether all its children have been told, as of its newest report
     followed_ms: float | None = None  # since when another process has its name
 
 
@@ -87,6 +88,8 @@
         process.report, process.heard_ms = report, now
         if report.joined:
             process.unknown = False
+        told_all = report.epoch == epoch and len(report.joined) < MEMBERS_MOST
+        process.complete = told_all and not process.unknown
         made = Heard(process)
         self._depart(process, report.departed, made)
         self._join(name, process, report.joined, made)
@@ -199,10 +202,11 @@
     def count(self) -> int:
         """How many sidecars there are, each counted once.
 
-        After a start, until all children are told anew, the counts that aggregators state stand for them: too
-        many rather than too few, since caps are divided by it."""
-        stated = sum(known.current.report.children.known for known in self._names.values())
-        return max(len(self._owners), stated)
+        Until an aggregator has told all its children anew, the count that it states stands for them: too many
+        rather than too few, since caps are divided by it."""
+        current = [known.current for known in self._names.values()]
+        untold = [p.report.children.known - len(p.children) for p in current if not p.complete]
+        return len(self._owners) + sum(max(0, number) for number in untold)
 
     # --- forgetting -----------------------------------------------------------------------------
 
