Tell a replaced aggregator what is pending, and end nothing by an answer without a lease

Cause: a process of an aggregator that another of its name had followed was answered without a lease and without pending. It took what was pending for decided, since its report had known of it, and answered its children so, under leases that ran on: they dropped what they had promised, while the commit counted on it.

The service names what is pending in that answer too. The aggregator ends a pending revision only by an answer that grants, and fetches the state otherwise.

--- a/brassfall/aggregation/core.py
+++ b/brassfall/aggregation/core.py
@@ -410,12 +410,13 @@
         if not self._epoch_counts(now, answer.epoch) or not self._answered_seq < answer.seq <= self._seq:
             return []
         self._answered_seq = answer.seq
-        self.revisions.answered(answer.revision, answer.pending, answer.seq, self._seq + 1)
+        granted = answer.lease_ms > 0.0
+        self.revisions.answered(answer.revision, answer.pending, answer.seq, self._seq + 1, granted)
         self._take_lease(now, event.asked, answer)
         self._take_rest(now, event.asked, answer)
         self._follow_pending()
         actions = [*self._release_line(now), *self._decided(now)]
-        if self.revisions.lacks:
+        if self.revisions.lacks or answer.pending != self.pending:
             actions += self._fetch(now)
         return actions
 
--- a/brassfall/aggregation/revisions.py
+++ b/brassfall/aggregation/revisions.py
@@ -57,11 +57,13 @@
             self._prepare(revision, next_seq)
         return True
 
-    def answered(self, revision: int, pending: int, seq: int, next_seq: int) -> None:
-        """Take in the answer to report `seq`, the newest one that was answered."""
+    def answered(self, revision: int, pending: int, seq: int, next_seq: int, granted: bool) -> None:
+        """Take in the answer to report `seq`, the newest one that was answered.
+
+        One that grants a lease, and does not name what is pending as far as is known here, although the
+        report knew of it, tells that it is decided. One that refuses may be brief, and ends nothing."""
         self._decide(revision, revision)
-        if self.pending and seq >= self._pending_seq and pending != self.pending:
-            # The service knew that it is known here, and does not name it any more: it is decided.
+        if self.pending and seq >= self._pending_seq and pending != self.pending and granted:
             self._decide(self.committed, self.pending)
         if pending > self.newest:
             self._prepare(pending, next_seq)
--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -242,7 +242,8 @@
         heard = self.directory.heard(now, self.life, name, told)
         if heard.superseded:
             self.kernel.met["superseded reports of aggregators"] += 1
-            answer(AggregatorLease(self.life, self.agreement.kept.committed.number, seq=told.seq))
+            number = self.agreement.kept.committed.number
+            answer(AggregatorLease(self.life, number, pending=self.pending, seq=told.seq))
             return True
         objections = {child: Objection(told.acknowledged, why) for child, why in told.objections.items()}
 
--- a/brassfall/registry/aggregators.py
+++ b/brassfall/registry/aggregators.py
@@ -155,15 +155,20 @@
         self.figures.reports += 1
         if heard.superseded:
             self.figures.superseded += 1
-            return AggregatorLease(
-                rules.core.fleet.life, rules.core.kept.committed.number, seq=report.seq, why=REPLACED
-            )
+            return self._replaced(report)
         if not heard.stale:
             self._part(heard.departed)
             self._part(heard.arrived)
             self.geo.merged(name, report)
         return self._answer(now, name, report, heard)
 
+    def _replaced(self, report: AggregatorReport) -> AggregatorLease:
+        """The answer to a process that another of its name has followed. It names what is pending: else it
+        would take that for decided, and end what its children have promised under leases that still run."""
+        kept, epoch = self.rules.core.kept, self.rules.core.fleet.life
+        pending = kept.pending.number if kept.pending is not None else 0
+        return AggregatorLease(epoch, kept.committed.number, pending=pending, seq=report.seq, why=REPLACED)
+
     def _answer(self, now: float, name: str, report: AggregatorReport, heard: Heard) -> AggregatorLease:
         rules, process = self.rules, heard.process
         granted = rules.report(name, _as_member(report), _objections(report))
--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -157,6 +157,18 @@
     assert not chain.line(NEXT, "prepared", OLD) and chain.core.pending == 0  # a line that was late
 
 
+def test_an_answer_without_a_lease_ends_nothing_that_is_pending():
+    chain = Chain()
+    chain.line(NEXT, "prepared", OLD)
+    chain.lease(pending=NEXT)
+    chain.now += 500.0
+    actions = chain.answer(chain.report().seq, lease_ms=0.0, why="a newer process of its name reports")
+    assert chain.core.pending == NEXT and core.FetchState() in actions
+    assert chain.child(prepared=NEXT).pending == NEXT
+    chain.lease()
+    assert chain.core.pending == 0
+
+
 def test_children_are_sent_on_in_time_where_answers_stop():
     chain = Chain()
     assert not chain.child().elsewhere
--- a/tests/test_aggregators_service.py
+++ b/tests/test_aggregators_service.py
@@ -112,6 +112,18 @@
         assert found["objections"] == [{"edge": "c7", "reason": "no class 'b' is known here"}]
 
 
+@serving
+async def test_a_process_that_another_has_followed_hears_what_is_pending(ask):
+    old, other = Reporter(ask, "x"), Reporter(ask, "y", region="b")
+    async with reporting(old, other):
+        other.lags = True  # holds the commit up for a while
+        _, told, _ = await ask("PUT", "/rules", {"caps": {"look": 7}})
+        await until(lambda: other.lease.get("pending") == told["edition"])
+        assert (await Reporter(ask, "x", life="q").report())[0] == 200
+        found = (await old.report())[1]
+        assert (found["why"], found["pending"]) == ("a newer process of its name reports", told["edition"])
+
+
 @serving
 async def test_what_is_no_report_gets_400_and_a_name_of_another_409(ask):
     for body in UNREAD:
