Take the uncertainty of a time left from an aggregator into its upper bound

An aggregator knows the end of an override only between two bounds. It tells the lower one as `left_ms`, and how much more may be left as `slack_ms` in the row.

The upper bound of the end, from which on no other sidecar acts on it either, counts that time too; the lower one, until which it is acted on, does not. Rows without the field are read as before; one that is no duration is named and changes nothing.

--- a/fordtrestle/fleet/deadlines.py
+++ b/fordtrestle/fleet/deadlines.py
@@ -74,7 +74,8 @@
     def receive(
         self, asked_at_s: float, times: Mapping[str, Any], received_at_s: float | None = None
     ) -> tuple[str, ...]:
-        """An answer: `{ID: {"rev", "same_from", "left_ms"}}` to what was sent and came at these times.
+        """An answer: `{ID: {"rev", "same_from", "left_ms", "slack_ms"}}` to what was sent and came at these
+        times. At least `left_ms` are left, and at most `slack_ms` more, which an aggregator adds.
 
         The time left is counted from the asking, so that it is never too long; when the answer was received
         bounds it from above. The ids of what could not be read, or contradicts what was received of the same
@@ -83,12 +84,12 @@
         bad = []
         for key, row in times.items():
             try:
-                rev, same_from, left_ms = _time(row)
+                rev, same_from, least_ms, most_ms = _time(row)
             except ValueError:
                 bad.append(str(key))
                 continue
-            low, high = left_ms / 1000.0 * (1.0 - self._drift), left_ms / 1000.0 * (1.0 + self._drift)
-            retell = asked_at_s + (left_ms / 1000.0 * RETELL_PART if received - asked_at_s < SLOW_S else 0.0)
+            low, high = least_ms / 1000.0 * (1.0 - self._drift), most_ms / 1000.0 * (1.0 + self._drift)
+            retell = asked_at_s + (least_ms / 1000.0 * RETELL_PART if received - asked_at_s < SLOW_S else 0.0)
             new = _Bounds(rev, same_from, asked_at_s + low, received + high, retell)
             if not self._take(str(key), new, asked_at_s):
                 bad.append(str(key))
@@ -146,16 +147,23 @@
         return any(bounds.retell_s <= now_s < bounds.end_s for bounds in newest)
 
 
-def _time(row: Any) -> tuple[int, int, float]:
+def _time(row: Any) -> tuple[int, int, float, float]:
+    """Revision, the first one that says the same, and the least and the most that is left, in ms."""
     if not isinstance(row, Mapping):
         raise ValueError("no object")
-    rev, left = row.get("rev"), row.get("left_ms")
+    rev = row.get("rev")
     same_from = row.get("same_from", rev)
     if not (whole(rev) and whole(same_from) and 0 < same_from <= rev):
         raise ValueError("no revision")
-    if isinstance(left, bool) or not isinstance(left, int | float) or not -math.inf < left <= LONGEST_MS:
+    left_ms, slack_ms = row.get("left_ms"), row.get("slack_ms", 0)
+    if not (_duration(left_ms) and _duration(slack_ms)) or slack_ms < 0:
         raise ValueError("no time left")
-    return rev, same_from, max(0.0, float(left))
+    return rev, same_from, max(0.0, float(left_ms)), max(0.0, float(left_ms + slack_ms))
+
+
+def _duration(value: Any) -> TypeGuard[int | float]:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    return number and -math.inf < value <= LONGEST_MS
 
 
 def whole(value: Any) -> TypeGuard[int]:
--- a/tests/test_overrides_parts.py
+++ b/tests/test_overrides_parts.py
@@ -337,11 +337,26 @@
     assert tuple(held.phase("x", 5, at) == 2 for at in (105.0, 109.0, 115.0)) == wanted
 
 
+def test_what_an_aggregator_does_not_know_of_an_end_is_doubtful_and_prolongs_nothing():
+    held = Deadlines()
+    left = {"rev": 5, "left_ms": 10_000, "slack_ms": 3000}
+    held.receive(100.0, {"x": left}, 100.2)
+    end = held.next_end(100.0)
+    assert 109.7 < end <= 110.0 and held.phase("x", 5, end) == 1
+    over = held.next_end(end)
+    assert 113.2 < over < 113.6 and held.phase("x", 5, over) == 0  # the most that is left, by any clock
+    # Another aggregator knows better: the two together bound it, whichever came first.
+    held.receive(101.0, {"x": {"rev": 5, "left_ms": 9200, "slack_ms": 100}}, 101.0)
+    assert end <= held.next_end(101.0) < 110.2 and held.next_end(110.2) < 110.7
+    assert held.receive(102.0, {"x": {**left, "left_ms": 60_000}}) == ("x",)
+
+
 BAD_TIMES = [
     *(None, [], {}, {"rev": 5}),
     *({"rev": rev, "left_ms": 1} for rev in ("5", True, 0, 5.0, None)),
     *({"rev": 5, "left_ms": left} for left in ("1", True, None, float("nan"), float("inf"), 1e12)),
     {"rev": 5, "same_from": 6, "left_ms": 1},
+    *({"rev": 5, "left_ms": 1, "slack_ms": slack} for slack in (-1, "1", True, None, float("nan"), 1e12)),
 ]
 
 
