Move a sidecar's reports to the address that has a lease for it

Behind aggregators, one address may have no lease to grant while another has: `elsewhere` in an answer says so. And an address that is full or starting says with Retry-After when to come again; a sidecar waited there whatever became of its lease.

With `elsewhere` the next report goes to the next address at its usual time; once each has said so, only every fourth one moves, so that a service that is down costs few connections. A wait that is named is kept where the lease lasts for it and for one more call, or where there is none to lose; else each of the other addresses is asked first, once. The watch on rules heeds Retry-After, too.

--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -13,11 +13,11 @@
 from typing import Any
 
 from fordtrestle.config import Address, Agreement
-from fordtrestle.discovery import SILENT_S, Channel
+from fordtrestle.discovery import CLOCK_STEP_S, SILENT_S, Channel
 from fordtrestle.driver import log
 from fordtrestle.fleet.calls import Caller, CallFailed
 from fordtrestle.fleet.lease_client import ActiveConfiguration, LeaseClient, Revision
-from fordtrestle.fleet.lists import Sources
+from fordtrestle.fleet.lists import RETRY_SPREAD, Sources
 
 EVERY_MS, EVERY_MOST_MS = 750.0, 10_000.0
 SPREAD_MS, SPREAD_MOST_MS = 100.0, 10_000.0  # a report that a revision calls for comes within this
@@ -153,13 +153,25 @@
                 pause = self._pause
             except CallFailed as error:
                 self._note_failure(str(error))
-                again = self._sources.failed(error.retry_after)
-                wait = again if error.retry_after else min(again, RETRY_S * (1.0 + self._rng.random()))
+                wait = self._wait_after(error)
             except Exception as error:  # without reports, this sidecar would be on the fallback for good
                 self._note_failure(f"an answer that is none: {error!r}")
                 wait = min(wait, self._sources.failed())
             await pause(wait)
 
+    def _wait_after(self, error: CallFailed) -> float:
+        """How long until the next report after one that failed, in seconds; it may go to the next address.
+
+        A wait that the service names is kept where the lease lasts for it and for one more call, and where
+        there is no lease to lose: that place in time is this sidecar's own."""
+        left_s = self.lease_client.left_ms(self._loop.time()) / 1000.0
+        bearable = (left_s - CALL_S) / (1.0 + RETRY_SPREAD) if left_s else math.inf
+        before = self._sources.current
+        wait = self._sources.failed(error.retry_after, bearable)
+        if error.retry_after and self._sources.current == before:
+            return wait
+        return min(wait, RETRY_S * (1.0 + self._rng.random()))
+
     async def _pause(self, wait: float) -> None:
         """Wait for the next report. One that a revision calls for comes sooner, and in this one's place:
         the service decides when all have acknowledged, and each acts when its report has asked after that.
@@ -195,6 +207,11 @@
             raise CallFailed("an earlier life of the service answers there")
         for listener in self.answer_listeners:
             listener(asked, self._loop.time(), answer)
+        if answer.get("elsewhere") is True:
+            # With the next report, at its usual time; a lease that still runs goes on meanwhile.
+            self._sources.sent_on()
+        else:
+            self._sources.settled()
         every_ms = answer.get("every_ms", EVERY_MS)
         self._every_ms = min(EVERY_MOST_MS, max(EVERY_MS, float(every_ms)))
         self._spread_ms = min(SPREAD_MOST_MS, max(SPREAD_MS, float(answer.get("spread_ms", SPREAD_MS))))
@@ -228,18 +245,21 @@
     async def _watch(self) -> None:
         sources, why = Sources((self._sources.current, *self._sources.others), self._rng), ""
         while True:
+            retry_after = 0.0
             try:
-                if await self._watch_once(sources.current):
+                channel = await self._watch_once(sources.current)
+                retry_after = channel.retry_after
+                if channel.taken:
                     sources.worked()
                     why = ""
             except Exception as error:  # one that ends would never be opened again
                 if not why:
                     log(f"agreement: the watch on rules fails: {error!r}; reports bring editions meanwhile")
                 why = repr(error)
-            await asyncio.sleep(sources.failed())
+            await asyncio.sleep(sources.failed(retry_after))
 
-    async def _watch_once(self, address: Address) -> bool:
-        """Watch until the connection ends or falls silent; whether anything came."""
+    async def _watch_once(self, address: Address) -> Channel:
+        """Watch until the connection ends or falls silent; what came of it."""
         host, port = address
         held = self.lease_client.held
         request = f"GET {PATH}?watch=1&from={held} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
@@ -249,13 +269,13 @@
                 lambda: Channel(request.encode(), self._line, called), host, port
             )
         try:
-            while (left := channel.due_at - self._loop.time()) > 0.0:
+            while (left := channel.due_at - self._loop.time()) > CLOCK_STEP_S:
                 await asyncio.wait((channel.broken,), timeout=left)
                 if channel.broken.done():
                     break
         finally:
             channel.close()
-        return channel.taken
+        return channel
 
     def _line(self, line: bytes) -> None:
         raw: Mapping[str, Any] = json.loads(line)
--- a/fordtrestle/fleet/lists.py
+++ b/fordtrestle/fleet/lists.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping, Sequence
 
@@ -13,7 +14,8 @@
 from poppypulley.model import Listing
 
 FIRST_WAIT_S, WAIT_MOST_S = 0.25, 1.0
-RETRY_MOST_S = 30.0
+RETRY_MOST_S, RETRY_SPREAD = 30.0, 0.25  # of a wait that was named: up to so much longer, as a part of it
+SENT_ON_EVERY = 4  # answers of that kind, once each address has given one
 # The k-th empty line of a watch is sent no sooner than so many seconds times k after the call.
 HEARTBEAT_S = 2.0
 CLOCKS_DIFFER = 0.99  # by less than this, in their rate
@@ -22,13 +24,15 @@
 
 
 class Sources:
-    """The addresses of the list service. One that works is kept; after a failure the next is asked."""
+    """The addresses of the list service or its aggregators. One that works is kept; after a failure, or where
+    an answer says so, the next is asked."""
 
     def __init__(self, addresses: Sequence[Address], rng: random.Random) -> None:
         self._addresses = addresses
         self._rng = rng
         self._at = rng.randrange(len(addresses))  # a fleet spreads over all of them
         self._failures = 0
+        self._sent_on = 0  # answers in a row that named another address
 
     @property
     def current(self) -> Address:
@@ -40,23 +44,39 @@
         """Where else."""
         return [*self._addresses[self._at + 1 :], *self._addresses[: self._at]]
 
-    def failed(self, retry_after: float = 0.0) -> float:
-        """A call was turned away, or its watch is over; how long to wait before the next.
+    def failed(self, retry_after: float = 0.0, bearable: float = math.inf) -> float:
+        """A call was turned away, or its watch is over; how long to wait before the next, in seconds.
 
-        A caller that is told when to come again stays there: the others have a herd of their own. All waits
-        are spread, since every sidecar loses its watch in the same moment."""
+        A caller that is told when to come again stays there: the others have a herd of their own. One that
+        can't wait for longer than `bearable` seconds asks each of the others first. All waits are spread,
+        since every sidecar loses its watch in the same moment."""
         chance = self._rng.random()
-        if retry_after:
-            return min(retry_after, RETRY_MOST_S) * (1.0 + 0.25 * chance)
-        self._at = (self._at + 1) % len(self._addresses)
+        if retry_after and (retry_after <= bearable or self._failures >= len(self._addresses) - 1):
+            return min(retry_after, RETRY_MOST_S) * (1.0 + RETRY_SPREAD * chance)
+        self._move()
         rounds = self._failures // len(self._addresses)
         self._failures += 1
         return min(FIRST_WAIT_S * 2.0**rounds, WAIT_MOST_S) * (0.2 + 1.3 * chance)
 
     def worked(self) -> None:
-        """A list, or a part of one, has come from there."""
+        """A list, a part of one, or an answer has come from there."""
         self._failures = 0
 
+    def sent_on(self) -> None:
+        """An answer says that another address may have a lease to grant, which this one has not.
+
+        Each is asked once; then, since nobody seems to have one, a new connection is made more rarely."""
+        self._sent_on += 1
+        if self._sent_on <= len(self._addresses) or self._sent_on % SENT_ON_EVERY == 0:
+            self._move()
+
+    def settled(self) -> None:
+        """An answer came that names no other address."""
+        self._sent_on = 0
+
+    def _move(self) -> None:
+        self._at = (self._at + 1) % len(self._addresses)
+
 
 class Age:
     """An upper bound on the age of the list held: how long ago it can last have been the newest."""
@@ -65,12 +85,13 @@
         self._confirmed: float | None = None
         self._passed = 0
 
-    def confirmed(self, asked: float, received: float, empties: int) -> None:
-        """A list came, or an empty line: the service had nothing newer when it sent that.
+    def confirmed(self, asked: float, received: float, empties: int, stated: float = 0.0) -> None:
+        """A list came, or an empty line: who sent it had nothing newer then, and an aggregator that did had
+        heard so from the service at most `stated` seconds before.
 
         It was sent after the call, and the k-th empty line k heartbeats after it; that is known however
         long the answer took, and nothing later is."""
-        sent = min(received, asked + HEARTBEAT_S * CLOCKS_DIFFER * empties)
+        sent = min(received, asked + HEARTBEAT_S * CLOCKS_DIFFER * empties) - stated
         self._confirmed = sent if self._confirmed is None else max(self._confirmed, sent)
 
     def bound(self, now: float) -> float | None:
