Count an aggregator's own age in, and let no list go back over a move

A list that comes through an aggregator may be older than its connection tells. X-List-Age-Ms, or a line with `age_ms` in the place of an empty one, say by how much at most: both are added to the bound on the list's age, an age that can't be read counts as unknown. Such a line is no news to the module.

After a line that was no list the version held was forgotten, so that the whole list asked for next could be an older one, of an address that is behind; and changes of a lower number were taken then. Both are held against the list held now. A watch that has fallen behind is opened at the next address: at the same one it stayed behind.

Without the key `fleet` nothing changes.

--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -8,6 +8,7 @@
 import math
 import random
 from collections.abc import Callable
+from typing import Any
 
 import httptools
 
@@ -33,12 +34,16 @@
 LINE_RATE = 512 * 1024.0  # a second for so many bytes of a line that is not whole yet
 MOVED_S = 4.0  # after a move, what the new address has counts as told
 HELD = "X-Held-Index"  # tells our own list service which version an asker of the whole list has
+# How old an aggregator's list may be when it sends it, or says by an empty line that it has no newer one.
+STATED_AGE = b"x-list-age-ms"
 LOOK_S = 1.0  # at the age of the list
 
 MALFORMED = (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError)
 SAID_MOST = 200  # characters of a reason in the log: it may quote what came
 
 News = Callable[[str, ServerList | None], None]
+# Takes a line; the age of the list in seconds where the line states one.
+OnLine = Callable[[bytes], float | None]
 ASKED_AGAIN = "see that it runs at its address; it is asked again by itself, and the list held serves"
 
 
@@ -58,12 +63,22 @@
         self.first = first
 
 
+def seconds(ms: Any) -> float:
+    """An age in ms as it was stated, in seconds; infinite where it is none: nothing is known by that."""
+    try:
+        stated = float(ms) / 1000.0
+    except (ValueError, TypeError, OverflowError):
+        return math.inf
+    return stated if stated >= 0.0 else math.inf
+
+
 class Channel(asyncio.Protocol):
     """One connection to discovery: its answer is cut into lines as it comes, and what was spread over
     several lines is joined again."""
 
-    def __init__(self, request: bytes, on_line: Callable[[bytes], None], called_at: float) -> None:
+    def __init__(self, request: bytes, on_line: OnLine, called_at: float) -> None:
         self._request = request
+        self._stated = 0.0  # the age of the list that was stated last, in seconds
         self._object = bytearray()  # one that has begun: lists may come indented
         self._depth = 0
         self._empties = 0
@@ -139,6 +154,8 @@
             with contextlib.suppress(ValueError):
                 wait = float(value)
                 self.retry_after = wait if 0.0 < wait < math.inf else 0.0
+        elif name.lower() == STATED_AGE:
+            self._stated = seconds(value)
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
@@ -182,11 +199,18 @@
         self.lived = True
         self.heard_at, self._since = self._loop.time(), 0
         if self.age is not None and self._told:
-            self.age.confirmed(self.asked_at, self._loop.time(), self._empties)
+            self.confirm(self.age, self._loop.time())
+
+    def confirm(self, age: Age, received: float) -> None:
+        """What came last, at that time, tells how old the list can be."""
+        age.confirmed(self.asked_at, received, self._empties, self._stated)
 
     def _give(self) -> None:
         whole, self._object, self._depth = bytes(self._object), bytearray(), 0
-        self._on_line(whole)
+        stated = self._on_line(whole)
+        if stated is not None:  # it stands in the place of an empty line
+            self._stated = stated
+            self._empties += 1
         self._told = True
 
 
@@ -207,6 +231,7 @@
         # Who holds no server need not wait for what it would have to lose.
         empty = bool(config.registry) and not config.known.entries
         self._version = 0 if empty else config.known.version
+        self._newest = self._version  # of the list held, also where it is to be asked for whole
         self._known = config.known
         self._rng = random.Random(config.seed)
         self._sources = Sources(config.registry, self._rng) if config.registry else None
@@ -234,16 +259,16 @@
         age = self._age.bound(self._loop.time())
         told = "unknown" if age is None else f"{age * 1000.0:.0f}"
         host, port = self._where
-        return f"version={self._version} age_ms={told} servers={len(self._held or ())} at={host}:{port}"
+        return f"version={self._newest} age_ms={told} servers={len(self._held or ())} at={host}:{port}"
 
     def told(self) -> dict[str, float]:
         """The list held, for a report: its version, and an upper bound on its age where there is one."""
         age = self._age.bound(self._loop.time())
         if age is None or not math.isfinite(age):
-            return {"list_index": self._version}
+            return {"list_index": self._newest}
         # What is finer than the beat tells nothing, and costs bytes in each report.
         return {
-            "list_index": self._version,
+            "list_index": self._newest,
             "list_age_ms": round(math.ceil(age / AGE_STEP_S) * AGE_STEP_S * 1000.0),
         }
 
@@ -307,10 +332,13 @@
     @property
     def version(self) -> int:
         """Of the list held."""
-        return self._version
+        return self._newest
 
     def again(self) -> None:
-        """Open the watch anew, which has fallen behind; where the module asks, have the whole list."""
+        """Open the watch anew, elsewhere if there is another address, since this one has fallen behind; where
+        the module asks, have the whole list."""
+        if self._sources is not None:
+            self._sources.failed()
         if self._pushed and self._watching is not None:
             self._watching.cancel()
             self._watching = self._loop.create_task(self._keep_watch())
@@ -401,10 +429,11 @@
     async def _fetch(self) -> None:
         got: list[bytes] = []
 
-        def one(line: bytes) -> None:
+        def one(line: bytes) -> float | None:
             if got:
                 raise ValueError("more than one list")
             got.append(line)
+            return None
 
         until = self._loop.time() + FETCH_S
         channel = await self._open(PATH, one)
@@ -416,7 +445,7 @@
         try:
             if channel is None or not channel.complete:
                 raise ValueError("the call failed")
-            news = self._parse(b"".join(got))
+            news = self._parse(json.loads(b"".join(got)))
             if self._held is None and news.version < self._version:
                 raise ValueError("the list is older than the one held")
         except MALFORMED as error:
@@ -426,10 +455,10 @@
                 self._sources.failed(channel.retry_after if channel is not None else 0.0)
             self._news("refused", None)
             return
-        self._age.confirmed(channel.asked_at, channel.heard_at, 0)
+        channel.confirm(self._age, channel.heard_at)
         self._tell("all", news)
 
-    async def _open(self, target: str, on_line: Callable[[bytes], None]) -> Channel | None:
+    async def _open(self, target: str, on_line: OnLine) -> Channel | None:
         address = self._where
         more = f"{HELD}: {self._version}\r\n" if self._sources is not None else ""
         request = f"GET {target} HTTP/1.1\r\nHost: {address.host}:{address.port}\r\n{more}\r\n".encode()
@@ -444,14 +473,14 @@
             return None
         return channel
 
-    def _parse(self, line: bytes) -> ServerList:
+    def _parse(self, raw: Any) -> ServerList:
         """One list; `ValueError` or its like where it is none, or, in a fleet, where it is not believed."""
         if self._held is None:
-            return parse_list(json.loads(line), self._names)
+            return parse_list(raw, self._names)
         bad: dict[str, str] = {}
-        news = parse_list(json.loads(line), self._names, bad)
+        news = parse_list(raw, self._names, bad)
         first = self._doubt.new
-        why = self._doubt.of(news, self._version, len(self._held), self._loop.time())
+        why = self._doubt.of(news, self._newest, len(self._held), self._loop.time())
         if why is not None:
             raise Doubted(why, first)
         if bad:
@@ -459,10 +488,17 @@
             news = self._held.repaired(news, bad)
         return news
 
-    def _changed(self, line: bytes) -> None:
-        """One line of a watch; `ValueError` ends it, and the next one brings the whole list."""
+    def _changed(self, line: bytes) -> float | None:
+        """One line of a watch; `ValueError` ends it, and the next one brings the whole list. The age that it
+        states in the place of an empty line, in seconds, if it does."""
         try:
-            news = self._parse(line)
+            raw = json.loads(line)
+            stated = None
+            if self._held is not None and "age_ms" in raw and not raw["endpoints"] and not raw["snapshot"]:
+                stated = seconds(raw["age_ms"])
+                if raw["index"] <= self._newest:
+                    return stated  # the module need not hear of it
+            news = self._parse(raw)
         except Doubted:
             raise
         except MALFORMED as error:
@@ -470,13 +506,14 @@
             raise ValueError(f"not a list: {error}") from error
         if news.whole:
             self._tell("all", news)
-        elif news.version >= self._version:
+        elif news.version >= (self._version if self._held is None else self._newest):
             # The version held may come again, with no entries: it answers who asked for a watch.
             self._tell("changes", news)
-        # Older changes were told already: by a list asked for meanwhile.
+        # Older changes were told already: by a list asked for meanwhile, or by another address.
+        return stated
 
     def _tell(self, form: str, news: ServerList) -> None:
-        self._version = news.version
+        self._version = self._newest = news.version
         if self._sources is not None and self._held is not None:
             self._sources.worked()
             self._held.apply(news)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -153,6 +153,7 @@
 
     def __init__(self, listed=(), current=False):
         self.current = current
+        self.headers = b""  # of each answer to a watch
         self.asked = []
         self.watches = []
         self.listed = listed
@@ -170,7 +171,7 @@
         target = message.start.split(" ")[1]
         self.asked.append(target)
         if "watch=1" in target:
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n%b\r\n" % self.headers)
             self.watches.append(writer)
             if self.current:
                 self.tell(int(target.rpartition("=")[2]))
--- a/tests/test_sidecar_lists.py
+++ b/tests/test_sidecar_lists.py
@@ -284,6 +284,72 @@
     assert age.bound(now) == (None if bound is None else pytest.approx(bound))
 
 
+@pytest.mark.parametrize("stated", [b"2000", b"90000", b"", b"-1", b"nan", b"soon"])
+@loopback
+async def test_the_age_of_an_aggregators_list_is_added_until_a_line_states_another(stated):
+    registry = await Registry(current=True).start()
+    registry.headers = b"X-List-Age-Ms: %b\r\n" % stated
+    module = Scripted()
+    raw = {"known": listed(41, entry("s0")), "fleet": {"registry": [registry.address]}}
+    async with running(balancer=module, registry=registry, raw=raw) as sidecar:
+
+        def age():
+            return sidecar.discovery._age.bound(asyncio.get_running_loop().time())
+
+        await until(lambda: age() is not None)
+        least = float(stated) / 1000.0 if stated.isdigit() else float("inf")  # none that can be read: any age
+        assert least <= age() <= least + 5.0
+        news = len(told_of(module))
+        registry.write(json.dumps({**listed(41, snapshot=False), "age_ms": 1000}).encode() + b"\n")
+        await until(lambda: age() < 10.0)  # counted as an empty line of which an older one may have come
+        assert age() >= 1.0 and len(told_of(module)) == news  # and the module has no work with it
+        registry.tell(42, entry("s1"))
+        await until(lambda: sidecar.discovery.version == 42)
+        assert told_of(module)[-1] == ("changes", ["s1"])
+
+
+@loopback
+async def test_a_list_goes_back_neither_by_another_address_nor_after_one_that_was_none(monkeypatch):
+    monkeypatch.setattr(fleet, "FIRST_WAIT_S", 0.01)
+    ahead, behind = await Registry().start(), await Registry().start()
+    module = Scripted()
+    raw = {"known": listed(41, entry("s0")), "fleet": {"registry": [ahead.address, behind.address]}}
+    async with running(balancer=module, registry=ahead, raw=raw) as sidecar:
+        sidecar.discovery.move(config.parse_address(ahead.address), (config.parse_address(ahead.address),))
+        await until(lambda: ahead.watches)
+        ahead.tell(50, entry("s5"), snapshot=True)
+        await until(lambda: sidecar.discovery.version == 50)
+        sidecar.discovery.move(config.parse_address(behind.address), (config.parse_address(behind.address),))
+        await until(lambda: len(behind.watches) == 1)
+        assert behind.asked[-1].endswith("from=50")
+        behind.tell(45, entry("s1", status="leaving"))  # changes that were heard of before
+        behind.tell(44, entry("s4"), snapshot=True)
+        await until(lambda: len(behind.watches) == 2)
+        behind.write(b"no list\n")
+        await until(lambda: len(behind.watches) == 3)
+        assert behind.asked[-1].endswith("from=0")
+        behind.tell(45, entry("s1"))
+        behind.tell(45, entry("s4"), snapshot=True)  # asked for whole, it is no older for that
+        await until(lambda: len(behind.watches) == 4)
+        assert sorted(sidecar.pool._servers) == ["s5"] and sidecar.discovery.told()["list_index"] == 50
+        behind.tell(51, entry("s6"))
+        await until(lambda: sorted(sidecar.pool._servers) == ["s5", "s6"])
+
+
+@loopback
+async def test_a_watch_that_has_fallen_behind_is_opened_at_the_next_address():
+    registries = [await Registry(current=True).start() for _ in range(2)]
+    raw = {
+        "known": listed(41, entry("s0")),
+        "fleet": {"registry": [each.address for each in registries]},
+    }
+    async with running(balancer=Scripted(), registry=registries[0], raw=raw) as sidecar:
+        await until(lambda: sum(len(each.watches) for each in registries) == 1)
+        sidecar.discovery.again()
+        await until(lambda: [len(each.watches) for each in registries] == [1, 1])
+    registries[1].stop()
+
+
 def test_the_age_of_a_list_is_logged_as_it_passes_bounds_and_not_again():
     age = fleet.Age()
     age.confirmed(0.0, 0.1, 0)
