Let the editions lab play with aggregators between sidecars and the service

The stage takes a number of aggregators: each a process of its own, with a link to the service that can be cut either way, one to each sidecar, and one by which others reach it. Faults of the tier are drawn beside those that were there: killed, told to leave, stopped, cut off above or below, and followed by a twin of its name. The page tells how long editions took from their publish until they were acted on.

--- a/brassfall/lab/editions/faults.py
+++ b/brassfall/lab/editions/faults.py
@@ -10,7 +10,7 @@
 
 from brassfall.lab.editions.proxies import ANSWER, ASK, EDITIONS, LISTS, REPORT
 from brassfall.lab.editions.publisher import Publisher, now
-from brassfall.lab.editions.spec import Publish, Step
+from brassfall.lab.editions.spec import Publish, Step, TierFault, is_tier_fault
 from brassfall.lab.editions.stage import Stage
 
 CUTS = {
@@ -56,6 +56,9 @@
 
     async def _break(self, step: Step) -> None:
         stage = self.stage
+        if is_tier_fault(step.do):
+            await self._break_tier(step, step.do)
+            return
         match step.do:
             case "kill" | "kills" | "lost-disk" | "old-copy":
                 for _ in range(int(step.by) if step.do == "kills" else 1):
@@ -69,10 +72,11 @@
             case "roll":
                 await self._roll(step)
             case "slow-service":
-                for door in stage.doors:
+                doors = stage.tier.above if stage.tier else stage.links()
+                for door in doors:
                     door.late_s = step.by
                 await asyncio.sleep(step.lasts)
-                for door in stage.doors:
+                for door in doors:
                     door.late_s = 0.0
             case "slow-links":
                 ways = stage.ways[step.who[0] :: len(stage.told.regions)]
@@ -89,13 +93,19 @@
                 for way in ways:
                     way.loses = False
             case _:
-                cuts = [(stage.doors[number], *cut) for number in step.who for cut in CUTS[step.do]]
+                doors = [door for number in step.who for door in stage.doors[number]]
+                cuts = [(door, *cut) for door in doors for cut in CUTS[step.do]]
                 for door, kind, direction in cuts:
                     door.cut(kind, direction)
                 await asyncio.sleep(step.lasts)
                 for door, kind, direction in cuts:
                     door.heal(kind, direction)
 
+    async def _break_tier(self, step: Step, fault: TierFault) -> None:
+        tier = self.stage.tier
+        if tier is not None:
+            await self._all(step, lambda number: tier.break_one(number, fault, step.lasts))
+
     @staticmethod
     async def _all(step: Step, work: Callable[[int], Awaitable[None]]) -> None:
         await asyncio.gather(*(work(number) for number in step.who))
@@ -121,22 +131,18 @@
         stage.copy("main", stage.disk("second"))
         await stage.service("second")
         observing = asyncio.create_task(self.publisher.observe(stage.at("second")))
-        self._turn(step.who, "second")
+        stage.lead(step.who, "second")
         try:
             await asyncio.sleep(step.lasts / 2.0)
             again = Step(at=0.0, do="hold", by=0.0)
             await self.publisher.publish(stage.at("second"), again)
             await asyncio.sleep(step.lasts / 2.0)
         finally:
-            self._turn(step.who, "main")
+            stage.lead(step.who, "main")
             observing.cancel()
             await stage.kill("second")
             shutil.rmtree(stage.disk("second"), ignore_errors=True)
 
-    def _turn(self, who: list[int], name: str) -> None:
-        for number in who:
-            self.stage.doors[number].turn((self.stage.host, self.stage.ports[name]))
-
     async def _roll(self, step: Step) -> None:
         """One after the other, quickly: each begins while the one before starts."""
         tasks = []
--- a/brassfall/lab/editions/judge.py
+++ b/brassfall/lab/editions/judge.py
@@ -69,6 +69,7 @@
     homes: Mapping[int, Mapping[str, str]] = {}  # the region of each tenant that an edition pins
     pins: Sequence[Pin] = ()
     exclusive: bool = True  # whether this program acts on held regions
+    committed: Mapping[int, float] = {}  # editions that took effect: when each was published
     link_s: float = 0.0  # the longest way from a sidecar to a server
     late_s: float = 0.0  # the most that the observer was late
 
@@ -99,6 +100,12 @@
     asked: int = 0
     answers: dict[str, int] = {}
     unknown: int = 0  # editions whose content the play never heard
+    # Of each edition that took effect: from its publish to the first send under it, or a later one, of the
+    # first sidecar, of half of them, and of all; without those that some had not reached at the end.
+    first_ms: list[float] = []
+    half_ms: list[float] = []
+    all_ms: list[float] = []
+    unreached: int = 0
 
 
 class _Book:
@@ -137,6 +144,7 @@
     made.unknown = sum(number != 0 and number not in terms.held for number in lives)
     made.contradiction_ms = _contradictions(lives, terms, book)
     made.held_ms, made.safe_into_held = _held(rows, lives, terms, book)
+    _reached(rows, terms, made)
     made.override_ms, made.pinned = _pins(rows, terms, book)
     _apart([call for call in rows if _home(call, terms)], terms, book)
     _twice(rows, terms, book)
@@ -208,6 +216,26 @@
     return found
 
 
+def _reached(rows: Sequence[Call], terms: Terms, made: Verdict) -> None:
+    """How long editions took to be acted on; as fine as requests are close."""
+    sidecars = {call.sidecar for call in rows}
+    begun = [call for call in rows if isinstance(call.edition, int)]
+    for number, published in sorted(terms.committed.items()):
+        spans: dict[int, float] = {}
+        for call in begun:
+            if isinstance(call.edition, int) and call.edition >= number and call.at >= published:
+                spans.setdefault(call.sidecar, (call.at - published) * 1000.0)
+                if len(spans) == len(sidecars):
+                    break
+        reached = sorted(spans.values())
+        if len(reached) < len(sidecars):
+            made.unreached += 1
+            continue
+        made.first_ms.append(reached[0])
+        made.half_ms.append(reached[(len(reached) - 1) // 2])
+        made.all_ms.append(reached[-1])
+
+
 def _home(call: Call, terms: Terms) -> str:
     """The region that a send's edition pins its tenant to, if it does."""
     found = terms.homes.get(call.edition, {}) if isinstance(call.edition, int) else {}
--- a/brassfall/lab/editions/play.py
+++ b/brassfall/lab/editions/play.py
@@ -92,6 +92,11 @@
             homes=publisher.homes,
             pins=publisher.pins,
             exclusive=told.exclusive,
+            committed={
+                number: sent
+                for number, sent in publisher.sent.items()
+                if publisher.states.get(number) == "committed"
+            },
             link_s=max(way.delay_s for way in stage.ways) + _slowest(told, seed),
             late_s=lateness.most / 1000.0,
         ),
@@ -105,7 +110,7 @@
         lateness.most,
         crashes,
         publisher.held,
-        sum(door.held for door in stage.doors),
+        sum(door.held for door in stage.links()),
     )
 
 
--- a/brassfall/lab/editions/proxies.py
+++ b/brassfall/lab/editions/proxies.py
@@ -19,9 +19,9 @@
 
 
 def kind_of(head: bytes) -> str:
-    """What a call of a sidecar is about, by its first line."""
+    """What a call of a sidecar, or of an aggregator, is about, by its first line."""
     method, _, rest = head.partition(b" ")
-    if method == b"POST" and rest.startswith(b"/edges/"):
+    if method == b"POST" and rest.startswith((b"/edges/", b"/aggregators/")):
         return REPORT
     if method == b"GET" and rest.startswith(b"/rules"):
         return EDITIONS
@@ -29,10 +29,10 @@
 
 
 class Door:
-    """One sidecar's way to the list service."""
+    """The way of a sidecar, or of an aggregator, to the list service; or of a sidecar to an aggregator."""
 
     def __init__(self, upstream: tuple[str, int]) -> None:
-        self._upstream = upstream
+        self.upstream = upstream
         self._cut: set[tuple[str, str]] = set()
         self._open = asyncio.Event()  # set, and another in its place, whenever something heals
         self._server: asyncio.Server
@@ -59,7 +59,7 @@
 
     def turn(self, upstream: tuple[str, int]) -> None:
         """Lead elsewhere from now on; what was open is broken."""
-        self._upstream = upstream
+        self.upstream = upstream
         for task in self._tasks:
             task.cancel()
 
@@ -81,7 +81,7 @@
             writer.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        up_reader, up_writer = await asyncio.open_connection(*self._upstream)
+        up_reader, up_writer = await asyncio.open_connection(*self.upstream)
         kind = [OTHER]
         back = asyncio.create_task(self._back(up_reader, writer, kind))
         asks = asyncio.create_task(self._asks(reader, up_writer, kind))
--- a/brassfall/lab/editions/publisher.py
+++ b/brassfall/lab/editions/publisher.py
@@ -36,6 +36,7 @@
         self.pins: list[Pin] = []
         self.outcomes: dict[str, int] = {}  # of publishing
         self.states: dict[int, str] = {}  # of editions, as told last
+        self.sent: dict[int, float] = {}  # when they were published
         self._newest = 0
         self._session: aiohttp.ClientSession
 
@@ -119,12 +120,13 @@
             "shares": shares,
         }
         headers = {"X-Request-Id": f"play-{mark}"}
-        outcome = "unanswered"
+        outcome, sent = "unanswered", now()
         try:
             async with self._session.put(f"http://{service}/rules", json=settings, headers=headers) as answer:
                 told = await answer.json(content_type=None)
                 outcome = str(answer.status)
                 if answer.status == 200:
+                    self.sent.setdefault(int(told["edition"]), sent)
                     self._note(int(told["edition"]), settings, "prepared")
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
             pass
--- a/brassfall/lab/editions/report.py
+++ b/brassfall/lab/editions/report.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from brassfall.lab.editions.judge import Verdict
 from brassfall.lab.editions.play import Result
 from brassfall.lab.editions.spec import Experiment
 
@@ -24,7 +25,7 @@
     parts = [
         "# Editions among real processes\n",
         f"{len(results)} schedules of {told.seconds:g} s, each with {told.sidecars} sidecars, one list"
-        f" service and {told.servers} servers in {len(told.regions)} regions;"
+        f" service, {told.aggregators} aggregators and {told.servers} servers in {len(told.regions)} regions;"
         f" {len(results) - len(counted)} do not count, since the observer was late.\n",
         _bounds(told, counted),
         _faults(counted),
@@ -70,6 +71,10 @@
             str(sum(v.safe_into_held for v in verdicts)),
             "not judged",
         ),
+        ("publish to acted on by the first, median and most", _spans(verdicts, "first_ms"), ""),
+        ("by half of the sidecars", _spans(verdicts, "half_ms"), ""),
+        ("by all of them", _spans(verdicts, "all_ms"), "where all can be reached"),
+        ("editions that some had not reached at the end", str(sum(v.unreached for v in verdicts)), ""),
         ("editions acted on", str(sum(v.editions for v in verdicts)), ""),
         ("of them with content never heard", str(sum(v.unknown for v in verdicts)), ""),
         ("requests asked", str(sum(v.asked for v in verdicts)), ""),
@@ -80,6 +85,14 @@
     return "\n".join(lines) + "\n"
 
 
+def _spans(verdicts: list[Verdict], name: str) -> str:
+    spans = sorted(span for verdict in verdicts for span in getattr(verdict, name))
+    if not spans:
+        return "none"
+    part = spans[int(0.95 * (len(spans) - 1))]
+    return f"{spans[len(spans) // 2]:.0f} ms, 95 in 100 {part:.0f} ms, {spans[-1]:.0f} ms of {len(spans)}"
+
+
 def _ms(span: float | None) -> str:
     return "never" if span is None else f"{span:.0f} ms"
 
--- a/brassfall/lab/editions/schedule.py
+++ b/brassfall/lab/editions/schedule.py
@@ -5,12 +5,21 @@
 import random
 from typing import get_args
 
-from brassfall.lab.editions.spec import Experiment, Fault, Publish, Step
+from brassfall.lab.editions.spec import (
+    TIER_FAULTS,
+    Experiment,
+    Fault,
+    Publish,
+    Step,
+    TierFault,
+    is_tier_fault,
+)
 
 SETTLED_S = 8.5  # a service that starts permits nothing for 5.5 s; then the first edition takes effect
 REST_S = 3.5  # at the end nothing new breaks
 EVERY_S = (0.6, 2.4)  # between publishes
 MEETS_S = 0.8  # a fault begins at most so long after an edition was published
+TIER_SHARE = 3  # each fault of the tier is as likely as so many others
 PUBLISHES: tuple[Publish, ...] = ("hold", "hold", "hold", "free", "free", "objected", "two", "ten")
 
 
@@ -20,7 +29,9 @@
         return sorted(told.steps, key=lambda step: step.at)
     rng = random.Random(seed * 1_000_003 + 17)
     steps = [*_publishes(told, rng), *_pins(told, rng)]
-    kinds = list(get_args(Fault))
+    kinds: list[Fault | TierFault] = list(get_args(Fault))
+    if told.aggregators:
+        kinds += TIER_FAULTS * TIER_SHARE
     rng.shuffle(kinds)
     room = told.seconds - SETTLED_S - REST_S
     for number in range(told.faults):
@@ -57,7 +68,20 @@
     return steps
 
 
-def _fault(told: Experiment, rng: random.Random, kind: Fault, at: float) -> Step:
+def _tier_fault(told: Experiment, rng: random.Random, kind: TierFault, at: float) -> Step:
+    """A fault of one aggregator; of all of them now and then."""
+    left = told.seconds - at - 1.0
+    who = [rng.randrange(told.aggregators)] if rng.random() < 0.8 else list(range(told.aggregators))
+    if kind in ("aggregator-kill", "aggregator-leave"):
+        lasts = rng.choice((0.0, rng.uniform(0.2, 2.0), rng.uniform(2.0, 8.0)))
+    else:
+        lasts = rng.uniform(2.0, 10.0)
+    return Step(at=at, do=kind, who=who, lasts=min(left, lasts))
+
+
+def _fault(told: Experiment, rng: random.Random, kind: Fault | TierFault, at: float) -> Step:
+    if is_tier_fault(kind):
+        return _tier_fault(told, rng, kind, at)
     left = told.seconds - at - 1.0
     who = sorted(rng.sample(range(told.sidecars), rng.randint(1, max(1, told.sidecars // 2))))
     match kind:
--- a/brassfall/lab/editions/spec.py
+++ b/brassfall/lab/editions/spec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeGuard, get_args
 
 import msgspec
 
@@ -34,14 +34,30 @@
     "slow-links",  # to the servers of one region
     "lost-answers",  # of the servers of one region: each third, and its connection
 ]
+TierFault = Literal[
+    "aggregator-kill",  # SIGKILL, and a new process
+    "aggregator-leave",  # SIGTERM, and a new process
+    "aggregator-stop",  # SIGSTOP, SIGCONT
+    "aggregator-twin",  # a new process of its name, and the old one goes on beside it
+    "aggregator-cut-reports",  # on their way to the service; watches pass
+    "aggregator-cut-answers",  # of the service to it, all of them
+    "aggregator-cut-off",  # from the service, in all ways
+    "aggregator-cut-children",  # its children's calls, and its answers
+]
+TIER_FAULTS: tuple[TierFault, ...] = get_args(TierFault)
+
+
+def is_tier_fault(name: str) -> TypeGuard[TierFault]:
+    """Whether a step is a fault of an aggregator."""
+    return name in TIER_FAULTS
 
 
 class Step(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Something that is done at a time of the play."""
 
     at: Seconds
-    do: Publish | Fault
-    who: list[int] = []  # sidecars
+    do: Publish | Fault | TierFault
+    who: list[int] = []  # sidecars; of a fault of the tier: aggregators
     lasts: Seconds = 0.0
     by: float = 0.0  # a figure that the step needs: a delay in s, a place among regions
 
@@ -57,6 +73,7 @@
     seconds: Annotated[float, msgspec.Meta(ge=12.0, le=3600.0)] = 32.0
     sidecars: Few = 8
     servers: Few = 6
+    aggregators: Annotated[int, msgspec.Meta(ge=0, le=16)] = 0  # between sidecars and service; 0: no tier
     regions: Annotated[list[Name], msgspec.Meta(min_length=2)] = msgspec.field(
         default_factory=lambda: ["a", "b", "c"]
     )
@@ -81,7 +98,10 @@
         raise SettingsError(str(path), str(error)) from error
     if len(told.delay_ms) != len(told.regions):
         raise SettingsError(f"{path}: delay_ms", f"{len(told.regions)} figures are wanted, one a region")
-    wrong = [step for step in told.steps if any(not 0 <= n < told.sidecars for n in step.who)]
-    if wrong:
-        raise SettingsError(f"{path}: steps", f"{wrong[0].do} at {wrong[0].at:g} s names no sidecar")
+    for step in told.steps:
+        known, kind = told.sidecars, "sidecar"
+        if is_tier_fault(step.do):
+            known, kind = told.aggregators, "aggregator"
+        if any(not 0 <= number < known for number in step.who):
+            raise SettingsError(f"{path}: steps", f"{step.do} at {step.at:g} s names no {kind}")
     return told
--- a/brassfall/lab/editions/stage.py
+++ b/brassfall/lab/editions/stage.py
@@ -20,6 +20,7 @@
 from brassfall.lab.editions.proxies import Door, Way
 from brassfall.lab.editions.publisher import GROUPS, RARE, now
 from brassfall.lab.editions.spec import Experiment
+from brassfall.lab.editions.tier import Tier
 from brassfall.lab.real.troupe import (
     READY_S,
     ROOT,
@@ -82,12 +83,13 @@
         self.troupe = troupe
         self.host = own_host()
         self._ports = itertools.count(FIRST_PORT)
-        self.doors = [Door((self.host, 9)) for _ in range(told.sidecars)]
+        self.doors: list[list[Door]] = []  # of each sidecar, in the order in which it asks them
         self.ways = [Way(self._delay(number)) for number in range(told.servers)]
         self.listens = [f"{self.host}:{next(self._ports)}" for _ in range(told.sidecars)]
         self.sidecars: list[Actor | None] = [None] * told.sidecars
         self._replacing = [asyncio.Lock() for _ in range(told.sidecars)]
         self.away: list[Away] = []
+        self.tier = Tier(told, folder, troupe, self.host, self._ports) if told.aggregators else None
         self.services: dict[str, Actor] = {}
         self.ports: dict[str, int] = {}
 
@@ -97,14 +99,22 @@
     async def start(self) -> None:
         """All of it, until each sidecar serves."""
         await self.service("main")
-        for door in self.doors:
-            door.turn((self.host, self.ports["main"]))
-            await door.start(self.host)
+        if self.tier is not None:
+            await self.tier.start(self.where("main"))
+        for number in range(self.told.sidecars):
+            self.doors.append(await self._doors(number))
         await asyncio.gather(*(self._server(number) for number in range(self.told.servers)))
         for number in range(self.told.sidecars):
             await self.sidecar(number)
         await asyncio.gather(*(self.serving(number) for number in range(self.told.sidecars)))
 
+    async def _doors(self, number: int) -> list[Door]:
+        if self.tier is not None:
+            return await self.tier.children(number)
+        door = Door(self.where("main"))
+        await door.start(self.host)
+        return [door]
+
     # --- the list service ---------------------------------------------------------------
 
     def disk(self, name: str) -> Path:
@@ -115,6 +125,24 @@
         """Where a service listens."""
         return f"{self.host}:{self.ports[name]}"
 
+    def where(self, name: str) -> tuple[str, int]:
+        """The same as a pair."""
+        return self.host, self.ports[name]
+
+    def lead(self, who: list[int], name: str) -> None:
+        """Lead some sidecars to another service; where there are aggregators, half of those."""
+        if self.tier is not None:
+            for number in range((self.told.aggregators + 1) // 2):
+                self.tier.lead(number, self.where(name))
+            return
+        for number in who:
+            for door in self.doors[number]:
+                door.turn(self.where(name))
+
+    def links(self) -> list[Door]:
+        """Everything that leads to a service or an aggregator."""
+        return [door for doors in self.doors for door in doors] + (self.tier.doors if self.tier else [])
+
     async def service(self, name: str) -> None:
         """Start one on its disk, as it is."""
         port = self.ports.setdefault(name, next(self._ports))
@@ -174,7 +202,7 @@
             "region": self.told.regions[number % len(self.told.regions)],
         }
         fleet = {
-            "registry": [self.doors[number].address],
+            "registry": [door.address for door in self.doors[number]],
             "place": place,
             "agreement": {"agree_ms": self.told.agree_ms},
         }
@@ -258,6 +286,6 @@
         for way in self.ways:
             with contextlib.suppress(AttributeError):
                 way.close()
-        for door in self.doors:
+        for door in self.links():
             with contextlib.suppress(AttributeError):
                 door.close()
