Free what is kept of a request as it is forgotten, not when the collector comes

Cause: the driver's request names its attempts and each of those the request; the request names its call, and the client's exchange the request. Change: a forgotten request's attempts name a placeholder that counts as ended, and an exchange lets go of its request once it is answered or its client gone. No decision differs. The test counts records left to the collector: none.

--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -14,7 +14,7 @@
 import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 from fordtrestle.body import Body
 from fordtrestle.config import Config, ServerList
@@ -229,6 +229,10 @@
     timers: list[asyncio.TimerHandle] = field(default_factory=list)  # the module's, about this request
 
 
+# In place of a request that is over and forgotten: ended, and held by nobody.
+FORGOTTEN = Request(-1, cast(Call, None), -math.inf, 0, -math.inf, ended=True)
+
+
 class Driver:
     """Runs one balancer."""
 
@@ -618,6 +622,9 @@
             # Each would wake the process for nothing, half a second after most requests are over.
             for timer in request.timers:
                 timer.cancel()
+            # Each names its request: a circle that only the garbage collector would free.
+            for attempt in request.attempts:
+                attempt.request = FORGOTTEN
 
 
 def log(text: str) -> None:
--- a/fordtrestle/inbound.py
+++ b/fordtrestle/inbound.py
@@ -564,8 +564,9 @@
             message.room.give(self._inbound.budget)
         for exchange in waiting:
             exchange.room.give(self._inbound.budget)
-            if exchange.request is not None:
-                self._inbound.taker.client_gone(exchange.request)
+            request, exchange.request = exchange.request, None
+            if request is not None:
+                self._inbound.taker.client_gone(request)
 
     def connection_lost(self, error: Exception | None) -> None:
         """The connection is closed."""
@@ -719,6 +720,7 @@
             if exchange.reading and exchange.request is not None:
                 # Guards against an attempt that waits for ever for the rest of a body.
                 self._inbound.taker.client_gone(exchange.request)
+            exchange.request = None  # which names it as its call: a circle that only the collector would free
             if last:
                 self._linger()
                 return
@@ -1043,7 +1045,9 @@
         elif not exchange.connection.left():
             try:
                 self._read(exchange, message)
-                exchange.request = self.taker.arrive(exchange, read_at)
+                request = self.taker.arrive(exchange, read_at)
+                # One that was answered at once is over.
+                exchange.request = request if exchange.answer is None else None
             except BadRequest as error:
                 text = "" if message.method == "HEAD" else f"{error}\n"
                 exchange.answer = (error.status, [], text.encode())
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
 
 import pytest
 
-from fordtrestle import outbound
+from fordtrestle import driver, inbound, outbound
 from fordtrestle.config import parse_list
 from fordtrestle.driver import Clock
 from poppypulley.model import Cancel, CloseIdle, Fail, Outcome, Probe, Refuse, Send, Timer
@@ -318,6 +319,33 @@
         assert balancer._shed._level == level, "a timer that was left out would have changed something"
 
 
+@pytest.mark.parametrize("replies", [[OK], [ERROR, OK], [FULL], [*[OK] * 5, hang]])
+@loopback
+async def test_a_request_that_is_over_leaves_nothing_to_the_garbage_collector(replies):
+    """Its records named each other: 13 objects a call, with its bodies, waited for the collector."""
+    upstream = await Upstream(list(replies)).start()
+    async with running(upstream, upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        gc.collect()
+        gc.disable()
+        gc.set_debug(gc.DEBUG_SAVEALL)
+        try:
+            for _ in range(5):
+                await app.ask()
+            app.send()
+            await until(lambda: sidecar.driver._requests or replies[-1] is not hang)
+            app.close()
+            await until(lambda: not sidecar.driver._requests and sidecar.driver.idle)
+            gc.collect()
+            left = [type(found) for found in gc.garbage]
+        finally:
+            gc.set_debug(0)
+            gc.garbage.clear()
+            gc.enable()
+        records = (driver.Request, driver.Attempt, inbound.Exchange, inbound.Message, outbound.Exchange)
+        assert not [kind for kind in left if kind in records]
+
+
 @loopback
 async def test_a_timer_about_a_request_that_is_out_comes():
     upstream = await Upstream([hang]).start()
