--- a/brassfall/lab/agreement/command.py
+++ b/brassfall/lab/agreement/command.py
@@ -16,11 +16,16 @@
 from brassfall.lab.agreement import schedule
 from brassfall.lab.agreement.flaws import FLAWS, REAL
 from brassfall.lab.agreement.rules import Broken
+from brassfall.lab.agreement.tier import TIER, TierWorld
+from brassfall.lab.agreement.tier_defects import TIER_DEFECTS
 from brassfall.lab.agreement.world import World
 
+DEFECTS = FLAWS | TIER_DEFECTS
 FLAW_NODES = (3, 5)
+TIER_DEFECT_NODES = (6,)
 FLAW_SEEDS = 150
 PROGRESS_S = 2.0
+NODES_MOST = 6000
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +35,7 @@
     nodes: int
     seed: int
     flaw: str = ""
+    tier: bool = False  # with aggregators
 
 
 @dataclass(slots=True)
@@ -61,11 +67,12 @@
 
 
 def _world(task: Task, faults: list[schedule.Fault] | None = None) -> tuple[World, list[schedule.Fault]]:
-    flaw = FLAWS.get(task.flaw)
-    world = World(task.seed, task.nodes, flaw.program if flaw is not None else REAL)
-    drawn = schedule.draw(world, flaw.themes if flaw is not None else ())
+    flaw = (TIER_DEFECTS if task.tier else FLAWS).get(task.flaw)
+    kind, catalogue = (TierWorld, TIER) if task.tier else (World, schedule.DIRECT)
+    world = kind(task.seed, task.nodes, flaw.program if flaw is not None else REAL)
+    drawn = schedule.draw(world, flaw.themes if flaw is not None else (), catalogue)
     faults = drawn if faults is None else faults
-    schedule.arrange(world, faults)
+    schedule.arrange(world, faults, catalogue)
     return world, faults
 
 
@@ -90,11 +97,12 @@
 def play_flaw(name: str) -> tuple[Outcome, int]:
     """Play worlds with a defect until a rule breaks; that world, and how many it took."""
     tried, spent = 0, 0.0
-    outcome = Outcome(Task(0, 0, name))
+    tier = name in TIER_DEFECTS
+    outcome = Outcome(Task(0, 0, name, tier))
     for seed in range(FLAW_SEEDS):
-        for nodes in FLAW_NODES:
+        for nodes in TIER_DEFECT_NODES if tier else FLAW_NODES:
             tried += 1
-            outcome = play(Task(nodes, seed, name), shrinking=False)
+            outcome = play(Task(nodes, seed, name, tier), shrinking=False)
             spent += outcome.took_s
             outcome.took_s = spent
             if outcome.rule:
@@ -158,9 +166,11 @@
         }
 
 
-def check(seeds: int, nodes: list[int], jobs: int, say: Callable[[str], None]) -> tuple[Summary, bool]:
-    """Play `seeds` worlds of each size; whether all were played."""
-    tasks = [Task(size, seed) for size in sorted(nodes, reverse=True) for seed in range(seeds)]
+def check(
+    seeds: int, nodes: list[int], jobs: int, say: Callable[[str], None], tier: bool = False
+) -> tuple[Summary, bool]:
+    """Play `seeds` worlds of each size, with aggregators or without; whether all were played."""
+    tasks = [Task(size, seed, tier=tier) for size in sorted(nodes, reverse=True) for seed in range(seeds)]
     summary, last = Summary(), time.monotonic()
     try:
         for done, outcome in enumerate(spread(play, tasks, jobs or os.cpu_count() or 1), 1):
@@ -181,10 +191,10 @@
     rows = []
     for outcome, tried in spread(play_flaw, names, min(jobs or os.cpu_count() or 1, len(names))):
         name = outcome.task.flaw
-        found = outcome.rule in FLAWS[name].rules
-        row = {"flaw": name, "what": FLAWS[name].what, "rule": outcome.rule, "found": found}
+        found = outcome.rule in DEFECTS[name].rules
+        row = {"flaw": name, "what": DEFECTS[name].what, "rule": outcome.rule, "found": found}
         rows.append({**row, "worlds": tried, "seconds": round(outcome.took_s, 2)})
-    return sorted(rows, key=lambda row: list(FLAWS).index(row["flaw"]))
+    return sorted(rows, key=lambda row: list(DEFECTS).index(row["flaw"]))
 
 
 def table(rows: list[dict[str, Any]]) -> str:
@@ -215,23 +225,32 @@
 def sizes(text: str) -> list[int]:
     """Numbers of sidecars with commas; `UsageError` if that is none."""
     parts = text.split(",")
-    if not all(part.isdecimal() and 3 <= int(part) <= 2000 for part in parts):
-        raise UsageError(f"--nodes: {text!r}", "numbers from 3 to 2000 with commas are wanted")
+    if not all(part.isdecimal() and 3 <= int(part) <= NODES_MOST for part in parts):
+        raise UsageError(f"--nodes: {text!r}", f"numbers from 3 to {NODES_MOST} with commas are wanted")
     return [int(part) for part in parts]
 
 
-def run(seeds: int, nodes: str, flaw: str, jobs: int, as_json: bool, say: Callable[[str], None]) -> int:
+def run(
+    seeds: int,
+    nodes: str,
+    flaw: str,
+    jobs: int,
+    as_json: bool,
+    say: Callable[[str], None],
+    tier: bool = False,
+) -> int:
     """The command: prints what was found; its exit status."""
     if flaw:
-        if flaw != "all" and flaw not in FLAWS:
-            raise UsageError(f"--flaw: {flaw!r} is none", f"there are {', '.join(FLAWS)}, and all")
+        known = TIER_DEFECTS if tier else FLAWS
+        if flaw != "all" and flaw not in known:
+            raise UsageError(f"--flaw: {flaw!r} is none", f"there are {', '.join(known)}, and all")
         try:
-            rows = find(list(FLAWS) if flaw == "all" else [flaw], jobs)
+            rows = find(list(known) if flaw == "all" else [flaw], jobs)
         except KeyboardInterrupt:
             say("stopped")
             return 130
         print(json.dumps(rows) if as_json else table(rows))
         return 0 if all(row["found"] for row in rows) else 1
-    summary, whole = check(seeds, sizes(nodes), jobs, say)
+    summary, whole = check(seeds, sizes(nodes), jobs, say, tier)
     print(json.dumps(summary.plain()) if as_json else text(summary))
     return 130 if not whole else 1 if summary.broken else 0
--- a/brassfall/lab/capacity/__init__.py
+++ b/brassfall/lab/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of what the fleet's parts cost at size, behind the capacity page."""
+"""Measures what each role costs at several sizes of the fleet, and extrapolates: `lab capacity`."""
