Tell calls that the measuring client could not send apart from those not answered with 200

At 1,850 calls/s on a busy machine the client's bound of 400 connections is met: these counted as the sidecar's.

--- a/brassfall/lab/capacity/datapath/client.py
+++ b/brassfall/lab/capacity/datapath/client.py
@@ -49,7 +49,9 @@
     from_plan: list[int]
     from_send: list[int]
     send_late: list[int]
-    statuses: dict[int, int]  # of all calls; `wire.BROKEN` where no answer came
+    statuses: dict[
+        int, int
+    ]  # of all calls; `wire.BROKEN` where no answer came, `wire.UNSENT` where none could
     opened: int  # connections
     cpu_s: float  # of this process
 
