Let an aggregator's list follow a service that was started again with the same list

Cause: after its start the service counts from a higher index and tells a watch so with a line without entries. The mirror made no record of such a line, stayed at the lower index, was "catching up" for ever and granted nothing: with six aggregators and 60 hollow sidecars, none got a lease in 60 s after the service was killed.

Change: such a line moves the mirror's index. The new test fails without it.

--- a/brassfall/registry/aggregator/mirror.py
+++ b/brassfall/registry/aggregator/mirror.py
@@ -138,6 +138,9 @@
         if line.index < self.index:
             return Taken()  # a list that came meanwhile has them
         records = []
+        if line.index > self.index and not line.endpoints:
+            # A service that was started again counts from a higher index, with the same list.
+            records.append(Record("life", line.index, 0))
         for entry in line.endpoints:
             # What has left may be unknown here, and known to who was told elsewhere: it is told all the same.
             row = Row(entry["name"], line.index, entry)
--- a/tests/test_aggregator_mirror.py
+++ b/tests/test_aggregator_mirror.py
@@ -130,6 +130,20 @@
     assert mirror.index == line.index
 
 
+def test_a_service_that_was_started_again_lists_the_same_by_a_higher_index():
+    above, mirror = Above(ring=50), Mirror(50)
+    above.write(*(Put(table=INSTANCES, key=key, value=endpoint(key)) for key in ("s0", "s1")))
+    mirror.take(0.0, above.line(0))
+    before = mirror.index
+    above.table.absorb([above.table.life(above.table.index + 1000, 0)])
+    line = above.line(before)
+    assert (line.snapshot, line.endpoints, line.index > before) == (False, [], True)
+    assert mirror.take(1.0, line).changes == ()
+    assert mirror.index == line.index  # else it would be catching up for ever, and grant nothing
+    assert told(mirror, before) == line  # whoever holds what came before lacks nothing
+    assert taken((0, {}), told(mirror, 0)) == (line.index, {key: endpoint(key) for key in ("s0", "s1")})
+
+
 def test_a_good_line_ends_the_doubt():
     mirror = Mirror(ring=50)
     mirror.take(0.0, whole(100, "a"))
