--- a/brassfall/lab/capacity/durable.py
+++ b/brassfall/lab/capacity/durable.py
@@ -54,6 +54,8 @@
     async with options.environment() as environment:
         topology = await one_service(environment, 0)
         await register(topology.service.address, rows)
+        held = sum(path.stat().st_size for path in topology.service.data.rglob("*") if path.is_file())
+        recorder.add(ROLE, "on the disk, after each row was written once", "MB", rows, held / 1e6)
         await topology.publish()
         await topology.hollow.start(SIDECARS, [topology.service.address], alone=True)
         await topology.hollow.leased()
