--- a/brassfall/lab/capacity/control.py
+++ b/brassfall/lab/capacity/control.py
@@ -70,6 +70,7 @@
     uss_bytes: int
     reports: int  # answered so far
     by_server: dict[str, int]  # address of a server to the connections open to it
+    failing: dict[str, int]  # why reports fail just now, to sidecars
     traffic: dict[str, Traffic]  # kind of connection to bytes so far
 
 
--- a/brassfall/lab/capacity/hollow.py
+++ b/brassfall/lab/capacity/hollow.py
@@ -11,6 +11,8 @@
 import asyncio
 import gc
 import importlib
+import json
+import re
 import socket
 import struct
 import sys
@@ -33,6 +35,7 @@
 MOMENTS_KEPT = 64  # revisions, and versions of the list, whose times are kept
 FEED_S = 2.5  # how often each sidecar is given delays to report, as traffic would
 FED_MS = (0.8, 0.9, 1.0, 1.1, 1.3, 2.0)  # first-byte times of one feed, in each region
+ADDRESS, REASON_MOST = re.compile(r"[0-9.]+:[0-9]+:? ?"), 80
 TCP_INFO_BYTES = 136
 SENT_AT, RECEIVED_AT = 120, 128  # tcpi_bytes_acked and tcpi_bytes_received in Linux's struct tcp_info
 SETTINGS = {
@@ -169,6 +172,12 @@
         found: int | str = self.member.agent.lease_client.active(now).acting
         return found
 
+    @property
+    def failing(self) -> str:
+        """Why its reports fail just now, without the address; empty where they do not."""
+        why = str(json.loads(self.member.agent.state)["failing"])
+        return ADDRESS.sub("", why)[:REASON_MOST]
+
     def _observed(self, refresh: Callable[[float], None]) -> Callable[[float], None]:
         def observed(now: float) -> None:
             refresh(now)
@@ -311,6 +320,7 @@
             uss_bytes=self._process.memory_full_info().uss,
             reports=sum(each.reports for each in self._sidecars.values()),
             by_server=self._loop.connections.by_server(),
+            failing=dict(Counter(each.failing for each in self._sidecars.values() if each.failing)),
             traffic=self._loop.connections.traffic(),
         )
 
--- a/brassfall/lab/capacity/steady.py
+++ b/brassfall/lab/capacity/steady.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from dataclasses import dataclass
 
 from brassfall.errors import BrassfallError
@@ -34,7 +35,7 @@
         took_s = await topology.hollow.leased(LEASED_S)
     except BrassfallError as error:
         options.progress(f"{role}: {size} sidecars are not held: {error.told}")
-        await _not_held(recorder, topology, size)
+        await _not_held(options, recorder, topology, size)
         return False
     recorder.add(role, "all sidecars act on a revision after the last start", "s", size, took_s)
     recorder.add(role, UNLEASED, "", size, 0.0)
@@ -42,15 +43,22 @@
     return True
 
 
-async def _not_held(recorder: Recorder, topology: Topology, size: int) -> None:
+async def _not_held(options: Options, recorder: Recorder, topology: Topology, size: int) -> None:
     role, begun = roles(topology).service, time.monotonic()
     before = machine.cpu_s(topology.service.pid)
     found = await topology.hollow.snapshots()
     await asyncio.sleep(SETTLE_S)
-    core = (machine.cpu_s(topology.service.pid) - before) / (time.monotonic() - begun)
+    seconds = time.monotonic() - begun
+    core = (machine.cpu_s(topology.service.pid) - before) / seconds
+    after = await topology.hollow.snapshots()
     recorder.add(role, UNLEASED, "", size, size - sum(each.leased for each in found))
-    recorder.add(role, "processor time", "core", size, core)
+    recorder.add(role, "processor time, where some get no lease", "core", size, core)
     recorder.load("at rest", size)
+    reasons: Counter[str] = Counter()
+    for each in after:
+        reasons.update(each.failing)
+    answered = sum(each.reports for each in after) - sum(each.reports for each in found)
+    options.progress(f"{role}: {core:.2f} core, {answered / seconds:.0f} reports/s answered; {dict(reasons)}")
 
 
 @dataclass(frozen=True, slots=True)
