--- a/brassfall/lab/capacity/fleet.py
+++ b/brassfall/lab/capacity/fleet.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from itertools import count
 from statistics import quantiles
 
 import msgspec
@@ -88,7 +89,8 @@
     def __init__(self, environment: Environment) -> None:
         self._environment = environment
         self.workers: list[Worker] = []
-        self._next = 0
+        self._indices = count()
+        self._next = 0  # the number of the next sidecar
 
     @property
     def sidecars(self) -> int:
@@ -104,23 +106,21 @@
         for begin in range(0, number, each):
             worker = await self._worker(min(each, number - begin))
             made.append(worker)
-        over_s = number / per_s
         starts = [
-            control.Start(worker.first, worker.number, addresses, region, over_s * worker.number / number)
-            for worker in made
+            control.Start(worker.first, worker.number, addresses, region, number / per_s) for worker in made
         ]
-        # One process after the other: all at once would add up to more than the rate.
-        for worker, start in zip(made, starts, strict=True):
-            await worker.ask(start)
+        # All processes at once, each over the whole time: together that is the rate.
+        await asyncio.gather(*(worker.ask(start) for worker, start in zip(made, starts, strict=True)))
         return made
 
     async def _worker(self, number: int) -> Worker:
-        index = len(self.workers)
+        # Taken before anything is awaited: several are started at once.
+        index, first = next(self._indices), self._next
+        self._next += number
         source = f"127.0.0.{2 + index}"
         words = ("brassfall.lab.capacity.hollow", source)
         process = await self._environment.python(f"hollow{index}", *words, piped=True)
-        worker = Worker(process, self._next, number, source)
-        self._next += number
+        worker = Worker(process, first, number, source)
         self.workers.append(worker)
         return worker
 
--- a/brassfall/lab/capacity/topology.py
+++ b/brassfall/lab/capacity/topology.py
@@ -87,11 +87,17 @@
     async def start(self, sidecars: int, per_s: float = 400.0) -> dict[str, list[Worker]]:
         """Start so many sidecars, evenly over the regions; the processes of each."""
         regions = self.regions
-        made = {}
-        for number, (region, addresses) in enumerate(regions.items()):
-            share = sidecars * (number + 1) // len(regions) - sidecars * number // len(regions)
-            made[region] = await self.hollow.start(share, addresses, region, per_s)
-        return made
+        shares = [
+            sidecars * (number + 1) // len(regions) - sidecars * number // len(regions)
+            for number in range(len(regions))
+        ]
+        started = await asyncio.gather(
+            *(
+                self.hollow.start(share, addresses, region, per_s / len(regions))
+                for share, (region, addresses) in zip(shares, regions.items(), strict=True)
+            )
+        )
+        return dict(zip(regions, started, strict=True))
 
     async def publish(self) -> int:
         """Publish other settings than before; the number of the revision."""
