--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -63,7 +63,7 @@
 
 @app.command()
 def check(file: Path) -> None:
-    """Is this configuration good? It may be a list service's, or an experiment."""
+    """Is this configuration good? It may be a list service's, an aggregator's, or an experiment."""
     from brassfall.lab import spec
     from brassfall.lab.editions import spec as editions
 
@@ -71,6 +71,8 @@
         editions.load(file)
     elif spec.is_experiment(file):
         spec.load(file)
+    elif settings.is_aggregator(file):
+        settings.load_aggregator(file)
     else:
         settings.load(file)
     typer.echo(f"{file}: good")
@@ -87,14 +89,28 @@
 @registry.command()
 def serve(config: Config) -> None:
     """Run one list service, until SIGTERM."""
-    import uvloop
-
     from brassfall.registry import server
 
     told = settings.load(config)
+    _serve(server.serve(told))
+
+
+@registry.command()
+def aggregate(config: Config) -> None:
+    """Run one aggregator between sidecars and the list service that decides, until SIGTERM."""
+    from brassfall.registry.aggregator import service
+
+    told = settings.load_aggregator(config)
+    _serve(service.serve(told))
+
+
+def _serve(work: Coroutine[Any, Any, int]) -> None:
+    """Run a process of the registry, until SIGTERM; ends the command with its exit status."""
+    import uvloop
+
     logs.set_up()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        raise typer.Exit(runner.run(server.serve(told)))
+        raise typer.Exit(runner.run(work))
 
 
 def _run(work: Coroutine[Any, Any, Any]) -> Any:
@@ -247,13 +263,17 @@
     seeds: Annotated[int, typer.Option(min=1, help="How many worlds of each size.")] = 100,
     nodes: Annotated[str, typer.Option(help="Sizes, with commas.")] = "3,20,200",
     flaw: Annotated[str, typer.Option(help="A seeded defect to find instead, or `all`.")] = "",
+    tier: Annotated[bool, typer.Option(help="With aggregators between sidecars and the service.")] = False,
     jobs: Annotated[int, typer.Option(min=0, max=256, help="Processes; 0 for one a core.")] = 0,
     json: Json = False,
 ) -> None:
     """Check the agreement in simulated worlds of faults, by seed; 1 if a rule breaks or a flaw is missed."""
     from brassfall.lab.agreement import command
 
-    raise typer.Exit(command.run(seeds, nodes, flaw, jobs, json, lambda text: typer.echo(text, err=True)))
+    def say(text: str) -> None:
+        typer.echo(text, err=True)
+
+    raise typer.Exit(command.run(seeds, nodes, flaw, jobs, json, say, tier))
 
 
 @lab.command("editions-scale")
@@ -261,12 +281,14 @@
     out: Annotated[Path, typer.Option(help="Folder for rows and tables.")],
     nodes: Annotated[str, typer.Option(help="Sizes, with commas.")] = "20,200,2000",
     seeds: Annotated[int, typer.Option(min=1, help="How many fleets of each size.")] = 5,
+    tier: Annotated[bool, typer.Option(help="With aggregators between sidecars and the service.")] = False,
     jobs: Annotated[int, typer.Option(min=0, max=256, help="Processes; 0 for one a core.")] = 0,
 ) -> None:
     """How long an edition takes with the size of the fleet, in simulated time; 1 if one took no effect."""
-    from brassfall.lab.agreement import command, scale
+    from brassfall.lab.agreement import command, scale, tier_scale
 
-    raise typer.Exit(scale.run(command.sizes(nodes), seeds, jobs or os.cpu_count() or 1, out))
+    play = tier_scale.run if tier else scale.run
+    raise typer.Exit(play(command.sizes(nodes), seeds, jobs or os.cpu_count() or 1, out))
 
 
 @lab.command("editions-cost")
@@ -286,6 +308,31 @@
     _run(cost.run(cost.chosen(parts), seconds, pairs, count, out, say))
 
 
+@lab.command("capacity")
+def capacity_(
+    out: Annotated[Path, typer.Option(help="Folder for figures.json and capacity.md.")],
+    parts: Annotated[str, typer.Option(help="Parts to measure, with commas; all where none is named.")] = "",
+    sizes: Annotated[str, typer.Option(help="Numbers of sidecars, with commas.")] = "300,900,2700,5400",
+    seconds: Annotated[float, typer.Option(min=1.0, max=120.0, help="How long a rate is measured.")] = 15.0,
+    repeats: Annotated[int, typer.Option(min=1, max=20, help="Revisions of each kind.")] = 4,
+    page: Annotated[
+        Path | None, typer.Option(help="Measure nothing: write this page's tables from the folder's figures.")
+    ] = None,
+) -> None:
+    """Measure what each role costs at several sizes of the fleet, with real services and hollow sidecars."""
+    from brassfall.lab.capacity import command
+    from brassfall.lab.capacity.part import Options
+
+    def say(text: str) -> None:
+        typer.echo(text, err=True)
+
+    if page is not None:
+        command.write_page(out, page, say)
+        return
+    options = Options(command.chosen_sizes(sizes), out, say, seconds, repeats)
+    _run(command.run(command.chosen_parts(parts), options))
+
+
 @lab.command("server")
 def server_(
     name: str,
--- a/brassfall/lab/agreement/service.py
+++ b/brassfall/lab/agreement/service.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from brassfall.aggregation.directory import Directory, Heard
+from brassfall.aggregation.messages import AggregatorLease, AggregatorReport, parse_report
 from brassfall.agreement import core, pace
 from brassfall.agreement.document import Edition
-from brassfall.agreement.edges import ReportError, parse
+from brassfall.agreement.edges import Objection, Report, ReportError, parse
 from brassfall.lab.agreement.base import Clock, Kernel
 from brassfall.lab.agreement.rules import Line
 
 TICK_MS = 50.0
+CHILDREN_MOST = 10_000
 
 
 class Watcher(Protocol):
@@ -70,6 +73,20 @@
     return {"edition": edition.number, "settings": edition.settings, "plan": plan, "overrides": overrides}
 
 
+def _as_member(told: AggregatorReport) -> Report:
+    """An aggregator as one member of the agreement, as the service's shell has it."""
+    return Report(
+        life=told.life,
+        seq=told.seq,
+        of=told.epoch,
+        held=told.held,
+        prepared=told.prepared,
+        acknowledged=told.acknowledged,
+        acting=told.held,
+        leaving=told.leaving and not told.children.leased,
+    )
+
+
 class Service:
     """One process of the list service at one address, life after life."""
 
@@ -87,7 +104,7 @@
         self._ticket = 0
         self._free = 0.0
         self._writing: deque[core.Action] = deque()
-        self._answers: dict[int, Callable[[dict[str, Any]], None]] = {}
+        self._answers: dict[int, Callable[[core.Granted], None]] = {}
         self._watchers: dict[int, tuple[Watcher, float]] = {}
         self.agreement: core.Agreement
 
@@ -96,6 +113,11 @@
         """The life whose word is told; 0 before the first."""
         return self.agreement.fleet.life if self._run else 0
 
+    @property
+    def pending(self) -> int:
+        """The edition that is prepared; 0 where none is."""
+        return self.agreement.kept.pending.number if self.agreement.kept.pending is not None else 0
+
     # --- lives ----------------------------------------------------------------------------
 
     def start(self) -> None:
@@ -107,6 +129,7 @@
         life = program.life(self.clock.unix(kernel.now), self.disk.index, kernel.random)
         self.disk.index = life
         self._objected: set[int] = set()
+        self.directory = Directory(program.timing.over_ms, CHILDREN_MOST)
         fleet = program.fleet(life, set(self.disk.names))
         self.agreement = program.agreement(program.timing, now, self.disk.kept, fleet)
         self._tick(self._run)
@@ -162,7 +185,7 @@
                 case core.Granted():
                     answer = self._answers.pop(action.ticket, None)
                     if answer is not None:
-                        answer(self._answer(action))
+                        answer(action)
                 case core.Told():
                     self._tell()
                 case core.Published():
@@ -191,16 +214,59 @@
         except ReportError:
             self.kernel.met["malformed reports"] += 1
             return True
+        self._reported(name, report, lambda granted: answer(self._answer(granted)))
+        return True
+
+    def _reported(
+        self,
+        name: str,
+        report: Report,
+        answer: Callable[[core.Granted], None],
+        objections: Mapping[str, Objection] | None = None,
+    ) -> None:
         self._ticket += 1
         self._answers[self._ticket] = answer
         deciding = any(isinstance(row, core.Persist) for row in self._writing)
-        self.handle(core.Reported(self._ticket, name, report))
+        self.handle(core.Reported(self._ticket, name, report, objections or {}))
         edge = self.agreement.fleet.edges.get(name)
         news = edge is not None and (edge.report.life, edge.report.seq) == (report.life, report.seq)
-        if report.objection is not None and news and not deciding:
-            self._objected.add(report.objection.edition)
+        found = [*([report.objection] if report.objection is not None else []), *(objections or {}).values()]
+        if news and not deciding:
+            self._objected |= {objection.edition for objection in found}
+
+    def aggregator_report(self, name: str, body: bytes, answer: Callable[[AggregatorLease], None]) -> bool:
+        """An aggregator's report arrives; whether anybody was there."""
+        if not self.up:
+            return False
+        told, now = parse_report(body), self.clock.mono(self.kernel.now)
+        heard = self.directory.heard(now, self.life, name, told)
+        if heard.superseded:
+            self.kernel.met["superseded reports of aggregators"] += 1
+            number = self.agreement.kept.committed.number
+            answer(AggregatorLease(self.life, number, pending=self.pending, seq=told.seq))
+            return True
+        objections = {child: Objection(told.acknowledged, why) for child, why in told.objections.items()}
+
+        def granted(made: core.Granted) -> None:
+            answer(self._lease(told, heard, made))
+
+        self._reported(name, _as_member(told), granted, objections)
         return True
 
+    def _lease(self, told: AggregatorReport, heard: Heard, granted: core.Granted) -> AggregatorLease:
+        return AggregatorLease(
+            epoch=self.life,
+            revision=granted.edition,
+            lease_ms=granted.permission_ms,
+            pending=granted.pending,
+            why=granted.why,
+            seq=told.seq,
+            list_index=int(self.kernel.now // 1000.0),
+            members=max(1, self.directory.count()),
+            moved=self.directory.moved(heard.process),
+            resync=self.directory.resync(self.life, heard.process),
+        )
+
     # --- the disk -------------------------------------------------------------------------------
 
     def _write(self, action: core.Action) -> None:
--- a/fordtrestle/driver.py
+++ b/fordtrestle/driver.py
@@ -14,7 +14,7 @@
 import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 from fordtrestle.body import Body
 from fordtrestle.config import Config, ServerList
@@ -226,6 +226,11 @@
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
     guard: asyncio.TimerHandle | None = None
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)  # the module's, about this request
+
+
+# In place of a request that is over and forgotten: ended, and held by nobody.
+FORGOTTEN = Request(-1, cast(Call, None), -math.inf, 0, -math.inf, ended=True)
 
 
 class Driver:
@@ -497,8 +502,8 @@
         match action:
             case model.Send():
                 self._send(action)
-            case model.Timer(delay, token):
-                self._loop.call_later(max(0.0, delay) / 1000.0, self._timer, token)
+            case model.Timer():
+                self._arm(action)
             case model.Refuse(number, retry_after):
                 request = self._requests.get(number)
                 if request is not None and self._end(request):
@@ -529,6 +534,11 @@
             case model.Log(text):
                 log(text)
 
+    def _arm(self, action: model.Timer) -> None:
+        timer = self._loop.call_later(max(0.0, action.delay) / 1000.0, self._timer, action.token)
+        if action.request is not None and (request := self._requests.get(action.request)) is not None:
+            request.timers.append(timer)
+
     def _send(self, action: model.Send) -> None:
         request = self._requests.get(action.request)
         if request is None:
@@ -608,8 +618,13 @@
         self._loop.call_soon(self._forget, request)
 
     def _forget(self, request: Request) -> None:
-        if request.ended and request.out == 0:
-            self._requests.pop(request.id, None)
+        if request.ended and request.out == 0 and self._requests.pop(request.id, None) is not None:
+            # Each would wake the process for nothing, half a second after most requests are over.
+            for timer in request.timers:
+                timer.cancel()
+            # Each names its request: a circle that only the garbage collector would free.
+            for attempt in request.attempts:
+                attempt.request = FORGOTTEN
 
 
 def log(text: str) -> None:
