--- a/tests/test_standing_brink.py
+++ b/tests/test_standing_brink.py
@@ -38,8 +38,11 @@
 ERROR = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
 LOOK_S = 0.01
 TURNED_AWAY_MOST_S = 4.0  # on end, with no attempt in between
-CONNECT_S = SETTINGS["PolicyLimits"]["ConnectTimeout"] / 1000.0
-PATIENT = {"PolicyLimits": {**SETTINGS["PolicyLimits"], "ConnectTimeout": 9000.0}}
+CONNECT_S = 0.25
+PATIENT, HASTY = (
+    {"PolicyLimits": {**SETTINGS["PolicyLimits"], "ConnectTimeout": 1000.0 * seconds}}
+    for seconds in (9.0, CONNECT_S)
+)
 
 
 async def comes(condition):
@@ -196,7 +199,7 @@
     never, here = await Upstream().start(), await Upstream([OK]).start()
     never.stop()
     never.address = "{}:{}".format(*full.getsockname())
-    async with tidy(never, here) as sidecar:  # nothing is left of those that did not come up
+    async with tidy(never, here, **HASTY) as sidecar:  # nothing is left of those that did not come up
         app, begun, slow = await App.connect(sidecar.address), now(), 0
         for _ in range(20):
             asked = now()
