Bound whole lists by a rate of their own, and believe no empty line before the first list

Changes since an index cost little, a whole list at 5,400 servers some 700 KB: whole lists go out at whole_lists_per_s (200 by default) over all children, and who goes on from an index is not counted. An empty line of a watch that the service holds back said that the mirror's list was the newest; it says nothing before a list has come.

--- a/brassfall/registry/aggregator/service.py
+++ b/brassfall/registry/aggregator/service.py
@@ -28,6 +28,7 @@
 from brassfall.registry.calls import answer
 from brassfall.registry.entries import INSTANCES
 from brassfall.registry.front import Front, Watched
+from brassfall.registry.limits import Door
 from brassfall.registry.metrics import HttpMetrics, Told
 from brassfall.registry.tasks import Tasks
 from brassfall.registry.watches import Lines
@@ -101,6 +102,7 @@
         self._line = b""  # what children are told of the rules
         self._newest = 0  # the revision that it names
         self._list_late_since: float | None = None
+        self._whole_lists = Door(settings.whole_lists_per_s)
         self._ahead: tuple[float, int] | None = None  # since when a caller holds a later list, and which
         self._watching_list: asyncio.Task[None] | None = None
         self._fetching = False
@@ -230,8 +232,9 @@
                 self.front.channels[INSTANCES].changed(change)
             if self._ahead is not None and self._ahead[1] <= self.mirror.index:
                 self._ahead = None
-        self.mirror.confirmed_by_watch(line.asked, line.heard, line.empties)
-        self._confirmed()
+        if line.told:
+            self.mirror.confirmed_by_watch(line.asked, line.heard, line.empties)
+            self._confirmed()
 
     def _confirmed(self) -> None:
         if self.mirror.holds_list:
@@ -283,14 +286,20 @@
         return await self._watch_list(request, index) if watches else self._whole_list()
 
     async def _watch_list(self, request: web.Request, index: int) -> web.StreamResponse:
+        if self.mirror.table.since(INSTANCES, index) is None and (refused := self._joins_whole()):
+            return refused
         channel = self.front.channels[INSTANCES]
         assert isinstance(channel, ListChannel)
         headers = {AGE: str(channel.promised_age_ms())}
         return await self.front.watch(request, Watched(index, lambda: channel, headers=headers))
 
+    def _joins_whole(self) -> web.Response | None:
+        """One more that takes the whole list; the answer if there are too many at once."""
+        wait = self._whole_lists.wait(now() / 1000.0, self.rng.random())
+        return self.front.turn_away("too many take the whole list at once", wait) if wait else None
+
     def _whole_list(self) -> web.Response:
-        refused = self.front.joins("too many ask for the whole list at once")
-        if refused is not None:
+        if refused := self._joins_whole():
             return refused
         whole = answer(self.front.channels[INSTANCES].whole())
         whole.headers[AGE] = str(round(self.mirror.age_ms(now())))
--- a/brassfall/registry/aggregator/upstream.py
+++ b/brassfall/registry/aggregator/upstream.py
@@ -52,12 +52,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Line:
-    """A line of a watch: empty ones are counted. Times are `now` of the upstream, in ms."""
+    """A line of a watch: empty ones are counted. Times are `now` of the upstream, in ms.
+
+    `told` says whether a line with something in it has come on this connection: until then, empty lines say
+    nothing, since the service may hold its list back."""
 
     text: bytes
     asked: float
     heard: float
     empties: int
+    told: bool
 
 
 @dataclass(slots=True)
@@ -147,7 +151,7 @@
         self, addresses: Addresses, path: str, take: Callable[[Line], None], state: WatchState
     ) -> None:
         limit = aiohttp.ClientTimeout(total=None, connect=CONNECT_S, sock_read=SILENT_S)
-        address, asked, empties = addresses.current, self.now(), 0
+        address, asked, empties, told = addresses.current, self.now(), 0, False
         try:
             async with self._session.get(f"http://{address}{path}", timeout=limit) as answer:
                 if answer.status != 200:
@@ -156,7 +160,8 @@
                 async for raw in answer.content:
                     text = raw.strip()
                     empties += not text
-                    take(Line(text, asked, self.now(), empties))
+                    told = told or bool(text)
+                    take(Line(text, asked, self.now(), empties, told))
                     addresses.worked()
                     if not state.open:
                         state.open, state.failing = True, ""
--- a/brassfall/settings.py
+++ b/brassfall/settings.py
@@ -5,8 +5,9 @@
 import ipaddress
 import re
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -19,6 +20,7 @@
 
 LABEL = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
 UPSTREAM_MOST = 16
+Kind = TypeVar("Kind")
 
 # Figures that may be 0; all others are more.
 ZERO = ("caller_calls_per_s", "gather_ms", "per_weight_per_s", "crossing_ms", "floor", "look")
@@ -130,6 +132,7 @@
     newcomers_burst: int = 100  # of them at once, after a quiet time
     agree_ms: float = 3000.0  # as the deciding service has it
     ring: int = 8192  # changes of the list that watchers can go on from
+    whole_lists_per_s: float = 200.0  # to all children together; changes since an index are not counted
     writes_at_once: int = 32  # that are passed up
     writes_waiting: int = 256  # for those; more get 503
     limits: CallerLimits = CallerLimits()
@@ -171,11 +174,7 @@
 
 def load(path: Path) -> RegistrySettings:
     """Read a file; `SettingsError` says what is wrong with it, and where."""
-    raw = read_toml(path)
-    try:
-        return check(msgspec.convert(raw, File, strict=True).registry)
-    except (msgspec.ValidationError, ValueError) as error:
-        raise SettingsError(str(path), str(error)) from error
+    return _load(path, lambda raw: check(msgspec.convert(raw, File, strict=True).registry))
 
 
 def is_aggregator(path: Path) -> bool:
@@ -185,9 +184,15 @@
 
 def load_aggregator(path: Path) -> AggregatorSettings:
     """Read the file of an aggregator; `SettingsError` says what is wrong with it, and where."""
+    return _load(
+        path, lambda raw: check_aggregator(msgspec.convert(raw, AggregatorFile, strict=True).aggregator)
+    )
+
+
+def _load(path: Path, read: Callable[[dict[str, Any]], Kind]) -> Kind:
     raw = read_toml(path)
     try:
-        return check_aggregator(msgspec.convert(raw, AggregatorFile, strict=True).aggregator)
+        return read(raw)
     except (msgspec.ValidationError, ValueError) as error:
         raise SettingsError(str(path), str(error)) from error
 
--- a/tests/test_aggregator_shell.py
+++ b/tests/test_aggregator_shell.py
@@ -179,7 +179,7 @@
 
 @bounded(30.0)
 async def test_lists_watches_and_writes_go_through_it(tmp_path):
-    async with tier(tmp_path, ring=4, agree_ms=SOON_MS) as (_, at, below, session):
+    async with tier(tmp_path, ring=4, whole_lists_per_s=20.0, agree_ms=SOON_MS) as (_, at, below, session):
         async with Watch(session, below, f"{LIST}?watch=1&from=0") as watch:
             first = await watch.news()
             assert first["snapshot"] and watch.answer.headers[AGE] == "2000"
@@ -208,6 +208,13 @@
             assert line["snapshot"]
             while line["index"] != last:
                 line = await watch.news()
+        # Those that hold nothing come in at a rate, each told a time of its own; who goes on is not counted.
+        many = await asyncio.gather(*(call(session, below, "GET", LIST) for _ in range(30)))
+        waits = [headers["Retry-After"] for status, _, headers in many if status == 503]
+        assert len(waits) >= 20 and len(set(waits)) > len(waits) // 2
+        for _ in range(20):
+            async with Watch(session, below, f"{LIST}?watch=1&from={last}") as watch:
+                assert watch.answer.status == 200
         status, _, headers = await call(session, below, "GET", f"{LIST}?watch=1&from={last + 1}")
         assert (status, "Retry-After" in headers) == (503, False)  # it is set back by none
         assert (await call(session, below, "DELETE", f"{LIST}/s1"))[0] == 200
@@ -222,7 +229,7 @@
 
 @bounded(30.0)
 async def test_reports_get_leases_and_what_is_none_is_refused_and_counted(tmp_path):
-    async with tier(tmp_path) as (made, _, below, session):
+    async with tier(tmp_path) as (made, at, below, session):
         status, told, _ = await call(session, below, "POST", "/edges/n1", {"life": "p", "seq": 1, "of": 0})
         assert status == 200 and 0.0 < told["permission_ms"] <= 0.9 * AGREE_MS
         assert told["life"] == made.core.epoch
@@ -241,6 +248,8 @@
         async with Watch(session, below, "/rules?watch=1") as watch:
             assert (await watch.news())["edition"] == number
         assert (await call(session, below, "GET", f"/rules?edition={number}"))[1]["state"] == "committed"
+        async with started(twin := aggregator(at, region="west")):  # its name is another's
+            await until(lambda: "409" in twin.reporter.failing and "409" in twin.unready())
         await until(lambda: not made.unready())  # it has a lease on that, too
         status = (await call(session, below, "GET", "/status"))[1]
         assert (status["edition"], status["reports"], status["ready"]) == (number, 3, "yes")
