Keep regions, groups and names of the list with each change, not with each report

Each report and each line of a watch decided anew what is in force, and for that walked the whole list four times: which regions are served, which groups and servers there are, which of them are held. With 5,400 servers that was most of a sidecar's control.

HeldList keeps these with each change of an entry, and hands out views; what is decided is the same (a property test holds them against the whole list).

--- a/fordtrestle/__main__.py
+++ b/fordtrestle/__main__.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import sys
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from fordtrestle import config
@@ -20,9 +20,10 @@
 from fordtrestle.lifecycle import Lifecycle, State
 from fordtrestle.outbound import Pool
 from fordtrestle.peers import Peers
-from poppypulley.model import Listing, Steer
+from poppypulley.model import Steer
 
 if TYPE_CHECKING:
+    from fordtrestle.fleet.lists import HeldList
     from fordtrestle.fleet.member import FleetMember
 
 # New connections go on coming for up to 0.4 s after SIGTERM; SIGKILL comes no sooner than the
@@ -85,8 +86,8 @@
         """Pick servers so from now on."""
         self.driver.steer(steer)
 
-    def listings(self) -> Iterable[Listing]:
-        """The servers on the list held."""
+    def listings(self) -> HeldList:
+        """The list held."""
         return self.discovery.listings()
 
     @property
--- a/fordtrestle/discovery.py
+++ b/fordtrestle/discovery.py
@@ -15,7 +15,7 @@
 from fordtrestle.config import Address, Config, ServerList, parse_list
 from fordtrestle.driver import log
 from fordtrestle.fleet.lists import Age, Doubt, HeldList, Sources
-from poppypulley.model import ASK_MOST_MS, CALL_MS, SPARE_MS, TOLD_MS, Listing
+from poppypulley.model import ASK_MOST_MS, CALL_MS, SPARE_MS, TOLD_MS
 
 PATH = "/registry/instances"
 # What a change may take to arrive: all waits and limits here are parts of it.
@@ -272,9 +272,9 @@
             "list_age_ms": round(math.ceil(age / AGE_STEP_S) * AGE_STEP_S * 1000.0),
         }
 
-    def listings(self) -> list[Listing]:
-        """The servers on the list held, in a fleet."""
-        return [] if self._held is None else self._held.listings()
+    def listings(self) -> HeldList:
+        """The list held, in a fleet; empty outside of one."""
+        return HeldList() if self._held is None else self._held
 
     @property
     def _where(self) -> Address:
--- a/fordtrestle/fleet/lists.py
+++ b/fordtrestle/fleet/lists.py
@@ -8,7 +8,8 @@
 
 import math
 import random
-from collections.abc import Mapping, Sequence
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence, Set
 
 from fordtrestle.config import Address, ServerList
 from poppypulley.model import Listing
@@ -21,6 +22,7 @@
 CLOCKS_DIFFER = 0.99  # by less than this, in their rate
 DOUBT_S = 30.0  # how long a list that can't be right is held off
 AGES_S = (5.0, 30.0, 300.0)  # each is logged when the list grows older
+NO_LIST = ServerList(0, True, [], {})
 
 
 class Sources:
@@ -135,28 +137,66 @@
 
 
 class HeldList:
-    """The last good entry of each server."""
+    """The last good entry of each server, and what is asked for often of all of them: kept up with each
+    change, at a cost that does not grow with the list."""
 
-    def __init__(self, known: ServerList) -> None:
+    def __init__(self, known: ServerList = NO_LIST) -> None:
         self._entries: dict[str, tuple[Listing, Address | None]] = {}
+        self._groups: dict[str, set[str]] = {}  # names of servers by group; none is empty
+        self._active: Counter[int] = Counter()  # active servers by zone; none is 0
         self.apply(known)
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def listings(self) -> list[Listing]:
-        """The entries."""
-        return [entry for entry, _ in self._entries.values()]
+    @property
+    def servers(self) -> Set[str]:
+        """Their names; a view that goes with the list."""
+        return self._entries.keys()
+
+    @property
+    def groups(self) -> Set[str]:
+        """The groups that they are in; a view that goes with the list."""
+        return self._groups.keys()
+
+    @property
+    def served_zones(self) -> Set[int]:
+        """The zones with a server that may be sent to; a view that goes with the list."""
+        return self._active.keys()
+
+    def in_groups(self, groups: Iterable[str]) -> set[str]:
+        """The servers of some groups."""
+        return {name for group in groups for name in self._groups.get(group, ())}
 
     def apply(self, update: ServerList) -> None:
         """Take in a whole list, or changes."""
         if update.whole:
             self._entries.clear()
+            self._groups.clear()
+            self._active.clear()
         for entry in update.entries:
-            if entry.state == "left":
-                self._entries.pop(entry.server, None)
-            else:
-                self._entries[entry.server] = (entry, update.addresses.get(entry.server))
+            self._remove(entry.server)
+            if entry.state != "left":
+                self._add(entry, update.addresses.get(entry.server))
+
+    def _add(self, entry: Listing, address: Address | None) -> None:
+        self._entries[entry.server] = (entry, address)
+        self._groups.setdefault(str(entry.cell), set()).add(entry.server)
+        if entry.state == "active":
+            self._active[entry.zone] += 1
+
+    def _remove(self, name: str) -> None:
+        if name not in self._entries:
+            return
+        entry, _ = self._entries.pop(name)
+        group = self._groups[str(entry.cell)]
+        group.discard(name)
+        if not group:
+            del self._groups[str(entry.cell)]
+        if entry.state == "active":
+            self._active[entry.zone] -= 1
+            if not self._active[entry.zone]:
+                del self._active[entry.zone]
 
     def repaired(self, update: ServerList, bad: Mapping[str, str]) -> ServerList:
         """A list in which entries that could not be read are as they were last."""
--- a/fordtrestle/fleet/member.py
+++ b/fordtrestle/fleet/member.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 from typing import Any, Protocol
 
@@ -16,8 +16,9 @@
 from fordtrestle.fleet.agent import Agent
 from fordtrestle.fleet.delays import Delays
 from fordtrestle.fleet.lease_client import ActiveConfiguration, Revision
+from fordtrestle.fleet.lists import HeldList
 from fordtrestle.fleet.steering import NEUTRAL, Steering
-from poppypulley.model import Listing, Steer
+from poppypulley.model import Steer
 
 LIST_LATE_S = 2.0  # changes of the list take far less on a watch that works
 
@@ -39,8 +40,8 @@
     def steer(self, steer: Steer) -> None:
         """Pick servers so from now on."""
 
-    def listings(self) -> Iterable[Listing]:
-        """The servers on the list held."""
+    def listings(self) -> HeldList:
+        """The list held."""
 
     @property
     def list_version(self) -> int:
--- a/fordtrestle/fleet/overrides.py
+++ b/fordtrestle/fleet/overrides.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
@@ -117,9 +117,9 @@
 class Names(NamedTuple):
     """What is known here, of the list and of the settings."""
 
-    regions: frozenset[str] = frozenset()
-    groups: frozenset[str] = frozenset()
-    servers: frozenset[str] = frozenset()
+    regions: Set[str] = frozenset()
+    groups: Set[str] = frozenset()
+    servers: Set[str] = frozenset()
     classes: frozenset[str] = frozenset()
     tenants: frozenset[str] = frozenset()
 
@@ -282,7 +282,7 @@
 
 def _known(line: Override, names: Names, unknown: list[str]) -> bool:
     """Whether all that an override needs is known here; names that are not are noted."""
-    needs = []
+    needs: list[tuple[str, str, Set[str]]] = []
     if line.cls is not None:
         needs.append(("class", line.cls, names.classes))
     if line.tenant is not None:
@@ -300,7 +300,7 @@
 
 
 def _holds(
-    what: str, lines: Sequence[Override], of_settings: frozenset[str], among: frozenset[str], notes: list[str]
+    what: str, lines: Sequence[Override], of_settings: frozenset[str], among: Set[str], notes: list[str]
 ) -> frozenset[str]:
     """What is held off. Overrides together never hold all there is: the last of them is let go."""
     by: dict[str, str] = {}
@@ -337,7 +337,7 @@
     )
 
 
-def _shifted(base: Mapping[str, float], to: Shares, regions: frozenset[str]) -> dict[str, float]:
+def _shifted(base: Mapping[str, float], to: Shares, regions: Set[str]) -> dict[str, float]:
     """The shares that are named; what they leave goes on over the other regions as below, evenly where
     nothing is said below."""
     named = {region: share for region, share in to.items() if region in regions}
--- a/fordtrestle/fleet/steering.py
+++ b/fordtrestle/fleet/steering.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from fordtrestle.config import Agreement, Names
 from fordtrestle.fleet import overrides, rules
 from fordtrestle.fleet.deadlines import Deadlines, digest
 from fordtrestle.fleet.lease_client import ActiveConfiguration, Revision
+from fordtrestle.fleet.lists import HeldList
 from fordtrestle.fleet.overrides import Effective, Override, Place
-from poppypulley.model import Listing, Steer
+from poppypulley.model import Steer
 
 NEUTRAL = Steer()
 PLAN_AGE_MS = 15_000.0  # a plan counts whole up to its limit, then evenly less, and not at twice the limit
@@ -23,7 +24,7 @@
     """Holds the times left of overrides, and makes a `Steer` of what holds now."""
 
     def __init__(
-        self, agreement: Agreement, names: Callable[[], Names], listings: Callable[[], Iterable[Listing]]
+        self, agreement: Agreement, names: Callable[[], Names], listings: Callable[[], HeldList]
     ) -> None:
         self._place = Place(agreement.group, agreement.region)
         self._names = names
@@ -103,8 +104,8 @@
 
     def _served(self) -> frozenset[str]:
         """The regions of the servers that may be sent to."""
-        numbers = {entry.zone for entry in self._listings() if entry.state == "active"}
-        return frozenset(name for name, number in self._names().zones.items() if number in numbers)
+        served = self._listings().served_zones
+        return frozenset(name for name, number in self._names().zones.items() if number in served)
 
     def _settings(self, revision: Revision) -> Mapping[str, Any]:
         shares = revision.settings.get("shares", {})
@@ -112,11 +113,11 @@
         return {**revision.settings, "shares": {**planned, **shares}}
 
     def _known(self) -> overrides.Names:
-        names, listed = self._names(), list(self._listings())
+        names, listed = self._names(), self._listings()
         return overrides.Names(
             regions=frozenset(names.zones),
-            groups=frozenset(str(entry.cell) for entry in listed),
-            servers=frozenset(entry.server for entry in listed),
+            groups=listed.groups,
+            servers=listed.servers,
             classes=frozenset(names.classes),
             tenants=frozenset(names.tenants),
         )
@@ -132,7 +133,7 @@
         """The same by the numbers that the module knows."""
         names = self._names()
         zones, tenants = names.zones, names.tenants
-        held = {entry.server for entry in self._listings() if str(entry.cell) in found.held_groups}
+        held = self._listings().in_groups(found.held_groups)
         pins = {
             tenants[name]: zones.get(region, -1)
             for name, region in found.tenant_pins.items()
--- a/tests/test_agreement_agent.py
+++ b/tests/test_agreement_agent.py
@@ -15,6 +15,7 @@
 from fordtrestle.fleet import rules
 from fordtrestle.fleet.agent import Agent
 from fordtrestle.fleet.lease_client import ActiveConfiguration, LeaseClient
+from fordtrestle.fleet.lists import HeldList
 from fordtrestle.fleet.steering import Steering
 
 RARELY_MS, SOON_S = 9_000.0, 3.0  # a report in time would come after 6 s or more
@@ -184,7 +185,7 @@
     client = LeaseClient("l", rules.unknown)
     client.receive_update({"edition": 5, "state": "prepared", "committed": {"edition": 4}, **strange})
     assert "does not know this form" in client.report(0.0)["objection"]["reason"]
-    steering = Steering(Agreement(3000.0, "g", "a", {}), lambda: NAMES, list)
+    steering = Steering(Agreement(3000.0, "g", "a", {}), lambda: NAMES, HeldList)
     (_, odd), now = client.active(0.0).concurrent, 1.0
     for fallback in (True, False):
         for active in (
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -101,7 +101,7 @@
         ("fleet/delays.py", set()),
         (
             "fleet/steering.py",
-            {CONFIG, MODEL, FLEET, *fleet("deadlines", "lease_client", "overrides", "rules")},
+            {CONFIG, MODEL, FLEET, *fleet("deadlines", "lease_client", "lists", "overrides", "rules")},
         ),
         (
             "fleet/member.py",
@@ -111,7 +111,7 @@
                 MODEL,
                 FLEET,
                 "fordtrestle.config",
-                *fleet("agent", "delays", "lease_client", "rules", "steering"),
+                *fleet("agent", "delays", "lease_client", "lists", "rules", "steering"),
             },
         ),
         ("discovery.py", {CONFIG, DRIVER, MODEL, "fordtrestle.fleet.lists"}),
--- a/tests/test_overrides_parts.py
+++ b/tests/test_overrides_parts.py
@@ -19,6 +19,7 @@
 from fordtrestle.fleet import deadlines, lease_client, rules, steering
 from fordtrestle.fleet import overrides as edge
 from fordtrestle.fleet.deadlines import Deadlines
+from fordtrestle.fleet.lists import HeldList
 from poppypulley import model
 
 NOW = 1_800_000_000_000
@@ -546,7 +547,7 @@
         return lease_client.Revision(number, {"regions": {"held": list(names)}}, None, ())
 
     names = config.Names({}, {}, {"a": 0, "b": 1, "c": 2, "empty": 3}, {})
-    listed = [model.Listing(f"s{zone}", zone) for zone in range(3)]
+    listed = HeldList(config.ServerList(1, True, [model.Listing(f"s{zone}", zone) for zone in range(3)], {}))
     agreement = config.Agreement(3000.0, "", "", {})
     made = steering.Steering(agreement, lambda: names, lambda: listed)
     active = lease_client.ActiveConfiguration(
--- a/tests/test_sidecar_lists.py
+++ b/tests/test_sidecar_lists.py
@@ -8,9 +8,12 @@
 import socket
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from fordtrestle import config, discovery
 from fordtrestle.fleet import lists as fleet
+from poppypulley import model
 from poppypulley.model import Fetch, Tell, Watch
 from tests.loopback import Registry, Scripted, Upstream, entry, listed, loopback, running, told, until
 
@@ -372,6 +375,31 @@
     assert "version 50" in doubt.of(empty, 60, 0, 0.0)
 
 
+ENTRIES = st.builds(
+    model.Listing,
+    st.sampled_from(["s0", "s1", "s2", "s3"]),
+    st.integers(0, 2),
+    cell=st.integers(0, 2),
+    state=st.sampled_from(["active", "active", "leaving", "left"]),
+)
+
+
+@given(st.lists(st.tuples(st.booleans(), st.lists(ENTRIES, max_size=4)), max_size=12))
+def test_what_is_kept_of_the_list_with_each_change_is_what_the_whole_list_says(updates):
+    held, plain = fleet.HeldList(), {}
+    for whole, entries in updates:
+        held.apply(config.ServerList(1, whole, entries, {}))
+        plain = {} if whole else plain
+        for row in entries:
+            plain[row.server] = row
+        plain = {name: row for name, row in plain.items() if row.state != "left"}
+        assert held.servers == plain.keys() and len(held) == len(plain)
+        assert held.groups == {str(row.cell) for row in plain.values()}
+        assert held.served_zones == {row.zone for row in plain.values() if row.state == "active"}
+        for groups in (set(), {"0"}, {"1", "2", "9"}):
+            assert held.in_groups(groups) == {n for n, row in plain.items() if str(row.cell) in groups}
+
+
 @pytest.mark.parametrize(
     "value", [{}, {"registry": []}, {"registry": "127.0.0.1:1"}, {"registry": ["x"]}, [], {"colour": 1}]
 )
