Act past a pin's old end only with the revision that extends it

Answers to reports tell the time left of a newer revision of an override before the document that has it is in force, and it counted for the older document too. Of a pin that is exclusive: a sidecar that had heard of the extension went on serving the tenant in one region, while one that had not, and held a lease still, served it at home from the old end on. Seen among real processes with an aggregator stopped across an extension: one tenant served by two regions in turn, 47 ms apart.

A pin's later end now counts with the document that has it; between the old end and that, the tenant is served by nobody. That document is in force once all that may act have acknowledged it. The new test holds two sidecars against each other over the old end, and fails without the change.

--- a/fordtrestle/fleet/deadlines.py
+++ b/fordtrestle/fleet/deadlines.py
@@ -127,6 +127,19 @@
                 return Phase.DOUBTFUL if now_s < bounds.over_s else Phase.OVER
         return Phase.OVER
 
+    def exclusive_phase(self, key: str, rev: int, now_s: float) -> Phase:
+        """The same for what must not be acted on beside another value: a later end counts with the document
+        that has it, and not before.
+
+        Who has not received the newer times ends it at the older end, and may do so for as long as its
+        lease lasts; the newer document is in force once all those have acknowledged it."""
+        found = self.phase(key, rev, now_s)
+        rows = self._bounds.get(key, ())
+        if found is not Phase.IN_FORCE or rows[0].rev == rev:
+            return found
+        own = [bounds for bounds in rows if bounds.rev == rev]
+        return Phase.IN_FORCE if own and now_s < own[0].end_s else Phase.DOUBTFUL
+
     def active(self, now_s: float) -> tuple[str, ...]:
         """Ids whose newest revision is not over."""
         return tuple(sorted(key for key, rows in self._bounds.items() if now_s < rows[0].end_s))
--- a/fordtrestle/fleet/overrides.py
+++ b/fordtrestle/fleet/overrides.py
@@ -169,7 +169,7 @@
 
     `layer` is `read_layer`'s, `sidecars` how many share a cap. It changes only when one of these
     does, or at `deadlines.next_end`."""
-    here = [(line, deadlines.phase(line.id, line.rev, now_s)) for line in layer if _here(line, place)]
+    here = [(line, _phase(line, deadlines, now_s)) for line in layer if _here(line, place)]
     lines = [line for line, phase in here if phase is Phase.IN_FORCE]
     notes: list[str] = []
     unknown: list[str] = []
@@ -226,6 +226,11 @@
     )
 
 
+def _phase(line: Override, deadlines: Deadlines, now_s: float) -> Phase:
+    phase = deadlines.exclusive_phase if line.kind == "pin" else deadlines.phase
+    return phase(line.id, line.rev, now_s)
+
+
 def _pins(of_settings: Mapping[str, str], lines: Sequence[Override]) -> dict[str, str]:
     pins = dict(of_settings)
     for line in reversed(lines):  # the one that goes first is written last
--- a/tests/test_overrides_parts.py
+++ b/tests/test_overrides_parts.py
@@ -434,6 +434,27 @@
     return row({"cap": {"per_s": rate}}, C1)
 
 
+def test_a_pin_that_is_extended_never_overlaps_with_its_home_where_that_was_not_heard():
+    """One hears of the extension before the old end, the other does not; both hold the older document."""
+    home = edge.Rules(tenant_pins={"t1": "a"})
+
+    def region(held, rev, at):
+        lines, _ = edge.read_layer([{"id": "x", **pin("b", rev=rev)}])
+        return edge.effective(at, home, lines, held, edge.Place(), NAMES).tenant_pins["t1"]
+
+    heard, unheard = Deadlines(), Deadlines()
+    for held in (heard, unheard):
+        held.receive(0.0, {"x": {"rev": 1, "same_from": 1, "left_ms": 10_000}}, 0.1)
+    heard.receive(9.0, {"x": {"rev": 2, "same_from": 1, "left_ms": 11_000}}, 9.1)
+    for tenth in range(150):
+        both = {region(heard, 1, tenth / 10.0), region(unheard, 1, tenth / 10.0)}
+        assert not {"a", "b"} <= both, tenth
+    # The document that has the extension is in force once all have acknowledged it, or may not act.
+    assert [region(heard, rev, 12.0) for rev in (1, 2)] == ["", "b"]
+    assert [region(heard, rev, 9.5) for rev in (1, 2)] == ["b", "b"]
+    assert [region(heard, rev, 21.0) for rev in (1, 2)] == ["a", "a"]
+
+
 BASE = edge.Rules(shares={"a": 0.5, "b": 0.5}, tenant_pins={"t2": "b"}, caps={"c1": 100.0})
 FORCE = [
     ("nothing", {}, BASE, {"shares": {"a": 0.5, "b": 0.5}, "tenant_pins": {"t2": "b"}, "caps": {"c1": 25.0}}),
