--- a/brassfall/lab/capacity/command.py
+++ b/brassfall/lab/capacity/command.py
@@ -38,6 +38,7 @@
     "reports": reports.measure,
     "revisions": revisions.measure,
     "tier": tier.measure,
+    "region": tier.measure_region,
     "events": events.measure,
     "tier-events": events.measure_tier,
     "lists": lists.measure,
--- a/brassfall/lab/capacity/steady.py
+++ b/brassfall/lab/capacity/steady.py
@@ -99,6 +99,24 @@
     )
 
 
+async def aggregators(options: Options, recorder: Recorder, topology: Topology) -> None:
+    """What each aggregator takes by its children, and nothing else."""
+    before = await _look(topology)
+    await asyncio.sleep(options.window_s)
+    after = await _look(topology)
+    seconds = rates(before.sidecars, after.sidecars).seconds
+    for index, each in enumerate(topology.aggregators):
+        if not _children(each, after):
+            continue
+        _aggregator(recorder, each, index, before, after, seconds)
+        core = (after.aggregator_cpu_s[index] - before.aggregator_cpu_s[index]) / seconds
+        options.progress(f"{AGGREGATOR}: {_children(each, after)} children, {core:.2f} core")
+
+
+def _children(each: Aggregator, looked: Looked) -> int:
+    return servers(looked.sidecars)[each.address] // CONNECTIONS_EACH
+
+
 def _service(recorder: Recorder, topology: Topology, size: int, found: Rates, core: float) -> None:
     role, reports = roles(topology).service, found.reports * size
     recorder.add(role, "processor time", "core", size, core)
@@ -123,7 +141,7 @@
 def _aggregator(
     recorder: Recorder, each: Aggregator, index: int, before: Looked, after: Looked, seconds: float
 ) -> None:
-    children = servers(after.sidecars)[each.address] // CONNECTIONS_EACH
+    children = _children(each, after)
     core = (after.aggregator_cpu_s[index] - before.aggregator_cpu_s[index]) / seconds
     recorder.add(AGGREGATOR, "processor time", "core", children, core)
     recorder.add(AGGREGATOR, "memory (USS)", "MiB", children, machine.uss_mib(each.pid))
--- a/brassfall/lab/capacity/topology.py
+++ b/brassfall/lab/capacity/topology.py
@@ -80,9 +80,10 @@
         """Where the sidecars of each region are sent; of any region, with one service."""
         if not self.aggregators:
             return {"": [self.service.address]}
-        return {
-            region: [each.address for each in self.aggregators if each.region == region] for region in REGIONS
-        }
+        found: dict[str, list[str]] = {}
+        for each in self.aggregators:
+            found.setdefault(each.region, []).append(each.address)
+        return found
 
     async def start(self, sidecars: int, per_s: float = 400.0) -> dict[str, list[Worker]]:
         """Start so many sidecars, evenly over the regions; the processes of each."""
