--- a/brassfall/lab/capacity/budgets.py
+++ b/brassfall/lab/capacity/budgets.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from brassfall.lab.capacity.roles import ONE, TIER
+from brassfall.lab.capacity.roles import AGGREGATOR, CHILDREN, ONE, TIER
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,6 +16,7 @@
     limit: float  # in the unit of the quantity
     of: str  # the operators' words
     mechanism: str
+    at: int | None = None  # the size that counts, where it is not the role's
 
 
 BYTES = "control: 14 KB a second of a sidecar"
@@ -71,5 +72,9 @@
     Budget(
         TIER.service, "processor time", 1.0, MACHINES, "six reports a quarter of a second, not one a sidecar"
     ),
+    Budget(TIER.service, "processor time", 0.1, "aim of the tier", "six reports a quarter of a second"),
+    Budget(AGGREGATOR, "processor time", 0.5, "aim of the tier", "a report of each child in 0.75 s"),
+    Budget(AGGREGATOR, "processor time", 0.9, "aim of the tier, one of two lost", "the same", 2 * CHILDREN),
+    Budget(TIER.agreement, f"{REACHED}, healthy, p99", 1.5, "aim of the tier", FAULTS["healthy, p99"]),
     *_in_force(TIER.agreement, tuple(FAULTS)),
 )
--- a/brassfall/lab/capacity/fit.py
+++ b/brassfall/lab/capacity/fit.py
@@ -50,10 +50,24 @@
     return Line(sizes, float(slope), float(at_zero), error)
 
 
-def value_at_target(rows: list[Figure], target: int = TARGET) -> tuple[float, float]:
-    """The value at the target size, and how many times the largest size measured that is (1: measured)."""
+@dataclass(frozen=True, slots=True)
+class AtTarget:
+    """A value at the size aimed at; `times` is that size by the largest measured (1: within those)."""
+
+    value: float
+    times: float
+
+
+def value_at_target(rows: list[Figure], target: int = TARGET) -> AtTarget:
+    """The value measured at a size, or else what the line gives there.
+
+    What falls with the size is taken to stay as it is at the largest size that was measured: no line makes a
+    cost smaller than any that was seen."""
+    largest = max(rows, key=lambda row: row.size)
     for row in rows:
         if row.size == target:
-            return row.value, 1.0
-    fitted = line(rows)
-    return fitted.at(target), target / fitted.sizes[-1]
+            return AtTarget(row.value, 1.0)
+    times = target / largest.size
+    if times < 1.0:
+        return AtTarget(line(rows).at(target), 1.0)
+    return AtTarget(max(largest.value, line(rows).at(target)), times)
--- a/brassfall/lab/capacity/page.py
+++ b/brassfall/lab/capacity/page.py
@@ -13,6 +13,7 @@
 from brassfall.lab.capacity.budgets import BUDGETS, Budget
 from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.fit import TARGET, line, value_at_target
+from brassfall.lab.capacity.roles import TARGETS
 
 MARKED = re.compile(r"(<!-- table (?P<name>[a-z ,']+) -->\n).*?(<!-- end -->)", re.DOTALL)
 BUDGET_TABLE = "budgets"
@@ -77,23 +78,24 @@
     return f"{number(THOUSAND * fitted.slope)} ({told})"
 
 
-def at_target(rows: list[Figure]) -> str:
-    """The value at the target size, and how far that is extrapolated."""
-    value, times = value_at_target(rows)
-    if len(rows) == 1 and rows[0].size != TARGET:
+def at_target(rows: list[Figure], target: int) -> str:
+    """The value at the size aimed at, and how far that is extrapolated."""
+    found = value_at_target(rows, target)
+    if len(rows) == 1 and found.times > FAR:
         return f"not measured beyond {rows[0].size:,}"
-    told = with_unit(value, rows[0].unit)
-    return f"{told} (x{times:.1f} beyond what was measured)" if times > FAR else told
+    told = with_unit(found.value, rows[0].unit)
+    return f"{told} (x{found.times:.1f} beyond what was measured)" if found.times > FAR else told
 
 
 def role_table(figures: list[Figure], role: str) -> str:
     """All quantities of a role."""
+    target = TARGETS.get(role, TARGET)
     rows = [
-        [quantity, measured(held), held[0].unit, slope(held), at_target(held), _repeats(held)]
+        [quantity, measured(held), held[0].unit, slope(held), at_target(held, target), _repeats(held)]
         for (of, quantity), held in by_quantity(figures).items()
         if of == role
     ]
-    return table(["quantity", "measured", "unit", "slope, per 1,000", f"at {TARGET:,}", "repeats"], rows)
+    return table(["quantity", "measured", "unit", "slope, per 1,000", f"at {target:,}", "repeats"], rows)
 
 
 def _repeats(rows: list[Figure]) -> str:
@@ -105,7 +107,7 @@
     """Each budget, and how much of it is used at the target size. What is over says so."""
     held = by_quantity(figures)
     rows = [_budget_row(budget, held.get((budget.role, budget.quantity), [])) for budget in BUDGETS]
-    head = ["role", "quantity", "measured", "slope, per 1,000", f"at {TARGET:,}", "budget", "part of it used"]
+    head = ["role", "quantity", "measured", "slope, per 1,000", "at full size", "budget", "part of it used"]
     return table([*head, "what carries it"], rows)
 
 
@@ -113,14 +115,15 @@
     if not rows:
         none = ["not measured", "-", "-"]
         return [budget.role, budget.quantity, *none, f"{budget.of}", "not known", budget.mechanism]
-    value, _ = value_at_target(rows)
+    target = budget.at or TARGETS.get(budget.role, TARGET)
+    value = value_at_target(rows, target).value
     allowed = f"{with_unit(budget.limit, rows[0].unit)} ({budget.of})"
     return [
         budget.role,
         budget.quantity,
         measured(rows),
         slope(rows),
-        at_target(rows),
+        f"{at_target(rows, target)}, at {target:,}",
         allowed,
         verdict(value / budget.limit),
         budget.mechanism,
--- a/brassfall/lab/capacity/roles.py
+++ b/brassfall/lab/capacity/roles.py
@@ -6,6 +6,8 @@
 
 SIDECAR = "sidecar's control path"
 AGGREGATOR = "aggregator, by children"
+CHILDREN = 900  # of an aggregator, where 5,400 sidecars have six; twice as many where one of two is lost
+TARGETS = {AGGREGATOR: CHILDREN}  # sizes aimed at, where that is not the number of sidecars
 
 
 @dataclass(frozen=True, slots=True)
--- a/brassfall/lab/capacity/steady.py
+++ b/brassfall/lab/capacity/steady.py
@@ -114,7 +114,9 @@
 
 
 def _children(each: Aggregator, looked: Looked) -> int:
-    return servers(looked.sidecars)[each.address] // CONNECTIONS_EACH
+    """How many it has; to two digits, so that aggregators with about as many are one size."""
+    found = servers(looked.sidecars)[each.address] // CONNECTIONS_EACH
+    return round(found, 1 - len(str(found))) if found < 100 else round(found, -2)
 
 
 def _service(recorder: Recorder, topology: Topology, size: int, found: Rates, core: float) -> None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -36,8 +36,11 @@
     assert bent.error == pytest.approx(420.0 / math.sqrt(9.36e6))
     assert math.isnan(fit.line(rows((300, 0.4), (900, 1.0))).error)
     assert fit.line(rows((300, 0.4))).at(5400) == 0.4
-    assert fit.value_at_target(rows((900, 1.0), (5400, 9.0))) == (9.0, 1.0)
-    assert fit.value_at_target(rows((900, 1.0), (2700, 2.8))) == (pytest.approx(5.5), 2.0)
+    assert fit.value_at_target(rows((900, 1.0), (5400, 9.0))) == fit.AtTarget(9.0, 1.0)
+    assert fit.value_at_target(rows((900, 1.0), (2700, 2.8))) == fit.AtTarget(pytest.approx(5.5), 2.0)
+    # What falls is not taken to fall for ever; what lies between sizes is no extrapolation.
+    assert fit.value_at_target(rows((900, 0.9), (2700, 0.2))) == fit.AtTarget(0.2, 2.0)
+    assert fit.value_at_target(rows((300, 0.3), (1800, 1.8)), 900) == fit.AtTarget(pytest.approx(0.9), 1.0)
 
 
 def test_figures_are_kept_a_row_a_line_and_newer_ones_take_the_place_of_older(tmp_path):
