Tell watches that the list's index grew, and let nobody go on from what a restored copy forgot

After a restart of the service the index grows without a change. Sidecars that watch an aggregator were not told so, and each would have opened its watch anew after 2 s: they get a line. The first line of the mirror's own connection may come from an older copy of the disk: who was told what lies between the two indices by others gets the whole list.

--- a/brassfall/registry/aggregator/channels.py
+++ b/brassfall/registry/aggregator/channels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -35,6 +36,11 @@
         """For the header of a watch that is opened now: it holds for the empty lines, too."""
         return round(max(FRESH_MS, self._mirror.age_ms(self._now())))
 
+    def moved(self) -> None:
+        """The index has grown, be it without a change: all watches are told so, in the same line."""
+        if self._flush is None:
+            self._flush = asyncio.get_running_loop().call_soon(self._tell)
+
     def heartbeat(self) -> bytes:
         """An empty line, or one that tells how old the list is."""
         age = self._mirror.age_ms(self._now())
--- a/brassfall/registry/aggregator/mirror.py
+++ b/brassfall/registry/aggregator/mirror.py
@@ -38,9 +38,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Taken:
-    """What a line has changed. `replaced`: the list began anew, and nobody can go on from an earlier one."""
+    """What a line has changed. `replaced`: the list began anew, and nobody can go on from an earlier one.
+    `moved`: the index grew, be it without a change."""
 
     changes: tuple[Change, ...] = ()
+    moved: bool = False
     replaced: bool = False
 
 
@@ -85,14 +87,15 @@
 
     # --- what the service tells -------------------------------------------------------------
 
-    def take(self, now: float, line: ListLine) -> Taken:
-        """Take in a line of the watch; `MirrorError` where it is not believed yet."""
+    def take(self, now: float, line: ListLine, first: bool = False) -> Taken:
+        """Take in a line of the watch, the `first` on a connection or a later one; `MirrorError` where it is
+        not believed yet."""
         why = self._unbelievable(line) if line.snapshot else ""
         if why:
             self._doubt(now, why)
         self._doubted_since = None
         if not line.snapshot:
-            return self._take_changes(line)
+            return self._take_changes(line, first)
         if not self.holds_list or line.index < self.index:
             return self._begin(line)
         return self._take_list(line)
@@ -132,14 +135,16 @@
                 records.append(Record("put", line.index, 0, INSTANCES, Row(name, line.index, entry)))
         return self._absorb(records)
 
-    def _take_changes(self, line: ListLine) -> Taken:
+    def _take_changes(self, line: ListLine, first: bool) -> Taken:
         if not self.holds_list:
             raise MirrorError("no list", "changes came before a whole list")
         if line.index < self.index:
             return Taken()  # a list that came meanwhile has them
         records = []
-        if line.index > self.index and not line.endpoints:
-            # A service that was started again counts from a higher index, with the same list.
+        moved = line.index > self.index
+        if moved and (first or not line.endpoints):
+            # A service that was started again counts from a higher index. Its disk may be an older copy: what
+            # was told between the two indices by others may be forgotten, so nobody goes on from there.
             records.append(Record("life", line.index, 0))
         for entry in line.endpoints:
             # What has left may be unknown here, and known to who was told elsewhere: it is told all the same.
@@ -149,7 +154,9 @@
         return self._absorb(records)
 
     def _absorb(self, records: list[Record]) -> Taken:
-        return Taken(tuple(change for _, change in self.table.absorb(records)))
+        before = self.index
+        changes = tuple(change for _, change in self.table.absorb(records))
+        return Taken(changes, moved=self.index > before)
 
     # --- how old it is ------------------------------------------------------------------------
 
--- a/brassfall/registry/aggregator/service.py
+++ b/brassfall/registry/aggregator/service.py
@@ -214,6 +214,11 @@
         limits = self.settings.limits
         return ListChannel(self.mirror, now, limits.watch_bytes, limits.watch_stuck_ms / 1000.0)
 
+    def _channel(self) -> ListChannel:
+        channel = self.front.channels[INSTANCES]
+        assert isinstance(channel, ListChannel)
+        return channel
+
     def _open_list_watch(self) -> None:
         if self._watching_list is not None:
             self._watching_list.cancel()
@@ -223,16 +228,19 @@
 
     def _list_line(self, line: Line) -> None:
         if line.text:
-            taken = self.mirror.take(line.heard, parse_line(line.text))
+            taken = self.mirror.take(line.heard, parse_line(line.text), first=line.lines == 1)
             if taken.replaced:
                 log.warning("list began anew", index=self.mirror.index)
                 self.front.channels[INSTANCES].end()
                 self.front.channels[INSTANCES] = self._list_channel()
+            channel = self._channel()
             for change in taken.changes:
-                self.front.channels[INSTANCES].changed(change)
+                channel.changed(change)
+            if taken.moved:
+                channel.moved()
             if self._ahead is not None and self._ahead[1] <= self.mirror.index:
                 self._ahead = None
-        if line.told:
+        if line.lines:
             self.mirror.confirmed_by_watch(line.asked, line.heard, line.empties)
             self._confirmed()
 
@@ -288,8 +296,7 @@
     async def _watch_list(self, request: web.Request, index: int) -> web.StreamResponse:
         if self.mirror.table.since(INSTANCES, index) is None and (refused := self._joins_whole()):
             return refused
-        channel = self.front.channels[INSTANCES]
-        assert isinstance(channel, ListChannel)
+        channel = self._channel()
         headers = {AGE: str(channel.promised_age_ms())}
         return await self.front.watch(request, Watched(index, lambda: channel, headers=headers))
 
--- a/brassfall/registry/aggregator/upstream.py
+++ b/brassfall/registry/aggregator/upstream.py
@@ -54,14 +54,14 @@
 class Line:
     """A line of a watch: empty ones are counted. Times are `now` of the upstream, in ms.
 
-    `told` says whether a line with something in it has come on this connection: until then, empty lines say
-    nothing, since the service may hold its list back."""
+    `lines` counts those with something in them on this connection, this one included: until there is one,
+    empty lines say nothing, since the service may hold its list back."""
 
     text: bytes
     asked: float
     heard: float
     empties: int
-    told: bool
+    lines: int
 
 
 @dataclass(slots=True)
@@ -151,7 +151,7 @@
         self, addresses: Addresses, path: str, take: Callable[[Line], None], state: WatchState
     ) -> None:
         limit = aiohttp.ClientTimeout(total=None, connect=CONNECT_S, sock_read=SILENT_S)
-        address, asked, empties, told = addresses.current, self.now(), 0, False
+        address, asked, empties, lines = addresses.current, self.now(), 0, 0
         try:
             async with self._session.get(f"http://{address}{path}", timeout=limit) as answer:
                 if answer.status != 200:
@@ -160,8 +160,8 @@
                 async for raw in answer.content:
                     text = raw.strip()
                     empties += not text
-                    told = told or bool(text)
-                    take(Line(text, asked, self.now(), empties, told))
+                    lines += bool(text)
+                    take(Line(text, asked, self.now(), empties, lines))
                     addresses.worked()
                     if not state.open:
                         state.open, state.failing = True, ""
--- a/tests/test_aggregator_mirror.py
+++ b/tests/test_aggregator_mirror.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from copy import deepcopy
 
 import msgspec
 import pytest
@@ -14,6 +16,7 @@
 from brassfall.registry.entries import INSTANCES
 from brassfall.registry.watches import EMPTY
 from brassfall.table.core import Delete, Put, Table
+from tests.loopback import bounded, until
 
 
 def endpoint(name, weight=1.0):
@@ -30,6 +33,13 @@
     def __init__(self, ring):
         self.table = Table(ring)
 
+    def restart(self, copy=None):
+        """Begin a life above all indices told so far, on the disk as it is or an older copy."""
+        floor = self.table.index + 1000
+        if copy is not None:
+            self.table = deepcopy(copy)
+        self.table.absorb([self.table.life(floor, 0)])
+
     def write(self, *commands):
         stage = self.table.stage(0)
         for command in commands:
@@ -69,19 +79,26 @@
     above.write(Put(table=INSTANCES, key="s0", value=endpoint("s0")))
     mirrors = [Mirror(rng.choice((2, 50))) for _ in range(2)]
     held = [(0, {}) for _ in range(3)]
-    wholes = 0
+    wholes, copies = 0, []
+    open_watches = [False, False]  # of the mirrors, since the service was started
     for step in range(300):
         key = f"s{rng.randrange(8)}"
         if rng.random() < 0.02:
-            above.table.absorb([above.table.life(above.table.index + 1000, 0)])  # a restart of the service
+            copies.append(deepcopy(above.table))
+        if rng.random() < 0.02:
+            above.restart(rng.choice([None, *copies]))
+            open_watches = [False, False]
         elif rng.random() < 0.6:
             above.write(Put(table=INSTANCES, key=key, value=endpoint(key, rng.random())))
         elif above.table.count(INSTANCES) > 1:
             above.write(Delete(table=INSTANCES, key=key))
         above.write(Put(table="other", key="k", value=step))  # indices are of all tables
         if rng.random() < 0.5:
-            mirror = rng.choice(mirrors)
-            mirror.take(0.0, above.line(mirror.index if mirror.holds_list else 0))
+            which = rng.randrange(2)
+            mirror = mirrors[which]
+            line = above.line(mirror.index if mirror.holds_list else 0)
+            mirror.take(0.0, line, first=not open_watches[which])
+            open_watches[which] = True
         at = rng.randrange(len(held))
         index, rows = held[at]
         source = rng.choice([above, *(m for m in mirrors if m.holds_list and m.index >= index)])
@@ -135,7 +152,7 @@
     above.write(*(Put(table=INSTANCES, key=key, value=endpoint(key)) for key in ("s0", "s1")))
     mirror.take(0.0, above.line(0))
     before = mirror.index
-    above.table.absorb([above.table.life(above.table.index + 1000, 0)])
+    above.restart()
     line = above.line(before)
     assert (line.snapshot, line.endpoints, line.index > before) == (False, [], True)
     assert mirror.take(1.0, line).changes == ()
@@ -144,6 +161,20 @@
     assert taken((0, {}), told(mirror, 0)) == (line.index, {key: endpoint(key) for key in ("s0", "s1")})
 
 
+def test_who_was_told_what_a_restored_copy_has_forgotten_gets_the_whole_list():
+    above, mirror = Above(ring=50), Mirror(50)
+    above.write(Put(table=INSTANCES, key="s0", value=endpoint("s0")))
+    mirror.take(0.0, above.line(0), first=True)
+    above.write(Put(table=INSTANCES, key="s1", value=endpoint("s1")))
+    copy = deepcopy(above.table)
+    above.write(Put(table=INSTANCES, key="s2", value=endpoint("s2")))
+    held = taken((0, {}), above.line(0))
+    above.restart(copy)
+    line = above.line(mirror.index)
+    assert not line.snapshot and mirror.take(0.0, line, first=True).moved
+    assert set(taken(held, told(mirror, held[0]))[1]) == {"s0", "s1"}
+
+
 def test_a_good_line_ends_the_doubt():
     mirror = Mirror(ring=50)
     mirror.take(0.0, whole(100, "a"))
@@ -207,6 +238,32 @@
     assert msgspec.json.decode(fresh[0].split(b"\r\n")[1])["age_ms"] == FRESH_MS
 
 
+class Transport:
+    """Takes what is written to a watch."""
+
+    def __init__(self):
+        self.written = []
+
+    def write(self, data):
+        self.written.append(data)
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+@bounded(10.0)
+async def test_watches_are_told_that_the_index_grew_without_a_change():
+    mirror, transport = Mirror(ring=50), Transport()
+    channel = ListChannel(mirror, lambda: 0.0, 65536, 10.0)
+    mirror.take(0.0, whole(100, "a"))
+    channel.add(transport, 100, False, asyncio.get_running_loop().create_future())
+    assert mirror.take(0.0, ListLine(200, False, []), first=True).moved
+    channel.moved()
+    await until(lambda: transport.written)
+    line = msgspec.json.decode(transport.written[0].split(b"\r\n")[1])
+    assert line == {"index": 200, "snapshot": False, "endpoints": []}
+
+
 def test_the_next_address_is_asked_after_a_failure_but_who_is_told_a_time_comes_back_there():
     addresses = Addresses(("a", "b"), random.Random(1))
     first = addresses.current
