--- a/fordtrestle/fleet/overrides.py
+++ b/fordtrestle/fleet/overrides.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
@@ -117,9 +117,9 @@
 class Names(NamedTuple):
     """What is known here, of the list and of the settings."""
 
-    regions: frozenset[str] = frozenset()
-    groups: frozenset[str] = frozenset()
-    servers: frozenset[str] = frozenset()
+    regions: Set[str] = frozenset()
+    groups: Set[str] = frozenset()
+    servers: Set[str] = frozenset()
     classes: frozenset[str] = frozenset()
     tenants: frozenset[str] = frozenset()
 
@@ -169,7 +169,7 @@
 
     `layer` is `read_layer`'s, `sidecars` how many share a cap. It changes only when one of these
     does, or at `deadlines.next_end`."""
-    here = [(line, deadlines.phase(line.id, line.rev, now_s)) for line in layer if _here(line, place)]
+    here = [(line, _phase(line, deadlines, now_s)) for line in layer if _here(line, place)]
     lines = [line for line, phase in here if phase is Phase.IN_FORCE]
     notes: list[str] = []
     unknown: list[str] = []
@@ -226,6 +226,11 @@
     )
 
 
+def _phase(line: Override, deadlines: Deadlines, now_s: float) -> Phase:
+    phase = deadlines.exclusive_phase if line.kind == "pin" else deadlines.phase
+    return phase(line.id, line.rev, now_s)
+
+
 def _pins(of_settings: Mapping[str, str], lines: Sequence[Override]) -> dict[str, str]:
     pins = dict(of_settings)
     for line in reversed(lines):  # the one that goes first is written last
@@ -282,7 +287,7 @@
 
 def _known(line: Override, names: Names, unknown: list[str]) -> bool:
     """Whether all that an override needs is known here; names that are not are noted."""
-    needs = []
+    needs: list[tuple[str, str, Set[str]]] = []
     if line.cls is not None:
         needs.append(("class", line.cls, names.classes))
     if line.tenant is not None:
@@ -300,7 +305,7 @@
 
 
 def _holds(
-    what: str, lines: Sequence[Override], of_settings: frozenset[str], among: frozenset[str], notes: list[str]
+    what: str, lines: Sequence[Override], of_settings: frozenset[str], among: Set[str], notes: list[str]
 ) -> frozenset[str]:
     """What is held off. Overrides together never hold all there is: the last of them is let go."""
     by: dict[str, str] = {}
@@ -337,7 +342,7 @@
     )
 
 
-def _shifted(base: Mapping[str, float], to: Shares, regions: frozenset[str]) -> dict[str, float]:
+def _shifted(base: Mapping[str, float], to: Shares, regions: Set[str]) -> dict[str, float]:
     """The shares that are named; what they leave goes on over the other regions as below, evenly where
     nothing is said below."""
     named = {region: share for region, share in to.items() if region in regions}
