--- a/brassfall/registry/aggregator/children.py
+++ b/brassfall/registry/aggregator/children.py
@@ -95,7 +95,7 @@
         there is nothing to answer it with."""
         core = self.core
         if not core.epoch:
-            raise Elsewhere("no lease", f"the list service has not answered yet: {core.why_no_lease}")
+            raise Elsewhere("no lease", "the list service has not answered this aggregator yet")
         self.figures.reports += 1
         for action in self.step(ChildReported(next(self._tickets), name, report)):
             match action:
