--- a/tests/test_aggregator_shell.py
+++ b/tests/test_aggregator_shell.py
@@ -291,7 +291,7 @@
 
     async with ServiceProcess(tmp_path, agreement={"agree_ms": AGREE_MS}) as process:
         at = await process.start()
-        made = aggregator(at)
+        made = aggregator(at, writes_at_once=1, writes_waiting=1)
         async with started(made) as (below,), aiohttp.ClientSession() as session:
             await until(lambda: not made.unready())
             sidecar = agent("n1", below, listen=listen)
@@ -307,16 +307,22 @@
                 status, _, headers = await call(session, below, "GET", LIST)
                 assert status == 200 and float(headers[AGE]) >= 0.9 * AGREE_MS  # served, and no younger
                 assert (await call(session, below, "GET", "/health/ready"))[0] == 503
+                # One is under way and one waits for it; the others are refused at once.
+                writes = [
+                    asyncio.create_task(call(session, below, "PUT", f"{LIST}/s1", ENTRY)) for _ in range(5)
+                ]
                 line = await watch.news()  # in the place of an empty line
                 assert (line["index"], line["endpoints"]) == (index, []) and line["age_ms"] > 2000
                 await until(lambda: granted[-1][1:] == (0.0, True))  # and told to ask elsewhere
-                status, _, headers = await call(session, below, "PUT", f"{LIST}/s1", ENTRY)
-                assert (status, "Retry-After" in headers) == (503, True)
+                told = await asyncio.gather(*writes)
+                assert {(status, "Retry-After" in headers) for status, _, headers in told} == {(503, True)}
+                assert ["too many calls wait" in said["reason"] for _, said, _ in told] == [False] * 2 + [
+                    True
+                ] * 3
                 # One of an older version does not read `elsewhere`, and stays: it is refused, and so goes.
-                old = [
-                    await call(session, below, "POST", "/edges/o1", {"life": "p", "seq": seq})
-                    for seq in (1, 2)
-                ]
+                async with aiohttp.ClientSession() as one:  # with one connection
+                    bodies = [{"life": "p", "seq": seq} for seq in (1, 2)]
+                    old = [await call(one, below, "POST", "/edges/o1", body) for body in bodies]
                 assert [(status, "Retry-After" in headers) for status, _, headers in old] == [
                     (200, False),
                     (503, False),
