Play kills, stops and one-way cuts of aggregators among real processes

Two aggregators, the service, seven sidecars under them and one that reports to the service (so that one member of three can be lost), six servers that write down X-Edition. The test waits for what the service lists, not for times: an aggregator is killed in the moment of a publish and comes back after longer than a lease lasts, the other is stopped across a pin's extension and a commit, the answers to the first are cut; its verdict is the lab's judge, from ledgers and books alone.

--- a/brassfall/lab/editions/clients.py
+++ b/brassfall/lab/editions/clients.py
@@ -36,21 +36,27 @@
         self._rng = random.Random(f"{seed} {number}")
         self._count = 0
         self.book: list[Asked] = []
+        self._until = 0.0
 
     async def play(self, until: float) -> None:
-        """Send until a time of the monotonic clock, and wait for the last answer."""
+        """Send until a time of the monotonic clock, or `stop`, and wait for the last answer."""
+        self._until = until
         tasks: set[asyncio.Task[None]] = set()
         limit = aiohttp.ClientTimeout(total=BUDGET_S + SLACK_S)
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(timeout=limit, connector=connector) as session:
             due = time.monotonic()
-            while (due := due + self._rng.expovariate(self._rate)) < until:
+            while (due := due + self._rng.expovariate(self._rate)) < self._until:
                 await asyncio.sleep(max(0.0, due - time.monotonic()))
                 task = asyncio.create_task(self._ask(session))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
             await asyncio.gather(*tasks)
 
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._until = 0.0
+
     async def _ask(self, session: aiohttp.ClientSession) -> None:
         self._count += 1
         tenant = self._rng.choices(TENANTS, TENANT_SHARES)[0]
--- a/brassfall/lab/editions/faults.py
+++ b/brassfall/lab/editions/faults.py
@@ -72,7 +72,7 @@
             case "roll":
                 await self._roll(step)
             case "slow-service":
-                doors = stage.tier.above if stage.tier else stage.links()
+                doors = stage.above()
                 for door in doors:
                     door.late_s = step.by
                 await asyncio.sleep(step.lasts)
--- a/brassfall/lab/editions/play.py
+++ b/brassfall/lab/editions/play.py
@@ -13,6 +13,7 @@
 import sys
 import threading
 import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -58,8 +59,14 @@
         return not self.verdict.findings and not self.crashes
 
 
-async def play(told: Experiment, seed: int, folder: Path) -> Result:
-    """Start everything, play the schedule, end everything, and judge."""
+Script = Callable[[Faults], Awaitable[None]]
+
+
+async def play(told: Experiment, seed: int, folder: Path, script: Script | None = None) -> Result:
+    """Start everything, play the schedule, end everything, and judge.
+
+    A `script` takes the place of the schedule: the play is over when it is, and after `told.seconds` at
+    the latest."""
     troupe, lateness = Troupe(folder / "logs"), Lateness()
     stage, publisher = Stage(told, folder, troupe), Publisher(told.regions)
     faults = Faults(stage, publisher)
@@ -73,7 +80,7 @@
             asyncio.create_task(publisher.observe(stage.at("main"))),
         ]
         begun = now()
-        books = await _perform(stage, faults, schedule.draw(told, seed), seed, begun)
+        books = await _perform(stage, faults, script, seed, begun)
         crashes = stage.crashed()
     finally:
         for task in helpers:
@@ -127,7 +134,7 @@
 
 
 async def _perform(
-    stage: Stage, faults: Faults, steps: list[Step], seed: int, begun: float
+    stage: Stage, faults: Faults, script: Script | None, seed: int, begun: float
 ) -> list[list[judge.Asked]]:
     """Clients throughout, and each step when it is due."""
     told = stage.told
@@ -138,8 +145,13 @@
         async with asyncio.TaskGroup() as group:
             for application in applications:
                 group.create_task(application.play(begun + told.seconds))
+            if script is not None:
+                await script(faults)
+                for application in applications:
+                    application.stop()
+                return [application.book for application in applications]
             group.create_task(_copy(stage, begun))
-            for step in steps:
+            for step in schedule.draw(told, seed):
                 group.create_task(_step(faults, step, begun))
     except ExceptionGroup as errors:
         raise errors.exceptions[0] from errors
--- a/brassfall/lab/editions/spec.py
+++ b/brassfall/lab/editions/spec.py
@@ -74,6 +74,7 @@
     sidecars: Few = 8
     servers: Few = 6
     aggregators: Annotated[int, msgspec.Meta(ge=0, le=16)] = 0  # between sidecars and service; 0: no tier
+    direct: Annotated[int, msgspec.Meta(ge=0, le=64)] = 0  # sidecars that report to the service all the same
     regions: Annotated[list[Name], msgspec.Meta(min_length=2)] = msgspec.field(
         default_factory=lambda: ["a", "b", "c"]
     )
--- a/brassfall/lab/editions/stage.py
+++ b/brassfall/lab/editions/stage.py
@@ -109,7 +109,7 @@
         await asyncio.gather(*(self.serving(number) for number in range(self.told.sidecars)))
 
     async def _doors(self, number: int) -> list[Door]:
-        if self.tier is not None:
+        if self.tier is not None and number >= self.told.direct:
             return await self.tier.children(number)
         door = Door(self.where("main"))
         await door.start(self.host)
@@ -134,14 +134,21 @@
         if self.tier is not None:
             for number in range((self.told.aggregators + 1) // 2):
                 self.tier.lead(number, self.where(name))
-            return
+            who = [number for number in who if number < self.told.direct]
         for number in who:
             for door in self.doors[number]:
                 door.turn(self.where(name))
 
     def links(self) -> list[Door]:
         """Everything that leads to a service or an aggregator."""
-        return [door for doors in self.doors for door in doors] + (self.tier.doors if self.tier else [])
+        own = [door for doors in self.doors for door in doors]
+        return own if self.tier is None else [*own, *self.tier.above, *self.tier.fronts]
+
+    def above(self) -> list[Door]:
+        """What leads to a service alone."""
+        direct = self.doors if self.tier is None else self.doors[: self.told.direct]
+        own = [door for doors in direct for door in doors]
+        return own if self.tier is None else [*own, *self.tier.above]
 
     async def service(self, name: str) -> None:
         """Start one on its disk, as it is."""
--- a/brassfall/lab/editions/tier.py
+++ b/brassfall/lab/editions/tier.py
@@ -153,8 +153,3 @@
     def lead(self, number: int, service: tuple[str, int]) -> None:
         """Lead one to another service from now on."""
         self.above[number].turn(service)
-
-    @property
-    def doors(self) -> list[Door]:
-        """All links."""
-        return [*self.above, *self.fronts, *(door for doors in self.below for door in doors)]
--- /dev/null
+++ b/tests/test_tier_processes.py
@@ -0,0 +1,104 @@
+"""Aggregators between sidecars and the service, as real processes with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from brassfall.lab.editions import judge, play, schedule, spec
+from brassfall.lab.editions.spec import TIER_FAULTS, Step
+from brassfall.settings import SettingsError
+
+TIER = spec.Experiment(kind="editions", seconds=90.0, rate=8.0, aggregators=2, direct=1)
+PATIENCE_S = 20.0  # for a revision to be acted on by all; the measured times are in the lab's report
+
+
+class Rows:
+    """The sidecars as the service lists them."""
+
+    def __init__(self, stage, session):
+        self.stage, self.session = stage, session
+
+    async def all_act_on(self, number, vias=None):
+        """Wait until every sidecar says that it acts on a revision, and reports by way of these alone."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                async with self.session.get(f"http://{self.stage.at('main')}/edges") as answer:
+                    told = await answer.json()
+                rows = {row["name"]: row for row in told["edges"]}
+                acting = [row["acting"] == number and row["age_ms"] < 2000 for row in rows.values()]
+                found = sorted({row.get("via", "") for row in rows.values()})
+                if all(acting) and len(acting) == self.stage.told.sidecars and found == (vias or found):
+                    return
+                await asyncio.sleep(0.05)
+
+
+async def _kill_stop_and_cut(faults):
+    stage, publisher, tier = faults.stage, faults.publisher, faults.stage.tier
+    tasks = []
+
+    async def published(region):
+        await publisher.publish(stage.at("main"), Step(at=0.0, do="hold", by=region))
+        return max(publisher.sent)
+
+    def fault(kind, number, lasts):
+        step = Step(at=0.0, do=kind, who=[number], lasts=lasts)
+        tasks.append(asyncio.create_task(faults.take(step)))
+
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0)) as session:
+        rows = Rows(stage, session)
+        await rows.all_act_on(await published(1.0), ["", "agg0", "agg1"])
+        number = await published(-1.0)
+        fault("aggregator-kill", 0, 3.0)  # longer than a lease lasts: its children go to the other
+        await rows.all_act_on(number, ["", "agg1"])
+        await asyncio.gather(*tasks)
+        await publisher.publish(stage.at("main"), Step(at=0.0, do="pin", by=1.0, lasts=2.0))
+        fault("aggregator-stop", 1, 4.0)
+        await rows.all_act_on(await published(2.0))
+        await asyncio.gather(*tasks)
+        fault("aggregator-cut-answers", 0, 4.0)
+        await rows.all_act_on(await published(0.0))
+        await asyncio.gather(*tasks)
+        assert tier.above[0].held  # the cut met something
+        await rows.all_act_on(await published(-1.0))
+
+
+def test_killed_stopped_and_cut_off_aggregators_break_no_rule(tmp_path):
+    result = asyncio.run(asyncio.wait_for(play.play(TIER, 1, tmp_path, _kill_stop_and_cut), 110))
+    if not result.verdict.counts:
+        pytest.skip(f"the observer was {result.late_ms:.0f} ms late: this machine can't tell")
+    assert result.verdict.findings == [] and result.crashes == []
+    assert result.verdict.editions >= 5 and result.verdict.unknown == 0
+    assert len(result.verdict.all_ms) >= 5
+
+
+def test_schedules_with_a_tier_hold_its_faults_and_others_are_as_they_were():
+    drawn = [schedule.draw(TIER, seed) for seed in range(60)]
+    assert set(TIER_FAULTS) <= {step.do for steps in drawn for step in steps}
+    for steps in drawn:
+        assert all(max(step.who) < TIER.aggregators for step in steps if step.do in TIER_FAULTS)
+    without = spec.Experiment(kind="editions")
+    assert not {step.do for seed in range(60) for step in schedule.draw(without, seed)} & set(TIER_FAULTS)
+
+
+def test_a_step_that_names_no_aggregator_is_refused(tmp_path):
+    file = tmp_path / "e.toml"
+    file.write_text(
+        'kind = "editions"\naggregators = 2\n[[steps]]\nat = 1.0\ndo = "aggregator-kill"\nwho = [2]\n'
+    )
+    with pytest.raises(SettingsError, match="names no aggregator"):
+        spec.load(file)
+
+
+def test_how_long_a_revision_took_to_be_acted_on():
+    def call(at, sidecar, edition):
+        return judge.Call(f"{at}", sidecar, "s", "a", edition, at)
+
+    calls = [call(1.0, 0, 5), call(1.1, 1, 5), call(2.1, 1, 6), call(2.2, 2, 5), call(2.4, 0, 7)]
+    calls += [call(2.9, 2, 7), call(3.0, 2, "safe")]
+    terms = judge.Terms(3.0, 1.5, held={}, committed={5: 0.5, 6: 2.0, 8: 2.5})
+    made = judge.judge(calls, [], [], terms)
+    assert made.first_ms == pytest.approx([500.0, 100.0]) and made.half_ms == pytest.approx([600.0, 400.0])
+    assert made.all_ms == pytest.approx([1700.0, 900.0]) and made.unreached == 1
