--- a/fordtrestle/fleet/deadlines.py
+++ b/fordtrestle/fleet/deadlines.py
@@ -134,7 +134,7 @@
         Who has not received the newer times ends it at the older end, and may do so for as long as its
         lease lasts; the newer document is in force once all those have acknowledged it."""
         found = self.phase(key, rev, now_s)
-        rows = self._bounds.get(key, ())
+        rows = self._bounds.get(key, [])
         if found is not Phase.IN_FORCE or rows[0].rev == rev:
             return found
         own = [bounds for bounds in rows if bounds.rev == rev]
