Count all answers of an aggregator's children as demand, each row over its own time

Merged delays hold at most 200 figures of a child and window, and a group's regions come in different reports: read as a sidecar's, they understated who asks much, and counted five seconds of one region as a quarter of a second. A merged row now says how many answers there were, and the demand of a group is the sum over its rows, each by its own span.

--- a/brassfall/aggregation/merging.py
+++ b/brassfall/aggregation/merging.py
@@ -29,6 +29,7 @@
     shake: dict[int, int] = field(default_factory=dict)
     first: dict[int, int] = field(default_factory=dict)
     children: set[str] = field(default_factory=set)
+    answers: int = 0  # all of them, also those that the histograms leave out
 
 
 @dataclass(slots=True)
@@ -55,6 +56,7 @@
                 pair = self._pairs[group, region] = _Gathered(now)
             _add(pair.shake, shake)
             _add(pair.first, first)
+            pair.answers += sum(count for _, count in first)
             pair.children.add(child)
 
     def take(self, now: float) -> dict[str, Any]:
@@ -70,7 +72,7 @@
         group, region = key
         row: dict[str, Any] = {"group": group, "region": region, "window": self._window}
         row["span_ms"] = max(1, round(now - pair.since_ms))
-        row["children"] = len(pair.children)
+        row["children"], row["answers"] = len(pair.children), pair.answers
         for name, counts in (("shake", pair.shake), ("first", pair.first)):
             if counts:
                 row[name] = {str(bucket): count for bucket, count in thinned(counts).items()}
--- a/brassfall/registry/geo.py
+++ b/brassfall/registry/geo.py
@@ -63,7 +63,8 @@
     refused: int = 0  # rows of reports that were none
     _state: evidence.State = field(default_factory=evidence.State)
     _heard: list[evidence.Heard] = field(default_factory=list)  # not yet part of it
-    _demand: dict[str, tuple[str, float, float]] = field(default_factory=dict)  # by edge: group, rate, when
+    # Group, rate and when: by edge, and for an aggregator by its name, group and region.
+    _demand: dict[str, tuple[str, float, float]] = field(default_factory=dict)
     _estimate: Estimate | None = None
     _estimated_at: float = float("-inf")
     _opened: dict[str, float] = field(default_factory=dict)  # since when regions have servers
@@ -91,19 +92,20 @@
         """A sidecar's report: what it measured is added to the evidence."""
         rows = report.measures.get("delays")
         if rows:
-            self._add(name, report.life, report.group, rows)
+            now = time.monotonic()
+            sifted = self._hear(name, report.life, report.group, rows, now)
+            answers = sum(evidence.count(first) for _, _, _, first in sifted.rows)
+            _, _, before = self._demand.get(name, ("", 0.0, now - 1.0))
+            self._demand[name] = (report.group, answers / max(0.25, now - before), now)
         return {}
 
-    def _add(self, name: str, life: str, group: str, rows: Any) -> None:
-        now = time.monotonic()
+    def _hear(self, edge: str, life: str, group: str, rows: Any, now: float) -> evidence.Sifted:
         sifted = evidence.sift(rows)
         self.refused += sum(sifted.refused.values())
-        self._heard.append(evidence.Heard(name, life, group, sifted.rows, now))
+        self._heard.append(evidence.Heard(edge, life, group, sifted.rows, now))
         if len(self._heard) >= HEARD_MOST:
             self._gather()
-        answers = sum(evidence.count(first) for _, _, _, first in sifted.rows)
-        _, _, before = self._demand.get(name, ("", 0.0, now - 1.0))
-        self._demand[name] = (group, answers / max(0.25, now - before), now)
+        return sifted
 
     def merged(self, name: str, report: AggregatorReport) -> None:
         """An aggregator's report: what its children measured, by client group, is added to the evidence."""
@@ -118,9 +120,14 @@
                 groups.setdefault(group, []).append(row)
             else:
                 self.refused += 1
+        now = time.monotonic()
         for group, some in groups.items():
             # An edge is here the part of a group that reports to one aggregator.
-            self._add(f"{name}/{group}", report.life, group, some)
+            self._hear(f"{name}/{group}", report.life, group, some, now)
+            for row in some:
+                asked = _rate(row)
+                if asked is not None:
+                    self._demand[f"{name}/{group}/{row['region']}"] = (group, asked, now)
 
     def gone(self, name: str) -> None:
         """A sidecar, or an aggregator, has left the fleet."""
@@ -248,3 +255,15 @@
         number = await self.editions.publish(plan=made.as_json(), if_match=follows)
         log.info("plan", edition=number, moved=round(made.moved, 3))
         await self._step(publisher.Accepted(number))
+
+
+def _rate(row: Mapping[str, Any]) -> float | None:
+    """The answers a second that a row of an aggregator counts; None where it is none."""
+    region, answers, span_ms = row.get("region"), row.get("answers"), row.get("span_ms")
+    if not isinstance(region, str) or not 0 < len(region) <= evidence.NAME_MOST:
+        return None
+    if not isinstance(answers, int) or isinstance(answers, bool) or not 0 <= answers < 2**53:
+        return None
+    if not isinstance(span_ms, int | float) or isinstance(span_ms, bool):
+        return None
+    return answers / span_ms * 1000.0 if 0.0 < span_ms <= evidence.SPAN_MOST_MS else None
--- /dev/null
+++ b/tests/test_aggregators_parts.py
@@ -0,0 +1,117 @@
+"""The deciding service within this process: what reports of aggregators cost it, and what it forgets."""
+
+from __future__ import annotations
+
+import sys
+
+import pytest
+
+from brassfall.aggregation.merging import EVERY_MS, MergedDelays
+from brassfall.aggregation.messages import AggregatorReport, ChildCounts, Member
+from brassfall.agreement.core import Agreement
+from tests.loopback import bounded, until
+from tests.test_rules_shell import service
+
+GROUPS, REGIONS = ("g", "h"), ("a", "b")
+
+
+def _report(seq, **more):
+    return AggregatorReport("p", seq, "a", listen="127.0.0.1:1", **more)
+
+
+def _steps(work):
+    """How many bytecodes a call carries out: a measure of its cost that no other work disturbs."""
+    count = [0]
+
+    def trace(frame, event, _):
+        frame.f_trace_opcodes, frame.f_trace_lines = True, False
+        count[0] += event == "opcode"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        work()
+    finally:
+        sys.settrace(before)
+    return count[0]
+
+
+@bounded(30.0)
+async def test_a_report_costs_the_same_however_many_children_there_are(tmp_path):
+    made, costs = service(tmp_path), []
+    await made.start()
+    try:
+        seq = 0
+        for children in (10, 3000):
+            for first in range(0, children, 200):
+                joined = [Member(f"c{number}", "1") for number in range(first, min(children, first + 200))]
+                seq += 1
+                made.aggregators.reported("x", _report(seq, joined=joined))
+            assert made.rules.directory.count() == children
+            counts = ChildCounts(known=children, leased=children)
+            several = []
+            for _ in range(3):
+                seq += 1
+                report = _report(seq, epoch=made.rules.core.fleet.life, children=counts)
+                several.append(_steps(lambda report=report: made.aggregators.reported("x", report)))
+            costs.append(min(several))
+        assert costs[0] > 300 and costs[1] < 1.1 * costs[0], costs
+    finally:
+        await made.close()
+
+
+@bounded(30.0)
+async def test_an_aggregator_that_is_gone_for_good_is_forgotten_by_all_parts(tmp_path, monkeypatch):
+    made = service(tmp_path)
+    await made.start()
+    try:
+        rules, row = (
+            made.rules,
+            {"region": "a", "window": 1, "span_ms": 5000.0, "answers": 5, "first": {"100": 5}},
+        )
+        delays = {"delays": [{**row, "group": "g"}]}
+        for name in ("x", "y"):
+            made.aggregators.reported(name, _report(1, joined=[Member(f"c-{name}", "1")], measures=delays))
+        await until(lambda: rules.core.fleet.names == {"x", "y"})
+        rules._sweep(rules.now())
+        assert set(rules.directory.aggregators) == {"x", "y"}
+        monkeypatch.setattr(Agreement, "may_permit", lambda *_: "")
+        made.aggregators.reported("y", _report(2, leaving=True, children=ChildCounts(leased=1)))
+        assert not rules.core._left  # a child of it may act: it is no end yet
+        made.aggregators.reported("y", _report(3, leaving=True))
+        assert list(rules.core._left) == ["y"]
+        rules._sweep(rules.now() + rules.settings.forget_ms + 1.0)
+        await until(lambda: not rules.core.fleet.names)
+        assert (rules.directory.aggregators, rules.directory.count(), made.geo._demand) == ({}, 0, {})
+    finally:
+        await made.close()
+
+
+@bounded(30.0)
+async def test_demand_is_what_all_children_asked_for(tmp_path):
+    """Some ask for more than the histograms hold of one child, and rows come in different reports."""
+    made, merged = service(tmp_path), MergedDelays()
+    await made.start()
+    try:
+        for child in range(3):
+            for group in GROUPS:
+                rows = [
+                    {"region": region, "window": 1, "span_ms": 1000, "first": {"90": 900, "95": 100}}
+                    for region in REGIONS
+                ]
+                merged.add(0.0, f"c{child}", group, {"delays": rows})
+        told = merged.take(EVERY_MS)["delays"]
+        for seq, row in enumerate(told):
+            made.geo.merged("x", _report(seq, measures={"delays": [row]}))
+        rates = {key: rate for key, (_, rate, _) in made.geo._demand.items()}
+        assert rates == {f"x/{g}/{r}": pytest.approx(600.0) for g in GROUPS for r in REGIONS}
+        assert made.geo.refused == 0
+        bad = [
+            {**told[0], name: value} for name, value in (("answers", -1), ("answers", "x"), ("span_ms", 0))
+        ]
+        made.geo.gone("x")
+        made.geo.merged("x", _report(9, measures={"delays": bad}))
+        assert made.geo._demand == {}
+    finally:
+        await made.close()
