--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+from collections import Counter
 
 import psutil
 import pytest
@@ -68,10 +69,13 @@
     sound = played(experiment, tmp_path / "sound")
     assert sound.findings == [] and sound.figures.requests > 3000 and sound.figures.service > 0.5
     for name, (kind, rule) in FLAWS.items():
-        found = {
-            finding.rule: finding.count for finding in played(experiment, tmp_path / name, 1, kind).findings
-        }
-        assert found.get(rule, 0) >= 2, (name, found)
+        # Whether a cold server falls on one day depends on how many requests come while it is the newest.
+        seeds = (1, 2, 3) if rule == "cold server" else (1,)
+        found = Counter()
+        for seed in seeds:
+            for finding in played(experiment, tmp_path / f"{name}-{seed}", seed, kind).findings:
+                found[finding.rule] += finding.count
+        assert found[rule] >= 2 * len(seeds), (name, found)
 
 
 def test_a_server_that_is_listed_again_may_be_sent_to(tmp_path):
@@ -284,22 +288,29 @@
     asyncio.run(asyncio.wait_for(_killed(tmp_path, text, number), 90))
 
 
+def listening(process):
+    """The ports that a process listens on; none where it has ended."""
+    try:
+        return [place.laddr.port for place in process.net_connections() if place.status == "LISTEN"]
+    except psutil.NoSuchProcess:
+        return []
+
+
 async def _killed(tmp_path, text, number):
     file, out = tmp_path / "e.toml", tmp_path / "out"
-    file.write_text(text.replace('for = "14 s"', 'for = "16 s"\nrepeats = 2'))
+    # The real one is long enough not to be over when it is killed, however long the look before takes.
+    file.write_text(
+        text.replace('for = "14 s"', 'for = "16 s"\nrepeats = 2').replace('for = "4 s"', 'for = "60 s"')
+    )
     words = [sys.executable, "-m", "brassfall", "lab", "run", str(file), "--out", str(out)]
     lab = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stderr=asyncio.subprocess.DEVNULL)
     real = text is REAL
     written = "plays/*/parts/*/attempts.jsonl" if real else "plays/*/answers.jsonl"
     while not any(path.stat().st_size for path in out.glob(written)):
+        assert lab.returncode is None  # it ended without a play
         await asyncio.sleep(0.02)
     started = psutil.Process(lab.pid).children(recursive=True)
-    ports = {
-        place.laddr.port
-        for process in started
-        for place in process.net_connections()
-        if place.status == "LISTEN"
-    }
+    ports = {port for process in started for port in listening(process)}
     # A play, its keeper, the list service, two networks, two sidecars, four servers, clients.
     assert len(started) >= (11 if real else 2) and bool(ports) == real
     lab.send_signal(number)
@@ -343,6 +354,7 @@
     words = [sys.executable, "-m", "brassfall", "lab", "run", str(file), "--out", str(out)]
     lab = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stderr=asyncio.subprocess.DEVNULL)
     while not any(path.stat().st_size for path in out.glob("plays/*/parts/*/attempts.jsonl")):
+        assert lab.returncode is None  # it ended without a play
         await asyncio.sleep(0.02)
     started = psutil.Process(lab.pid).children(recursive=True)
     clients, sidecar = (
