--- a/brassfall/lab/capacity/steady.py
+++ b/brassfall/lab/capacity/steady.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from dataclasses import dataclass
 
 from brassfall.errors import BrassfallError
@@ -34,7 +35,7 @@
         took_s = await topology.hollow.leased(LEASED_S)
     except BrassfallError as error:
         options.progress(f"{role}: {size} sidecars are not held: {error.told}")
-        await _not_held(recorder, topology, size)
+        await _not_held(options, recorder, topology, size)
         return False
     recorder.add(role, "all sidecars act on a revision after the last start", "s", size, took_s)
     recorder.add(role, UNLEASED, "", size, 0.0)
@@ -42,15 +43,22 @@
     return True
 
 
-async def _not_held(recorder: Recorder, topology: Topology, size: int) -> None:
+async def _not_held(options: Options, recorder: Recorder, topology: Topology, size: int) -> None:
     role, begun = roles(topology).service, time.monotonic()
     before = machine.cpu_s(topology.service.pid)
     found = await topology.hollow.snapshots()
     await asyncio.sleep(SETTLE_S)
-    core = (machine.cpu_s(topology.service.pid) - before) / (time.monotonic() - begun)
+    seconds = time.monotonic() - begun
+    core = (machine.cpu_s(topology.service.pid) - before) / seconds
+    after = await topology.hollow.snapshots()
     recorder.add(role, UNLEASED, "", size, size - sum(each.leased for each in found))
-    recorder.add(role, "processor time", "core", size, core)
+    recorder.add(role, "processor time, where some get no lease", "core", size, core)
     recorder.load("at rest", size)
+    reasons: Counter[str] = Counter()
+    for each in after:
+        reasons.update(each.failing)
+    answered = sum(each.reports for each in after) - sum(each.reports for each in found)
+    options.progress(f"{role}: {core:.2f} core, {answered / seconds:.0f} reports/s answered; {dict(reasons)}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +99,26 @@
     )
 
 
+async def aggregators(options: Options, recorder: Recorder, topology: Topology) -> None:
+    """What each aggregator takes by its children, and nothing else."""
+    before = await _look(topology)
+    await asyncio.sleep(options.window_s)
+    after = await _look(topology)
+    seconds = rates(before.sidecars, after.sidecars).seconds
+    for index, each in enumerate(topology.aggregators):
+        if not _children(each, after):
+            continue
+        _aggregator(recorder, each, index, before, after, seconds)
+        core = (after.aggregator_cpu_s[index] - before.aggregator_cpu_s[index]) / seconds
+        options.progress(f"{AGGREGATOR}: {_children(each, after)} children, {core:.2f} core")
+
+
+def _children(each: Aggregator, looked: Looked) -> int:
+    """How many it has; to two digits, so that aggregators with about as many are one size."""
+    found = servers(looked.sidecars)[each.address] // CONNECTIONS_EACH
+    return round(found, 1 - len(str(found))) if found < 100 else round(found, -2)
+
+
 def _service(recorder: Recorder, topology: Topology, size: int, found: Rates, core: float) -> None:
     role, reports = roles(topology).service, found.reports * size
     recorder.add(role, "processor time", "core", size, core)
@@ -115,7 +143,7 @@
 def _aggregator(
     recorder: Recorder, each: Aggregator, index: int, before: Looked, after: Looked, seconds: float
 ) -> None:
-    children = servers(after.sidecars)[each.address] // CONNECTIONS_EACH
+    children = _children(each, after)
     core = (after.aggregator_cpu_s[index] - before.aggregator_cpu_s[index]) / seconds
     recorder.add(AGGREGATOR, "processor time", "core", children, core)
     recorder.add(AGGREGATOR, "memory (USS)", "MiB", children, machine.uss_mib(each.pid))
--- a/fordtrestle/fleet/deadlines.py
+++ b/fordtrestle/fleet/deadlines.py
@@ -9,7 +9,7 @@
 
 import math
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any, TypeGuard
@@ -69,12 +69,14 @@
     def __init__(self, drift: float = DRIFT) -> None:
         self._drift = drift
         self._bounds: dict[str, list[_Bounds]] = {}  # newest revision first, and those before it
+        self.changes = 0  # times taken in: while it stays, a phase changes with `next_end` alone
         self.newest = 0  # the newest revision received, for the report: what is newer is to be sent
 
     def receive(
         self, asked_at_s: float, times: Mapping[str, Any], received_at_s: float | None = None
     ) -> tuple[str, ...]:
-        """An answer: `{ID: {"rev", "same_from", "left_ms"}}` to what was sent and came at these times.
+        """An answer: `{ID: {"rev", "same_from", "left_ms", "slack_ms"}}` to what was sent and came at these
+        times. At least `left_ms` are left, and at most `slack_ms` more, which an aggregator adds.
 
         The time left is counted from the asking, so that it is never too long; when the answer was received
         bounds it from above. The ids of what could not be read, or contradicts what was received of the same
@@ -83,12 +85,12 @@
         bad = []
         for key, row in times.items():
             try:
-                rev, same_from, left_ms = _time(row)
+                rev, same_from, least_ms, most_ms = _time(row)
             except ValueError:
                 bad.append(str(key))
                 continue
-            low, high = left_ms / 1000.0 * (1.0 - self._drift), left_ms / 1000.0 * (1.0 + self._drift)
-            retell = asked_at_s + (left_ms / 1000.0 * RETELL_PART if received - asked_at_s < SLOW_S else 0.0)
+            low, high = least_ms / 1000.0 * (1.0 - self._drift), most_ms / 1000.0 * (1.0 + self._drift)
+            retell = asked_at_s + (least_ms / 1000.0 * RETELL_PART if received - asked_at_s < SLOW_S else 0.0)
             new = _Bounds(rev, same_from, asked_at_s + low, received + high, retell)
             if not self._take(str(key), new, asked_at_s):
                 bad.append(str(key))
@@ -109,6 +111,7 @@
                 return False  # a service that begins it anew, or one with another clock, prolongs nothing
             old.bound(max(old.low_s, new.low_s), min(old.high_s, new.high_s))
             old.retell_s = max(old.retell_s, new.retell_s)
+        self.changes += 1
         return True
 
     def _forget(self, now_s: float) -> None:
@@ -126,6 +129,19 @@
                 return Phase.DOUBTFUL if now_s < bounds.over_s else Phase.OVER
         return Phase.OVER
 
+    def exclusive_phase(self, key: str, rev: int, now_s: float) -> Phase:
+        """The same for what must not be acted on beside another value: a later end counts with the document
+        that has it, and not before.
+
+        Who has not received the newer times ends it at the older end, and may do so for as long as its
+        lease lasts; the newer document is in force once all those have acknowledged it."""
+        found = self.phase(key, rev, now_s)
+        rows: Sequence[_Bounds] = self._bounds.get(key, ())
+        if found is not Phase.IN_FORCE or rows[0].rev == rev:
+            return found
+        own = [bounds for bounds in rows if bounds.rev == rev]
+        return Phase.IN_FORCE if own and now_s < own[0].end_s else Phase.DOUBTFUL
+
     def active(self, now_s: float) -> tuple[str, ...]:
         """Ids whose newest revision is not over."""
         return tuple(sorted(key for key, rows in self._bounds.items() if now_s < rows[0].end_s))
@@ -146,16 +162,23 @@
         return any(bounds.retell_s <= now_s < bounds.end_s for bounds in newest)
 
 
-def _time(row: Any) -> tuple[int, int, float]:
+def _time(row: Any) -> tuple[int, int, float, float]:
+    """Revision, the first one that says the same, and the least and the most that is left, in ms."""
     if not isinstance(row, Mapping):
         raise ValueError("no object")
-    rev, left = row.get("rev"), row.get("left_ms")
+    rev = row.get("rev")
     same_from = row.get("same_from", rev)
     if not (whole(rev) and whole(same_from) and 0 < same_from <= rev):
         raise ValueError("no revision")
-    if isinstance(left, bool) or not isinstance(left, int | float) or not -math.inf < left <= LONGEST_MS:
+    left_ms, slack_ms = row.get("left_ms"), row.get("slack_ms", 0)
+    if not (_duration(left_ms) and _duration(slack_ms)) or slack_ms < 0:
         raise ValueError("no time left")
-    return rev, same_from, max(0.0, float(left))
+    return rev, same_from, max(0.0, float(left_ms)), max(0.0, float(left_ms + slack_ms))
+
+
+def _duration(value: Any) -> TypeGuard[int | float]:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    return number and -math.inf < value <= LONGEST_MS
 
 
 def whole(value: Any) -> TypeGuard[int]:
--- a/tests/test_overrides_parts.py
+++ b/tests/test_overrides_parts.py
@@ -19,6 +19,7 @@
 from fordtrestle.fleet import deadlines, lease_client, rules, steering
 from fordtrestle.fleet import overrides as edge
 from fordtrestle.fleet.deadlines import Deadlines
+from fordtrestle.fleet.lists import HeldList
 from poppypulley import model
 
 NOW = 1_800_000_000_000
@@ -337,11 +338,26 @@
     assert tuple(held.phase("x", 5, at) == 2 for at in (105.0, 109.0, 115.0)) == wanted
 
 
+def test_what_an_aggregator_does_not_know_of_an_end_is_doubtful_and_prolongs_nothing():
+    held = Deadlines()
+    left = {"rev": 5, "left_ms": 10_000, "slack_ms": 3000}
+    held.receive(100.0, {"x": left}, 100.2)
+    end = held.next_end(100.0)
+    assert 109.7 < end <= 110.0 and held.phase("x", 5, end) == 1
+    over = held.next_end(end)
+    assert 113.2 < over < 113.6 and held.phase("x", 5, over) == 0  # the most that is left, by any clock
+    # Another aggregator knows better: the two together bound it, whichever came first.
+    held.receive(101.0, {"x": {"rev": 5, "left_ms": 9200, "slack_ms": 100}}, 101.0)
+    assert end <= held.next_end(101.0) < 110.2 and held.next_end(110.2) < 110.7
+    assert held.receive(102.0, {"x": {**left, "left_ms": 60_000}}) == ("x",)
+
+
 BAD_TIMES = [
     *(None, [], {}, {"rev": 5}),
     *({"rev": rev, "left_ms": 1} for rev in ("5", True, 0, 5.0, None)),
     *({"rev": 5, "left_ms": left} for left in ("1", True, None, float("nan"), float("inf"), 1e12)),
     {"rev": 5, "same_from": 6, "left_ms": 1},
+    *({"rev": 5, "left_ms": 1, "slack_ms": slack} for slack in (-1, "1", True, None, float("nan"), 1e12)),
 ]
 
 
@@ -419,6 +435,27 @@
     return row({"cap": {"per_s": rate}}, C1)
 
 
+def test_a_pin_that_is_extended_never_overlaps_with_its_home_where_that_was_not_heard():
+    """One hears of the extension before the old end, the other does not; both hold the older document."""
+    home = edge.Rules(tenant_pins={"t1": "a"})
+
+    def region(held, rev, at):
+        lines, _ = edge.read_layer([{"id": "x", **pin("b", rev=rev)}])
+        return edge.effective(at, home, lines, held, edge.Place(), NAMES).tenant_pins["t1"]
+
+    heard, unheard = Deadlines(), Deadlines()
+    for held in (heard, unheard):
+        held.receive(0.0, {"x": {"rev": 1, "same_from": 1, "left_ms": 10_000}}, 0.1)
+    heard.receive(9.0, {"x": {"rev": 2, "same_from": 1, "left_ms": 11_000}}, 9.1)
+    for tenth in range(150):
+        both = {region(heard, 1, tenth / 10.0), region(unheard, 1, tenth / 10.0)}
+        assert not {"a", "b"} <= both, tenth
+    # The document that has the extension is in force once all have acknowledged it, or may not act.
+    assert [region(heard, rev, 12.0) for rev in (1, 2)] == ["", "b"]
+    assert [region(heard, rev, 9.5) for rev in (1, 2)] == ["b", "b"]
+    assert [region(heard, rev, 21.0) for rev in (1, 2)] == ["a", "a"]
+
+
 BASE = edge.Rules(shares={"a": 0.5, "b": 0.5}, tenant_pins={"t2": "b"}, caps={"c1": 100.0})
 FORCE = [
     ("nothing", {}, BASE, {"shares": {"a": 0.5, "b": 0.5}, "tenant_pins": {"t2": "b"}, "caps": {"c1": 25.0}}),
@@ -531,7 +568,7 @@
         return lease_client.Revision(number, {"regions": {"held": list(names)}}, None, ())
 
     names = config.Names({}, {}, {"a": 0, "b": 1, "c": 2, "empty": 3}, {})
-    listed = [model.Listing(f"s{zone}", zone) for zone in range(3)]
+    listed = HeldList(config.ServerList(1, True, [model.Listing(f"s{zone}", zone) for zone in range(3)], {}))
     agreement = config.Agreement(3000.0, "", "", {})
     made = steering.Steering(agreement, lambda: names, lambda: listed)
     active = lease_client.ActiveConfiguration(
