Make groups of servers when one is asked for, not all of them with each list

Change: a group is told from the ring when first asked for after a list; holds are looked for only where there are any; names are sorted rather than servers; only servers that are gone are looked at to be forgotten. It still grows with the list.

--- a/poppypulley/balancer.py
+++ b/poppypulley/balancer.py
@@ -155,6 +155,7 @@
         self._spill = [0.0] * len(settings.profiles)  # part of each class that crosses
         self._far_miss = 0.0
         self._groups: dict[tuple[str, int], list[Server]] = {}
+        self._held: dict[Server, None] = {}
         self._near: list[Server] = []
         self._far: list[Server] = []
         self._silent_at = -math.inf  # when a server was last ejected for silence
@@ -436,9 +437,9 @@
         ring, bound = self._ring, request.bound()
         if bound is not None and request.profile.semantics == "token" and request.profile.group != "all":
             # Only its group may have it again.
-            ring = self._groups.get(bound.group, [])
+            ring = self._members(bound.group)
         elif zone is not None:
-            ring = self._groups.get(("zone", zone), [])
+            ring = self._members(("zone", zone))
         elif self._zoned and self._near and self._far:
             ring = self._far if self._rng.random() < self._spill[request.band] else self._near
         reach = min(self._reach(len(request.attempts)), len(ring))
@@ -479,6 +480,13 @@
         # Each open request holds a connection, priced or not: a busy sidecar must not crowd a few servers.
         return max(reach, self._open)
 
+    def _members(self, group: tuple[str, int]) -> list[Server]:
+        """The servers of a group on the ring, or those held off if it has no others; made when asked for."""
+        if group not in self._groups:
+            ring = [server for server in self._ring if self._group(group[0], server) == group]
+            self._groups[group] = ring or [s for s in self._held if self._group(group[0], s) == group]
+        return self._groups[group]
+
     @staticmethod
     def _group(group: str, server: Server) -> tuple[str, int]:
         return group, server.zone if group == "zone" else server.cell
@@ -561,7 +569,8 @@
         if warmth >= 1.0:
             return True
         # The sidecars whose subset holds it send to it; beyond that, and with warm keys, each is one of all.
-        ring = self._groups[self._group("zone", server)] if self._zoned or self._steering.on else self._ring
+        steered = self._zoned or self._steering.on
+        ring = self._members(self._group("zone", server)) if steered else self._ring
         reach = len(self._ring) if self._set.warm_keys else self._reach()
         seen = min(1.0, reach / max(1, len(self._ring))) if server in ring[:reach] else 1.0
         usual = max(1.0 / (self._most_servers * seen), self._steering.usual(server.zone))
@@ -900,8 +909,8 @@
 
     def _forget_gone(self, now: float) -> None:
         """Keep no record of servers long gone, or months of churn would fill the memory."""
-        for name, server in list(self._servers.items()):
-            if not server.usable and not server.open and now - server.gone_at > FORGET_MS:
+        for name, server in [(name, server) for name, server in self._servers.items() if not server.usable]:
+            if not server.open and now - server.gone_at > FORGET_MS:
                 del self._servers[name]
                 self._resting.pop(name, None)
 
@@ -912,23 +921,18 @@
         mixed unless a crossing is dear: a near zone may have more traffic than its own
         servers can carry, and a preference for it builds a queue.
         """
-        ring = sorted(self._servers.values(), key=lambda server: server.name)
+        ring = [self._servers[name] for name in sorted(self._servers)]
         start = int((self._set.me * GOLDEN) % 1.0 * len(ring))
         usable = [server for server in ring[start:] + ring[:start] if server.usable]
         off = self._steering.steer
-        held = {s: None for s in usable if s.zone in off.held_zones or s.name in off.held_servers}
+        may = usable if off.holds else []
+        self._held = {s: None for s in may if s.zone in off.held_zones or s.name in off.held_servers}
         # Where all are held off, or all of the group that a request is bound to, there is no other.
-        self._ring = [server for server in usable if server not in held] or usable
+        self._ring = [server for server in usable if server not in self._held] or usable
         self._steering.listed([server.zone for server in self._ring])
         self._near = [server for server in self._ring if server.zone == self._set.locality]
         self._far = [server for server in self._ring if server.zone != self._set.locality]
         self._groups = {}
-        for servers in (held, self._ring):
-            groups: dict[tuple[str, int], list[Server]] = {}
-            for server in servers:
-                for group in ("zone", "cell"):
-                    groups.setdefault(self._group(group, server), []).append(server)
-            self._groups |= groups
         self._top_weight = max((server.weight for server in self._ring), default=1.0)
         self._most_servers = max(1.0, len(self._ring), 0.98 * self._most_servers)
 
--- a/poppypulley/model.py
+++ b/poppypulley/model.py
@@ -157,6 +157,11 @@
     look: float = 0.0  # share of repeatable first attempts with time to spare for zones of low share
     pins: Mapping[int, int] = MappingProxyType({})  # tenant -> the one zone that may serve it; -1 is none
 
+    @property
+    def holds(self) -> bool:
+        """Whether any zone or server is held off."""
+        return bool(self.held_zones or self.held_servers)
+
 
 @dataclass(frozen=True, slots=True)
 class Profile:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 
 import pytest
 
-from poppypulley.model import Outcome, Send
+from poppypulley.model import Listing, Outcome, Send, Steer
 from tests.helpers import arrival, balancer, listing, of_type
 
 PRICED = {"Connection": 0.05}
@@ -63,3 +64,34 @@
     made.server_list(1000.0, "all", listing(1, started=1000.0))
     sends = [made.request(1000.0 + n, arrival(n, 1000.0 + n)) for n in range(100)]
     assert sum(bool(of_type(actions, Send)) for actions in sends) < 50
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_the_members_of_a_group_are_those_on_the_ring_or_else_those_held_off(seed):
+    """Made when first asked for, and none with a list: with thousands of servers that took most of its time."""
+    rng = random.Random(seed)
+    made = balancer(servers=0)
+    servers = [
+        Listing(
+            f"s{n:02}", zone=rng.randrange(3), cell=rng.randrange(4), state=rng.choice(["active", "left"])
+        )
+        for n in range(rng.randrange(1, 30))
+    ]
+    made.server_list(0.0, "all", servers)
+    zones = frozenset(rng.sample(range(3), rng.randrange(4)))
+    names = frozenset(rng.sample([s.server for s in servers], min(len(servers), 3)))
+    made.steer(1.0, Steer(held_zones=zones, held_servers=names))
+    assert not made._groups
+    usable = [s for s in servers if s.state == "active"]
+    free = [s for s in usable if s.zone not in zones and s.server not in names] or usable
+    assert sorted(s.name for s in made._ring) == sorted(s.server for s in free)
+    for at, numbers in (("zone", range(3)), ("cell", range(4))):
+        for number in numbers:
+            wanted = [s for s in free if getattr(s, at) == number]
+            wanted = wanted or [s for s in usable if getattr(s, at) == number]
+            members = [server.name for server in made._members((at, number))]
+            assert sorted(members) == sorted(s.server for s in wanted)
+            on_ring = [server.name for server in made._ring if server.name in members]
+            assert members == on_ring or not on_ring, "the order is the ring's"
+    made.server_list(2.0, "changes", [Listing("s00", zone=7)])
+    assert not made._groups and [s.name for s in made._members(("zone", 7))] == ["s00"]
