--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -68,7 +68,7 @@
 
 @pytest.mark.parametrize("seed", range(20))
 def test_the_members_of_a_group_are_those_on_the_ring_or_else_those_held_off(seed):
-    """Made when first asked for, and none with a list: with thousands of servers that took most of its time."""
+    """Made when first asked for, and none with a list: with thousands of servers that took most of it."""
     rng = random.Random(seed)
     made = balancer(servers=0)
     servers = [
