--- a/brassfall/aggregation/core.py
+++ b/brassfall/aggregation/core.py
@@ -204,7 +204,7 @@
         self._withheld: tuple[float, int, bytes] | None = None  # since when, and the revision it waits for
         self._line = b""  # what children were told last
         self._hurried_for = 0  # the pending revision that all were said to have acknowledged
-        self._behind_since: float | None = None  # since when children know of later revisions
+        self._behind_since: float | None = None  # since when it lacks what children know, or what is in force
         self._lower_since: float | None = None  # since when none but a lower epoch answers
         self._fetched_ms = self._swept_ms = -math.inf
         self._leaving = self._ended = False
@@ -365,17 +365,19 @@
 
     def _sends_on(self, now: float, report: Report) -> bool:
         """Whether a child had better ask another aggregator."""
-        behind = self._behind_since is not None and now - self._behind_since > BEHIND_MS
-        if self.unready(now) or self.lease.stale(now) or (report.of or 0) > self.epoch:
+        if self._leaving or self.lease.stale(now) or (report.of or 0) > self.epoch:
             return True
-        return behind and self._ahead(report)
+        if self._caught_up() and not self._ahead(report):
+            return self.lease.left_ms(now) <= 0.0
+        # Most often this aggregator has what it lacks within some ms.
+        if self._behind_since is None:
+            self._behind_since = now
+        return self.lease.left_ms(now) <= 0.0 or now - self._behind_since > BEHIND_MS
 
     def _notice_lag(self, now: float, report: Report) -> list[Action]:
-        """See whether this aggregator has missed what its children know, and if so ask for it."""
+        """Ask for the state, where a child knows what this aggregator has missed."""
         if not self._ahead(report) or (report.of or 0) > self.epoch:
             return []
-        if self._behind_since is None:
-            self._behind_since = now
         return self._fetch(now)
 
     def _grant(self, now: float, key: ChildKey, report: Report) -> None:
@@ -445,6 +447,8 @@
             return
         if self.lease.left_ms(now) <= 0.0:
             self._list_index_due = answer.list_index
+        if answer.revision != self.lease.revision:
+            self._behind_since = None
         self.lease.take(asked, answer.revision, answer.lease_ms)
 
     def _take_rest(self, now: float, asked: float, answer: AggregatorLease) -> None:
--- a/brassfall/cli.py
+++ b/brassfall/cli.py
@@ -262,7 +262,7 @@
 def agreement_(
     seeds: Annotated[int, typer.Option(min=1, help="How many worlds of each size.")] = 100,
     nodes: Annotated[str, typer.Option(help="Sizes, with commas.")] = "3,20,200",
-    flaw: Annotated[str, typer.Option(help="A seeded defect to find instead, or `all`.")] = "",
+    flaw: Annotated[str, typer.Option(help="An injected defect to find instead, or `all`.")] = "",
     tier: Annotated[bool, typer.Option(help="With aggregators between sidecars and the service.")] = False,
     jobs: Annotated[int, typer.Option(min=0, max=256, help="Processes; 0 for one a core.")] = 0,
     json: Json = False,
--- a/brassfall/lab/agreement/scale.py
+++ b/brassfall/lab/agreement/scale.py
@@ -22,7 +22,7 @@
 from brassfall.lab.agreement import reconcile
 from brassfall.lab.agreement.base import KINDS, Kernel
 from brassfall.lab.agreement.command import spread
-from brassfall.lab.agreement.flaws import REAL
+from brassfall.lab.agreement.defects import REAL
 from brassfall.lab.agreement.rules import Judge, Profile
 from brassfall.lab.agreement.service import Disk, Service
 from brassfall.lab.agreement.sidecar import Sidecar
--- a/brassfall/lab/agreement/tier_scale.py
+++ b/brassfall/lab/agreement/tier_scale.py
@@ -17,7 +17,7 @@
 from brassfall.lab.agreement.aggregator import Aggregator
 from brassfall.lab.agreement.base import KINDS
 from brassfall.lab.agreement.command import spread
-from brassfall.lab.agreement.flaws import REAL
+from brassfall.lab.agreement.defects import REAL
 from brassfall.lab.agreement.scale import Link, Timed
 from brassfall.lab.agreement.service import Disk, Service
 from brassfall.lab.agreement.sidecar import Sidecar
