Write to no watch whose reader is gone

uvloop's transports raise when they are written to after their end, and the call of a watch ends a moment after that. In that moment a change was told to some watches and then to no others, which missed it for good, and the task of the heartbeats ended.

--- a/brassfall/registry/front.py
+++ b/brassfall/registry/front.py
@@ -225,7 +225,7 @@
     await response.write(b" " if held else b"{")
     transport = request.transport
     ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-    if transport is None:
+    if transport is None or transport.is_closing():
         return response
     channel, index = watched.channel(), watched.index
     if not held:
--- a/brassfall/registry/watches.py
+++ b/brassfall/registry/watches.py
@@ -63,6 +63,12 @@
         self.held = False  # its first line waits for the end of the gathering
         self._ended = ended
 
+    def write(self, data: bytes) -> None:
+        """Send this, unless its reader is gone: its call may take a while to end, and uvloop's transports
+        raise when they are written to after their end."""
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
     def cut(self) -> None:
         """End it at once."""
         self.transport.abort()
@@ -214,7 +220,7 @@
             if watch.new:
                 watch.new = False
             elif watch.behind_at is None:
-                watch.transport.write(empty)
+                watch.write(empty)
         now = asyncio.get_running_loop().time()
         for watch in list(self._behind):
             self._look(watch, now)
@@ -224,10 +230,9 @@
         return EMPTY
 
     def _send(self, watch: Watch, data: bytes) -> None:
-        transport = watch.transport
-        transport.write(data)
+        watch.write(data)
         self.figures.lines_sent += 1
-        left = transport.get_write_buffer_size()
+        left = watch.transport.get_write_buffer_size()
         if left > self._most:
             watch.behind_at = asyncio.get_running_loop().time()
             watch.left = left
--- a/tests/test_aggregator_mirror.py
+++ b/tests/test_aggregator_mirror.py
@@ -250,6 +250,9 @@
     def get_write_buffer_size(self):
         return 0
 
+    def is_closing(self):
+        return False
+
 
 @bounded(10.0)
 async def test_watches_are_told_that_the_index_grew_without_a_change():
