--- a/brassfall/registry/limits.py
+++ b/brassfall/registry/limits.py
@@ -57,7 +57,8 @@
 
     def __init__(self, per_s: float) -> None:
         self._rate = per_s
-        self._bucket = Bucket(per_s, per_s / 4.0, per_s / 4.0, 0.0)
+        burst = max(1.0, per_s / 4.0)  # with less than one, nobody would ever be let in
+        self._bucket = Bucket(per_s, burst, burst, 0.0)
         self._line_ends = 0.0
 
     def wait(self, now: float, chance: float) -> float:
