Go on asking for the list and a lease after a thousand rounds without an answer

The wait after a failure doubles with each round over the addresses, up to a second. What was doubled had no bound: in the 1,025th round it was too large a number, and the task that asks ended with that error, for good. With one address that is a quarter of an hour without the list service for the watches, and two and a half minutes for the reports (more addresses, that many times longer): such a sidecar would have stayed on its last list and on safe rules until restarted.

The rounds that count are bounded. The test, 5,000 failures at one address, raised OverflowError before.

--- a/fordtrestle/fleet/lists.py
+++ b/fordtrestle/fleet/lists.py
@@ -15,6 +15,7 @@
 from poppypulley.model import Listing
 
 FIRST_WAIT_S, WAIT_MOST_S = 0.25, 1.0
+ROUNDS_MOST = 16  # that count: long before it the wait is the longest
 RETRY_MOST_S, RETRY_SPREAD = 30.0, 0.25  # of a wait that was named: up to so much longer, as a part of it
 SENT_ON_EVERY = 4  # answers of that kind, once each address has given one
 # The k-th empty line of a watch is sent no sooner than so many seconds times k after the call.
@@ -58,7 +59,7 @@
         self._move()
         rounds = self._failures // len(self._addresses)
         self._failures += 1
-        return min(FIRST_WAIT_S * 2.0**rounds, WAIT_MOST_S) * (0.2 + 1.3 * chance)
+        return min(FIRST_WAIT_S * 2.0 ** min(rounds, ROUNDS_MOST), WAIT_MOST_S) * (0.2 + 1.3 * chance)
 
     def worked(self) -> None:
         """A list, a part of one, or an answer has come from there."""
--- a/tests/test_sidecar_lists.py
+++ b/tests/test_sidecar_lists.py
@@ -268,6 +268,9 @@
     assert one.current == at  # who was told when to come back stays
     one.worked()
     assert one.failed() <= 1.5 * fleet.FIRST_WAIT_S
+    alone = fleet.Sources(addresses[:1], random.Random(1))
+    for _ in range(5000):  # an hour without any answer: it goes on asking
+        assert alone.failed() <= 1.5 * fleet.WAIT_MOST_S
 
 
 @pytest.mark.parametrize(
