Ask less often for a lease where there is none to lose

After a failed report the next one followed within 0.2 s, however many had failed: 6.5 calls a second and sidecar for as long as no address answered, 35,000 at 5,400 sidecars, when the service or a whole region's aggregators come back.

That haste stays while a lease runs; without one the waits grow to 0.2 to 1.5 s, as those of the watches. On a controlled clock with two addresses that refuse, in the minute after the first ten seconds: 392 calls before, under 120 after, and still 8 and more in the 2.7 s of a lease.

--- a/fordtrestle/fleet/agent.py
+++ b/fordtrestle/fleet/agent.py
@@ -163,12 +163,13 @@
         """How long until the next report after one that failed, in seconds; it may go to the next address.
 
         A wait that the service names is kept where the lease lasts for it and for one more call, and where
-        there is no lease to lose: that place in time is this sidecar's own."""
+        there is no lease to lose: that place in time is this sidecar's own. Without a lease the waits grow
+        while all fail: a whole fleet may be asking."""
         left_s = self.lease_client.left_ms(self._loop.time()) / 1000.0
         bearable = (left_s - CALL_S) / (1.0 + RETRY_SPREAD) if left_s else math.inf
         before = self._sources.current
         wait = self._sources.failed(error.retry_after, bearable)
-        if error.retry_after and self._sources.current == before:
+        if (error.retry_after and self._sources.current == before) or not left_s:
             return wait
         return min(wait, RETRY_S * (1.0 + self._rng.random()))
 
--- a/tests/test_sidecar_tier.py
+++ b/tests/test_sidecar_tier.py
@@ -112,6 +112,7 @@
     def __init__(self, *does):
         self.aggregators = [Aggregator(self, each) for each in does]
         self.reports, self.acted = [], []
+        self.refused = []  # when a connection was
         addresses = tuple(Address("aggregator", port) for port in range(len(does)))
         asyncio.get_running_loop().create_connection = self.connect
         agreement, act = Agreement(3000.0, "", "", {}), lambda active, at: self.acted.append(active) or 1e9
@@ -123,6 +124,7 @@
 
     async def connect(self, factory, host, port):
         if not self.aggregators[port].up:
+            self.refused.append((now(), port))
             raise ConnectionRefusedError
         wire = Wire(self.aggregators[port], factory())
         self.aggregators[port].wires.append(wire)
@@ -254,6 +256,22 @@
     net.close()
 
 
+@timed
+async def test_where_all_are_down_it_asks_often_only_as_long_as_it_has_a_lease_to_lose():
+    net = await Net(GRANTS, GRANTS).leased()
+    for each in net.aggregators:
+        each.killed()
+    net.agent._tasks.pop().cancel()  # the watch on the rules has waits of its own
+    await net.run(LEASE_S)
+    quick = len(net.refused)
+    assert quick >= 8 and {port for _, port in net.refused} == {0, 1}
+    await net.run(10.0)  # the waits grow
+    before = len(net.refused)
+    await net.run(60.0)
+    assert 60.0 / 1.5 < len(net.refused) - before < 60.0 / 0.5
+    net.close()
+
+
 @pytest.mark.parametrize("idle", [True, False])
 @timed
 async def test_killed_it_costs_no_lease(idle):
