Have a sidecar under an aggregator be the one that objects in the lab's plays

With one sidecar that reports to the service itself it was that one, so no objection went through the tier.

--- a/brassfall/lab/editions/stage.py
+++ b/brassfall/lab/editions/stage.py
@@ -58,7 +58,7 @@
         },
         {"Name": "pay", "Semantics": "side_effect", "Objective": 500.0, "Deadline": 2000.0},
     ]
-    if number:
+    if number != told.sidecars - 1:
         rows.append({"Name": RARE, "Semantics": "pure", "Objective": 500.0, "Deadline": 2000.0})
     return {
         "Profiles": rows,
