--- a/brassfall/lab/capacity/page.py
+++ b/brassfall/lab/capacity/page.py
@@ -15,7 +15,7 @@
 from brassfall.lab.capacity.fit import TARGET, line, value_at_target
 from brassfall.lab.capacity.roles import TARGETS
 
-MARKED = re.compile(r"(<!-- table (?P<name>[a-z ,']+) -->\n).*?(<!-- end -->)", re.DOTALL)
+MARKED = re.compile(r"(<!-- table (?P<name>[a-z ,'-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 BUDGET_TABLE = "budgets"
 THOUSAND = 1000
 FAR = 1.05  # times the largest size measured: beyond, a value counts as extrapolated
@@ -116,7 +116,6 @@
         none = ["not measured", "-", "-"]
         return [budget.role, budget.quantity, *none, f"{budget.of}", "not known", budget.mechanism]
     target = budget.at or TARGETS.get(budget.role, TARGET)
-    value = value_at_target(rows, target).value
     allowed = f"{with_unit(budget.limit, rows[0].unit)} ({budget.of})"
     return [
         budget.role,
@@ -125,11 +124,18 @@
         slope(rows),
         f"{at_target(rows, target)}, at {target:,}",
         allowed,
-        verdict(value / budget.limit),
+        used(rows, target, budget.limit),
         budget.mechanism,
     ]
 
 
+def used(rows: list[Figure], target: int, limit: float) -> str:
+    """How much of a budget is used at the size aimed at; where there is no slope, at the one measured."""
+    if len(rows) == 1 and rows[0].size < target / FAR:
+        return f"{verdict(rows[0].value / limit)} at {rows[0].size:,}; not known at {target:,}"
+    return verdict(value_at_target(rows, target).value / limit)
+
+
 def verdict(part: float) -> str:
     """How much of a budget is used, in words where that is more than all."""
     if math.isinf(part):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -236,3 +236,11 @@
     assert made.returncode == 0
     answer = msgspec.json.decode(made.stdout, type=control.Answer)
     assert (answer.sidecars, answer.reports, answer.by_server) == (0, 0, {})
+
+
+def test_the_capacity_page_is_what_its_figures_give():
+    path, held = ROOT / "docs" / "CAPACITY.md", ROOT / "docs" / "capacity" / "figures.json"
+    text, measured = path.read_text(), figures.read(held)
+    assert page.filled(text, measured) == text
+    named = {found["name"] for found in page.MARKED.finditer(text)}
+    assert named == set(page.tables(measured))  # no table of the page lacks figures, and no figure a table
