--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -442,6 +442,8 @@
         phase = child.phase("o", 1, now * rates[2] / 1000.0)
         if now >= end:
             assert phase is not deadlines.Phase.IN_FORCE
+        elif child.newest:
+            assert phase is not deadlines.Phase.OVER  # another may act on it still
         row = endings.for_child(now * rates[1], 0).get("o")
         if row is not None:  # the true end lies between the two bounds that are told
             true_left = (end - now) * rates[1]
