--- a/tests/test_aggregation_worlds.py
+++ b/tests/test_aggregation_worlds.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from brassfall.lab.agreement import command
+from brassfall.lab.agreement import command, tier_scale
 from brassfall.lab.agreement.tier import TIER
 from brassfall.lab.agreement.tier_defects import TIER_DEFECTS
 
@@ -41,6 +41,13 @@
     assert outcome.rule in TIER_DEFECTS[name].rules and tried <= QUICK, outcome
 
 
+@pytest.mark.parametrize("condition", tier_scale.BEGIN)
+def test_an_edition_reaches_all_that_can_be_reached(condition):
+    row = tier_scale.play(tier_scale.Task(24, 0, condition))
+    assert row.missing == 0 and row.reachable == len(row.spans) >= 16
+    assert row.spans[-1] < (1500.0 if condition == "healthy" else 6000.0)
+
+
 @pytest.mark.parametrize(
     ("arguments", "status", "said"),
     [
