Write logs to standard error as it is at the time

Loggers are kept from their first use, with the stream that standard error was then. In one process with several of those one after the other, as the tests are, a service that logs later failed with 'I/O operation on closed file': seen in test_aggregators_parts after test_rules_shell, and in tasks of clients. The logger now asks for the stream at each line; in a process that keeps its standard error nothing changes.

--- a/brassfall/logs.py
+++ b/brassfall/logs.py
@@ -10,6 +10,17 @@
 import structlog
 
 
+class _StandardError:
+    """Writes to standard error as it is at the time: loggers are kept, and it may be another by then."""
+
+    def msg(self, line: str) -> None:
+        """Write a line, whole."""
+        sys.stderr.write(f"{line}\n")
+        sys.stderr.flush()
+
+    log = debug = info = warn = warning = error = err = critical = fatal = exception = failure = msg
+
+
 def set_up() -> None:
     """Write logs from now on; times are of the wall clock, for people."""
     structlog.configure(
@@ -22,7 +33,7 @@
                 serializer=lambda event, **_: msgspec.json.encode(event).decode()
             ),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=lambda *_: _StandardError(),
         cache_logger_on_first_use=True,
     )
 
