Test hollow sidecars behind aggregators, and start the six side by side

Change: 24 hollow sidecars at six aggregators are counted once by the deciding service, and act on a revision after one aggregator was killed.

--- a/brassfall/lab/capacity/topology.py
+++ b/brassfall/lab/capacity/topology.py
@@ -29,6 +29,7 @@
 REGIONS = ("a", "b", "c")
 IN_REGION = 2  # aggregators
 CHILDREN_MOST = 2000
+LEASED_S = 45.0  # for an aggregator to hold a lease: a season after more than half of them are heard
 # As the deciding service, an aggregator may get more of a fleet on one machine than its defaults allow.
 CHILD_LIMITS = {"connections": 9000, "watches": 6000, "caller_share": 1.0, "caller_calls_per_s": 0.0}
 
@@ -57,7 +58,7 @@
         """Start it, also anew; until it is ready."""
         words = ("brassfall", "registry", "aggregate", "--config", str(self._config))
         self.process = await self._environment.python(self.name, *words)
-        await until(lambda: client.call(self.address, "GET", "/health/ready"))
+        await until(lambda: client.call(self.address, "GET", "/health/ready"), LEASED_S)
 
     async def kill(self) -> None:
         """End it without a word."""
@@ -125,13 +126,17 @@
 async def with_aggregators(environment: Environment, list_length: int) -> Topology:
     """A deciding service, and two aggregators in each region between it and the sidecars."""
     topology = await one_service(environment, list_length)
-    host, port = address(topology.service.address)
-    for region in REGIONS:
-        for number in range(IN_REGION):
-            relay = Relay(host, port)
-            await relay.start()
-            environment.push_async_callback(relay.close)
-            made = Aggregator(environment, f"{region}{number + 1}", region, relay)
-            await made.start()
-            topology.aggregators.append(made)
+    names = [(f"{region}{number + 1}", region) for region in REGIONS for number in range(IN_REGION)]
+    topology.aggregators = list(
+        await asyncio.gather(*(_aggregator(environment, topology, name, region) for name, region in names))
+    )
     return topology
+
+
+async def _aggregator(environment: Environment, topology: Topology, name: str, region: str) -> Aggregator:
+    relay = Relay(*address(topology.service.address))
+    await relay.start()
+    environment.push_async_callback(relay.close)
+    made = Aggregator(environment, name, region, relay)
+    await made.start()
+    return made
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,7 +12,7 @@
 import psutil
 import pytest
 
-from brassfall.lab.capacity import command, control, figures, fit, fleet, machine, page, relay
+from brassfall.lab.capacity import command, control, figures, fit, fleet, machine, page, relay, topology
 from brassfall.lab.capacity.environment import Environment, register, start_service
 from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.hollow import HollowSidecar, SourceLoop, sidecar_config
@@ -20,6 +20,7 @@
 
 ROOT = Path(__file__).parent.parent
 SIDECARS, LISTED = 60, 20
+BEHIND = 24  # sidecars at aggregators
 
 
 def rows(*pairs, unit="core", role="r", quantity="q"):
@@ -158,6 +159,27 @@
     assert {worker.process.returncode for worker in hollow.workers} == {-signal.SIGKILL}
 
 
+@bounded(60.0)
+async def test_hollow_sidecars_behind_aggregators_are_counted_once_and_move_when_one_is_killed(tmp_path):
+    async with Environment(tmp_path) as environment:
+        made = await topology.with_aggregators(environment, LISTED)
+        await made.publish()
+        await made.start(BEHIND, per_s=200.0)
+        await made.hollow.leased(20.0)
+        at = fleet.servers(await made.hollow.snapshots())
+        assert sum(at.values()) == 3 * BEHIND
+        assert set(at) <= {each.address for each in made.aggregators}
+        assert (await made.service.status())["rules"]["edges"] == 6
+        await counted(made.service, BEHIND)
+        await made.aggregators[0].kill()
+        begun = asyncio.get_running_loop().time()
+        assert (await reached(made.hollow, await made.publish(), begun)).reached == BEHIND
+        after = fleet.servers(await made.hollow.snapshots())
+        assert not after[made.aggregators[0].address]
+        await counted(made.service, BEHIND)
+        assert all(each.relay.passed[relay.UP] for each in made.aggregators)
+
+
 async def publish(address, settings):
     from brassfall.registry import client
 
@@ -172,6 +194,12 @@
         await asyncio.sleep(0.05)
 
 
+async def counted(service, children):
+    """Wait until the service's directory has so many children."""
+    while (await service.status())["aggregators"]["children"] != children:
+        await asyncio.sleep(0.1)
+
+
 async def reports(hollow, more):
     """Wait until so many more were answered."""
     before = sum(each.reports for each in await hollow.snapshots())
