--- a/tests/test_aggregation_worlds.py
+++ b/tests/test_aggregation_worlds.py
@@ -10,18 +10,15 @@
 
 import pytest
 
-from brassfall.lab.agreement import command
+from brassfall.lab.agreement import command, tier_scale
 from brassfall.lab.agreement.tier import TIER
 from brassfall.lab.agreement.tier_defects import TIER_DEFECTS
 
 ROOT = Path(__file__).resolve().parent.parent
 SEEDS, NODES = 60, 6
-QUICK = (
-    3  # worlds in which a defect of the quick ones is found; the others: `lab agreement --tier --flaw all`
-)
+QUICK = 3  # worlds that find a defect of the quick ones; the others: `lab agreement --tier --flaw all`
 SLOW = {
     "bound-without-drift",
-    "claimed-at-once",
     "grants-before-commit",
     "identity-shared",
     "lease-over-epochs",
@@ -40,10 +37,17 @@
 
 @pytest.mark.parametrize("name", sorted(TIER_DEFECTS.keys() - SLOW))
 def test_a_defect_of_aggregators_is_found_by_name(name):
-    outcome, tried = command.play_flaw(name)
+    outcome, tried = command.play_defect(name)
     assert outcome.rule in TIER_DEFECTS[name].rules and tried <= QUICK, outcome
 
 
+@pytest.mark.parametrize("condition", tier_scale.BEGIN)
+def test_an_edition_reaches_all_that_can_be_reached(condition):
+    row = tier_scale.play(tier_scale.Task(24, 0, condition))
+    assert row.missing == 0 and row.reachable == len(row.spans) >= 16
+    assert row.spans[-1] < (1500.0 if condition == "healthy" else 6000.0)
+
+
 @pytest.mark.parametrize(
     ("arguments", "status", "said"),
     [
