--- a/brassfall/lab/capacity/page.py
+++ b/brassfall/lab/capacity/page.py
@@ -13,7 +13,7 @@
 from brassfall.lab.capacity.budgets import BUDGETS, Budget
 from brassfall.lab.capacity.figures import Figure
 from brassfall.lab.capacity.fit import TARGET, line, value_at_target
-from brassfall.lab.capacity.roles import TARGETS
+from brassfall.lab.capacity.roles import MACHINE, TARGETS
 
 MARKED = re.compile(r"(<!-- table (?P<name>[a-z ,'-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 BUDGET_TABLE = "budgets"
@@ -88,7 +88,12 @@
 
 
 def role_table(figures: list[Figure], role: str) -> str:
-    """All quantities of a role."""
+    """All quantities of a role. What tells of the machine has no size that is aimed at."""
+    if role == MACHINE:
+        found = by_quantity(figures).items()
+        return table(
+            ["quantity", "measured"], [[name, measured(held)] for (of, name), held in found if of == role]
+        )
     target = TARGETS.get(role, TARGET)
     rows = [
         [quantity, measured(held), held[0].unit, slope(held), at_target(held, target), _repeats(held)]
--- a/brassfall/lab/capacity/part.py
+++ b/brassfall/lab/capacity/part.py
@@ -13,8 +13,7 @@
 from brassfall.lab.capacity import machine
 from brassfall.lab.capacity.environment import Environment
 from brassfall.lab.capacity.figures import Figure
-
-MACHINE = "machine"
+from brassfall.lab.capacity.roles import MACHINE
 
 
 @dataclass(slots=True)
--- a/brassfall/lab/capacity/roles.py
+++ b/brassfall/lab/capacity/roles.py
@@ -6,6 +6,7 @@
 
 SIDECAR = "sidecar's control path"
 AGGREGATOR = "aggregator, by children"
+MACHINE = "machine"
 CHILDREN = 900  # of an aggregator, where 5,400 sidecars have six; twice as many where one of two is lost
 TARGETS = {AGGREGATOR: CHILDREN}  # sizes aimed at, where that is not the number of sidecars
 
