--- a/brassfall/lab/capacity/page.py
+++ b/brassfall/lab/capacity/page.py
@@ -33,6 +33,8 @@
         return "-"
     if math.isinf(value):
         return "never"
+    if not value:
+        return "0"  # also where a fit gives a negative one
     if abs(value) >= THOUSAND:
         return f"{value:,.0f}"
     text = f"{value:.3g}"
