Take the ports of tests' processes from below those given to connections

free_port asked the system for any port, closed it, and a process listened on it later, in some tests also again after a kill. Such a port comes from the range that the system gives to connections going out, so any connection on the machine may hold it by then, and tests on it open up to 10,000: a probe that tries to listen on a connection's own port gets 'address already in use', also with SO_REUSEADDR. Found by reading after tests had failed beside others; no failure was traced to it.

Ports now come from 10,000 up to that range, each tried before it is given out.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -15,6 +16,7 @@
 from fordtrestle.config import Address
 from tests.loopback import PATIENCE_S, SETTINGS, App, entry, listed, until
 
+LOCAL_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -54,9 +56,17 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port that nobody holds, below those that the system gives to connections: one of these could be
+    taken by any connection on the machine before the process that it is for listens on it, or while that
+    process is down."""
+    below = range(10_000, int(LOCAL_PORTS.read_text().split()[0])) or (0,)  # 0: whichever the system takes
+    while True:
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", secrets.choice(below)))
+            except OSError:
+                continue
+            return sock.getsockname()[1]
 
 
 class Process:
