--- a/brassfall/lab/agreement/tier_scale.py
+++ b/brassfall/lab/agreement/tier_scale.py
@@ -26,7 +26,8 @@
 READY_MS = 6_500.0  # until aggregators have leases
 STARTS_MS = 1_000.0  # over which sidecars start
 AT_REST_MS = 6_000.0  # from then to the first edition, and from that to the second
-FAULT_MS = 8_000.0  # how long a fault lasts, from just before the second is published
+FAULT_MS = 16_000.0  # how long a fault lasts, from just before the second is published
+RESTART_MS = 1_000.0  # from the end of the service's process to its next one
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +128,16 @@
     return begin
 
 
+def _service_killed(fleet: TierFleet) -> set[str]:
+    fleet.kernel.after(fleet.kernel.random.uniform(120.0, 250.0), _kill_service, fleet)
+    return set()
+
+
+def _kill_service(fleet: TierFleet) -> None:
+    fleet.service.crash()
+    fleet.kernel.after(RESTART_MS, fleet.service.start)
+
+
 def _region_cut(fleet: TierFleet) -> set[str]:
     region = fleet.kernel.random.choice(REGIONS)
     inside = [each.name for each in fleet.aggregators if each.region == region]
@@ -147,6 +158,7 @@
     "its answers are lost": _cut("answer"),
     "its watch is cut": _cut("watch", "open"),
     "a region cut off": _region_cut,
+    "the service killed": _service_killed,
 }
 
 
