--- a/brassfall/lab/capacity/command.py
+++ b/brassfall/lab/capacity/command.py
@@ -120,6 +120,5 @@
 def write_page(out: Path, path: Path, say: Callable[[str], None]) -> None:
     """Write the tables of a page anew from the figures of a folder."""
     rows = figures.read(out / FIGURES)
-    (out / TABLES).write_text(page.document(rows))
     path.write_text(page.filled(path.read_text(encoding="utf-8"), rows))
     say(f"{path}: tables from {len(rows)} figures")
