--- a/tests/test_aggregators_service.py
+++ b/tests/test_aggregators_service.py
@@ -106,6 +106,9 @@
         _, told, _ = await ask("PUT", "/rules", {"caps": {"look": 8}})
         assert (await decided(ask, told["edition"]))["state"] == "committed"
         y.lags = False
+        # Without a lease it is none that a commit waits for, and so none whose objections are.
+        committed = told["edition"]
+        await until(lambda: y.lease["lease_ms"] > 0.0 and y.lease["revision"] == committed)
         y.more["objections"] = {"c7": "no class 'b' is known here"}  # to whatever is pending next
         _, told, _ = await ask("PUT", "/rules", {"caps": {"b": 8}})
         found = await decided(ask, told["edition"])
