--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -408,6 +408,7 @@
 
     `play` is a coroutine function that takes the deployment and returns the breaches as lines of text.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # So that all processes are ended then, too
     record = Record(folder / "record.txt")
     place = Path(tempfile.mkdtemp(prefix="review-"))
     deployment = Deployment(place, record)
