Count the time limit of a large request's attempt from its last byte

What callers saw: 502 in place of 504, up to half a second before the end of their budget, when the process paused between reading the head of a large request and starting its attempt.

Cause: the balancer gives a time-out that counts from the request's arrival. The driver applies it from when the request is written completely, so the time between the two was lost.

Change: the driver adds the time between arrival and attempt to the time limit, up to the budget. What a server is told is unchanged: the client may have written its last byte during the pause. Decisions are unchanged.

--- a/brassfall/sidecar/core/attempt_runner.py
+++ b/brassfall/sidecar/core/attempt_runner.py
@@ -70,8 +70,12 @@
         now = self._clock.now()
         uploading = request.call.reading
         left = request.call.budget if uploading else request.give_up_at - now
-        number = len(request.attempts)
         time_limit = min(send.timeout, left) if send.timeout > 0.0 else left
+        expires = now + time_limit
+        if uploading:
+            # The balancer counts from the request's arrival, but this limit from when the request is written.
+            time_limit = min(time_limit + now - request.read_at, request.call.budget)
+        number = len(request.attempts)
         write_by = send.write_by - KEY_MARGIN_MS
         attempt = Attempt(self, request, number, now, time_limit, revision_header, write_by)
         request.attempts.append(attempt)
@@ -79,7 +83,6 @@
         if not self._may_start(attempt, send, left, now):
             self._stop(attempt, Outcome.ABANDONED)
             return
-        expires = now + time_limit
         if uploading:
             attempt.enter(UPLOADING)
         else:
