Answer a large request within its budget although its server takes no more of it

Cause: reading a large body is paused while its server takes no more. The rest waits in the socket buffers, where the sidecar can't see that the client has written its last byte. The request's deadline and its attempt's time limit both began with the read of that byte, so neither ran. After a shorter hang the budget began too late.

Change: ReadControl bounds the time for which the last byte may have waited, by the pauses since the client was last known to have more to write. The deadline of a large request counts from its last byte less that lag. A timer checks this while the body is read and ends the attempts, with a log line that names the servers. A shutdown's deadline holds for such requests as well, and a later attempt tells its server no more time than the client has left.

Why it works: the lag is never shorter than the time that the byte waited in pauses, and a client that is still writing causes no lag.

--- a/brassfall/sidecar/clients/client_connection.py
+++ b/brassfall/sidecar/clients/client_connection.py
@@ -33,6 +33,8 @@
 from brassfall.sidecar.core.clock import Clock
 
 MAX_PENDING_REQUESTS = 16  # number of unanswered requests at which a connection is no longer read
+# Largest number of written bytes that the client's own socket may hold, in bytes: Linux's default limit.
+MAX_CLIENT_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 JUST_OPENED_MS = 100.0  # time after the accept in which a client's first request is expected, in ms
 
 # States that are used often are names of this module, because looking up an enum member by its class is slow
@@ -200,6 +202,8 @@
         if self._state not in ACCEPTS_INPUT:
             return
         self.last_read_at = self.quiet_since = self._owner.clock.now()
+        if self._large_request is not None and self._client_must_write_more(len(data)):
+            self.read_control.restart_lag()
         error = self._parse_requests(data)
         if error is not None:
             self.reject_input(error.status)
@@ -264,6 +268,26 @@
         """Resume reading, because the server can take more of the body."""
         self.read_control.resume(PauseReason.SLOW_SERVER)
 
+    @property
+    def read_lag_ms(self) -> float:
+        """Longest time that the client's last bytes may have waited because reading was paused, in ms."""
+        return self.read_control.lag_s * 1000.0
+
+    def _client_must_write_more(self, size: int) -> bool:
+        """Return whether the client can't have written the last byte of the large request that is read.
+
+        `size` is the number of bytes just read. The rest of the body is then larger than what the sockets of
+        both sides can hold.
+        """
+        message, body = self._parser.message, self._large_request and self._large_request.body
+        if not message or not body or body.length is None or not self.read_control.lag_s:
+            return False
+        rest = body.length - message.body_size - size - MAX_CLIENT_SEND_BUFFER_BYTES
+        if rest <= 0:
+            return False
+        unread = framing.unread_bytes(self.transport)
+        return unread is not None and rest > unread
+
     # --- departure of the client -----------------------------------------------------
 
     def close_if_client_left(self) -> bool:
--- a/brassfall/sidecar/clients/client_request.py
+++ b/brassfall/sidecar/clients/client_request.py
@@ -32,6 +32,10 @@
     def client_left(self) -> bool:
         """Return whether the client has closed the connection; this polls the socket."""
 
+    @property
+    def read_lag_ms(self) -> float:
+        """Longest time that the client's last bytes may have waited because reading was paused, in ms."""
+
     def abort(self) -> None:
         """Close the connection at once, even if requests are pending."""
 
@@ -94,6 +98,11 @@
         """True if a part of the request body has not arrived yet."""
         return self.body is not None and not self.body.complete
 
+    @property
+    def read_lag(self) -> float:
+        """Longest time that the last byte of a large request may have waited to be read, in ms."""
+        return 0.0 if self.body is None else self.connection.read_lag_ms
+
     def client_left(self) -> bool:
         """Return whether the client has closed the connection; polls the socket.
 
--- a/brassfall/sidecar/clients/read_control.py
+++ b/brassfall/sidecar/clients/read_control.py
@@ -12,6 +12,12 @@
 # beginning an attempt later than 0.1 s after the client has closed, and the event loop does not report a
 # close while reading is paused.
 CLOSE_POLL_S = 0.05
+# Time of reading without a pause after which a read that empties the socket buffer shows that the client has
+# sent all that it has written, in seconds. Before that, bytes may still wait in the client's own buffer.
+CATCH_UP_S = 0.02
+# Shortest total of pauses that counts as lag, in seconds. Shorter pauses are part of any transfer, and the
+# half second in which an answer may be late covers them.
+MIN_LAG_S = 0.1
 
 
 class PauseReason(Enum):
@@ -40,6 +46,8 @@
         self._reasons: set[PauseReason] = set()  # reasons that apply now
         self._paused_since = 0.0  # start of the current or last pause, in seconds of the loop's time
         self._earlier_pauses_s = 0.0  # total length of the pauses that have ended, in seconds
+        # Total length of the pauses that had ended when the client was last known to have bytes to write.
+        self._pauses_before_lag_s = 0.0
         self._close_poll_timer: asyncio.TimerHandle | None = None
 
     def connected(self, transport: asyncio.Transport) -> None:
@@ -57,6 +65,27 @@
         current_pause_s = self._loop.time() - self._paused_since if self._reasons else 0.0
         return self._earlier_pauses_s + current_pause_s
 
+    @property
+    def caught_up(self) -> bool:
+        """True if everything that the client has written so far was read, and reading is not paused."""
+        if self._reasons or self.next_read_may_be_stale:
+            return False
+        return self._loop.time() - self.resumed_at >= CATCH_UP_S
+
+    @property
+    def lag_s(self) -> float:
+        """Longest time, in seconds, that the client's last bytes may have waited because of pauses.
+
+        This is the total length of the pauses since the client was last known to have bytes to write. Time
+        in which the connection is read does not count.
+        """
+        lag_s = 0.0 if self.caught_up else self.total_paused_s - self._pauses_before_lag_s
+        return lag_s if lag_s >= MIN_LAG_S else 0.0
+
+    def restart_lag(self) -> None:
+        """Count only pauses from now on as lag, because the client still has bytes to write."""
+        self._pauses_before_lag_s = self.total_paused_s
+
     def paused_for(self, reason: PauseReason) -> bool:
         """Return whether `reason` applies; other reasons may apply as well."""
         return reason in self._reasons
@@ -66,6 +95,8 @@
         if self._transport is None or reason in self._reasons:
             return
         if not self._reasons:
+            if self.caught_up:
+                self.restart_lag()
             self._paused_since = self._loop.time()
             self._transport.pause_reading()
             self._close_poll_timer = self._loop.call_later(CLOSE_POLL_S, self._poll_for_close)
--- a/brassfall/sidecar/core/attempt_runner.py
+++ b/brassfall/sidecar/core/attempt_runner.py
@@ -67,17 +67,17 @@
         attempt ends as abandoned, in a later turn of the event loop, if the request is already answered or
         has no time or attempts left.
         """
-        now = self._clock.now()
-        uploading = request.call.reading
-        left = request.call.budget if uploading else request.give_up_at - now
+        now, call = self._clock.now(), request.call
+        uploading = call.reading
+        left = call.budget - call.read_lag if uploading else request.give_up_at - now
         time_limit = min(send.timeout, left) if send.timeout > 0.0 else left
         expires = now + time_limit
         if uploading:
             # The balancer counts from the request's arrival, but this limit from when the request is written.
-            time_limit = min(time_limit + now - request.read_at, request.call.budget)
+            time_limit = min(time_limit + now - request.read_at, call.budget)
         number = len(request.attempts)
         write_by = send.write_by - KEY_MARGIN_MS
-        attempt = Attempt(self, request, number, now, time_limit, revision_header, write_by)
+        attempt = Attempt(self, request, number, now, time_limit, revision_header, send.server, write_by)
         request.attempts.append(attempt)
         request.attempts_in_flight += 1
         if not self._may_start(attempt, send, left, now):
--- a/brassfall/sidecar/core/attempts.py
+++ b/brassfall/sidecar/core/attempts.py
@@ -117,6 +117,7 @@
     time_limit: float  # Milliseconds for an answer, counted from when the request is written completely
     # Header line of the configuration revision under which the server was selected; empty without one.
     revision_header: bytes = b""
+    server: str = ""  # Name of the server that the balancer selected
     write_by: float = math.inf  # Latest time to write the request: end of the key's window minus a margin
     state: AttemptState = AttemptState.STARTING
     exchange: Exchange | None = None
@@ -156,13 +157,14 @@
 
     id: int
     call: Call
-    give_up_at: float  # Deadline of the request; infinite while its body is being read
+    give_up_at: float  # Deadline; infinite while the body is read and the client may still be writing it
     max_attempts: int  # Limit from the settings at the request's arrival, plus one for each withdrawn attempt
     read_at: float  # Time at which the request's last byte was read; until then, time of its arrival
     state: RequestState = RequestState.AWAITING_ANSWER
     attempts: list[Attempt] = field(default_factory=list)
     attempts_in_flight: int = 0  # Number of attempts without an outcome
-    deadline_guard: asyncio.TimerHandle | None = None  # Timer that fails an overdue request
+    # Timer that ends the reading of a body that takes too long, or that fails an overdue request.
+    deadline_guard: asyncio.TimerHandle | None = None
 
     @property
     def answered(self) -> bool:
--- a/brassfall/sidecar/core/interfaces.py
+++ b/brassfall/sidecar/core/interfaces.py
@@ -56,6 +56,14 @@
     def reading(self) -> bool:
         """True if the body of the request is still arriving."""
 
+    @property
+    def read_lag(self) -> float:
+        """Longest time, in milliseconds, that the last byte of the request may have waited to be read.
+
+        Reading a large body is paused while its server takes no more of it. The client may have written the
+        rest meanwhile, and its budget counts from its last byte.
+        """
+
     def client_left(self) -> bool:
         """Return whether the client has closed its connection, by a check of the socket.
 
--- a/brassfall/sidecar/core/request_lifecycle.py
+++ b/brassfall/sidecar/core/request_lifecycle.py
@@ -12,7 +12,7 @@
 from brassfall.balancer.model import Outcome
 from brassfall.sidecar import log
 from brassfall.sidecar.core.attempt_runner import AttemptRunner
-from brassfall.sidecar.core.attempts import Attempt, Request, RequestState
+from brassfall.sidecar.core.attempts import UNANSWERED, Attempt, Request, RequestState
 from brassfall.sidecar.core.balancer_timers import BalancerTimers
 from brassfall.sidecar.core.clock import Clock
 from brassfall.sidecar.core.event_sink import EventSink
@@ -56,7 +56,9 @@
         reading = call.reading
         give_up_at = self._give_up_at(call, now)
         request = self.table.add(call, now, give_up_at, max_attempts)
-        if not reading:
+        if reading:
+            self._limit_reading(request, give_up_at)
+        else:
             self._guard_deadline(request)
         arrival = events.RequestArrived(
             request.id,
@@ -81,10 +83,8 @@
         if request.answered:
             return
         request.read_at = now
-        request.give_up_at = self._give_up_at(request.call, now)
-        self._guard_deadline(request)
-        self.attempts.limit_uploads(request)
-        if now >= request.give_up_at:  # The deadline can have passed already only during a shutdown
+        self._set_deadline(request, self._give_up_at(request.call, now - request.call.read_lag))
+        if now >= request.give_up_at:  # The deadline can have passed during a shutdown or a pause in reading
             self.fail(request, late=True)
 
     def client_disconnected(self, request: Request) -> None:
@@ -206,7 +206,41 @@
     def _give_up_at(self, call: Call, now: float) -> float:
         return min(now + call.budget - DEADLINE_MARGIN_MS, self._answer_by)
 
+    def _set_deadline(self, request: Request, give_up_at: float) -> None:
+        """Set the deadline of a large request, whose attempts then end at the latest."""
+        request.give_up_at = give_up_at
+        self._guard_deadline(request)
+        self.attempts.limit_uploads(request)
+
+    def _limit_reading(self, request: Request, until: float) -> None:
+        """Arm a timer that checks at `until` whether the body of a request is read in time."""
+        at = self._clock.to_loop_time_s(until)
+        request.deadline_guard = self._loop.call_at(at, self._check_reading, request)
+
+    def _check_reading(self, request: Request) -> None:
+        """End the attempts of a request whose client may have written all of it and waited for its budget.
+
+        The body is read as fast as the server takes it. If a server takes nothing, the client's last byte
+        waits in the socket buffers, where it can't be seen.
+        """
+        now, call = self._clock.now(), request.call
+        give_up_at = self._give_up_at(call, now - call.read_lag)
+        if now < give_up_at:
+            self._limit_reading(request, give_up_at)
+            return
+        servers = [attempt.server for attempt in request.attempts if attempt.state in UNANSWERED]
+        log.warning(
+            "large request not read by its deadline, its attempts end",
+            request=request.id,
+            servers=",".join(servers),
+            read_lag_ms=round(call.read_lag),
+            action="look at these servers: they do not take the body in time",
+        )
+        self._set_deadline(request, now)
+
     def _guard_deadline(self, request: Request) -> None:
         """Arm a timer that fails the request if the balancer does not answer it by its deadline."""
+        if request.deadline_guard is not None:
+            request.deadline_guard.cancel()
         overdue_at = self._clock.to_loop_time_s(request.give_up_at + DEADLINE_GUARD_MS)
         request.deadline_guard = self._loop.call_at(overdue_at, self.fail_overdue, request)
--- a/brassfall/sidecar/framing.py
+++ b/brassfall/sidecar/framing.py
@@ -133,6 +133,17 @@
     return unacknowledged
 
 
+def unread_bytes(transport: asyncio.BaseTransport) -> int | None:
+    """Return the number of bytes that wait in a connection's socket buffer; None if it can't be read."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return None
+    try:
+        return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder)
+    except OSError:
+        return None
+
+
 class SharedBufferProtocol(asyncio.BufferedProtocol):
     """A protocol whose connections all read into one shared buffer of `MAX_BUFFERED_BYTES` bytes.
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -81,6 +81,7 @@
         "sidecar/standing_brink",
         "sidecar/unwanted_attempts",
         "sidecar/upgrade",
+        "sidecar/upload_deadlines",
         "sidecar/wall_clock",
         "sidecar/whole_program_faults",
         "sidecar/write_deadlines",
--- a/tests/sidecar/test_start_times.py
+++ b/tests/sidecar/test_start_times.py
@@ -212,6 +212,7 @@
     key = work = body = None
     client_retry = mutates = reading = False
     budget = 4000.0
+    read_lag = 0.0
 
     def client_left(self):
         return False
--- a/tests/support/driver_stubs.py
+++ b/tests/support/driver_stubs.py
@@ -16,6 +16,7 @@
 
     def __init__(self, large=False):
         self.reading, self.body, self.answers = large, None, []
+        self.read_lag = 0.0
 
     def request_bytes(self, left):
         return b""
