--- a/brassfall/controlplane/geo/fitting.py
+++ b/brassfall/controlplane/geo/fitting.py
@@ -16,6 +16,7 @@
 
 from brassfall.controlplane.geo.arrays import Array, Index
 from brassfall.controlplane.geo.embedding import GROUP_PRIOR, REGION_PRIOR, SOFT, Problem
+from brassfall.controlplane.geo.linear_algebra import gram_matrix, inverse, matrix_product
 from brassfall.controlplane.geo.marginals import Grid, Measured, candidate_grid, most_likely
 
 STARTS = 6
@@ -105,7 +106,7 @@
     """(P,) how much each measured pair pulls its own prediction: the diagonal of the hat matrix."""
     _, spread = problem.prior()
     scaled = jacobian / sds[:, None]
-    covariance = np.linalg.inv(scaled.T @ scaled + np.diag(spread**-2.0))
+    covariance = inverse(gram_matrix(scaled) + np.diag(spread**-2.0))
     return np.asarray(np.minimum(MAX_LEVERAGE, np.einsum("ij,jk,ik->i", scaled, covariance, scaled)))
 
 
@@ -157,7 +158,7 @@
     region_places = _ring(m, turn)
     weight = np.zeros((n, m))
     weight[problem.group, problem.region] = np.exp(-2.0 * np.exp(problem.log_delay))
-    group_places = weight @ region_places / np.maximum(weight.sum(axis=1), 1e-9)[:, None]
+    group_places = matrix_product(weight, region_places) / np.maximum(weight.sum(axis=1), 1e-9)[:, None]
     parameters, _ = problem.prior()
     parts = problem.parts(parameters)
     parts.group_places[:], parts.region_places[:] = group_places, region_places
--- a/brassfall/controlplane/geo/marginals.py
+++ b/brassfall/controlplane/geo/marginals.py
@@ -12,6 +12,7 @@
 import numpy as np
 
 from brassfall.controlplane.geo.arrays import Array, Index
+from brassfall.controlplane.geo.linear_algebra import weighted_sum
 
 GRID_REACH = 2.2  # of the grid either way, in sds of the prior of a place
 GRID_STEPS = 56  # its lines in each direction
@@ -82,8 +83,8 @@
     weight = np.exp(log_weight[likely] - highest)
     weight /= weight.sum()
     values = candidates.log_delay[np.ix_(likely, regions)]
-    mean = weight @ values
-    return Marginal(np.asarray(mean), np.asarray(np.sqrt(weight @ (values - mean) ** 2)))
+    mean = weighted_sum(weight, values)
+    return Marginal(mean, np.asarray(np.sqrt(weighted_sum(weight, (values - mean) ** 2))))
 
 
 def most_likely(candidates: Grid, measured: Measured) -> int:
--- a/brassfall/controlplane/geo/planner.py
+++ b/brassfall/controlplane/geo/planner.py
@@ -177,7 +177,7 @@
     regions give up, `last` (M,) the direction of its last move.
     """
     distance = 0.5 * float(np.abs(change).sum())
-    moves_back = forced < NO_MOVE and float(change @ last) < -1e-9
+    moves_back = forced < NO_MOVE and math.fsum(change * last) < -1e-9
     if moves_back:
         step = max(MIN_STEP, 0.5 * step)
         return _Move(change * min(1.0, step / max(distance, 1e-9)), step)
--- a/brassfall/controlplane/geo/predictions.py
+++ b/brassfall/controlplane/geo/predictions.py
@@ -17,6 +17,7 @@
 from brassfall.controlplane.geo.embedding import GROUP_PRIOR, SOFT, Problem
 from brassfall.controlplane.geo.evidence import PairName
 from brassfall.controlplane.geo.fitting import refine
+from brassfall.controlplane.geo.linear_algebra import gram_matrix, inverse
 from brassfall.controlplane.geo.marginals import Measured, candidate_grid, marginal
 
 FOLDS = 5
@@ -124,7 +125,7 @@
         mine = problem.region == j
         block = jacobian[np.ix_(mine, columns)]
         scaled = block / sds[mine, None]
-        covariance = np.linalg.inv(scaled.T @ scaled + np.diag(spread[columns] ** -2.0))
+        covariance = inverse(gram_matrix(scaled) + np.diag(spread[columns] ** -2.0))
         found[j] = math.sqrt(float(np.mean(np.einsum("ij,jk,ik->i", block, covariance, block))))
     return found
 
--- a/brassfall/lab/capacity/fit.py
+++ b/brassfall/lab/capacity/fit.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 
-import numpy
-
 from brassfall.lab.capacity.measurements import Measurement
 
 TARGET = 5400  # sidecars for which the design is made
 PERCENT = 100.0
+SIGNIFICANT_DIGITS = 12  # of a figure that a line gives
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +27,7 @@
 
     def at(self, size: int) -> float:
         """The value that the line gives at a size."""
-        return self.at_zero + self.slope * size
+        return without_rounding_errors(self.at_zero + self.slope * size)
 
     @property
     def error_percent(self) -> float:
@@ -40,14 +40,29 @@
     """The line through the rows of one quantity."""
     ordered = sorted(rows, key=lambda row: row.size)
     sizes = tuple(row.size for row in ordered)
-    values = numpy.array([row.value for row in ordered], dtype=float)
+    values = [row.value for row in ordered]
+    mean = _mean(values)
     if len(set(sizes)) < 2:
-        return Line(sizes[:1], 0.0, float(values.mean()), math.nan)
-    slope, at_zero = numpy.polyfit(numpy.array(sizes, dtype=float), values, 1)
-    residuals = values - (at_zero + slope * numpy.array(sizes))
+        return Line(sizes[:1], 0.0, mean, math.nan)
+    mean_size = _mean(sizes)
+    distances = [size - mean_size for size in sizes]
+    products = (distance * (value - mean) for distance, value in zip(distances, values, strict=True))
+    slope = math.fsum(products) / math.fsum(distance**2 for distance in distances)
+    at_zero = mean - slope * mean_size
+    residuals = [value - (at_zero + slope * size) for size, value in zip(sizes, values, strict=True)]
     freedom = len(sizes) - 2
-    error = math.sqrt(float((residuals**2).sum()) / freedom) if freedom > 0 else math.nan
-    return Line(sizes, float(slope), float(at_zero), error)
+    error = math.sqrt(math.fsum(each**2 for each in residuals) / freedom) if freedom > 0 else math.nan
+    return Line(sizes, slope, at_zero, error)
+
+
+def _mean(values: Sequence[float]) -> float:
+    """The mean, from an exactly rounded sum: the page must not depend on the order of a library's sums."""
+    return math.fsum(values) / len(values)
+
+
+def without_rounding_errors(value: float) -> float:
+    """The value to `SIGNIFICANT_DIGITS`, so that one that ends in a half is printed the same everywhere."""
+    return float(f"{value:.{SIGNIFICANT_DIGITS}g}")
 
 
 @dataclass(frozen=True, slots=True)
--- a/brassfall/lab/capacity/page.py
+++ b/brassfall/lab/capacity/page.py
@@ -11,7 +11,7 @@
 
 from brassfall.errors import UsageError
 from brassfall.lab.capacity.budgets import BUDGETS, Budget
-from brassfall.lab.capacity.fit import TARGET, line, value_at_target
+from brassfall.lab.capacity.fit import TARGET, line, value_at_target, without_rounding_errors
 from brassfall.lab.capacity.measurements import Measurement
 from brassfall.lab.capacity.roles import MACHINE, TARGETS
 
@@ -33,12 +33,15 @@
         return "-"
     if math.isinf(value):
         return "never"
+    value = without_rounding_errors(value)
     if not value:
         return "0"  # also where a fit gives a negative one
     if abs(value) >= THOUSAND:
         return f"{value:,.0f}"
     text = f"{value:.3g}"
-    return text if "e" not in text else f"{value:.6f}".rstrip("0").rstrip(".")
+    if "e" in text:
+        text = f"{value:.6f}".rstrip("0").rstrip(".")
+    return "0" if text == "-0" else text
 
 
 def with_unit(value: float, unit: str) -> str:
--- a/brassfall/lab/day.py
+++ b/brassfall/lab/day.py
@@ -1,7 +1,8 @@
 """One day, sampled from an experiment by a seed: the fleet, the load and the faults. Pure code.
 
 All plays of a day, simulated or real and of whatever version, have the same fleet, load and faults. Times
-are ms, work is ms of a standard core.
+are ms, work is ms of a standard core. Sums and functions whose last digits depend on the processor or on the
+numeric library are taken from `math`, since a last digit can change the course of a day.
 """
 
 from __future__ import annotations
@@ -288,7 +289,7 @@
     sigma = math.sqrt(math.log1p(cv * cv))
     loads = rng.lognormal(-sigma * sigma / 2.0, sigma, count)
     loads *= [1.0 + skew * (1.0 if n % zones == 0 else -1.0 / max(1, zones - 1)) for n in range(count)]
-    loads /= loads.sum()
+    loads /= math.fsum(loads)
     return [
         Application(
             f"n{n}",
@@ -317,7 +318,8 @@
     load, lasts = experiment.load, experiment.head.lasts
     at = np.arange(0.0, lasts, GRID_MS)
     swing, phase = load.swing.at(rng.random()), rng.random()
-    level = 1.0 + swing * np.sin(2.0 * np.pi * (at / load.wave + phase))
+    swings = [math.sin(2.0 * math.pi * (each / load.wave + phase)) for each in at.tolist()]
+    level = 1.0 + swing * np.array(swings, dtype=np.float64)
     for step in sorted(load.steps, key=lambda step: step.at):
         level[at >= step.at] = step.times
     for burst in load.bursts:
@@ -339,13 +341,14 @@
 ) -> Arrivals:
     """Open-loop arrivals: a Poisson process whose rate follows the level, whatever is answered."""
     shares = np.array([row.share for row in experiment.classes])
-    shares = shares / shares.sum()
+    shares = shares / math.fsum(shares)
     if experiment.load.rate is not None:
         usual = experiment.load.rate / 1000.0
     else:
         assert experiment.load.share is not None
-        capacity = sum(server.capacity for server in servers)
-        usual = experiment.load.share.at(rng.random()) * capacity / float(shares @ np.array(works))
+        capacity = math.fsum(server.capacity for server in servers)
+        mean_work = math.fsum(share * work for share, work in zip(shares.tolist(), works, strict=True))
+        usual = experiment.load.share.at(rng.random()) * capacity / mean_work
     expected = np.concatenate(([0.0], np.cumsum(_level(experiment, rng) * usual * GRID_MS)))
     count = int(rng.poisson(expected[-1]))
     at = np.interp(np.sort(rng.random(count)) * expected[-1], expected, np.arange(len(expected)) * GRID_MS)
--- a/brassfall/lab/models/delays.py
+++ b/brassfall/lab/models/delays.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple, Protocol
@@ -90,13 +91,13 @@
     groups = [f"g{i}" for i in range(terms.groups)]
     regions = [f"r{i}" for i in range(terms.regions)]
     place = {name: rng.random(2) * PLANE for name in groups + regions}
-    access = {name: float(rng.lognormal(np.log(GROUP_ACCESS_MS), ACCESS_SD)) for name in groups}
-    access |= {name: float(rng.lognormal(np.log(REGION_ACCESS_MS), ACCESS_SD)) for name in regions}
+    access = {name: float(rng.lognormal(math.log(GROUP_ACCESS_MS), ACCESS_SD)) for name in groups}
+    access |= {name: float(rng.lognormal(math.log(REGION_ACCESS_MS), ACCESS_SD)) for name in regions}
     true_ms: dict[PairName, float] = {}
     for group in groups:
         for region in regions:
-            detour = float(np.exp(rng.normal(0.0, terms.detour)))
-            distance = float(np.hypot(*(place[group] - place[region]))) * detour
+            detour = math.exp(rng.normal(0.0, terms.detour))
+            distance = math.hypot(*(place[group] - place[region])) * detour
             true_ms[group, region] = access[group] + access[region] + distance
     pairs = list(true_ms)
     measured = rng.permutation(len(pairs))[: max(1, round(terms.measured * len(pairs)))]
@@ -122,7 +123,7 @@
 
 def _nonsense(rng: np.random.Generator) -> tuple[str, float]:
     """The kind and size of what a faulty node reports."""
-    return NONSENSE[int(rng.integers(len(NONSENSE)))], float(np.exp(rng.uniform(-LOG_SCALE, LOG_SCALE)))
+    return NONSENSE[int(rng.integers(len(NONSENSE)))], math.exp(rng.uniform(-LOG_SCALE, LOG_SCALE))
 
 
 def send_requests(world: World, pairs: Sequence[PairName], span_s: float) -> None:
@@ -144,7 +145,7 @@
     handshake_ms = true_ms + rng.exponential(terms.jitter * true_ms)
     if node in world.nonsense:
         kind, size = world.nonsense[node]
-        any_ms = float(np.exp(rng.uniform(np.log(ANY_MS[0]), np.log(ANY_MS[1]))))
+        any_ms = math.exp(rng.uniform(math.log(ANY_MS[0]), math.log(ANY_MS[1])))
         delay_ms, handshake_ms = {
             "any": (any_ms, any_ms),
             "times": (delay_ms * size, handshake_ms * size),
--- a/brassfall/lab/steering.py
+++ b/brassfall/lab/steering.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -39,7 +40,7 @@
     Each zone with capacity has at least `min_spread` of every group. Where that is not feasible, all groups
     have shares by capacity."""
     groups, zones = len(loads), len(capacities)
-    load, capacity = np.array(loads) / sum(loads), np.array(capacities) / sum(loads)
+    load, capacity = np.array(loads) / math.fsum(loads), np.array(capacities) / math.fsum(loads)
     cost = (np.array(delays) * load[:, None]).ravel()
     group_sums = np.kron(np.eye(groups), np.ones(zones))
     zone_loads = np.kron(load, np.eye(zones))
@@ -86,10 +87,12 @@
         given = [version.shares.get(group.name, {}) for group in geography.groups]
         return [{zones.index(zone): share for zone, share in row.items()} for row in given]
     known = [route.delays for route in day.routes if route.at == 0.0 or route.at + geography.lag <= now]
-    loads = [sum(app.share for app in day.apps if app.group == group) for group in range(len(known[-1]))]
-    capacity = [sum(s.capacity for s in day.servers if s.zone == zone) for zone in range(len(zones))]
-    used = float(day.arrivals.work.sum()) / day.lasts / sum(capacity)
+    loads = [
+        math.fsum(app.share for app in day.apps if app.group == group) for group in range(len(known[-1]))
+    ]
+    capacity = [math.fsum(s.capacity for s in day.servers if s.zone == zone) for zone in range(len(zones))]
+    used = math.fsum(day.arrivals.work) / day.lasts / math.fsum(capacity)
     # Where the load is above what a plan may fill, it is spread nearly in proportion to capacity.
     fill = max(geography.fill / used, MIN_FILL) if used else MIN_FILL
-    capacities = [fill * part / sum(capacity) for part in capacity]
+    capacities = [fill * part / math.fsum(capacity) for part in capacity]
     return ideal_shares(known[-1], loads, capacities, geography.min_spread)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -41,6 +41,7 @@
         "lab/earlier_interface",
         "lab/geography",
         "lab/lab",
+        "lab/numeric_libraries",
         "lab/revision_chaos",
         "lab/tier_processes",
         "sidecar/accept",
