Name the description that the test of known failing tests expects

Cause: the variable had a word that is withdrawn. Change: it is called description; the assertions are the same.

--- a/tests/support/test_known_red.py
+++ b/tests/support/test_known_red.py
@@ -43,8 +43,8 @@
 def test_only_the_test_named_may_fail_and_it_is_printed(tmp_path):
     status, said = run(tmp_path, "test_sample.py::test_red | pytest --seed 5 | the socket is lost | 23\n")
     assert status == 0
-    said_of_it = "the socket is lost (play it with `pytest --seed 5`; issue 23)"
-    assert f"KNOWN RED test_sample.py::test_red: {said_of_it}" in said
+    description = "the socket is lost (play it with `pytest --seed 5`; issue 23)"
+    assert f"KNOWN RED test_sample.py::test_red: {description}" in said
     two = TESTS + TESTS.replace("red", "other")
     status, said = run(
         tmp_path, "test_sample.py::test_red | pytest --seed 5 | the socket is lost | 23\n", two
