Close the streams that an async test left before its event loop closes

Cause: on CPython 3.11.6 `ast.parse` failed in some tests with "SystemError: AST constructor recursion depth mismatch", most often in the check of the wall clock. StreamWriters of earlier tests outlived their event loop. One was collected while source was parsed; its `__del__` raised "Event loop is closed", and pytest's report of that exception parses the lines of its traceback, by which the interpreter loses count of its recursion depth.

Change: `bounded` and the decorator for simulated time on sockets cancel the tasks that are left, abort the streams that are open, let the loop tell their protocols, and collect in the loop, before it is closed; one test of the capacity lab that ran a loop by itself does the same. What the tests check, and their time limits, are the same.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -86,6 +86,7 @@
         "sidecar/wall_clock",
         "sidecar/whole_program_faults",
         "sidecar/write_deadlines",
+        "support/loopback",
         "support/system_calls",
     ]
 )
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -16,7 +16,7 @@
 from brassfall.lab.capacity.environment import Environment, register, start_service
 from brassfall.lab.capacity.hollow import HollowSidecar, SourceLoop, sidecar_config
 from brassfall.lab.capacity.measurements import Measurement
-from tests.support.loopback import Registry, bounded, until
+from tests.support.loopback import PATIENCE_S, Registry, bounded, run_bounded, until
 
 ROOT = Path(__file__).parents[2]
 SIDECARS, LISTED = 60, 20
@@ -126,8 +126,7 @@
         made.discovery.close()
         registry.stop()
 
-    with SourceLoopOf("127.0.0.9") as loop:
-        loop.run_until_complete(play())
+    run_bounded(play(), 4 * PATIENCE_S, lambda: SourceLoop("127.0.0.9"))
 
 
 class SourceLoopOf:
--- a/tests/sidecar/test_standing.py
+++ b/tests/sidecar/test_standing.py
@@ -28,6 +28,7 @@
     listed,
     read_message,
     request,
+    run_bounded,
     running,
 )
 from tests.support.sidecar_views import carry_out, pool_servers
@@ -48,8 +49,7 @@
 
     @functools.wraps(test)
     def run(*args, **kwargs):
-        with asyncio.Runner(loop_factory=lambda: looptime.new_event_loop(noop_cycles=100)) as runner:
-            runner.run(asyncio.wait_for(test(*args, **kwargs), 900.0))
+        run_bounded(test(*args, **kwargs), 900.0, lambda: looptime.new_event_loop(noop_cycles=100))
 
     return run
 
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import functools
+import gc
 import json
 import os
 import socket
@@ -57,13 +58,43 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Load-Report: inflight=1,queue=0\r\n\r\ndone"
 
 
+async def close_streams():
+    """Cancel the tasks that are left in this event loop, and close the streams that are still open.
+
+    A stream that outlives its loop raises an error when it is collected, at any time in a later test. The
+    report of that error parses source, and if the later test does so too, CPython 3.11 ends it with a
+    SystemError.
+    """
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks)
+    for made in gc.get_objects():
+        if type(made) is asyncio.StreamWriter and not made.transport.is_closing():
+            with contextlib.suppress(RuntimeError):  # a stream of another loop, which is closed
+                made.transport.abort()
+    await asyncio.sleep(0)  # the lost connections are told to their protocols
+    gc.collect()
+    await asyncio.sleep(0)
+
+
+def run_bounded(work, limit_s, loop_factory=None):
+    """Run a coroutine in an event loop of its own, with a time limit in seconds; leave no stream open."""
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        try:
+            runner.run(asyncio.wait_for(work, limit_s))
+        finally:
+            runner.run(close_streams())
+
+
 def bounded(limit_s):
     """Run an async test in an event loop of its own, with a time limit in seconds."""
 
     def wrap(test):
         @functools.wraps(test)
         def run(*args, **kwargs):
-            asyncio.run(asyncio.wait_for(test(*args, **kwargs), limit_s))
+            run_bounded(test(*args, **kwargs), limit_s)
 
         return run
 
