--- a/tests/sidecar/test_wall_clock.py
+++ b/tests/sidecar/test_wall_clock.py
@@ -1,13 +1,12 @@
 """Steps of the wall clock while the sidecar runs, which change no deadline, key window, wait or grace period.
 
-`test_start_times` tests the effect of a wrong wall clock at the start on the ages of servers.
+`test_start_times` tests the effect of a wrong wall clock at the start on the ages of servers; `test_layout`
+checks in the source that the wall clock is read at the start alone.
 """
 
 from __future__ import annotations
 
-import ast
 import asyncio
-from pathlib import Path
 
 import pytest
 
@@ -32,36 +31,11 @@
 )
 from tests.support.system_calls import Faults
 
-SIDECAR = Path(__file__).resolve().parents[2] / "brassfall" / "sidecar"
-WALL_CLOCK_FUNCTIONS = {
-    "time",
-    "time_ns",
-    "clock_gettime",
-    "clock_gettime_ns",
-    "now",
-    "utcnow",
-    "today",
-    "localtime",
-    "gmtime",
-}
 # Steps of the wall clock, in seconds.
 STEPS_S = [5.0, -5.0, 3600.0, -3600.0]
 MACHINE_DELAY_S = 0.5  # Delay that a busy machine may add, in seconds
 
 
-def test_the_wall_clock_is_read_once_at_the_start_and_nowhere_else():
-    uses = []
-    for path in sorted(SIDECAR.rglob("*.py")):
-        for node in ast.walk(ast.parse(path.read_text())):
-            if isinstance(node, ast.ImportFrom) and node.module in ("time", "datetime"):
-                uses += [(path.name, alias.name) for alias in node.names]
-            elif isinstance(node, ast.Attribute) and node.attr in WALL_CLOCK_FUNCTIONS:
-                owner = node.value
-                if isinstance(owner, ast.Name) and owner.id in ("time", "datetime", "date"):
-                    uses.append((path.name, node.attr))
-    assert uses == [("clock.py", "time")]
-
-
 @pytest.mark.parametrize("step_s", STEPS_S)
 @loopback
 async def test_a_step_of_the_wall_clock_does_not_move_a_deadline(step_s):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -612,6 +612,32 @@
     assert not met & {"time", "random", "socket", "os", "asyncio", "sqlite3", "pathlib", "aiohttp", "secrets"}
 
 
+WALL_CLOCK_FUNCTIONS = {
+    "time",
+    "time_ns",
+    "clock_gettime",
+    "clock_gettime_ns",
+    "now",
+    "utcnow",
+    "today",
+    "localtime",
+    "gmtime",
+}
+
+
+def test_the_wall_clock_is_read_once_at_the_start_and_nowhere_else():
+    uses = []
+    for path in sorted(SIDECAR.rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and node.module in ("time", "datetime"):
+                uses += [(path.name, alias.name) for alias in node.names]
+            elif isinstance(node, ast.Attribute) and node.attr in WALL_CLOCK_FUNCTIONS:
+                owner = node.value
+                if isinstance(owner, ast.Name) and owner.id in ("time", "datetime", "date"):
+                    uses.append((path.name, node.attr))
+    assert uses == [("clock.py", "time")]
+
+
 def test_every_module_of_tests_that_starts_processes_is_named_as_running_in_real_time():
     files = {
         f"{path.parent.name}/{path.stem.removeprefix('test_')}": path
