Run the idle clients of the discovery test in a process of their own

Cause: the test's one client that sends a request shared its event loop with 150 clients that connect again at once. So the test measured its own loop, and ended by TimeoutError in four of five runs alone on an idle arm64 machine; each time it left its sidecar running.

Change: the idle clients are a process of their own, bounded by a timer and ended by the test; counting begins once each of them has been connected, and the test checks that they ran throughout. The limit of 96, the assertions on the descriptors, the wait for discovery and the end by SIGTERM are the same. A test that fails ends its sidecar.

--- a/tests/sidecar/test_connection_limits.py
+++ b/tests/sidecar/test_connection_limits.py
@@ -31,7 +31,7 @@
     running,
     until,
 )
-from tests.support.processes import Process
+from tests.support.processes import Process, idle_clients
 
 
 @loopback
@@ -225,17 +225,6 @@
         sock.close()
 
 
-async def stay_connected_idle(address):
-    """Run a client that connects, sends nothing, and connects again whenever it is disconnected."""
-    while True:
-        with contextlib.suppress(OSError):
-            reader, writer = await asyncio.open_connection(*address)
-            try:
-                await reader.read()
-            finally:
-                writer.transport.abort()
-
-
 @loopback
 async def test_discovery_reconnects_although_idle_clients_use_up_the_descriptors(tmp_path):
     limit, discovery_socket = 96, socket.socket()
@@ -243,31 +232,36 @@
     discovery_socket.bind(("127.0.0.1", 0))
     discovery = "{}:{}".format(*discovery_socket.getsockname())
     sidecar = await Process.start(tmp_path, discovery=discovery, limits={"sockets": limit})
-    client_tasks = [asyncio.create_task(stay_connected_idle(sidecar.address)) for _ in range(150)]
     descriptors_path = f"/proc/{sidecar.process.pid}/fd"
-    most = 0
-    for _ in range(300):
-        most = max(most, len(os.listdir(descriptors_path)))
-        await asyncio.sleep(0.001)
-    assert 40 < most <= limit
-    upstreams = [await Upstream([OK]).start() for _ in range(8)]
-    registry = await Registry().start(sock=discovery_socket)
-    await until(lambda: registry.watches)
-    registry.tell(
-        2, *(entry(f"s{i}", upstream.address) for i, upstream in enumerate(upstreams)), snapshot=True
-    )
-    async with asyncio.timeout(PATIENCE_S):
-        while True:
-            app = await App.connect(sidecar.address)
-            answer = await app.ask()
-            app.close()
-            if answer is not None and answer.body == b"done":
-                break
-    assert len(os.listdir(descriptors_path)) <= limit
-    for task in client_tasks:
-        task.cancel()
-    sidecar.process.terminate()
-    assert await sidecar.process.wait() == 0
+    try:
+        # The idle clients have a process of their own. In the event loop of this test they would delay its
+        # requests until the sidecar has closed their connections, still unread, for newer ones.
+        async with idle_clients(sidecar.address, 150):
+            most = 0
+            for _ in range(300):
+                most = max(most, len(os.listdir(descriptors_path)))
+                await asyncio.sleep(0.001)
+            assert 40 < most <= limit
+            upstreams = [await Upstream([OK]).start() for _ in range(8)]
+            registry = await Registry().start(sock=discovery_socket)
+            await until(lambda: registry.watches)
+            registry.tell(
+                2, *(entry(f"s{i}", upstream.address) for i, upstream in enumerate(upstreams)), snapshot=True
+            )
+            async with asyncio.timeout(PATIENCE_S):
+                while True:
+                    app = await App.connect(sidecar.address)
+                    answer = await app.ask()
+                    app.close()
+                    if answer is not None and answer.body == b"done":
+                        break
+            assert len(os.listdir(descriptors_path)) <= limit
+        sidecar.process.terminate()
+        assert await sidecar.process.wait() == 0
+    finally:
+        if sidecar.process.returncode is None:
+            sidecar.process.kill()
+            await sidecar.process.wait()
     registry.stop()
     for upstream in upstreams:
         upstream.stop()
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import secrets
@@ -14,6 +15,7 @@
 
 from brassfall.controlplane.registry import client
 from brassfall.sidecar.config_values import Address
+from tests.support.idle_clients import CONNECTED
 from tests.support.loopback import PATIENCE_S, SETTINGS, App, entry, listed, until
 
 LOCAL_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
@@ -91,6 +93,31 @@
                 await asyncio.sleep(0.01)
 
 
+@contextlib.asynccontextmanager
+async def idle_clients(address, count):
+    """Run clients that send nothing and connect again whenever they are disconnected, in a process of their
+    own; the block begins once each of them has been connected, and its end ends them."""
+    words = (address.host, str(address.port), str(count), str(2 * PATIENCE_S))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "tests.support.idle_clients",
+        *words,
+        cwd=ROOT,
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            assert await process.stdout.readline() == CONNECTED
+        yield
+        assert process.returncode is None  # they ran throughout
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
 class Platform:
     """Holds the clients' listening socket, and starts processes that inherit it."""
 
