Limit and count the answers kept for a client that does not read them

Cause: one read took 64 KiB, and all requests in it were served at once, as the limit of 16 unanswered requests holds for the next read only. Answers were written to the transport however much of it was unsent, and neither they nor answers that waited for their turn were in the memory budget.

Change: a read ends with the request where its end is known, and takes 2 KiB (8 KiB in a body in chunks) where it is not, so that the rest stays in the socket. Answers wait while earlier ones are unread. Waiting answers, unsent bytes, buffered parts of answers and requests sent before the answers to earlier ones count in the memory budget; without memory an answer waits at its server, or becomes 502. Reads of streamed messages get smaller with the free memory, down to 4 KiB. It works because the number of served requests, and with it the bytes of their answers, no longer follows what a client has sent.

--- a/brassfall/sidecar/body.py
+++ b/brassfall/sidecar/body.py
@@ -13,6 +13,10 @@
 # Largest part of a large message in memory at a time: the buffered part and one read from the socket.
 MAX_STREAMING_BYTES = 2 * MAX_BUFFERED_BYTES
 LAST_CHUNK = b"0\r\n\r\n"
+# Largest part of the free memory that one read of a streamed message may take, so that the streams of many
+# peers leave room for each other.
+READ_SHARE_OF_FREE = 1.0 / 8.0
+MIN_READ_BYTES = 4 * 1024  # Size of a read from the socket that the memory budget always allows
 
 
 class MemoryBudget:
@@ -29,10 +33,46 @@
         self.used += size
         return True
 
+    def reserve_anyway(self, size: int) -> None:
+        """Reserve `size` bytes that are in memory already, even if fewer bytes are free."""
+        self.used += size
+
     def release(self, size: int) -> None:
         """Release `size` bytes that were reserved before."""
         self.used -= size
 
+    @property
+    def read_size(self) -> int:
+        """Number of bytes of a streamed message that may be read at once: fewer, the less memory is free."""
+        share = int((self.limit - self.used) * READ_SHARE_OF_FREE)
+        return max(MIN_READ_BYTES, min(share, MAX_BUFFERED_BYTES))
+
+
+class Reservation:
+    """Part of the memory budget that is reserved for one message or buffer, in bytes."""
+
+    __slots__ = ("size",)
+
+    def __init__(self) -> None:
+        self.size = 0
+
+    def grow(self, budget: MemoryBudget, size: int) -> bool:
+        """Reserve `size` more bytes; if they are not available, return False and reserve nothing."""
+        if not budget.reserve(size):
+            return False
+        self.size += size
+        return True
+
+    def set_anyway(self, budget: MemoryBudget, size: int) -> None:
+        """Set the reservation to `size` bytes, which are in memory already, even above the limit."""
+        budget.reserve_anyway(size - self.size)
+        self.size = size
+
+    def release(self, budget: MemoryBudget) -> None:
+        """Return all bytes to the budget, because they are no longer in memory."""
+        budget.release(self.size)
+        self.size = 0
+
 
 class BodySource(Protocol):
     """The source of a request body: the client's connection."""
--- a/brassfall/sidecar/clients/answer_queue.py
+++ b/brassfall/sidecar/clients/answer_queue.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from typing import Protocol
 
 from brassfall.sidecar import framing
-from brassfall.sidecar.body import MemoryBudget
 from brassfall.sidecar.clients.client_request import ClientRequest, RequestHandler
 from brassfall.sidecar.clients.read_control import PauseReason, ReadControl
 from brassfall.sidecar.clients.streamed_answer import StreamedAnswer
@@ -16,9 +14,11 @@
 class AnsweringConnection(Protocol):
     """Client connection as `AnswerQueue` uses it."""
 
-    transport: asyncio.Transport
     read_control: ReadControl
 
+    def write(self, data: bytes) -> None:
+        """Write a part of an answer to the client, unless the transport is closing."""
+
     @property
     def closes_after_pending_requests(self) -> bool:
         """True if the connection is to be closed once all requests that were read are answered."""
@@ -27,13 +27,10 @@
 class AnswerQueue:
     """Requests of one connection that have no complete answer yet, and the writing of their answers."""
 
-    __slots__ = ("_budget", "_connection", "_handler", "pending")
+    __slots__ = ("_connection", "_handler", "pending")
 
-    def __init__(
-        self, connection: AnsweringConnection, budget: MemoryBudget, handler: RequestHandler
-    ) -> None:
+    def __init__(self, connection: AnsweringConnection, handler: RequestHandler) -> None:
         self._connection = connection
-        self._budget = budget
         self._handler = handler
         self.pending: deque[ClientRequest] = deque()  # unanswered requests in their order
 
@@ -54,13 +51,13 @@
         elif request.complete_answer is not None:
             request.announces_close = self._closes_connection(request)
             status, headers, body = request.complete_answer
-            self._connection.transport.write(
+            self._connection.write(
                 framing.serialize_answer(status, headers, body, close=request.announces_close)
             )
         else:
             return None
         self.pending.popleft()
-        request.reservation.release(self._budget)
+        request.release_memory()
         if request.reading and request.driver_request is not None:
             # The rest of this request's body will not be read, so no attempt may go on waiting for it.
             self._handler.client_disconnected(request.driver_request)
@@ -74,7 +71,7 @@
         requests = list(self.pending)
         self.pending.clear()
         for request in requests:
-            request.reservation.release(self._budget)
+            request.release_memory()
             driver_request, request.driver_request = request.driver_request, None
             if driver_request is not None:
                 self._handler.client_disconnected(driver_request)
--- a/brassfall/sidecar/clients/client_connection.py
+++ b/brassfall/sidecar/clients/client_connection.py
@@ -16,7 +16,7 @@
 from typing import Protocol
 
 from brassfall.sidecar import framing
-from brassfall.sidecar.body import MAX_BUFFERED_BYTES, MAX_STREAMING_BYTES, Body, MemoryBudget
+from brassfall.sidecar.body import MAX_BUFFERED_BYTES, Body, MemoryBudget, Reservation
 from brassfall.sidecar.clients.answer_queue import AnswerQueue
 from brassfall.sidecar.clients.client_request import ClientRequest, RequestHandler
 from brassfall.sidecar.clients.connection_state import (
@@ -28,11 +28,14 @@
 )
 from brassfall.sidecar.clients.connection_timeouts import MAX_UNSENT_BYTES, ConnectionTimeouts
 from brassfall.sidecar.clients.read_control import PauseReason, ReadControl
-from brassfall.sidecar.clients.request_message import BadRequestError, RequestMessage, Reservation
+from brassfall.sidecar.clients.request_message import BadRequestError, RequestMessage
 from brassfall.sidecar.clients.request_parser import RequestParser
 from brassfall.sidecar.core.clock import Clock
 
 MAX_PENDING_REQUESTS = 16  # number of unanswered requests at which a connection is no longer read
+# Memory that a request takes until it is answered, apart from its bytes, in bytes. It is reserved for each
+# request that a client sends before the answer to an earlier one.
+PENDING_REQUEST_BYTES = 8 * 1024
 # Largest number of written bytes that the client's own socket may hold, in bytes: Linux's default limit.
 MAX_CLIENT_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 JUST_OPENED_MS = 100.0  # time after the accept in which a client's first request is expected, in ms
@@ -83,9 +86,13 @@
         self._owner = owner
         self._state = ConnectionState.CONNECTING
         self._parser = RequestParser(self, owner.budget)
-        self._answers = AnswerQueue(self, owner.budget, owner.handler)
+        self._answers = AnswerQueue(self, owner.handler)
+        self._unsent = Reservation()  # memory of the bytes that the transport holds for the client
         self._large_request: ClientRequest | None = None  # large request whose body is being read
         self._parsing = False  # True while the parser reads bytes; answers are written only afterwards
+        self._read_size = 0  # largest number of bytes of the current read
+        self._batch_left = 0  # number of unread bytes of the batch that is being read, see `_count_batch`
+        self._last_batch = False  # True if the connection is to be closed after the current batch
 
     # --- state ------------------------------------------------------------------
 
@@ -140,10 +147,21 @@
             return True
         return self._state in ACCEPTS_INPUT and self.readable
 
+    @property
+    def budget(self) -> MemoryBudget:
+        """Memory budget of all messages."""
+        return self._owner.budget
+
     @property
     def closes_after_pending_requests(self) -> bool:
-        """True if the connection is to be closed once all requests that were read are answered."""
-        return self._owner.closes_after_answers and self._state is not READING_REQUEST
+        """True if the connection is to be closed once all requests that were read are answered.
+
+        The requests that had arrived together with them are read and answered before.
+        """
+        if not self._owner.closes_after_answers:
+            self._last_batch = False
+            return False
+        return self._batch_left <= 0 and self._state is not READING_REQUEST
 
     def _change_state(self, state: ConnectionState) -> None:
         """Change the state; raises `ConnectionStateError` if the current state does not allow it."""
@@ -197,10 +215,17 @@
         self.timeouts.start_request_timer()
         self._owner.connection_opened(self)
 
+    @property
+    def next_read_size(self) -> int:
+        """Largest number of bytes of the next read. Used by the event loop."""
+        self._read_size = self._parser.next_read_size
+        return self._read_size
+
     def data_received(self, data: bytes) -> None:
         """Read requests from `data`. Called by the event loop."""
         if self._state not in ACCEPTS_INPUT:
             return
+        self._count_batch(len(data))
         self.last_read_at = self.quiet_since = self._owner.clock.now()
         if self._large_request is not None and self._client_must_write_more(len(data)):
             self.read_control.restart_lag()
@@ -208,9 +233,22 @@
         if error is not None:
             self.reject_input(error.status)
         self.write_ready_answers()
-        if len(data) < MAX_BUFFERED_BYTES:
+        if len(data) < self._read_size:
             self.read_control.next_read_may_be_stale = False  # a short read has emptied the socket buffer
 
+    def _count_batch(self, size: int) -> None:
+        """Count the bytes that arrived together, in a batch of at most `MAX_BUFFERED_BYTES`.
+
+        `size` is the number of bytes just read. A connection that is to be closed reads one more batch.
+        """
+        if size < self._read_size:
+            self._batch_left = 0
+        elif self._batch_left > 0:
+            self._batch_left -= size
+        elif not self._last_batch:
+            self._batch_left = min(framing.unread_bytes(self.transport) or 0, MAX_BUFFERED_BYTES)
+            self._last_batch = self._owner.closes_after_answers
+
     def _parse_requests(self, data: bytes) -> BadRequestError | None:
         """Serve the requests in `data`; return the error if `data` contains invalid input.
 
@@ -233,16 +271,19 @@
 
         This limits the memory used for a client that sends requests without reading the answers.
         """
+        self._count_unsent_bytes()
         self.timeouts.start_answer_timer()
         self.read_control.pause(PauseReason.UNREAD_ANSWERS)
         self._answers.pause_stream()
 
     def resume_writing(self) -> None:
         """Resume reading, because the client has read its answers. Called by the event loop."""
+        self._unsent.release(self._owner.budget)
         if not self.transport.is_closing():  # a closing connection keeps its time limit for the answer
             self.timeouts.stop_answer_timer()
         self.read_control.resume(PauseReason.UNREAD_ANSWERS)
         self._answers.resume_stream()
+        self.write_ready_answers()
 
     def eof_received(self) -> bool:
         """Close the connection, because the client has ended its sending. Called by the event loop."""
@@ -257,6 +298,7 @@
         self.read_control.disconnected()
         self._owner.connection_closed(self, last_state)
         self._abandon_pending_requests()
+        self._unsent.release(self._owner.budget)
 
     # --- streaming of a large body (body.Source) --------------------------------------
 
@@ -367,7 +409,10 @@
             self._complete_large_request(self._large_request)
             return
         request = self._append_request(message, keep_alive=self._parser.keep_alive)
-        self._owner.serve_request(request, message, self.last_read_at)
+        if len(self._answers.pending) == 1 or request.reservation.grow(self.budget, PENDING_REQUEST_BYTES):
+            self._owner.serve_request(request, message, self.last_read_at)
+        else:
+            request.send_rejection(0.0)
         self._stop_reading_after_last_request(request)
         if len(self._answers.pending) >= MAX_PENDING_REQUESTS:
             self.read_control.pause(PauseReason.MANY_PENDING_REQUESTS)
@@ -390,6 +435,7 @@
             self._owner.handler.body_read(request.driver_request, self.last_read_at)
 
     def _body_discarded(self, request: ClientRequest) -> None:
+        request.reservation.release(self.budget)
         if request.driver_request is not None:
             self._owner.handler.body_discarded(request.driver_request)
 
@@ -400,22 +446,35 @@
 
     # --- answers ----------------------------------------------------------------
 
-    def reserve_stream_memory(self, request: ClientRequest) -> None:
-        """Reserve memory for the streamed answer of `request`, even above the limit of the budget."""
-        self._owner.budget.used += MAX_STREAMING_BYTES
-        request.reservation.size += MAX_STREAMING_BYTES
-
     def write(self, data: bytes) -> None:
         """Write a part of an answer to the client, unless the transport is closing."""
         if not self.transport.is_closing():
             self.transport.write(data)
+            if self._unsent.size:
+                self._count_unsent_bytes()
+
+    def _count_unsent_bytes(self) -> None:
+        """Count the bytes in the memory budget that the client's socket does not take for now."""
+        self._unsent.set_anyway(self._owner.budget, self.transport.get_write_buffer_size())
+
+    def answer_completed(self, request: ClientRequest) -> None:
+        """Write the complete answer of `request`, or keep it until its turn.
+
+        If there is no memory to keep it, the client gets a failure in its place.
+        """
+        self.write_ready_answers()
+        answer = request.complete_answer
+        if answer is None or not answer.body or request not in self._answers.pending:
+            return
+        if not request.reservation.grow(self._owner.budget, len(answer.body)):
+            request.drop_answer()
 
     def write_ready_answers(self) -> None:
-        """Write the available answers, in the order of their requests."""
+        """Write the available answers, in the order of their requests, as long as the client reads them."""
         if self._parsing or self._state is CLOSED:
             return
         pending = self._answers.pending
-        while pending:
+        while pending and not self.read_control.paused_for(PauseReason.UNREAD_ANSWERS):
             request = self._answers.write_first_answer()
             if request is None:
                 return
--- a/brassfall/sidecar/clients/client_request.py
+++ b/brassfall/sidecar/clients/client_request.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import NamedTuple, Protocol
 
 from brassfall.sidecar import framing
-from brassfall.sidecar.body import Body
+from brassfall.sidecar.body import Body, MemoryBudget, Reservation
 from brassfall.sidecar.clients import request_checks
-from brassfall.sidecar.clients.request_message import RequestMessage, Reservation
+from brassfall.sidecar.clients.request_message import RequestMessage
 from brassfall.sidecar.clients.streamed_answer import StreamedAnswer
 from brassfall.sidecar.config_values import WireNames, stable_number
 from brassfall.sidecar.core.attempts import Request
@@ -17,15 +18,19 @@
 class AnswerWriter(Protocol):
     """Connection on which a request arrived and on which its answer is written."""
 
+    @property
+    def budget(self) -> MemoryBudget:
+        """Memory budget of all messages."""
+
     def write_ready_answers(self) -> None:
         """Write the available answers, in the order of their requests."""
 
+    def answer_completed(self, request: ClientRequest) -> None:
+        """Write the complete answer of `request`, or keep it until its turn."""
+
     def write(self, data: bytes) -> None:
         """Write a part of an answer to the client."""
 
-    def reserve_stream_memory(self, request: ClientRequest) -> None:
-        """Reserve memory for the streamed answer of `request`."""
-
     def close_if_client_left(self) -> bool:
         """Close the connection if the client of a request just read has closed it; return whether it has."""
 
@@ -169,9 +174,12 @@
         """Begin to pass on a large answer of a server, of which the first part has arrived."""
         if self.complete_answer is None and self.streamed_answer is None:
             self.streamed_answer = StreamedAnswer(
-                self.connection.write, answer, flow, accepts_chunked=self.accepts_chunked
+                self.connection.write,
+                answer,
+                flow,
+                self.connection.budget,
+                accepts_chunked=self.accepts_chunked,
             )
-            self.connection.reserve_stream_memory(self)
             self.connection.write_ready_answers()
 
     def continue_answer(self, data: bytes) -> None:
@@ -196,6 +204,7 @@
         if self.streamed_answer.started:
             self.connection.abort()
         else:
+            self.streamed_answer.discard_waiting_parts()
             self.streamed_answer = None
             self.send_failure(late=False)
 
@@ -203,4 +212,17 @@
         """Give a complete final answer; no effect if the request already has an answer."""
         if self.complete_answer is None and self.streamed_answer is None:
             self.complete_answer = CompleteAnswer(status, headers, body)
-            self.connection.write_ready_answers()
+            self.connection.answer_completed(self)
+
+    def drop_answer(self) -> None:
+        """Replace the complete answer, which waits for its turn, by a failure without a body.
+
+        The status is no rejection, because the request may have had an effect.
+        """
+        self.complete_answer = CompleteAnswer(HTTPStatus.BAD_GATEWAY, [], b"")
+
+    def release_memory(self) -> None:
+        """Return all memory that is reserved for the request and its answer to the budget."""
+        self.reservation.release(self.connection.budget)
+        if self.streamed_answer is not None:
+            self.streamed_answer.discard_waiting_parts()
--- a/brassfall/sidecar/clients/request_message.py
+++ b/brassfall/sidecar/clients/request_message.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from brassfall.sidecar.body import Body, MemoryBudget
+from brassfall.sidecar.body import Body, Reservation
 from brassfall.sidecar.framing import Headers
 
 
@@ -20,27 +20,6 @@
         self.reason = reason
 
 
-class Reservation:
-    """Part of the memory budget that is reserved for one message, in bytes."""
-
-    __slots__ = ("size",)
-
-    def __init__(self) -> None:
-        self.size = 0
-
-    def grow(self, budget: MemoryBudget, size: int) -> bool:
-        """Reserve `size` more bytes; if they are not available, return False and reserve nothing."""
-        if not budget.reserve(size):
-            return False
-        self.size += size
-        return True
-
-    def release(self, budget: MemoryBudget) -> None:
-        """Return all bytes to the budget, because the message is no longer in memory."""
-        budget.release(self.size)
-        self.size = 0
-
-
 class RequestMessage:
     """Request that is being read from a client connection."""
 
@@ -51,6 +30,7 @@
         self.body = bytearray()  # body of a request that is buffered completely
         self.streamed_body: Body | None = None  # body of a large request, which is forwarded as it arrives
         self.size = 0  # number of bytes read, framing included
+        self.length: int | None = None  # length of the body that the head states; None if it states none
         self.body_size = 0  # number of bytes of the body read
         self.reservation = Reservation()
         self.head_complete = False
--- a/brassfall/sidecar/clients/request_parser.py
+++ b/brassfall/sidecar/clients/request_parser.py
@@ -13,6 +13,10 @@
 from brassfall.sidecar.clients.request_message import BadRequestError, RequestMessage
 
 LINE_BREAK_BYTES = b"\r\n"  # bytes of which empty lines consist
+# Largest read while the end of the current request is not known: its head is incomplete, or its body has
+# chunks. A read may contain many short requests, which are all served in one turn of the event loop.
+HEAD_READ_BYTES = 2 * 1024
+CHUNKED_READ_BYTES = 8 * 1024
 # Number of bytes that a request may take for each byte of its body, framing included. A chunk with one byte
 # of the body takes six bytes.
 REQUEST_BYTES_PER_BODY_BYTE = 8
@@ -60,6 +64,18 @@
         """True if the client of the request just read understands chunked answers, as of HTTP/1.1."""
         return self._parser.get_http_version() != "1.0"
 
+    @property
+    def next_read_size(self) -> int:
+        """Largest number of bytes of the next read, such that few of them belong to later requests."""
+        message = self.message
+        if self._stopped:
+            return MAX_BUFFERED_BYTES  # the bytes are dropped
+        if message is None or not message.head_complete:
+            return HEAD_READ_BYTES
+        if message.length is None:
+            return min(CHUNKED_READ_BYTES, self._budget.read_size)
+        return min(max(1, message.length - message.body_size), self._budget.read_size)
+
     def feed(self, data: bytes) -> None:
         """Parse `data` and pass the requests in it to the receiver.
 
@@ -150,8 +166,10 @@
         check_framing(message, self._parser.get_http_version(), upgrade=self._parser.should_upgrade())
         message.method = self._parser.get_method().decode("latin-1")
         length = message.header("content-length")
-        if length is not None and length.isdigit() and int(length) > framing.MAX_BODY_BYTES:
-            raise BadRequestError(413, "the body of the request is too large")
+        if length is not None and length.isdigit():
+            message.length = int(length)
+            if message.length > framing.MAX_BODY_BYTES:
+                raise BadRequestError(413, "the body of the request is too large")
         self._receiver.head_read(message)
 
     def on_body(self, data: bytes) -> None:
--- a/brassfall/sidecar/clients/streamed_answer.py
+++ b/brassfall/sidecar/clients/streamed_answer.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from brassfall.sidecar.body import MemoryBudget, Reservation
 from brassfall.sidecar.core.interfaces import Answer, FlowControl
 from brassfall.sidecar.framing import header_lines
 
@@ -12,11 +13,18 @@
     """Answer that is written to the client in parts, of which the first part has arrived."""
 
     def __init__(
-        self, write: Callable[[bytes], None], answer: Answer, flow: FlowControl, *, accepts_chunked: bool
+        self,
+        write: Callable[[bytes], None],
+        answer: Answer,
+        flow: FlowControl,
+        budget: MemoryBudget,
+        *,
+        accepts_chunked: bool,
     ) -> None:
         """Pass on `answer` by calls of `write`, and pause and resume the server's connection by `flow`.
 
-        `accepts_chunked` is whether the client understands chunked answers.
+        Parts that wait for their turn are counted in `budget`. `accepts_chunked` is whether the client
+        understands chunked answers.
         """
         self.flow = flow
         self.started = False  # True if the head has been written
@@ -25,6 +33,9 @@
         self._answer = answer
         self._accepts_chunked = accepts_chunked
         self._waiting_parts = [answer.body]  # parts of the body that arrived before `start`
+        self._budget = budget
+        self._reservation = Reservation()  # memory of the waiting parts
+        self._reservation.set_anyway(budget, len(answer.body))
 
     def add_part(self, data: bytes) -> None:
         """Write a part of the body; before `start`, buffer it and pause the server's connection."""
@@ -32,6 +43,7 @@
             self._write(self._encode(data))
         else:
             self._waiting_parts.append(data)
+            self._reservation.set_anyway(self._budget, self._reservation.size + len(data))
             self.flow.pause()
 
     def start(self, *, announce_close: bool) -> None:
@@ -46,11 +58,16 @@
             headers.append((b"Transfer-Encoding", b"chunked"))
         if announce_close:
             headers.append((b"Connection", b"close"))
-        parts, self._waiting_parts = self._waiting_parts, []
+        body = b"".join(self._encode(part) for part in self._waiting_parts)
         self.started = True
-        body = b"".join(self._encode(part) for part in parts)
+        self.discard_waiting_parts()
         self._write(b"HTTP/1.1 200 OK\r\n%b\r\n%b" % (header_lines(headers), body))
 
+    def discard_waiting_parts(self) -> None:
+        """Drop the parts of the body that are not written, and return their memory to the budget."""
+        self._waiting_parts.clear()
+        self._reservation.release(self._budget)
+
     def end(self) -> None:
         """Write the last chunk of a chunked answer; other answers need no end."""
         if self._chunked:
--- a/brassfall/sidecar/framing.py
+++ b/brassfall/sidecar/framing.py
@@ -152,9 +152,14 @@
 
     _buffer = memoryview(bytearray(MAX_BUFFERED_BYTES))
 
+    @property
+    def next_read_size(self) -> int:
+        """Largest number of bytes of the next read; what the peer has sent beyond it stays in the socket."""
+        return MAX_BUFFERED_BYTES
+
     def get_buffer(self, _sizehint: int) -> memoryview:
-        """Return the shared buffer; the event loop reads into it just before it calls `buffer_updated`."""
-        return self._buffer
+        """Return where the event loop reads to, just before it calls `buffer_updated`."""
+        return self._buffer[: self.next_read_size]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process the bytes that the event loop has read into the buffer."""
--- a/brassfall/sidecar/lifecycle/sidecar.py
+++ b/brassfall/sidecar/lifecycle/sidecar.py
@@ -62,6 +62,7 @@
         if configuration.registry:
             self.admin.add_command("LIST", lambda: self.discovery.state)
         self.inbound = Inbound(loop, self._clock, configuration, self.driver, self.lifecycle)
+        self.pool.budget = self.inbound.budget
         self.peers = Peers(configuration, self.driver.peer_message)
         self.member = self._create_member() if configuration.agreement is not None else None
 
--- a/brassfall/sidecar/servers/pool.py
+++ b/brassfall/sidecar/servers/pool.py
@@ -12,6 +12,7 @@
 from types import MappingProxyType
 
 from brassfall.balancer.model import EndpointEntry, Outcome
+from brassfall.sidecar.body import MemoryBudget
 from brassfall.sidecar.config import Config
 from brassfall.sidecar.config_values import Address
 from brassfall.sidecar.core.clock import MAX_PROCESS_PAUSE_MS, Clock
@@ -27,6 +28,7 @@
 # Margin, in milliseconds, before the end of a draining server's grace period. A request that is started later
 # could be written only after that end if this process pauses.
 GRACE_MARGIN_MS = MAX_PROCESS_PAUSE_MS
+UNLIMITED = 2**62  # Limit, in bytes, of the memory budget of a pool that has none
 POOL_SHARE = 0.5  # Share of the descriptors available to this process that server connections may use
 
 
@@ -42,6 +44,7 @@
         self.loop = loop
         self.max_connections = 1  # Limit of established connections and those that are being opened
         self.delays: DelayObserver | None = None
+        self.budget = MemoryBudget(UNLIMITED)  # Memory budget of all messages
         self.revision_header: Callable[[], bytes] | None = None
         answers = AnswerReader(config.settings)
         self.result = answers.result
--- a/brassfall/sidecar/servers/server_connection.py
+++ b/brassfall/sidecar/servers/server_connection.py
@@ -18,7 +18,7 @@
 
 from brassfall.balancer.model import Outcome
 from brassfall.sidecar import framing
-from brassfall.sidecar.body import MAX_BUFFERED_BYTES, Body
+from brassfall.sidecar.body import MAX_BUFFERED_BYTES, Body, MemoryBudget, Reservation
 from brassfall.sidecar.config_values import Address
 from brassfall.sidecar.core.interfaces import Answer, ExchangeResult
 from brassfall.sidecar.servers.exchange import Exchange
@@ -67,6 +67,7 @@
 
     loop: asyncio.AbstractEventLoop
     delays: DelayObserver | None
+    budget: MemoryBudget
 
     def connection_idle(self, connection: ServerConnection) -> None:
         """Handle that a connection has become idle and can be used again."""
@@ -125,6 +126,8 @@
         self._last_read = 0.0  # Event loop time of the last read from the server, in seconds
         self._reused = False  # True if the connection has carried an exchange before the current one
         self._reading_paused = False
+        self._buffered = Reservation()  # Memory of the part of an answer that is buffered here
+        self._unsent = Reservation()  # Memory of the bytes of a request that the transport holds
 
     @property
     def closed(self) -> bool:
@@ -167,8 +170,15 @@
         self._body = exchange.body
         if exchange.body is not None:
             exchange.body.attach(self)
+        self._count_unsent_bytes()
         self._check_written()
 
+    def _count_unsent_bytes(self) -> None:
+        """Count the bytes in the memory budget that the server does not take for now."""
+        unsent = self._transport.get_write_buffer_size()
+        if unsent or self._unsent.size:
+            self._unsent.set_anyway(self._pool.budget, unsent)
+
     def _check_written(self) -> None:
         """Update `written`, which is False while bytes of the request are buffered in this process.
 
@@ -190,6 +200,7 @@
             self.abort()
         else:
             self._transport.write(data)
+            self._count_unsent_bytes()
 
     def body_complete(self) -> None:
         """Handle that the last part of the request body has been passed to the transport."""
@@ -215,6 +226,7 @@
         if self._write_timer is not None:
             self._write_timer.cancel()
             self._write_timer = None
+        self._unsent.release(self._pool.budget)
         if self._body is not None:
             self._body.resume()
         if not self.written:
@@ -222,6 +234,11 @@
 
     # --- reading the answer -----------------------------------------------------------------
 
+    @property
+    def next_read_size(self) -> int:
+        """Largest number of bytes of the next read: fewer, the less memory is free."""
+        return self._pool.budget.read_size
+
     def data_received(self, data: bytes) -> None:
         """Process a part of an answer; called by the event loop."""
         if self._exchange is None:
@@ -262,14 +279,15 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Handle that the connection is closed, by whichever side; called by the event loop."""
         self.state = CLOSED
+        self._unsent.release(self._pool.budget)
         self._pool.connection_closed(self)
         self._close_broken()
 
     def _buffer_or_stream(self) -> None:
-        """Keep an incomplete answer in the buffer, or start to stream it to the client if it is large.
+        """Keep an incomplete answer in the buffer, or start to stream it to the client.
 
-        An answer of unknown length is buffered for `HOLD_S`: if it is small and breaks off, the request can
-        still be sent to another server.
+        An answer is streamed if it is large or if no memory is free for it. An answer of unknown length is
+        buffered for `HOLD_S`: if it is small and breaks off, the request can still be sent to another server.
         """
         assert self._exchange is not None
         if self._exchange.observer is None:
@@ -277,9 +295,9 @@
                 self._close_broken()
             return
         length = self._parser.length
-        if len(self._parser.body) > MAX_BUFFERED_BYTES or (
-            length is not None and length > MAX_BUFFERED_BYTES
-        ):
+        received = len(self._parser.body)
+        large = max(received, length or 0) > MAX_BUFFERED_BYTES
+        if large or not self._buffered.grow(self._pool.budget, received - self._buffered.size):
             self._start_streaming()
         elif length is None and self._hold_timer is None:
             self._hold_timer = self._pool.loop.call_later(HOLD_S, self._start_streaming)
@@ -294,6 +312,7 @@
         self.state = STREAMING_ANSWER
         answer = Answer(client_headers(self._parser), bytes(self._parser.body), self._parser.length)
         self._parser.body.clear()
+        self._buffered.release(self._pool.budget)
         self._silence_timer = self._pool.loop.call_later(STALLED_S, self._check_silence)
         self._parser.sink = self._exchange.observer.answer_started(answer, self)
 
@@ -373,4 +392,5 @@
             self._body.detach(self)
             self._body = None
         self._parser.sink = None
+        self._buffered.release(self._pool.budget)
         return exchange
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -80,6 +80,7 @@
         "sidecar/server_incarnations",
         "sidecar/simultaneous_events",
         "sidecar/standing_brink",
+        "sidecar/unread_answers",
         "sidecar/unwanted_attempts",
         "sidecar/upgrade",
         "sidecar/upload_deadlines",
