Drop the last answer of an idle connection to a server

What operators saw: memory that grows with the number of idle connections to servers.

Cause: the parser of a connection keeps headers and body of its last answer until the next request begins, up to 64 KiB for each idle connection.

Change: both are dropped once the result of the exchange is made; only the status is needed later.

Evidence: the new test of `tests/sidecar/test_pool.py` finds 60,000 bytes behind an idle connection without the change.

--- a/brassfall/sidecar/framing.py
+++ b/brassfall/sidecar/framing.py
@@ -207,6 +207,11 @@
         self._framed = False  # True if the head states where the body ends
         self._overhead = 0  # Number of bytes of heads, framing and trailers since the body last grew
 
+    def drop_content(self) -> None:
+        """Drop the headers and the body of a complete answer, of which only the status is still needed."""
+        self.headers = []
+        self.body = bytearray()
+
     def feed(self, data: bytes) -> None:
         """Parse the next bytes of the answer.
 
--- a/brassfall/sidecar/servers/server_connection.py
+++ b/brassfall/sidecar/servers/server_connection.py
@@ -347,6 +347,7 @@
         if exchange is None:
             return
         result = self._pool.result(self._parser, health_check=exchange.observer is None)
+        self._parser.drop_content()  # an idle connection keeps no memory of its last answer
         if reusable:
             self.state = IDLE
             self._pool.connection_idle(self)
--- a/tests/sidecar/test_pool.py
+++ b/tests/sidecar/test_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import gc
 import math
 import socket
 import time
@@ -11,6 +12,8 @@
 import pytest
 
 from brassfall.balancer.model import CloseIdleConnections, Outcome, SendAttempt
+from brassfall.sidecar.framing import AnswerParser
+from brassfall.sidecar.servers.server_connection import ServerConnection
 from tests.support.loopback import (
     OK,
     App,
@@ -21,6 +24,7 @@
     hang,
     loopback,
     running,
+    running_until_idle,
     until,
 )
 from tests.support.pools import pool_of, servers_of
@@ -285,3 +289,33 @@
     assert result.outcome == Outcome.CONNECT_FAILED and not upstream.seen
     pool.close()
     upstream.stop()
+
+
+def messages_kept_by(connection):
+    """Return the number of bytes of messages that a server connection refers to."""
+    seen, objects, kept = set(), [connection], 0
+    while objects:
+        item = objects.pop()
+        if id(item) in seen:
+            continue
+        seen.add(id(item))
+        if isinstance(item, bytes | bytearray):
+            kept += len(item)
+        elif isinstance(item, dict | list | ServerConnection | AnswerParser):
+            objects += gc.get_referents(item)
+    return kept
+
+
+@loopback
+async def test_an_idle_connection_keeps_nothing_of_its_last_answer():
+    """Guards against memory that grows with the idle connections: each once kept up to 64 KiB."""
+    size, head = 60_000, b"HTTP/1.1 200 OK\r\nX-Long: %b\r\nContent-Length: %d\r\n\r\n"
+    answer = head % (1000 * b"h", size) + size * b"x"
+    upstream = await Upstream([answer]).start()
+    async with running_until_idle(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        assert len((await app.ask()).body) == size
+        await until(lambda: sidecar.pool.idle_connections)
+        (connection,) = sidecar.pool.idle_connections
+        assert messages_kept_by(connection) < 1000
+        assert (await app.ask()).status == 200
