--- a/brassfall/sidecar/clients/request_checks.py
+++ b/brassfall/sidecar/clients/request_checks.py
@@ -17,14 +17,19 @@
 CALL_ID_PATTERN = re.compile(r"[!-~]{1,128}")  # form of `X-Call-Id`: printable ASCII without blanks
 
 
+def path_class_name(message: RequestMessage) -> str:
+    """Return the first part of the path, which has to be the name of a class."""
+    path = message.target.partition(b"?")[0].decode("latin-1")
+    return path.split("/")[1] if path.startswith("/") else ""
+
+
 def request_class(message: RequestMessage, names: WireNames) -> RequestClass:
     """Return the class of a request.
 
     The first part of the path and the header `X-Call-Class` have to name the same class. The class determines
     the method, and whether an idempotency key is required.
     """
-    path = message.target.partition(b"?")[0].decode("latin-1")
-    class_name = path.split("/")[1] if path.startswith("/") else ""
+    class_name = path_class_name(message)
     if class_name not in names.classes:
         # A request with `X-Call-Class` is meant for servers, but names a class that does not exist.
         status = 400 if message.header("x-call-class") is not None else 404
--- a/brassfall/sidecar/config_values.py
+++ b/brassfall/sidecar/config_values.py
@@ -23,13 +23,37 @@
     port: int
 
 
+# How many servers share the idempotency keys of a class, by the class's `Group` in the settings.
+KEY_SCOPE_RANKS = {"cell": 1, "zone": 2, "all": 3}
+DEFAULT_KEY_SCOPE = "cell"
+
+
+class RepeatLimits(NamedTuple):
+    """How freely a request may be sent again after an attempt that may have run; lower values allow less."""
+
+    scope_rank: float  # Value of `KEY_SCOPE_RANKS`; 0 for a class without idempotency keys
+    key_ttl_ms: float  # Time for which servers know an idempotency key
+
+
+NO_REPEATS = RepeatLimits(0, 0.0)
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """A request class: its slot in the settings and the HTTP method that its requests must have."""
+    """A request class: its slot in the settings, and what a reload compares to tell if it is another one."""
 
     slot: int  # Index of the class in the settings' profiles, which a reload keeps
     method: str
     keyed: bool  # True if requests of the class carry an idempotency key
+    repeat_limits: RepeatLimits = NO_REPEATS  # Only for classes that are keyed
+
+    def same_semantics(self, other: RequestClass) -> bool:
+        """Return whether requests of both classes are accepted and sent again under the same rules."""
+        return (self.method, self.keyed, self.repeat_limits) == (
+            other.method,
+            other.keyed,
+            other.repeat_limits,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,11 +118,22 @@
 
 def _request_class(slot: int, row: Mapping[str, Any]) -> RequestClass:
     semantics = row["Semantics"]
+    keyed = semantics == "token"
     return RequestClass(
-        slot=slot, method="GET" if semantics == "pure" else "POST", keyed=semantics == "token"
+        slot=slot,
+        method="GET" if semantics == "pure" else "POST",
+        keyed=keyed,
+        repeat_limits=_repeat_limits(row) if keyed else NO_REPEATS,
     )
 
 
+def _repeat_limits(row: Mapping[str, Any]) -> RepeatLimits:
+    """Return the limits of a keyed class; values that are not valid are reported by `balancer.settings`."""
+    scope_rank = KEY_SCOPE_RANKS.get(str(row.get("Group", DEFAULT_KEY_SCOPE)), 0)
+    key_ttl_ms = row.get("KeyTtl")
+    return RepeatLimits(scope_rank, key_ttl_ms if isinstance(key_ttl_ms, int | float) else 0.0)
+
+
 def _indices(names: Iterable[object]) -> dict[str, int]:
     return {str(name): index for index, name in enumerate(names)}
 
--- a/brassfall/sidecar/reload.py
+++ b/brassfall/sidecar/reload.py
@@ -118,12 +118,16 @@
 
 
 def _assign_slots(running: Config, loaded: Config, slots_in_use: Collection[int]) -> _SlotAssignment:
-    """Assign a slot to each request class: its old slot if the class is unchanged, else a free slot."""
+    """Assign a slot to each request class: its old slot if the class is unchanged, else a free slot.
+
+    A class whose keys other servers share, or share for another time, is another class: clients go on using
+    the previous one for a while, and its requests may be sent again only under its own limits.
+    """
     before = running.names.classes
     same = {
         name: replace(new, slot=before[name].slot)
         for name, new in loaded.names.classes.items()
-        if name in before and (before[name].method, before[name].keyed) == (new.method, new.keyed)
+        if name in before and new.same_semantics(before[name])
     }
     unchanged = frozenset(request_class.slot for request_class in same.values())
     # Clients may use the previous classes for a while, so that their slots are not free yet.
