Close the connection at the end of a long answer if the process stops meanwhile

Cause: whether a connection closes after an answer was decided when its head was written, which for a long answer is long before its end.

Change: at the end of a streamed answer the question is asked again, and the connection is closed with the last byte. It works because a request that crosses the close stays unread, which the protocol lets the client send once more. LAMEDUCK and the high-water mark of connections have the same decision and are fixed with it.

Evidence: four variants of the new test of `tests/sidecar/test_graceful_shutdown.py` (SIGTERM, LAMEDUCK; a length, chunks) fail on the code before and pass now.

--- a/brassfall/sidecar/clients/answer_queue.py
+++ b/brassfall/sidecar/clients/answer_queue.py
@@ -48,11 +48,13 @@
         if request.streamed_answer is not None:
             if not self._write_streamed_answer(request, request.streamed_answer):
                 return None
+            # The head of a long answer may have been written before the connection had to be closed.
+            request.closes_connection = request.closes_connection or self._closes_connection(request)
         elif request.complete_answer is not None:
-            request.announces_close = self._closes_connection(request)
+            request.closes_connection = self._closes_connection(request)
             status, headers, body = request.complete_answer
             self._connection.write(
-                framing.serialize_answer(status, headers, body, close=request.announces_close)
+                framing.serialize_answer(status, headers, body, close=request.closes_connection)
             )
         else:
             return None
@@ -90,9 +92,9 @@
         """Write as much of a streamed answer as has arrived; return whether it is complete."""
         control = self._connection.read_control
         if not stream.started:
-            request.announces_close = self._closes_connection(request) or stream.delimited_by_close
-            stream.start(announce_close=request.announces_close)
-            if request.announces_close and not request.reading:
+            request.closes_connection = self._closes_connection(request) or stream.delimited_by_close
+            stream.start(announce_close=request.closes_connection)
+            if request.closes_connection and not request.reading:
                 control.pause(PauseReason.CLOSE_ANNOUNCED)
             if control.paused_for(PauseReason.UNREAD_ANSWERS):
                 stream.flow.pause()
--- a/brassfall/sidecar/clients/client_connection.py
+++ b/brassfall/sidecar/clients/client_connection.py
@@ -428,7 +428,7 @@
         self._large_request = None
         request.keep_alive = request.keep_alive and self._parser.keep_alive
         self._stop_reading_after_last_request(request)
-        if request.announces_close:
+        if request.closes_connection:
             self.read_control.pause(PauseReason.CLOSE_ANNOUNCED)
         request.body.end()
         if request.driver_request is not None:
@@ -478,7 +478,7 @@
             request = self._answers.write_first_answer()
             if request is None:
                 return
-            if request.announces_close:
+            if request.closes_connection:
                 self._close_after_last_answer()
                 return
             self.quiet_since = self._owner.clock.now()
--- a/brassfall/sidecar/clients/client_request.py
+++ b/brassfall/sidecar/clients/client_request.py
@@ -83,7 +83,7 @@
         """Create a request on `connection`, which may carry more requests if `keep_alive` is True."""
         self.connection = connection
         self.keep_alive = keep_alive
-        self.announces_close = False  # True if the head of the answer announces the close of the connection
+        self.closes_connection = False  # True if the connection is to be closed after the answer
         self.driver_request: Request | None = None  # driver's record of this request, until it is answered
         self.complete_answer: CompleteAnswer | None = None
         self.streamed_answer: StreamedAnswer | None = None  # large answer, in place of `complete_answer`
--- a/tests/sidecar/test_graceful_shutdown.py
+++ b/tests/sidecar/test_graceful_shutdown.py
@@ -22,6 +22,15 @@
     count_reading_requests,
     last_answer_on,
 )
+from tests.support.large_messages import (
+    CHUNKED_HEAD,
+    HEAD_WITH_LENGTH,
+    LARGE,
+    StreamingServer,
+    chunked_body,
+    read_answer,
+    read_head,
+)
 from tests.support.loopback import (
     OK,
     PATIENCE_S,
@@ -305,3 +314,39 @@
     assert {status for _, status in outcomes} <= {"200", "503", "504", None}
     for upstream in upstreams:
         upstream.stop()
+
+
+@pytest.mark.parametrize("stop", ["SIGTERM", "LAMEDUCK"])
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@loopback
+async def test_the_end_of_a_long_answer_closes_its_connection_once_the_process_stops(stop, framing):
+    """Guards against a request that is taken behind a long answer and cut off by SIGKILL."""
+    send_rest = asyncio.Event()
+
+    async def answer_in_two_parts(reader, writer):
+        head, rest = (
+            (HEAD_WITH_LENGTH % len(LARGE) + LARGE[:1000], LARGE[1000:])
+            if framing == "length"
+            else (CHUNKED_HEAD + b"3e8\r\n%b\r\n" % LARGE[:1000], chunked_body(LARGE[1000:]))
+        )
+        writer.write(head)
+        await send_rest.wait()
+        return rest
+
+    upstream = await StreamingServer([answer_in_two_parts]).start()
+    balancer = ScriptedBalancer()
+    async with running(upstream, balancer=balancer) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send()
+        head = await read_head(app)
+        assert b"close" not in head
+        if stop == "SIGTERM":
+            sidecar.inbound.close_after_answers()  # as the shutdown does at last
+        else:
+            sidecar.lifecycle.drain()
+        send_rest.set()
+        assert await read_answer(app, head) == (200, LARGE)
+        app.send()
+        assert await app.answer() is None  # the client may send it on another connection, as it is unread
+        await until(lambda: sidecar.inbound.all_connections_closed)
+        assert len(balancer.named("request")) == 1
