Let a lingering connection end only once its last answer is read

What callers saw: the end of a long answer was lost by a reset when the connection was to be closed, its client had sent a further request, and read slowly.

Cause: a connection with unread input lingers after its last answer and is then aborted, which resets it. The check looked at the transport's buffer alone, while up to 4 MB of the answer may wait in the socket, and the reset destroys them.

Change: lingering lasts as long as bytes are not acknowledged, with the time limit for unread answers (32 KiB in 20 s) for clients that stop reading.

Evidence: the new test gets a ConnectionResetError without the change; a second one shows that the time limit still ends such a connection.

--- a/brassfall/sidecar/clients/connection_timeouts.py
+++ b/brassfall/sidecar/clients/connection_timeouts.py
@@ -203,11 +203,13 @@
     # --- lingering --------------------------------------------------------------------
 
     def start_linger_timer(self) -> None:
-        """Abort the connection after `LINGER_TIMEOUT_S`, or later if a long answer is still being sent."""
+        """Abort the connection after `LINGER_TIMEOUT_S`, or later if the client still reads a long answer."""
         self._request_timer = self._loop.call_later(LINGER_TIMEOUT_S, self._check_linger_timeout)
 
     def _check_linger_timeout(self) -> None:
-        if self._connection.transport.get_write_buffer_size() > 0:
+        # The abort resets the connection, as input is unread, and destroys what waits in the sockets.
+        if framing.unacknowledged_bytes(self._connection.transport) > 0:
+            self.ensure_answer_timer()
             self.start_linger_timer()
         else:
             self._connection.abort()
--- a/tests/sidecar/test_large_answers.py
+++ b/tests/sidecar/test_large_answers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 
@@ -40,6 +42,8 @@
     until,
 )
 
+ANSWER_BYTES = 300_000  # Size of an answer that the sockets hold, but not the client's socket alone
+
 
 @pytest.mark.parametrize(
     "reply", [HEAD_WITH_LENGTH % len(LARGE) + LARGE, CHUNKED_HEAD + chunked_body(LARGE), reply_until_close]
@@ -320,3 +324,47 @@
         async with asyncio.timeout(PATIENCE_S):
             head, _, data = (await app.reader.read()).partition(b"\r\n\r\n")
         assert b"chunked" not in head and data == LARGE
+
+
+@contextlib.asynccontextmanager
+async def lingering_connection(monkeypatch):
+    """Yield a sidecar and a client that has read nothing of its last answer, and has sent another request."""
+    monkeypatch.setattr(connection_timeouts, "LINGER_TIMEOUT_S", 0.1)
+    send_rest = asyncio.Event()
+
+    async def answer_in_two_parts(reader, writer):
+        writer.write(HEAD_WITH_LENGTH % ANSWER_BYTES + LARGE[:1000])
+        await send_rest.wait()
+        return LARGE[1000:ANSWER_BYTES]
+
+    upstream = await StreamingServer([answer_in_two_parts]).start()
+    async with connected_client(upstream) as (sidecar, app, connection):
+        app.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        app.writer.transport.pause_reading()
+        sidecar.inbound.close_after_answers()
+        app.send()
+        await until(lambda: connection.read_control.paused_for(PauseReason.CLOSE_ANNOUNCED))
+        app.send()
+        await until(lambda: connection.readable)
+        send_rest.set()
+        await until(lambda: connection.state is ConnectionState.LINGERING)
+        yield sidecar, app, connection
+
+
+@loopback
+async def test_a_lingering_connection_is_not_reset_while_the_client_reads_its_last_answer(monkeypatch):
+    """Guards against a long answer whose end a reset destroys in the socket, as its client reads slowly."""
+    async with lingering_connection(monkeypatch) as (sidecar, app, connection):
+        await until(lambda: not connection.transport.get_write_buffer_size())
+        await asyncio.sleep(0.5)  # this is longer than the time limit for lingering
+        app.writer.transport.resume_reading()
+        assert await read_answer(app) == (200, LARGE[:ANSWER_BYTES])
+        await until(lambda: sidecar.inbound.all_connections_closed)
+
+
+@loopback
+async def test_a_lingering_connection_whose_client_reads_nothing_is_closed(monkeypatch):
+    """Guards against connections that linger for ever because the last answer is never read."""
+    monkeypatch.setattr(connection_timeouts, "UNREAD_ANSWER_TIMEOUT_S", 0.3)
+    async with lingering_connection(monkeypatch) as (sidecar, _app, _connection):
+        await until(lambda: sidecar.inbound.all_connections_closed)
