Read a body in chunks in parts of 16 KiB, and let its test wait for the sockets

Cause: with reads of 8 KiB `test_a_server_that_reads_slowly_pauses_the_client` failed in one run of the sidecar's tests, with 413: it wrote 3 MB every 2 ms whether or not the sockets took them, so that a sidecar that reads more slowly got over the 32 MB that a request may have before its server's socket was full. Its server also joined the parts of the body in time that grows with the square of their number.

Change: a read within a body in chunks takes 16 KiB, which is still few of the short requests that may follow it. The test writes the next piece once the sockets have taken the one before; what it asserts is the same (the sidecar stops reading, and the body arrives whole).

--- a/brassfall/sidecar/clients/request_parser.py
+++ b/brassfall/sidecar/clients/request_parser.py
@@ -16,7 +16,7 @@
 # Largest read while the end of the current request is not known: its head is incomplete, or its body has
 # chunks. A read may contain many short requests, which are all served in one turn of the event loop.
 HEAD_READ_BYTES = 2 * 1024
-CHUNKED_READ_BYTES = 8 * 1024
+CHUNKED_READ_BYTES = 16 * 1024
 # Number of bytes that a request may take for each byte of its body, framing included. A chunk with one byte
 # of the body takes six bytes.
 REQUEST_BYTES_PER_BODY_BYTE = 8
--- a/tests/sidecar/test_large_requests.py
+++ b/tests/sidecar/test_large_requests.py
@@ -61,14 +61,16 @@
         def sidecar_stopped_reading():
             """Send one more piece, or return whether the sidecar has stopped reading.
 
-            How many pieces the socket buffers take depends on the machine.
+            How many pieces the socket buffers take depends on the machine. A piece is sent once they have
+            taken the one before, so that a sidecar that reads slowly is not sent more than a request may have.
             """
             nonlocal pieces_sent
             (connection,) = sidecar.inbound.connections
             if connection.read_control.paused_for(PauseReason.SLOW_SERVER):
                 return not connection.transport.is_reading()
-            app.writer.write(ONE_CHUNK)
-            pieces_sent += 1
+            if not app.writer.transport.get_write_buffer_size():
+                app.writer.write(ONE_CHUNK)
+                pieces_sent += 1
             return False
 
         await until(lambda: sidecar.inbound.connections)
--- a/tests/support/large_messages.py
+++ b/tests/support/large_messages.py
@@ -32,10 +32,11 @@
                 if self.may_read_body is not None:
                     await self.may_read_body.wait()
                 if "chunked" in head:
-                    data = b""
+                    parts = []
                     while size := int(await reader.readuntil(b"\r\n"), 16):
-                        data += (await reader.readexactly(size + 2))[:-2]
+                        parts.append((await reader.readexactly(size + 2))[:-2])
                     await reader.readexactly(2)
+                    data = b"".join(parts)
                 else:
                     length_line = next(
                         (line for line in head.split("\r\n") if line.startswith("content-length")), ": 0"
