Pass on an answer of unknown length that begins just before the end of its time

Cause: such an answer is buffered for 0.1 s, so that a small one that breaks off can be had from another server, and the time limit of the attempt went on meanwhile.

Change: the buffering ends 10 ms before the attempt does. It works because an attempt whose answer is passed on has no time limit any more.

Evidence: two cases of the new test in `tests/sidecar/test_large_answers.py` get 503 on the code before.

--- a/brassfall/sidecar/servers/pool.py
+++ b/brassfall/sidecar/servers/pool.py
@@ -50,7 +50,7 @@
         self.result = answers.result
         self.idle = IdleConnections(loop, clock)
         self._reports = answers.reports
-        self._clock = clock
+        self.clock = clock
         self._servers: dict[str, ServerIncarnation] = {}
         self._connections: set[ServerConnection] = set()
         self._connector = Connector(self)
@@ -199,7 +199,7 @@
         self._connections.add(connection)
         server = connection.server
         if self.delays is not None:
-            warming_up = self._clock.now() - server.started < self._warm_up
+            warming_up = self.clock.now() - server.started < self._warm_up
             self.delays.count_handshake(server.region, took_s * 1000.0, cold=warming_up)
         if not connection.usable():
             # An overloaded server may accept a connection and close it at once: no request is sent on it.
@@ -233,7 +233,7 @@
 
     def _write(self, connection: ServerConnection, exchange: Exchange) -> None:
         """Send an exchange's request on a connection, or end the exchange if it must not be sent any more."""
-        now = self._clock.now()
+        now = self.clock.now()
         server = connection.server
         if self._servers.get(server.name, server) is not server:
             # Another incarnation has the name of this server now, which may be in slow start or at another
--- a/brassfall/sidecar/servers/server_connection.py
+++ b/brassfall/sidecar/servers/server_connection.py
@@ -20,12 +20,16 @@
 from brassfall.sidecar import framing
 from brassfall.sidecar.body import MAX_BUFFERED_BYTES, Body, MemoryBudget, Reservation
 from brassfall.sidecar.config_values import Address
+from brassfall.sidecar.core.clock import Clock
 from brassfall.sidecar.core.interfaces import Answer, ExchangeResult
 from brassfall.sidecar.servers.exchange import Exchange
 from brassfall.sidecar.servers.server_answers import OK, client_headers
 
 # Longest time, in seconds, that an answer of unknown length is buffered before it is streamed to the client.
 HOLD_S = 0.1
+# Time before the end of an attempt, in milliseconds, from which on no answer is buffered: it would be lost at
+# the end.
+HOLD_MARGIN_MS = 10.0
 # Time, in seconds, without progress of a large request body or a streamed answer after which the server
 # counts as stalled.
 STALLED_S = 30.0
@@ -66,6 +70,7 @@
     """The part of the connection pool that connections use."""
 
     loop: asyncio.AbstractEventLoop
+    clock: Clock
     delays: DelayObserver | None
     budget: MemoryBudget
 
@@ -297,10 +302,21 @@
         length = self._parser.length
         received = len(self._parser.body)
         large = max(received, length or 0) > MAX_BUFFERED_BYTES
-        if large or not self._buffered.grow(self._pool.budget, received - self._buffered.size):
+        hold_s = self._hold_s() if length is None else HOLD_S
+        if large or hold_s <= 0.0 or not self._reserve_buffer(received):
             self._start_streaming()
         elif length is None and self._hold_timer is None:
-            self._hold_timer = self._pool.loop.call_later(HOLD_S, self._start_streaming)
+            self._hold_timer = self._pool.loop.call_later(hold_s, self._start_streaming)
+
+    def _reserve_buffer(self, size: int) -> bool:
+        """Reserve memory for the `size` bytes of the answer that are buffered; return whether it was free."""
+        return self._buffered.grow(self._pool.budget, size - self._buffered.size)
+
+    def _hold_s(self) -> float:
+        """Return for how long an answer of unknown length may be buffered from now on, in seconds."""
+        assert self._exchange is not None
+        left_ms = self._exchange.expires - self._pool.clock.now() - HOLD_MARGIN_MS
+        return min(HOLD_S, left_ms / 1000.0)
 
     def _start_streaming(self) -> None:
         """Start to stream the answer to the client: its first part now, and each later part as it arrives."""
--- a/tests/sidecar/test_large_answers.py
+++ b/tests/sidecar/test_large_answers.py
@@ -368,3 +368,34 @@
     monkeypatch.setattr(connection_timeouts, "UNREAD_ANSWER_TIMEOUT_S", 0.3)
     async with lingering_connection(monkeypatch) as (sidecar, _app, _connection):
         await until(lambda: sidecar.inbound.all_connections_closed)
+
+
+@pytest.mark.parametrize("framing", ["chunks", "close"])
+@loopback
+async def test_an_answer_of_unknown_length_that_begins_in_time_is_not_cut_off(framing, monkeypatch):
+    """Guards against a time limit that ends an attempt while the beginning of its answer is buffered."""
+    monkeypatch.setattr(server_connection, "HOLD_S", PATIENCE_S)  # longer than the budget
+    send_rest = asyncio.Event()
+    beginnings = {"chunks": CHUNKED_HEAD + b"5\r\nhello\r\n", "close": b"HTTP/1.1 200 OK\r\n\r\nhello"}
+
+    async def answer_in_two_parts(reader, writer):
+        writer.write(beginnings[framing])
+        await send_rest.wait()
+        if framing == "chunks":
+            return chunked_body(LARGE)
+        writer.write(LARGE)
+        writer.close()
+        return b""
+
+    upstream = await StreamingServer([answer_in_two_parts]).start()
+    async with running(upstream) as sidecar:
+        app = await App.connect(sidecar.address)
+        app.send(X_Budget="300m")
+        head = await read_head(app)
+        assert head.startswith(b"HTTP/1.1 200")
+        await asyncio.sleep(0.1)  # the budget is over
+        send_rest.set()
+        if framing == "chunks":
+            assert await read_answer(app, head) == (200, b"hello" + LARGE)
+        else:
+            assert await app.reader.readuntil(b"hello")
