Keep heads in little more memory than their bytes, and count them once

Cause: each header was a pair of strings and had a second copy by name, some 300 bytes for a header of 12, in no memory budget. The size of a head counted the bytes of each read and the headers found in them, and for a head that began in a read also the bytes of the requests before it.

Change: between two reads the headers of an incomplete request or answer are joined to one string; the copy by name lasts as long as the read. What is over 2 KiB counts in the memory budget: a request without memory for its head gets 503, and a server's answer ends its attempt. The raw bytes have a limit of 32 KiB and the headers one of 16 KiB, each counted once, and a read that ends the request before is not counted. An upload keeps only its head's bytes once its beginning is sent.

--- a/brassfall/sidecar/clients/client_connection.py
+++ b/brassfall/sidecar/clients/client_connection.py
@@ -384,16 +384,13 @@
 
     def head_read(self, message: RequestMessage) -> None:
         """Answer `Expect: 100-continue` once all earlier requests are answered."""
-        if self._answers.pending or message.continue_sent or self._state not in ACCEPTS_INPUT:
-            return
-        if (message.header("expect") or "").lower() == "100-continue":
-            message.continue_sent = True
+        if message.awaits_continue and not self._answers.pending and self._state in ACCEPTS_INPUT:
+            message.awaits_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def large_body_begun(self, message: RequestMessage) -> Body:
         """Serve a request that is too large to be buffered; return the body that takes the rest of it."""
-        length = message.header("content-length")
-        body = Body(self, bytes(message.body), int(length) if length is not None else None)
+        body = Body(self, bytes(message.body), message.length)
         message.body.clear()
         request = self._large_request = self._append_request(message, keep_alive=True)
         request.body = body
@@ -435,7 +432,7 @@
             self._owner.handler.body_read(request.driver_request, self.last_read_at)
 
     def _body_discarded(self, request: ClientRequest) -> None:
-        request.reservation.release(self.budget)
+        request.reservation.set_anyway(self.budget, request.head_size)
         if request.driver_request is not None:
             self._owner.handler.body_discarded(request.driver_request)
 
--- a/brassfall/sidecar/clients/client_request.py
+++ b/brassfall/sidecar/clients/client_request.py
@@ -103,6 +103,11 @@
         """True if a part of the request body has not arrived yet."""
         return self.body is not None and not self.body.complete
 
+    @property
+    def head_size(self) -> int:
+        """Number of bytes of the head that servers get."""
+        return len(self._head)
+
     @property
     def read_lag(self) -> float:
         """Longest time that the last byte of a large request may have waited to be read, in ms."""
--- a/brassfall/sidecar/clients/request_message.py
+++ b/brassfall/sidecar/clients/request_message.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from brassfall.sidecar.body import Body, Reservation
-from brassfall.sidecar.framing import Headers
+from brassfall.sidecar.framing import HeaderBlock, Headers
 
 
 class BadRequestError(Exception):
@@ -26,7 +26,6 @@
     def __init__(self) -> None:
         self.method = ""
         self.target = b""
-        self.headers: Headers = []
         self.body = bytearray()  # body of a request that is buffered completely
         self.streamed_body: Body | None = None  # body of a large request, which is forwarded as it arrives
         self.size = 0  # number of bytes read, framing included
@@ -34,9 +33,24 @@
         self.body_size = 0  # number of bytes of the body read
         self.reservation = Reservation()
         self.head_complete = False
-        self.continue_sent = False  # True if the interim answer "100 Continue" was sent
+        self.awaits_continue = False  # True if the interim answer "100 Continue" is still to be sent
+        self._headers = HeaderBlock()
         self._header_values: dict[str, str] = {}  # last value of each header, by its lower-case name
 
+    @property
+    def headers(self) -> Headers:
+        """Headers of the request."""
+        return self._headers.pairs()
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Add a header to the end."""
+        self._headers.add(name, value)
+
+    def compact(self) -> None:
+        """Reduce the memory of the head to little more than its text, because the request is incomplete."""
+        self._headers.compact()
+        self._header_values = {}
+
     def header(self, name: str) -> str | None:
         """Return the value of the header with this lower-case name; None if it is missing."""
         if not self._header_values:
@@ -54,7 +68,8 @@
         value = self.header(name)
         if value is None:
             raise BadRequestError(400, f"{name}: missing")
-        some_repeated = len(self._header_values) < len(self.headers)
-        if some_repeated and sum(key.lower() == name.encode() for key, _ in self.headers) > 1:
+        headers = self.headers
+        some_repeated = len(self._header_values) < len(headers)
+        if some_repeated and sum(key.lower() == name.encode() for key, _ in headers) > 1:
             raise BadRequestError(400, f"{name}: more than once")
         return value
--- a/brassfall/sidecar/clients/request_parser.py
+++ b/brassfall/sidecar/clients/request_parser.py
@@ -51,7 +51,8 @@
         self._receiver = receiver
         self._budget = budget
         self._parser = httptools.HttpRequestParser(self)
-        self._head_bytes = 0  # number of bytes of the current request's head
+        self._header_bytes = 0  # number of bytes of the names and values of the current request's headers
+        self._completed_in_read = False  # True if a request was completed by the bytes that were last read
         self._empty_line_bytes = 0  # number of bytes of the empty lines before a request
 
     @property
@@ -83,6 +84,7 @@
         offer to upgrade to another protocol is ignored: the request with the offer and all later ones are
         read as HTTP/1.1.
         """
+        self._completed_in_read = False
         while data and not self._stopped:
             try:
                 self._parser.feed_data(data)
@@ -102,9 +104,11 @@
                 return
 
     def check_size(self, data: bytes) -> None:
-        """Count the bytes of `data`, which was passed to `feed` before.
+        """Count the bytes of `data`, which was passed to `feed` before, and reserve memory for the head.
 
-        Raises `BadRequestError` if an incomplete request, or the empty lines before a request, are too long.
+        Raises `BadRequestError` if an incomplete request, or the empty lines before a request, are too long,
+        or if there is no memory for the head. Bytes that were read together with the end of the request
+        before are not counted, as most of them may belong to that request.
         """
         message, count = self.message, len(data)
         if message is None:
@@ -113,13 +117,25 @@
                 if self._empty_line_bytes > framing.MAX_HEAD_BYTES:
                     raise BadRequestError(400, "there are too many empty lines before the request")
             return
+        message.compact()
+        if self._completed_in_read:
+            return
         message.size += count
         if message.size - REQUEST_BYTES_PER_BODY_BYTE * message.body_size > MAX_FRAMING_BYTES:
             raise BadRequestError(413, "the request has too many bytes that are not part of its body")
         if not message.head_complete:
-            self._head_bytes += count
-            if self._head_bytes > 2 * framing.MAX_HEAD_BYTES:
+            if message.size > 2 * framing.MAX_HEAD_BYTES:
                 raise BadRequestError(431, "the head of the request is too large")
+            self._reserve_head(message)
+
+    def _reserve_head(self, message: RequestMessage) -> None:
+        """Reserve memory for an incomplete head, but for its first `HEAD_READ_BYTES` bytes.
+
+        Those are part of the memory that a process keeps for each of its connections.
+        """
+        missing = message.size - HEAD_READ_BYTES - message.reservation.size
+        if missing > 0 and not message.reservation.grow(self._budget, missing):
+            raise BadRequestError(503, "there is no memory left for the head of the request")
 
     def stop(self) -> None:
         """Read no more requests, and drop an incomplete request."""
@@ -135,7 +151,7 @@
         if self._stopped:
             return
         self.message = RequestMessage()
-        self._head_bytes = self._empty_line_bytes = 0
+        self._header_bytes = self._empty_line_bytes = 0
         self._receiver.request_begun()
 
     def on_url(self, target: bytes) -> None:
@@ -151,10 +167,9 @@
         message = self.message
         if message is None or message.head_complete:
             return
-        # httptools does not remove the blanks after a header value.
-        message.headers.append((name, value.rstrip(b" \t")))
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > framing.MAX_HEAD_BYTES:
+        message.add_header(name, value)
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > framing.MAX_HEAD_BYTES:
             raise BadRequestError(431, "the head of the request is too large")
 
     def on_headers_complete(self) -> None:
@@ -170,6 +185,7 @@
             message.length = int(length)
             if message.length > framing.MAX_BODY_BYTES:
                 raise BadRequestError(413, "the body of the request is too large")
+        message.awaits_continue = (message.header("expect") or "").lower() == "100-continue"
         self._receiver.head_read(message)
 
     def on_body(self, data: bytes) -> None:
@@ -184,7 +200,7 @@
             message.streamed_body.feed(data)
             return
         large = len(message.body) + len(data) > MAX_BUFFERED_BYTES
-        size = MAX_STREAMING_BYTES - message.reservation.size if large else len(data)
+        size = MAX_STREAMING_BYTES - len(message.body) if large else len(data)
         if not message.reservation.grow(self._budget, size):
             raise BadRequestError(503, "there is no memory left for the body of the request")
         message.body += data
@@ -194,5 +210,6 @@
     def on_message_complete(self) -> None:
         """Pass the complete request to the receiver. Called by httptools."""
         message, self.message = self.message, None
+        self._completed_in_read = True
         if message is not None and not self._stopped:
             self._receiver.request_read(message)
--- a/brassfall/sidecar/framing.py
+++ b/brassfall/sidecar/framing.py
@@ -26,6 +26,8 @@
 
 Headers = list[tuple[bytes, bytes]]  # Names and values of headers, in the order of the message
 
+HEADER_SEPARATOR = b": "  # Bytes between the name and the value of a header in `header_lines`
+
 # Hop-by-hop headers (RFC 9110, 7.6.1) and headers of the framing, which are not forwarded but written anew.
 HOP_BY_HOP = frozenset(
     (
@@ -74,6 +76,38 @@
     return b"".join(b"%b: %b\r\n" % header for header in headers)
 
 
+class HeaderBlock:
+    """Headers of a message that is being read.
+
+    Each header takes some 150 bytes beside its text while it is a pair of strings. `compact` joins them, so
+    that a message that stays incomplete between two reads takes little more memory than its text.
+    """
+
+    __slots__ = ("_lines", "_pairs")
+
+    def __init__(self) -> None:
+        self._lines = b""  # Header lines of the headers that were added before the last call of `compact`
+        self._pairs: Headers = []  # Headers that were added since
+
+    def add(self, name: bytes, value: bytes) -> None:
+        """Add a header to the end; blanks after its value are dropped, which httptools keeps."""
+        self._pairs.append((name, value.rstrip(b" \t")))
+
+    def compact(self) -> None:
+        """Join the headers, because no more of the message can be read for now."""
+        if self._pairs:
+            self._lines += header_lines(self._pairs)
+            self._pairs = []
+
+    def pairs(self) -> Headers:
+        """Return the names and values of all headers, in the order of the message."""
+        if not self._lines:
+            return self._pairs
+        lines = self._lines.split(b"\r\n")[:-1]
+        pairs = [line.partition(HEADER_SEPARATOR) for line in lines]
+        return [(name, value) for name, _, value in pairs] + self._pairs
+
+
 def serialize_answer(status: int, headers: Headers, body: bytes, *, close: bool) -> bytes:
     """Return the bytes of a complete answer; `close` adds the header `Connection: close`."""
     return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
@@ -199,19 +233,24 @@
     def reset(self) -> None:
         """Discard the current answer and expect the next one."""
         self.status = 0
-        self.headers: Headers = []
+        self._headers = HeaderBlock()
         self.body = bytearray()
         self.sink: Callable[[bytes], None] | None = None  # Function that receives the body in place of `body`
         self.complete = False
         self.keep_alive = False
         self._framed = False  # True if the head states where the body ends
         self._overhead = 0  # Number of bytes of heads, framing and trailers since the body last grew
+        self._head_size = 0  # Number of bytes of the head, once it is complete
 
     def drop_content(self) -> None:
         """Drop the headers and the body of a complete answer, of which only the status is still needed."""
-        self.headers = []
+        self.drop_headers()
         self.body = bytearray()
 
+    def drop_headers(self) -> None:
+        """Drop the headers of an answer, which have been passed on."""
+        self._headers = HeaderBlock()
+
     def feed(self, data: bytes) -> None:
         """Parse the next bytes of the answer.
 
@@ -225,9 +264,22 @@
             if not self.complete:
                 raise BadAnswerError(str(error)) from error
             self.extra = True
-        if self._overhead > MAX_HEAD_BYTES and not self.complete:
+        if self.complete:
+            return
+        if self._overhead > MAX_HEAD_BYTES:
             message = "the head or the trailers are too large"
             raise BadAnswerError(message)
+        self._headers.compact()
+
+    @property
+    def kept_bytes(self) -> int:
+        """Number of bytes of the incomplete answer that are in memory: of its head and its buffered body."""
+        return (self._overhead if not self.status else self._head_size) + len(self.body)
+
+    @property
+    def headers(self) -> Headers:
+        """Headers of the current answer."""
+        return self._headers.pairs()
 
     def end(self) -> bool:
         """Return whether the answer is complete now that the server has closed the connection.
@@ -256,13 +308,14 @@
         """Store a header; ignore a trailer."""
         if self.complete or self.status:
             return
-        self.headers.append((name, value.rstrip(b" \t")))  # The parser keeps trailing blanks
+        self._headers.add(name, value)
         self._framed = self._framed or name.lower() in (b"content-length", b"transfer-encoding")
 
     def on_headers_complete(self) -> None:
         """Store the status code, because the head is complete."""
         if not self.complete:
             self.status = self._parser.get_status_code()
+            self._head_size = self._overhead
 
     def on_body(self, data: bytes) -> None:
         """Process a part of the body; of an answer not meant for the client, buffer only the beginning."""
--- a/brassfall/sidecar/servers/server_connection.py
+++ b/brassfall/sidecar/servers/server_connection.py
@@ -34,6 +34,8 @@
 # counts as stalled.
 STALLED_S = 30.0
 
+FREE_ANSWER_BYTES = 2 * 1024  # Size of a part of an answer that is buffered without a reservation of memory
+
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # Value of the socket option SO_LINGER: on, with a time of 0 s
 
 
@@ -270,6 +272,8 @@
             self.sent_at = 0.0
         if self._parser.complete:
             self._end_exchange(reusable=self._parser.keep_alive and not self._parser.extra and self.written)
+        elif not self._parser.status and not self._reserve_buffer():
+            self._close_broken()  # No memory is free for the head, which may be long
         elif self._parser.status == OK and self.state is AWAITING_ANSWER:
             self._buffer_or_stream()
 
@@ -300,16 +304,19 @@
                 self._close_broken()
             return
         length = self._parser.length
-        received = len(self._parser.body)
-        large = max(received, length or 0) > MAX_BUFFERED_BYTES
+        large = max(len(self._parser.body), length or 0) > MAX_BUFFERED_BYTES
         hold_s = self._hold_s() if length is None else HOLD_S
-        if large or hold_s <= 0.0 or not self._reserve_buffer(received):
+        if large or hold_s <= 0.0 or not self._reserve_buffer():
             self._start_streaming()
         elif length is None and self._hold_timer is None:
             self._hold_timer = self._pool.loop.call_later(hold_s, self._start_streaming)
 
-    def _reserve_buffer(self, size: int) -> bool:
-        """Reserve memory for the `size` bytes of the answer that are buffered; return whether it was free."""
+    def _reserve_buffer(self) -> bool:
+        """Reserve memory for the incomplete answer; return whether it was free.
+
+        The first `FREE_ANSWER_BYTES` are part of the memory that a process keeps for each of its connections.
+        """
+        size = max(0, self._parser.kept_bytes - FREE_ANSWER_BYTES)
         return self._buffered.grow(self._pool.budget, size - self._buffered.size)
 
     def _hold_s(self) -> float:
@@ -328,6 +335,7 @@
         self.state = STREAMING_ANSWER
         answer = Answer(client_headers(self._parser), bytes(self._parser.body), self._parser.length)
         self._parser.body.clear()
+        self._parser.drop_headers()
         self._buffered.release(self._pool.budget)
         self._silence_timer = self._pool.loop.call_later(STALLED_S, self._check_silence)
         self._parser.sink = self._exchange.observer.answer_started(answer, self)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -66,6 +66,7 @@
         "sidecar/known_classes",
         "sidecar/large_answers",
         "sidecar/large_requests",
+        "sidecar/long_heads",
         "sidecar/operation_process",
         "sidecar/partial_writes",
         "sidecar/peers",
--- a/tests/sidecar/test_known_classes.py
+++ b/tests/sidecar/test_known_classes.py
@@ -105,7 +105,8 @@
     """Return the slot of the class as which a request is accepted now."""
     message, request = RequestMessage(), CheckedRequest()
     message.method, message.target = "POST", b"/book"
-    message.headers = [(b"X-Call-Class", b"book"), (b"Idempotency-Key", b"k1")]
+    message.add_header(b"X-Call-Class", b"book")
+    message.add_header(b"Idempotency-Key", b"k1")
     classes.check_request(request, message, frozenset())
     return request.slot
 
--- a/tests/sidecar/test_large_requests.py
+++ b/tests/sidecar/test_large_requests.py
@@ -62,7 +62,7 @@
             """Send one more piece, or return whether the sidecar has stopped reading.
 
             How many pieces the socket buffers take depends on the machine. A piece is sent once they have
-            taken the one before, so that a sidecar that reads slowly is not sent more than a request may have.
+            taken the one before: a sidecar that reads slowly is not sent more than a request may have.
             """
             nonlocal pieces_sent
             (connection,) = sidecar.inbound.connections
