Free closed client connections, and the bytes of answered requests, at once

Cause: a closed client connection was part of reference cycles (parser, answers, timers, pauses), and so waited for a full garbage collection, which is rare. The error of an unsound request was returned with its traceback, whose frames kept the connection and the bytes read. Requests that are answered, or whose client has left, kept their bytes as long as an attempt went on, although the memory budget had them back.

Change: the parts of a closed connection drop their references to it, the parser returns the status alone, and a request drops its bytes when its memory is returned. Attempts that go on have written them, or never will.

--- a/brassfall/sidecar/clients/answer_queue.py
+++ b/brassfall/sidecar/clients/answer_queue.py
@@ -78,6 +78,11 @@
             if driver_request is not None:
                 self._handler.client_disconnected(driver_request)
 
+    def release(self) -> None:
+        """Abandon all requests and drop the reference to the connection, which is closed."""
+        self.abandon_pending()
+        del self._connection
+
     def pause_stream(self) -> None:
         """Pause the server's connection of the streamed answer that is being written, if there is one."""
         if self.pending and self.pending[0].streamed_answer is not None:
--- a/brassfall/sidecar/clients/client_connection.py
+++ b/brassfall/sidecar/clients/client_connection.py
@@ -229,9 +229,9 @@
         self.last_read_at = self.quiet_since = self._owner.clock.now()
         if self._large_request is not None and self._client_must_write_more(len(data)):
             self.read_control.restart_lag()
-        error = self._parse_requests(data)
-        if error is not None:
-            self.reject_input(error.status)
+        error_status = self._parse_requests(data)
+        if error_status is not None:
+            self.reject_input(error_status)
         self.write_ready_answers()
         if len(data) < self._read_size:
             self.read_control.next_read_may_be_stale = False  # a short read has emptied the socket buffer
@@ -249,17 +249,18 @@
             self._batch_left = min(framing.unread_bytes(self.transport) or 0, MAX_BUFFERED_BYTES)
             self._last_batch = self._owner.closes_after_answers
 
-    def _parse_requests(self, data: bytes) -> BadRequestError | None:
-        """Serve the requests in `data`; return the error if `data` contains invalid input.
+    def _parse_requests(self, data: bytes) -> int | None:
+        """Serve the requests in `data`; return the HTTP status for invalid input, or None if there is none.
 
-        Answers are not written before all of `data` is parsed, because more requests may follow in it.
+        Answers are not written before all of `data` is parsed, because more requests may follow in it. The
+        error itself is not returned: with its traceback it would keep `data` and the connection in memory.
         """
         self._parsing = True
         try:
             self._parser.feed(data)
             self._parser.check_size(data)
         except BadRequestError as error:
-            return error
+            return error.status
         finally:
             self._parsing = False
         if self._state is READING_REQUEST:
@@ -294,10 +295,12 @@
         """Release all resources of the closed connection. Called by the event loop."""
         last_state = self._state
         self._change_state(CLOSED)
-        self.timeouts.cancel_all()
+        self.timeouts.release()
         self.read_control.disconnected()
         self._owner.connection_closed(self, last_state)
-        self._abandon_pending_requests()
+        self._large_request = None
+        self._answers.release()
+        self._parser.release()
         self._unsent.release(self._owner.budget)
 
     # --- streaming of a large body (body.Source) --------------------------------------
--- a/brassfall/sidecar/clients/client_request.py
+++ b/brassfall/sidecar/clients/client_request.py
@@ -227,7 +227,11 @@
         self.complete_answer = CompleteAnswer(HTTPStatus.BAD_GATEWAY, [], b"")
 
     def release_memory(self) -> None:
-        """Return all memory that is reserved for the request and its answer to the budget."""
+        """Drop the bytes of the request and its answer, and return their memory to the budget.
+
+        The client has its answer or has left. Attempts that go on have written the request, or never will.
+        """
+        self._head = self._body = b""
         self.reservation.release(self.connection.budget)
         if self.streamed_answer is not None:
             self.streamed_answer.discard_waiting_parts()
--- a/brassfall/sidecar/clients/connection_timeouts.py
+++ b/brassfall/sidecar/clients/connection_timeouts.py
@@ -1,7 +1,7 @@
 """Time limits of one client connection: for an incomplete request, an unread answer, and lingering.
 
 Lingering is the wait after the last answer in which a client that is still sending can read that answer.
-Limits are in seconds of the loop's time unless their names say ms. `cancel_all` ends all timers.
+Limits are in seconds of the loop's time unless their names say ms. `release` ends all timers.
 """
 
 from __future__ import annotations
@@ -100,11 +100,11 @@
         self._request_timer: asyncio.TimerHandle | None = None  # limits an incomplete request, or lingering
         self._answer_timer: asyncio.TimerHandle | None = None  # limits an answer that is not read
 
-    def cancel_all(self) -> None:
-        """Cancel all timers of a connection that has been closed."""
+    def release(self) -> None:
+        """Cancel all timers of a connection that has been closed, and drop the reference to it."""
         self.stop_request_timer()
-        if self._answer_timer is not None:
-            self._answer_timer.cancel()
+        self.stop_answer_timer()
+        del self._connection
 
     # --- incomplete request -------------------------------------------------------
 
--- a/brassfall/sidecar/clients/read_control.py
+++ b/brassfall/sidecar/clients/read_control.py
@@ -119,6 +119,7 @@
         self.stop_close_polling()
         self._transport = None
 
+        del self._on_closed  # the reference to the connection, which no cycle has to keep in memory
     def _poll_for_close(self) -> None:
         self._close_poll_timer = None
         assert self._transport is not None
--- a/brassfall/sidecar/clients/request_parser.py
+++ b/brassfall/sidecar/clients/request_parser.py
@@ -145,6 +145,11 @@
             message.reservation.release(self._budget)
 
     # --- called by httptools --------------------------------------------------
+    def release(self) -> None:
+        """Drop the references to the receiver, which is closed, so that no cycle keeps it in memory."""
+        self.stop()
+        del self._receiver, self._parser
+
 
     def on_message_begin(self) -> None:
         """Begin a request. Called by httptools."""
--- a/tests/sidecar/test_connection_state.py
+++ b/tests/sidecar/test_connection_state.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import gc
 import itertools
 import random
+import weakref
 
 import pytest
 
@@ -299,3 +301,22 @@
         context for context in raised if not isinstance(context["exception"], ConnectionError | OSError)
     ]
     assert {S.READING_REQUEST, S.AWAITING_NEXT_REQUEST, S.EVICTED, S.CLOSED} <= set(entered_states)
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET /lo", request(), b"no request\r\n\r\n", 20 * request()])
+@loopback
+async def test_a_closed_connection_leaves_memory_without_the_garbage_collector(sent):
+    """Guards against memory that grows while clients come and go: a full collection is rare."""
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        gc.collect()
+        gc.disable()
+        try:
+            app = await App.connect(sidecar.address)
+            connection = weakref.ref(await only_connection(sidecar))
+            app.writer.write(sent)
+            await until(lambda: not sent or connection() is None or connection().last_read_at)
+            app.close()
+            await until(lambda: connection() is None)
+        finally:
+            gc.enable()
