Give messages the memory that the process and its connections leave

Cause: messages had a quarter of the limit whatever the process itself takes (24.1 MB with mapped files), up to 32 KiB of unsent bytes for each client were not counted, and requests rejected for want of memory waited uncounted while their client was read on.

Change: messages have half of what the limit leaves after the process, measured before it serves clients, and its connections, and a quarter of the limit at most. The uncounted unsent bytes follow from that and the number of connections. A client whose request was rejected for want of memory is read again once its answers are written. A read that may have several requests takes 1 KiB. OpenSSL, which nothing here uses, is not loaded. The admin command MEMORY shows limit, use and the size of the process.

--- a/brassfall/sidecar/__main__.py
+++ b/brassfall/sidecar/__main__.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import brassfall.sidecar.without_openssl  # noqa: F401 - must be the first import
+
+# isort: split
 import asyncio
 import gc
 import os
 import signal
 import sys
 
-from brassfall.sidecar import config, log
+from brassfall.sidecar import config, log, memory
 from brassfall.sidecar.config import Config, ConfigError
 from brassfall.sidecar.lifecycle.sidecar import Sidecar
 
@@ -27,6 +30,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     sidecar = Sidecar(loop, configuration)
+    sidecar.process_size = memory.resident_bytes
     loop.add_signal_handler(signal.SIGHUP, sidecar.reload, os.environ)
     if await _started(sidecar, stop):
         # Objects created during startup live as long as the process. Excluding them from garbage collection
--- a/brassfall/sidecar/clients/client_connection.py
+++ b/brassfall/sidecar/clients/client_connection.py
@@ -26,7 +26,7 @@
     ConnectionState,
     checked_transition,
 )
-from brassfall.sidecar.clients.connection_timeouts import MAX_UNSENT_BYTES, ConnectionTimeouts
+from brassfall.sidecar.clients.connection_timeouts import ConnectionTimeouts
 from brassfall.sidecar.clients.read_control import PauseReason, ReadControl
 from brassfall.sidecar.clients.request_message import BadRequestError, RequestMessage
 from brassfall.sidecar.clients.request_parser import RequestParser
@@ -59,6 +59,10 @@
     def closes_after_answers(self) -> bool:
         """True if each connection is to be closed after its next answer."""
 
+    @property
+    def max_unsent_bytes(self) -> int:
+        """Number of unsent bytes of answers above which a client is no longer read, and they are counted."""
+
     def connection_opened(self, connection: ClientConnection) -> None:
         """Add a connection whose transport has been opened."""
 
@@ -209,7 +213,7 @@
         """Take the transport of a client that has connected. Called by the event loop."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
+        transport.set_write_buffer_limits(self._owner.max_unsent_bytes)
         self._change_state(ConnectionState.AWAITING_FIRST_REQUEST)
         self.read_control.connected(transport)
         self.timeouts.start_request_timer()
@@ -413,6 +417,7 @@
             self._owner.serve_request(request, message, self.last_read_at)
         else:
             request.send_rejection(0.0)
+            self.read_control.pause(PauseReason.NO_MEMORY)
         self._stop_reading_after_last_request(request)
         if len(self._answers.pending) >= MAX_PENDING_REQUESTS:
             self.read_control.pause(PauseReason.MANY_PENDING_REQUESTS)
@@ -484,6 +489,8 @@
             self.quiet_since = self._owner.clock.now()
             if len(pending) == MAX_PENDING_REQUESTS - 1:
                 self.read_control.resume(PauseReason.MANY_PENDING_REQUESTS)
+            if not pending:
+                self.read_control.resume(PauseReason.NO_MEMORY)
         message = self._parser.message
         if message is not None and message.head_complete:
             self.head_read(message)
--- a/brassfall/sidecar/clients/client_request.py
+++ b/brassfall/sidecar/clients/client_request.py
@@ -79,6 +79,27 @@
     later calls of these methods have no effect.
     """
 
+    __slots__ = (
+        "_body",
+        "_head",
+        "accepts_chunked",
+        "body",
+        "budget",
+        "client_retry",
+        "closes_connection",
+        "complete_answer",
+        "connection",
+        "driver_request",
+        "keep_alive",
+        "key",
+        "mutates",
+        "request_class",
+        "reservation",
+        "streamed_answer",
+        "tenant",
+        "work",
+    )
+
     def __init__(self, connection: AnswerWriter, reservation: Reservation, *, keep_alive: bool) -> None:
         """Create a request on `connection`, which may carry more requests if `keep_alive` is True."""
         self.connection = connection
--- a/brassfall/sidecar/clients/inbound.py
+++ b/brassfall/sidecar/clients/inbound.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from brassfall.sidecar import framing
+from brassfall.sidecar import framing, memory
 from brassfall.sidecar.body import MemoryBudget
 from brassfall.sidecar.clients.client_connection import ClientConnection
 from brassfall.sidecar.clients.client_request import ClientRequest, RequestHandler
@@ -14,6 +14,7 @@
     eviction_candidates,
 )
 from brassfall.sidecar.clients.connection_state import ConnectionState
+from brassfall.sidecar.clients.connection_timeouts import MAX_UNSENT_BYTES
 from brassfall.sidecar.clients.known_classes import KnownClasses
 from brassfall.sidecar.clients.listener import Listener, inherited_socket, listening_socket
 from brassfall.sidecar.clients.request_message import BadRequestError, RequestMessage
@@ -23,7 +24,9 @@
 from brassfall.sidecar.core.process_state import ProcessLifecycle
 
 READY_PATH = b"/health/ready"  # path of the readiness check, which this process answers itself
-MESSAGE_MEMORY_SHARE = 0.25  # share of this process's memory that the bytes of messages may take
+# Largest share of the memory for messages that the bytes unsent to clients may take without being counted.
+UNCOUNTED_UNSENT_SHARE = 0.25
+MIN_UNSENT_BYTES = 1024  # smallest limit on the bytes unsent to a client that are not counted
 # Time without input or an answer after which a connection may be evicted below the limit of open connections,
 # in ms. It is longer than any pause between the parts of a request that is being sent.
 QUIET_BEFORE_EVICTION_MS = 1000.0
@@ -71,6 +74,8 @@
         self._next_eviction_search_at = 0.0
         self._close_after_answers = False
         self._machine_limits = config.limits
+        self._machine_share = 1.0
+        self._process_bytes = 0  # memory of this process before it serves clients, with mapped files
         self.limits: ConnectionLimits
         self.set_machine_share(1.0)
 
@@ -93,10 +98,35 @@
 
     def set_machine_share(self, share: float) -> None:
         """Set the limits for a process that may use `share` (0 to 1) of all memory and descriptors."""
+        self._machine_share = share
         self.limits = ConnectionLimits.for_machine_share(self._machine_limits, share)
-        self.budget.limit = int(self._machine_limits.memory * share * MESSAGE_MEMORY_SHARE)
+        self._set_message_limit()
         self.evict_connections(max(0, self.open_connections - self.limits.high_water))
 
+    def set_process_size(self, process_bytes: int) -> None:
+        """Leave `process_bytes` of the memory to the process itself, which has no clients yet."""
+        self._process_bytes = process_bytes
+        self._set_message_limit()
+
+    def _set_message_limit(self) -> None:
+        self.budget.limit = memory.message_limit(
+            int(self._machine_limits.memory * self._machine_share),
+            self._process_bytes,
+            client_connections=self.limits.open_connections,
+            open_requests=self.limits.busy_connections,
+        )
+
+    @property
+    def memory_state(self) -> str:
+        """Limit and use of the memory for messages, and the size of the process without it, in bytes."""
+        return f"limit={self.budget.limit} used={self.budget.used} process={self._process_bytes}"
+
+    @property
+    def max_unsent_bytes(self) -> int:
+        """Number of unsent bytes of answers above which a client is no longer read, and they are counted."""
+        share = int(self.budget.limit * UNCOUNTED_UNSENT_SHARE / self.limits.open_connections)
+        return max(MIN_UNSENT_BYTES, min(share, MAX_UNSENT_BYTES))
+
     def reload(self, names: WireNames, deadline_ms: float = 0.0) -> None:
         """Replace the names of request classes; the earlier names stay valid for some time.
 
--- a/brassfall/sidecar/clients/read_control.py
+++ b/brassfall/sidecar/clients/read_control.py
@@ -26,6 +26,7 @@
     UNREAD_ANSWERS = auto()  # the client does not read the answers that were written to it
     SLOW_SERVER = auto()  # the request body arrives faster than the server takes it
     MANY_PENDING_REQUESTS = auto()  # `MAX_PENDING_REQUESTS` requests of the client have no answer yet
+    NO_MEMORY = auto()  # there was no memory for a request behind one that has no answer yet
     CLOSE_ANNOUNCED = auto()  # an answer has announced that the connection closes after it
 
 
@@ -118,8 +119,8 @@
         """Drop the transport of a connection that has been closed."""
         self.stop_close_polling()
         self._transport = None
-
         del self._on_closed  # the reference to the connection, which no cycle has to keep in memory
+
     def _poll_for_close(self) -> None:
         self._close_poll_timer = None
         assert self._transport is not None
--- a/brassfall/sidecar/clients/request_parser.py
+++ b/brassfall/sidecar/clients/request_parser.py
@@ -14,8 +14,9 @@
 
 LINE_BREAK_BYTES = b"\r\n"  # bytes of which empty lines consist
 # Largest read while the end of the current request is not known: its head is incomplete, or its body has
-# chunks. A read may contain many short requests, which are all served in one turn of the event loop.
-HEAD_READ_BYTES = 2 * 1024
+# chunks. A read may contain many short requests, which are all served in one turn of the event loop and kept
+# until they are answered.
+HEAD_READ_BYTES = 1024
 CHUNKED_READ_BYTES = 16 * 1024
 # Number of bytes that a request may take for each byte of its body, framing included. A chunk with one byte
 # of the body takes six bytes.
@@ -144,12 +145,12 @@
         if message is not None:
             message.reservation.release(self._budget)
 
-    # --- called by httptools --------------------------------------------------
     def release(self) -> None:
         """Drop the references to the receiver, which is closed, so that no cycle keeps it in memory."""
         self.stop()
         del self._receiver, self._parser
 
+    # --- called by httptools --------------------------------------------------
 
     def on_message_begin(self) -> None:
         """Begin a request. Called by httptools."""
--- a/brassfall/sidecar/lifecycle/sidecar.py
+++ b/brassfall/sidecar/lifecycle/sidecar.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import os
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from brassfall.balancer.model import ListForm, SteeringDirectives
@@ -50,6 +50,8 @@
         self.lifecycle = ProcessLifecycle()
         # True while another process of this sidecar runs, which uses half of the descriptors.
         self._shares_descriptors = False
+        # Returns the memory of this process, in bytes; 0 if it is not this sidecar's alone.
+        self.process_size: Callable[[], int] = lambda: 0
         self._reload_due = False  # True if a reload was requested during startup, which has deferred it
         self._handover_timer: asyncio.TimerHandle | None = None
         inherits_socket = configuration.inherited_descriptor is not None
@@ -63,6 +65,7 @@
             self.admin.add_command("LIST", lambda: self.discovery.state)
         self.inbound = Inbound(loop, self._clock, configuration, self.driver, self.lifecycle)
         self.pool.budget = self.inbound.budget
+        self.admin.add_command("MEMORY", lambda: self.inbound.memory_state)
         self.peers = Peers(configuration, self.driver.peer_message)
         self.member = self._create_member() if configuration.agreement is not None else None
 
@@ -160,6 +163,7 @@
             )
         else:
             await self.discovery.wait_for_first_call(FIRST_CALL_TIMEOUT_S)
+        self.inbound.set_process_size(self.process_size())
         address = await retry_until_descriptor_free(self._listen_to_clients)
         self.lifecycle.serve()
         if self._reload_due:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -67,6 +67,7 @@
         "sidecar/large_answers",
         "sidecar/large_requests",
         "sidecar/long_heads",
+        "sidecar/memory_limit",
         "sidecar/operation_process",
         "sidecar/partial_writes",
         "sidecar/peers",
--- a/tests/sidecar/test_long_heads.py
+++ b/tests/sidecar/test_long_heads.py
@@ -9,6 +9,7 @@
 import pytest
 
 from brassfall.sidecar.body import MemoryBudget
+from brassfall.sidecar.clients.connection_state import ConnectionState
 from brassfall.sidecar.clients.request_parser import RequestParser
 from brassfall.sidecar.framing import AnswerParser
 from tests.support import loopback as partners
@@ -118,7 +119,7 @@
             head = partners.request("POST", "/pay", Content_Length=None, Transfer_Encoding="chunked")
             with_body = head + chunked_body(body)
         app.writer.write(with_body + partners.request()[:40])
-        await until(lambda: connection.has_pending_requests or connection.incomplete_request_size)
         assert (await app.answer()).body == b"done"
+        await until(lambda: connection.state is ConnectionState.READING_REQUEST)
         app.writer.write(partners.request()[40:] + partners.request())
         assert [(await app.answer()).status for _ in range(2)] == [200, 200]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -174,6 +174,7 @@
 )
 REQUEST_PARSER = "brassfall.sidecar.clients.request_parser"
 LIFECYCLE = "brassfall.sidecar.core.process_state"
+MEMORY = "brassfall.sidecar.memory"
 LISTENER = "brassfall.sidecar.clients.listener"
 FLEET = "brassfall.sidecar.agent"
 ATTEMPTS = "brassfall.sidecar.core.attempts"
@@ -255,13 +256,14 @@
         ("servers/server_answers.py", {FRAMING, INTERFACES, MODEL, "brassfall.balancer.settings"}),
         (
             "servers/server_connection.py",
-            {BODY, EXCHANGE, FRAMING, INTERFACES, MODEL, SERVER_ANSWERS, VALUES},
+            {BODY, CLOCK, EXCHANGE, FRAMING, INTERFACES, MODEL, SERVER_ANSWERS, VALUES},
         ),
         ("servers/connecting.py", {EXCHANGE, INTERFACES, MODEL, SERVER_CONNECTION}),
         ("servers/idle_connections.py", {CLOCK, SERVER_CONNECTION}),
         (
             "servers/pool.py",
             {
+                BODY,
                 CLOCK,
                 CONFIG,
                 EXCHANGE,
@@ -282,7 +284,7 @@
             "clients/request_parser.py",
             {BODY, CONNECTION_STATE, FRAMING, REQUEST_CHECKS, REQUEST_MESSAGE},
         ),
-        ("clients/streamed_answer.py", {INTERFACES, FRAMING}),
+        ("clients/streamed_answer.py", {BODY, INTERFACES, FRAMING}),
         (
             "clients/client_request.py",
             {ATTEMPTS, BODY, VALUES, INTERFACES, FRAMING, REQUEST_CHECKS, REQUEST_MESSAGE, STREAMED_ANSWER},
@@ -290,7 +292,7 @@
         ("clients/read_control.py", {FRAMING}),
         ("clients/connection_state.py", set()),
         ("clients/connection_timeouts.py", {CLOCK, CONNECTION_STATE, FRAMING, READ_CONTROL}),
-        ("clients/answer_queue.py", {BODY, CLIENT_REQUEST, FRAMING, READ_CONTROL, STREAMED_ANSWER}),
+        ("clients/answer_queue.py", {CLIENT_REQUEST, FRAMING, READ_CONTROL, STREAMED_ANSWER}),
         (
             "clients/client_connection.py",
             {
@@ -307,7 +309,7 @@
             },
         ),
         ("clients/connection_limits.py", {CLIENT_CONNECTION, CONFIG, CONNECTION_STATE}),
-        ("clients/known_classes.py", {CLIENT_REQUEST, REQUEST_MESSAGE, VALUES}),
+        ("clients/known_classes.py", {CLIENT_REQUEST, CLOCK, REQUEST_CHECKS, REQUEST_MESSAGE, VALUES}),
         (
             "clients/inbound.py",
             {
@@ -317,11 +319,13 @@
                 CONFIG,
                 CONNECTION_LIMITS,
                 CONNECTION_STATE,
+                CONNECTION_TIMEOUTS,
                 CLOCK,
                 FRAMING,
                 KNOWN_CLASSES,
                 LIFECYCLE,
                 LISTENER,
+                MEMORY,
                 REQUEST_MESSAGE,
                 VALUES,
             },
@@ -342,7 +346,9 @@
                 MODEL,
             },
         ),
-        ("__main__.py", own("config", "log", "lifecycle.sidecar")),
+        ("memory.py", set()),
+        ("without_openssl.py", set()),
+        ("__main__.py", own("config", "log", "lifecycle.sidecar", "memory", "without_openssl")),
         ("lifecycle/shutdown.py", {CLOCK, INBOUND, "brassfall.sidecar.core.driver"}),
         ("agent/lists.py", {ENDPOINT_INDEX, SOURCES}),
         ("agent/forms.py", set()),
