Do not forward a request again that came again without an answer to the first

Cause: nothing remembered the ids. The protocol has a new id with every request, and the same one only if its connection was closed before it was read.

While two processes of a sidecar run, both write what they forward and answer to one file in TMPDIR and read it. It works because a request is remembered before its first byte is written, and forgotten once its client has the answer.

--- a/brassfall/sidecar/clients/answer_queue.py
+++ b/brassfall/sidecar/clients/answer_queue.py
@@ -59,6 +59,7 @@
         else:
             return None
         self.pending.popleft()
+        request.answered()
         request.release_memory()
         if request.reading and request.driver_request is not None:
             # The rest of this request's body will not be read, so no attempt may go on waiting for it.
--- a/brassfall/sidecar/clients/client_connection.py
+++ b/brassfall/sidecar/clients/client_connection.py
@@ -28,6 +28,7 @@
 )
 from brassfall.sidecar.clients.connection_timeouts import ConnectionTimeouts
 from brassfall.sidecar.clients.read_control import PauseReason, ReadControl
+from brassfall.sidecar.clients.recent_calls import RecentCalls
 from brassfall.sidecar.clients.request_message import BadRequestError, RequestMessage
 from brassfall.sidecar.clients.request_parser import RequestParser
 from brassfall.sidecar.core.clock import Clock
@@ -54,6 +55,7 @@
     clock: Clock
     handler: RequestHandler
     budget: MemoryBudget
+    recent_calls: RecentCalls
 
     @property
     def closes_after_answers(self) -> bool:
@@ -156,6 +158,11 @@
         """Memory budget of all messages."""
         return self._owner.budget
 
+    @property
+    def recent_calls(self) -> RecentCalls:
+        """Requests that were forwarded lately and must not run twice."""
+        return self._owner.recent_calls
+
     @property
     def closes_after_pending_requests(self) -> bool:
         """True if the connection is to be closed once all requests that were read are answered.
--- a/brassfall/sidecar/clients/client_request.py
+++ b/brassfall/sidecar/clients/client_request.py
@@ -8,12 +8,15 @@
 from brassfall.sidecar import framing
 from brassfall.sidecar.body import Body, MemoryBudget, Reservation
 from brassfall.sidecar.clients import request_checks
+from brassfall.sidecar.clients.recent_calls import RecentCalls
 from brassfall.sidecar.clients.request_message import RequestMessage
 from brassfall.sidecar.clients.streamed_answer import StreamedAnswer
 from brassfall.sidecar.config_values import WireNames, stable_number
 from brassfall.sidecar.core.attempts import Request
 from brassfall.sidecar.core.interfaces import Answer, FlowControl
 
+IDEMPOTENT_METHOD = "GET"  # method of the classes whose requests may run more than once
+
 
 class AnswerWriter(Protocol):
     """Connection on which a request arrived and on which its answer is written."""
@@ -22,6 +25,10 @@
     def budget(self) -> MemoryBudget:
         """Memory budget of all messages."""
 
+    @property
+    def recent_calls(self) -> RecentCalls:
+        """Requests that were forwarded lately and must not run twice."""
+
     def write_ready_answers(self) -> None:
         """Write the available answers, in the order of their requests."""
 
@@ -82,14 +89,17 @@
     __slots__ = (
         "_body",
         "_head",
+        "_remembered",
         "accepts_chunked",
         "body",
         "budget",
+        "call_id",
         "client_retry",
         "closes_connection",
         "complete_answer",
         "connection",
         "driver_request",
+        "idempotent",
         "keep_alive",
         "key",
         "mutates",
@@ -111,6 +121,8 @@
         self.body: Body | None = None  # body of a large request, which is not buffered completely
         self.accepts_chunked = True  # True if the client understands chunked answers, as of HTTP/1.1
         self.reservation = reservation  # memory that is reserved for the request and its answer
+        self.call_id = ""  # id that the client gives the request
+        self.idempotent = True  # True if the request may run more than once
         self.request_class = self.tenant = 0  # indices of the class and the tenant in the settings
         self.key: int | None = None  # number that stands for the user named in the cookie
         self.work: float | None = None  # work that the client states for the request, in ms
@@ -118,6 +130,7 @@
         self.budget = 0.0  # time that the client waits for the answer, in ms
         self._head = b""
         self._body = b""
+        self._remembered = False  # True if the request was forwarded, and must not run twice
 
     @property
     def reading(self) -> bool:
@@ -152,7 +165,8 @@
         request_class = request_checks.request_class(message, names)
         self.request_class = request_class.slot
         self.budget = request_checks.budget_ms(message)
-        request_checks.check_call_id(message)
+        self.call_id = request_checks.call_id(message)
+        self.idempotent = request_class.method == IDEMPOTENT_METHOD
         if names.tenants:
             self.tenant = request_checks.tenant(message, names)
         user = request_checks.cookie(message.header("cookie") or "", "user")
@@ -179,6 +193,9 @@
 
         For a large request these are the bytes of the head only.
         """
+        if not self.idempotent:
+            self._remembered = True
+            self.connection.recent_calls.add(self.call_id)
         return b"%bX-Budget: %du\r\n\r\n%b" % (self._head, max(0.0, left) * 1000.0, self._body)
 
     # --- the final answer ---------------------------------------------------
@@ -247,6 +264,11 @@
         """
         self.complete_answer = CompleteAnswer(HTTPStatus.BAD_GATEWAY, [], b"")
 
+    def answered(self) -> None:
+        """Record that the client has its answer, so that its id may be used again."""
+        if self._remembered:
+            self.connection.recent_calls.discard(self.call_id)
+
     def release_memory(self) -> None:
         """Drop the bytes of the request and its answer, and return their memory to the budget.
 
--- a/brassfall/sidecar/clients/inbound.py
+++ b/brassfall/sidecar/clients/inbound.py
@@ -17,6 +17,7 @@
 from brassfall.sidecar.clients.connection_timeouts import MAX_UNSENT_BYTES
 from brassfall.sidecar.clients.known_classes import KnownClasses
 from brassfall.sidecar.clients.listener import Listener, inherited_socket, listening_socket
+from brassfall.sidecar.clients.recent_calls import RecentCalls
 from brassfall.sidecar.clients.request_message import BadRequestError, RequestMessage
 from brassfall.sidecar.config import Config
 from brassfall.sidecar.config_values import Address, WireNames
@@ -58,6 +59,7 @@
         self.handler = handler
         self.budget = MemoryBudget(0)
         self.classes = KnownClasses(loop, config.names)
+        self.recent_calls = RecentCalls()
         self.listener: Listener | None = None
         self._owns_listening_socket = True  # True if no other process accepts connections on the socket
         self._lifecycle = lifecycle
@@ -209,6 +211,7 @@
         if self.listener is not None:
             self.listener.close()
         self.classes.close()
+        self.recent_calls.close()
         if self._idle_sweep_timer is not None:
             self._idle_sweep_timer.cancel()
         for connection in list(self._connections):
@@ -306,6 +309,10 @@
             text = "" if message.method == "HEAD" else f"{error}\n"
             request.give_answer(error.status, [], text.encode())
             return
+        if not request.idempotent and request.call_id in self.recent_calls:
+            # The request was forwarded before, and may have run. A rejection would promise that it has not.
+            request.send_failure(late=False)
+            return
         driver_request = self.handler.accept_request(request, read_at)
         # The driver has already released the record of a request that it answered at once.
         request.driver_request = driver_request if request.complete_answer is None else None
--- a/brassfall/sidecar/clients/request_checks.py
+++ b/brassfall/sidecar/clients/request_checks.py
@@ -44,10 +44,12 @@
     return found_class
 
 
-def check_call_id(message: RequestMessage) -> None:
-    """Check that `X-Call-Id` has 1 to 128 printable characters and no blanks."""
-    if not CALL_ID_PATTERN.fullmatch(message.required_header("x-call-id")):
+def call_id(message: RequestMessage) -> str:
+    """Return `X-Call-Id`, which has 1 to 128 printable characters and no blanks."""
+    value = message.required_header("x-call-id")
+    if not CALL_ID_PATTERN.fullmatch(value):
         raise BadRequestError(400, "X-Call-Id: not an id")
+    return value
 
 
 def budget_ms(message: RequestMessage) -> float:
--- a/brassfall/sidecar/lifecycle/handover.py
+++ b/brassfall/sidecar/lifecycle/handover.py
@@ -9,6 +9,7 @@
 from brassfall.sidecar.config_values import stable_number
 
 SERVING_SUFFIX, NEXT_SUFFIX = "lock", "next"
+CALLS_SUFFIX = "calls"  # Suffix of the file with the requests that the processes have forwarded
 # Prefix of the lock files' names. It must not change: earlier versions use the same name, and during an
 # upgrade processes of both versions look at the same files.
 LOCK_PREFIX = "fordtrestle-"
@@ -65,6 +66,7 @@
         path = os.path.join(folder or DEFAULT_FOLDER, f"{LOCK_PREFIX}{stable_number(name):x}.")
         self._serving = FileLock(path + SERVING_SUFFIX)
         self._next = FileLock(path + NEXT_SUFFIX)
+        self.calls_path = path + CALLS_SUFFIX  # File of `RecentCalls`, while both processes run
 
     def other_process_runs(self) -> bool:
         """Return whether another process of this sidecar is running; this checks the locks."""
--- a/brassfall/sidecar/lifecycle/sidecar.py
+++ b/brassfall/sidecar/lifecycle/sidecar.py
@@ -190,6 +190,10 @@
             share = 0.5 if other_runs else 1.0
             self.pool.set_descriptor_share(share)
             self.inbound.set_machine_share(share)
+            if other_runs:
+                self.inbound.recent_calls.share(self.handover.calls_path)
+            else:
+                self.inbound.recent_calls.stop_sharing()
         self._handover_timer = self._loop.call_later(HANDOVER_POLL_S, self._update_descriptor_share)
         return other_runs
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -78,6 +78,7 @@
         "sidecar/races_reload",
         "sidecar/races_servers",
         "sidecar/reload",
+        "sidecar/repeated_ids",
         "sidecar/requests",
         "sidecar/server_incarnations",
         "sidecar/simultaneous_events",
