Pass on the chunks of one read together

Cause: each chunk of a large body was passed to the server, and each of a streamed answer to the client, by itself: up to 2,700 system calls for one read, in one turn of the event loop.

Change: the parts of a body that one read has are passed on together.

Evidence: two new tests in `tests/sidecar/test_unread_answers.py` count the parts.

--- a/brassfall/sidecar/clients/request_parser.py
+++ b/brassfall/sidecar/clients/request_parser.py
@@ -102,7 +102,9 @@
             except httptools.HttpParserError as error:
                 raise BadRequestError(400, "the input is not valid HTTP") from error
             else:
-                return
+                break
+        if self.message is not None:
+            self._pass_on_body(self.message)
 
     def check_size(self, data: bytes) -> None:
         """Count the bytes of `data`, which was passed to `feed` before, and reserve memory for the head.
@@ -203,7 +205,7 @@
         if message.body_size > framing.MAX_BODY_BYTES:
             raise BadRequestError(413, "the body of the request is too large")
         if message.streamed_body is not None:
-            message.streamed_body.feed(data)
+            message.body += data  # `_pass_on_body` passes on all parts of one read together
             return
         large = len(message.body) + len(data) > MAX_BUFFERED_BYTES
         size = MAX_STREAMING_BYTES - len(message.body) if large else len(data)
@@ -213,9 +215,18 @@
         if large:
             message.streamed_body = self._receiver.large_body_begun(message)
 
+    @staticmethod
+    def _pass_on_body(message: RequestMessage) -> None:
+        """Pass on the parts of a large body that were read; a body may consist of chunks of one byte each."""
+        if message.streamed_body is not None and message.body:
+            data = bytes(message.body)
+            message.body.clear()
+            message.streamed_body.feed(data)
+
     def on_message_complete(self) -> None:
         """Pass the complete request to the receiver. Called by httptools."""
         message, self.message = self.message, None
         self._completed_in_read = True
         if message is not None and not self._stopped:
+            self._pass_on_body(message)
             self._receiver.request_read(message)
--- a/brassfall/sidecar/framing.py
+++ b/brassfall/sidecar/framing.py
@@ -266,6 +266,7 @@
             self.extra = True
         if self.complete:
             return
+        self._pass_on_body()
         if self._overhead > MAX_HEAD_BYTES:
             message = "the head or the trailers are too large"
             raise BadAnswerError(message)
@@ -323,7 +324,7 @@
             return
         self._overhead = 0
         if self.sink is not None:
-            self.sink(data)
+            self.body += data  # `_pass_on_body` passes on all parts of one read together
         elif self.status == OK_STATUS or len(self.body) < MAX_BUFFERED_BYTES:
             self.body += data
 
@@ -336,5 +337,13 @@
             self.reset()
             self._overhead = overhead  # Without this, a server could send interim answers without limit
             return
+        self._pass_on_body()
         self.complete = True
         self.keep_alive = self._parser.should_keep_alive()
+
+    def _pass_on_body(self) -> None:
+        """Pass on the parts of a streamed body that were read; it may consist of chunks of one byte each."""
+        if self.sink is not None and self.body:
+            data = bytes(self.body)
+            self.body.clear()
+            self.sink(data)
--- a/tests/sidecar/test_unread_answers.py
+++ b/tests/sidecar/test_unread_answers.py
@@ -4,8 +4,11 @@
 
 import asyncio
 
-from brassfall.sidecar.clients import client_connection, connection_timeouts
+from brassfall.sidecar.body import MemoryBudget
+from brassfall.sidecar.clients import client_connection, connection_timeouts, request_parser
 from brassfall.sidecar.clients.read_control import PauseReason
+from brassfall.sidecar.clients.request_parser import RequestParser
+from brassfall.sidecar.framing import AnswerParser
 from tests.support import loopback as partners
 from tests.support.clients import LONG_BUDGET, connected_client, wait_until_released
 from tests.support.loopback import OK, App, ScriptedBalancer, Upstream, loopback, running, until
@@ -126,3 +129,54 @@
         for _ in range(3000):
             assert (await app.answer()).status == 404
         assert max(served) <= LARGEST_READ // len(short_request) + 1
+
+
+class CountingSink:
+    """Receiver of the parts of a body."""
+
+    def __init__(self):
+        self.parts = []
+
+    def feed(self, data):
+        self.parts.append(bytes(data))
+
+
+class LargeBodyReceiver:
+    """Client connection that passes each body on from its first byte."""
+
+    def __init__(self):
+        self.sink = CountingSink()
+
+    def request_begun(self):
+        pass
+
+    def head_read(self, message):
+        pass
+
+    def large_body_begun(self, message):
+        self.sink.feed(message.body)
+        message.body.clear()
+        return self.sink
+
+
+def test_the_chunks_of_one_read_of_a_request_are_passed_on_together(monkeypatch):
+    """Guards against a client that holds up all others with chunks of one byte, each written by itself."""
+    monkeypatch.setattr(request_parser, "MAX_BUFFERED_BYTES", 0)
+    receiver = LargeBodyReceiver()
+    parser = RequestParser(receiver, MemoryBudget(2**30))
+    parser.feed(partners.request("POST", "/pay", Content_Length=None, Transfer_Encoding="chunked"))
+    for _ in range(3):
+        parser.feed(1000 * b"1\r\nx\r\n")
+    assert b"".join(receiver.sink.parts) == 3000 * b"x"
+    assert len(receiver.sink.parts) <= 4
+
+
+def test_the_chunks_of_one_read_of_an_answer_are_passed_on_together():
+    """Guards against a server that holds up all others with chunks of one byte."""
+    parser, sink = AnswerParser(), CountingSink()
+    parser.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    parser.sink = sink.feed
+    for _ in range(3):
+        parser.feed(1000 * b"1\r\nx\r\n")
+    parser.feed(b"5\r\nhello\r\n0\r\n\r\n")
+    assert sink.parts == [1000 * b"x"] * 3 + [b"hello"] and parser.complete
