--- a/brassfall/sidecar/clients/answer_queue.py
+++ b/brassfall/sidecar/clients/answer_queue.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from brassfall.sidecar import framing
+from brassfall.sidecar.body import MemoryBudget
 from brassfall.sidecar.clients.client_request import ClientRequest, RequestHandler
 from brassfall.sidecar.clients.read_control import PauseReason, ReadControl
 from brassfall.sidecar.clients.streamed_answer import StreamedAnswer
@@ -69,6 +70,17 @@
         request.driver_request = None
         return request
 
+    def reserve_waiting(self, request: ClientRequest, budget: MemoryBudget) -> None:
+        """Reserve memory for a complete answer that waits for its turn; no effect if it has been written.
+
+        If no memory is free, the answer is replaced by a failure.
+        """
+        answer = request.complete_answer
+        if answer is None or not answer.body or request not in self.pending:
+            return
+        if not request.reservation.grow(budget, len(answer.body)):
+            request.drop_answer()
+
     def abandon_pending(self) -> None:
         """Remove all pending requests and report that their client has left, as it can't be answered."""
         requests = list(self.pending)
--- a/brassfall/sidecar/clients/client_connection.py
+++ b/brassfall/sidecar/clients/client_connection.py
@@ -16,7 +16,7 @@
 from typing import Protocol
 
 from brassfall.sidecar import framing
-from brassfall.sidecar.body import MAX_BUFFERED_BYTES, Body, MemoryBudget, Reservation
+from brassfall.sidecar.body import Body, MemoryBudget, Reservation
 from brassfall.sidecar.clients.answer_queue import AnswerQueue
 from brassfall.sidecar.clients.client_request import ClientRequest, RequestHandler
 from brassfall.sidecar.clients.connection_state import (
@@ -27,6 +27,7 @@
     checked_transition,
 )
 from brassfall.sidecar.clients.connection_timeouts import ConnectionTimeouts
+from brassfall.sidecar.clients.read_batch import ReadBatch
 from brassfall.sidecar.clients.read_control import PauseReason, ReadControl
 from brassfall.sidecar.clients.recent_calls import RecentCalls
 from brassfall.sidecar.clients.request_message import BadRequestError, RequestMessage
@@ -97,8 +98,7 @@
         self._large_request: ClientRequest | None = None  # large request whose body is being read
         self._parsing = False  # True while the parser reads bytes; answers are written only afterwards
         self._read_size = 0  # largest number of bytes of the current read
-        self._batch_left = 0  # number of unread bytes of the batch that is being read, see `_count_batch`
-        self._last_batch = False  # True if the connection is to be closed after the current batch
+        self._batch = ReadBatch()
 
     # --- state ------------------------------------------------------------------
 
@@ -170,9 +170,9 @@
         The requests that had arrived together with them are read and answered before.
         """
         if not self._owner.closes_after_answers:
-            self._last_batch = False
+            self._batch.keep_open()
             return False
-        return self._batch_left <= 0 and self._state is not READING_REQUEST
+        return self._batch.ended and self._state is not READING_REQUEST
 
     def _change_state(self, state: ConnectionState) -> None:
         """Change the state; raises `ConnectionStateError` if the current state does not allow it."""
@@ -236,7 +236,9 @@
         """Read requests from `data`. Called by the event loop."""
         if self._state not in ACCEPTS_INPUT:
             return
-        self._count_batch(len(data))
+        short = len(data) < self._read_size  # a short read has emptied the socket buffer
+        closing = self._owner.closes_after_answers
+        self._batch.count(len(data), self.transport, full=not short, closing=closing)
         self.last_read_at = self.quiet_since = self._owner.clock.now()
         if self._large_request is not None and self._client_must_write_more(len(data)):
             self.read_control.restart_lag()
@@ -244,21 +246,8 @@
         if error_status is not None:
             self.reject_input(error_status)
         self.write_ready_answers()
-        if len(data) < self._read_size:
-            self.read_control.next_read_may_be_stale = False  # a short read has emptied the socket buffer
-
-    def _count_batch(self, size: int) -> None:
-        """Count the bytes that arrived together, in a batch of at most `MAX_BUFFERED_BYTES`.
-
-        `size` is the number of bytes just read. A connection that is to be closed reads one more batch.
-        """
-        if size < self._read_size:
-            self._batch_left = 0
-        elif self._batch_left > 0:
-            self._batch_left -= size
-        elif not self._last_batch:
-            self._batch_left = min(framing.unread_bytes(self.transport) or 0, MAX_BUFFERED_BYTES)
-            self._last_batch = self._owner.closes_after_answers
+        if short:
+            self.read_control.next_read_may_be_stale = False
 
     def _parse_requests(self, data: bytes) -> int | None:
         """Serve the requests in `data`; return the HTTP status for invalid input, or None if there is none.
@@ -469,16 +458,9 @@
         self._unsent.set_anyway(self._owner.budget, self.transport.get_write_buffer_size())
 
     def answer_completed(self, request: ClientRequest) -> None:
-        """Write the complete answer of `request`, or keep it until its turn.
-
-        If there is no memory to keep it, the client gets a failure in its place.
-        """
+        """Write the complete answer of `request`, or keep it until its turn."""
         self.write_ready_answers()
-        answer = request.complete_answer
-        if answer is None or not answer.body or request not in self._answers.pending:
-            return
-        if not request.reservation.grow(self._owner.budget, len(answer.body)):
-            request.drop_answer()
+        self._answers.reserve_waiting(request, self._owner.budget)
 
     def write_ready_answers(self) -> None:
         """Write the available answers, in the order of their requests, as long as the client reads them."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -172,6 +172,7 @@
     "brassfall.sidecar.clients.request_checks",
     "brassfall.sidecar.clients.request_message",
 )
+READ_BATCH = "brassfall.sidecar.clients.read_batch"
 RECENT_CALLS = "brassfall.sidecar.clients.recent_calls"
 REQUEST_PARSER = "brassfall.sidecar.clients.request_parser"
 LIFECYCLE = "brassfall.sidecar.core.process_state"
@@ -297,7 +298,8 @@
         ("clients/read_control.py", {FRAMING}),
         ("clients/connection_state.py", set()),
         ("clients/connection_timeouts.py", {CLOCK, CONNECTION_STATE, FRAMING, READ_CONTROL}),
-        ("clients/answer_queue.py", {CLIENT_REQUEST, FRAMING, READ_CONTROL, STREAMED_ANSWER}),
+        ("clients/read_batch.py", {BODY, FRAMING}),
+        ("clients/answer_queue.py", {BODY, CLIENT_REQUEST, FRAMING, READ_CONTROL, STREAMED_ANSWER}),
         (
             "clients/client_connection.py",
             {
@@ -308,6 +310,7 @@
                 CONNECTION_STATE,
                 CONNECTION_TIMEOUTS,
                 FRAMING,
+                READ_BATCH,
                 READ_CONTROL,
                 RECENT_CALLS,
                 REQUEST_MESSAGE,
