Read up to 4 KiB of requests at a time, and remember requests without a digest

Change: a read that may have several requests takes 4 KiB as long as memory is free, and down to 1 KiB. The ids of this process are remembered as they are; the digest is made only while two processes share a file, or for what was read from it.

--- a/brassfall/sidecar/clients/recent_calls.py
+++ b/brassfall/sidecar/clients/recent_calls.py
@@ -11,9 +11,12 @@
 import contextlib
 import os
 from hashlib import blake2b
+from typing import TypeVar
+
+Key = TypeVar("Key")  # type of what stands for a request: its id, or the digest of it
 
 MAX_CALLS = 2048  # number of requests that are remembered, the latest ones
-DIGEST_BYTES = 8  # size of an id's digest, which is what is remembered, in bytes
+DIGEST_BYTES = 8  # size of the digest of an id in the file, in bytes
 FORWARDED, ANSWERED = b"F", b"A"  # first byte of a record in the file, which the digest follows
 RECORD_BYTES = 1 + DIGEST_BYTES
 READ_BYTES = 1024 * RECORD_BYTES  # size of one read of the file
@@ -24,28 +27,30 @@
     """The latest requests that were forwarded, are not answered and must not run twice."""
 
     def __init__(self) -> None:
-        self._digests: dict[bytes, None] = {}  # digests of the ids, oldest first
+        self._calls: dict[str, None] = {}  # ids of the requests of this process, oldest first
+        self._shared: dict[bytes, None] = {}  # digests of the ids that were read from the file, oldest first
         self._file: int | None = None  # descriptor of the file while it is shared with another process
         self._read_bytes = 0  # size of the part of the file that has been read
 
     def add(self, call_id: str) -> None:
         """Remember a request, which is about to be forwarded."""
-        digest = _digest(call_id)
-        if digest not in self._digests:
-            self._remember(digest)
-            self._write(FORWARDED + digest)
+        if call_id not in self._calls:
+            self._calls[call_id] = None
+            _drop_oldest(self._calls)
+            self._write(FORWARDED, call_id)
 
     def discard(self, call_id: str) -> None:
         """Forget a request, whose client has its answer."""
-        digest = _digest(call_id)
-        if digest in self._digests:
-            del self._digests[digest]
-            self._write(ANSWERED + digest)
+        if call_id in self._calls:
+            del self._calls[call_id]
+            self._write(ANSWERED, call_id)
+            if self._shared:
+                self._shared.pop(_digest(call_id), None)
 
     def __contains__(self, call_id: str) -> bool:
         """Return whether a request with this id was forwarded and has no answer, by either process."""
         self._read_file()
-        return _digest(call_id) in self._digests
+        return call_id in self._calls or (bool(self._shared) and _digest(call_id) in self._shared)
 
     def share(self, path: str) -> None:
         """Share the requests with another process by the file at `path`; no effect if it can't be opened."""
@@ -54,7 +59,8 @@
         with contextlib.suppress(OSError):
             self._file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
             self._read_bytes = 0
-            self._write(b"".join(FORWARDED + digest for digest in self._digests))
+            for call_id in self._calls:
+                self._write(FORWARDED, call_id)
 
     def stop_sharing(self) -> None:
         """Empty and close the file, because the other process has ended."""
@@ -70,10 +76,10 @@
             os.close(self._file)
             self._file = None
 
-    def _write(self, records: bytes) -> None:
+    def _write(self, kind: bytes, call_id: str) -> None:
         if self._file is not None and self._read_bytes < MAX_FILE_BYTES:
             with contextlib.suppress(OSError):
-                os.write(self._file, records)
+                os.write(self._file, kind + _digest(call_id))
 
     def _read_file(self) -> None:
         """Apply the records that both processes have added since the last call, in their order."""
@@ -88,14 +94,15 @@
         self._read_bytes += RECORD_BYTES
         kind, digest = record[:1], record[1:]
         if kind == FORWARDED:
-            self._remember(digest)
+            self._shared[digest] = None
+            _drop_oldest(self._shared)
         else:
-            self._digests.pop(digest, None)
+            self._shared.pop(digest, None)
+
 
-    def _remember(self, digest: bytes) -> None:
-        self._digests[digest] = None
-        if len(self._digests) > MAX_CALLS:
-            del self._digests[next(iter(self._digests))]
+def _drop_oldest(calls: dict[Key, None]) -> None:
+    if len(calls) > MAX_CALLS:
+        del calls[next(iter(calls))]
 
 
 def _digest(call_id: str) -> bytes:
--- a/brassfall/sidecar/clients/request_parser.py
+++ b/brassfall/sidecar/clients/request_parser.py
@@ -15,8 +15,10 @@
 LINE_BREAK_BYTES = b"\r\n"  # bytes of which empty lines consist
 # Largest read while the end of the current request is not known: its head is incomplete, or its body has
 # chunks. A read may contain many short requests, which are all served in one turn of the event loop and kept
-# until they are answered.
-HEAD_READ_BYTES = 1024
+# until they are answered. A read of a head takes less, the less memory is free.
+HEAD_READ_BYTES = 4 * 1024
+MIN_HEAD_READ_BYTES = 1024
+HEAD_SHARE_OF_READ = 1.0 / 16.0  # part of a read of a streamed message that a read of a head may take
 CHUNKED_READ_BYTES = 16 * 1024
 # Number of bytes that a request may take for each byte of its body, framing included. A chunk with one byte
 # of the body takes six bytes.
@@ -73,7 +75,8 @@
         if self._stopped:
             return MAX_BUFFERED_BYTES  # the bytes are dropped
         if message is None or not message.head_complete:
-            return HEAD_READ_BYTES
+            share = int(self._budget.read_size * HEAD_SHARE_OF_READ)
+            return max(MIN_HEAD_READ_BYTES, min(share, HEAD_READ_BYTES))
         if message.length is None:
             return min(CHUNKED_READ_BYTES, self._budget.read_size)
         return min(max(1, message.length - message.body_size), self._budget.read_size)
@@ -132,11 +135,11 @@
             self._reserve_head(message)
 
     def _reserve_head(self, message: RequestMessage) -> None:
-        """Reserve memory for an incomplete head, but for its first `HEAD_READ_BYTES` bytes.
+        """Reserve memory for an incomplete head, but for its first `MIN_HEAD_READ_BYTES` bytes.
 
         Those are part of the memory that a process keeps for each of its connections.
         """
-        missing = message.size - HEAD_READ_BYTES - message.reservation.size
+        missing = message.size - MIN_HEAD_READ_BYTES - message.reservation.size
         if missing > 0 and not message.reservation.grow(self._budget, missing):
             raise BadRequestError(503, "there is no memory left for the head of the request")
 
--- a/tests/sidecar/test_repeated_ids.py
+++ b/tests/sidecar/test_repeated_ids.py
@@ -84,6 +84,9 @@
     old.close()
     new.stop_sharing()
     assert f"many {number}" in new
+    assert "at the new one" in new
+    new.discard("at the new one")
+    assert "at the new one" not in new
     assert not (tmp_path / "calls").read_bytes()
 
 
