Let what needs no memory of the budget pass while the budget is overdrawn

What callers saw: while more memory was in use than the limit allows, attempts whose answer came in two reads failed, and their clients got 502.

Cause: the budget refused a reservation of 0 bytes once more than its limit was used. Bytes that are in memory already are counted above the limit, and a short answer that is incomplete reserves 0 bytes.

Change: a reservation of 0 bytes always succeeds.

Evidence: the new test in `tests/sidecar/test_unread_answers.py` gets an empty answer on the code before.

--- a/brassfall/sidecar/body.py
+++ b/brassfall/sidecar/body.py
@@ -27,8 +27,11 @@
         self.used = 0
 
     def reserve(self, size: int) -> bool:
-        """Reserve `size` bytes; return False, and reserve nothing, if fewer bytes are free."""
-        if self.used + size > self.limit:
+        """Reserve `size` bytes; return False, and reserve nothing, if fewer bytes are free.
+
+        A `size` of 0 or less always succeeds, also while more than the limit is used.
+        """
+        if size > 0 and self.used + size > self.limit:
             return False
         self.used += size
         return True
--- a/tests/sidecar/test_unread_answers.py
+++ b/tests/sidecar/test_unread_answers.py
@@ -21,7 +21,7 @@
 MOST_SERVED = client_connection.MAX_PENDING_REQUESTS + LARGEST_READ // len(REQUEST) + 1
 
 
-def kept_bytes(connection):
+def retained_bytes(connection):
     """Return the number of bytes of answers that a client connection keeps in memory."""
     complete = [request.complete_answer for request in connection.pending_requests]
     waiting = sum(len(answer.body) for answer in complete if answer is not None)
@@ -50,9 +50,9 @@
         await until(lambda: all_answered(connection))
         assert connection.readable  # the other requests stay in the socket
         assert len(connection.pending_requests) <= MOST_SERVED
-        kept = kept_bytes(connection)
-        assert kept <= MOST_SERVED * ANSWER_BYTES + connection_timeouts.MAX_UNSENT_BYTES
-        assert sidecar.inbound.budget.used >= kept
+        retained = retained_bytes(connection)
+        assert retained <= MOST_SERVED * ANSWER_BYTES + connection_timeouts.MAX_UNSENT_BYTES
+        assert sidecar.inbound.budget.used >= retained
         served = len(balancer.named("request"))
         app.writer.transport.resume_reading()
         for _ in range(400):
@@ -74,7 +74,7 @@
         await until(lambda: len(upstream.seen) == 12)
         await until(lambda: all_answered(connection))
         budget = sidecar.inbound.budget
-        assert kept_bytes(connection) <= budget.used <= budget.limit + ANSWER_BYTES
+        assert retained_bytes(connection) <= budget.used <= budget.limit + ANSWER_BYTES
         app.writer.transport.resume_reading()
         assert [len((await app.answer()).body) for _ in range(12)] == 12 * [ANSWER_BYTES]
         app.close()
@@ -180,3 +180,20 @@
         parser.feed(1000 * b"1\r\nx\r\n")
     parser.feed(b"5\r\nhello\r\n0\r\n\r\n")
     assert sink.parts == [1000 * b"x"] * 3 + [b"hello"] and parser.complete
+
+
+@loopback
+async def test_a_short_answer_is_served_while_more_memory_is_used_than_allowed():
+    """Guards against attempts that fail for want of memory although they need none."""
+
+    async def answer_in_two_parts(reader, writer):
+        writer.write(OK[:30])
+        await asyncio.sleep(0.05)
+        return OK[30:]
+
+    upstream = await Upstream([answer_in_two_parts]).start()
+    async with connected_client(upstream, balancer=ScriptedBalancer()) as (sidecar, app, _connection):
+        budget = sidecar.inbound.budget
+        budget.reserve_anyway(2 * budget.limit)
+        assert (await app.ask()).body == b"done"
+        budget.release(2 * budget.limit)
