Buffer little of an answer that is not meant for the client

Servers that answer with errors of 64 KiB, slowly, could make a process keep that much for each connection, in no memory budget.

Cause: the body of an answer that is not 200 was buffered up to 64 KiB, although it is read only for the load report of a health check.

Change: 2 KiB of it are buffered, the part that each connection has without a reservation.

Evidence: the new test in `tests/sidecar/test_unread_answers.py` finds 60,000 bytes on the code before.

--- a/brassfall/sidecar/framing.py
+++ b/brassfall/sidecar/framing.py
@@ -20,6 +20,8 @@
 
 MAX_BODY_BYTES = 32 * 1024 * 1024  # Largest request body
 MAX_HEAD_BYTES = 16 * 1024  # Largest head, and largest trailer section, of any message
+# Largest part that is buffered of the body of an answer not meant for the client; it may be a load report.
+MAX_UNUSED_BODY_BYTES = 2 * 1024
 OK_STATUS = HTTPStatus.OK.value
 FIRST_FINAL_STATUS = 200  # Lowest status code of a final answer; lower codes are interim answers
 REASONS = {status.value: status.phrase for status in HTTPStatus}
@@ -327,6 +329,8 @@
             self.body += data  # `_pass_on_body` passes on all parts of one read together
         elif self.status == OK_STATUS or len(self.body) < MAX_BUFFERED_BYTES:
             self.body += data
+        else:
+            self.body += data[: MAX_UNUSED_BODY_BYTES - len(self.body)]
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete; discard an interim answer (1xx)."""
--- a/tests/sidecar/test_unread_answers.py
+++ b/tests/sidecar/test_unread_answers.py
@@ -8,7 +8,7 @@
 from brassfall.sidecar.clients import client_connection, connection_timeouts, request_parser
 from brassfall.sidecar.clients.read_control import PauseReason
 from brassfall.sidecar.clients.request_parser import RequestParser
-from brassfall.sidecar.framing import AnswerParser
+from brassfall.sidecar.framing import MAX_UNUSED_BODY_BYTES, AnswerParser
 from tests.support import loopback as partners
 from tests.support.clients import LONG_BUDGET, connected_client, wait_until_released
 from tests.support.loopback import OK, App, ScriptedBalancer, Upstream, loopback, running, until
@@ -197,3 +197,12 @@
         budget.reserve_anyway(2 * budget.limit)
         assert (await app.ask()).body == b"done"
         budget.release(2 * budget.limit)
+
+
+def test_little_is_buffered_of_an_answer_that_is_not_meant_for_the_client():
+    """Guards against the bodies of servers' errors, which are in no memory budget."""
+    parser = AnswerParser()
+    parser.feed(b"HTTP/1.1 500 Oops\r\nContent-Length: 100000\r\n\r\n")
+    for _ in range(20):
+        parser.feed(3000 * b"x")
+    assert parser.status == 500 and len(parser.body) <= MAX_UNUSED_BODY_BYTES
