Remember a request whose answer could not be sent to its client

What callers saw: a request that must not run twice could run again if it came again after its answer had met a broken connection.

Cause: a request was forgotten once its answer was given to the transport, also if the transport was closing and dropped it.

Change: it is forgotten only if the transport is not closing.

Evidence: the new test in `tests/sidecar/test_repeated_ids.py` makes the write of the answer fail, and the request runs a second time on the code before.

--- a/brassfall/sidecar/clients/answer_queue.py
+++ b/brassfall/sidecar/clients/answer_queue.py
@@ -20,6 +20,10 @@
     def write(self, data: bytes) -> None:
         """Write a part of an answer to the client, unless the transport is closing."""
 
+    @property
+    def transport_closing(self) -> bool:
+        """True if nothing more is sent, because the connection is being closed or is broken."""
+
     @property
     def closes_after_pending_requests(self) -> bool:
         """True if the connection is to be closed once all requests that were read are answered."""
@@ -60,7 +64,8 @@
         else:
             return None
         self.pending.popleft()
-        request.answered()
+        if not self._connection.transport_closing:
+            request.answered()
         request.release_memory()
         if request.reading and request.driver_request is not None:
             # The rest of this request's body will not be read, so no attempt may go on waiting for it.
--- a/brassfall/sidecar/clients/client_connection.py
+++ b/brassfall/sidecar/clients/client_connection.py
@@ -158,6 +158,11 @@
         """Memory budget of all messages."""
         return self._owner.budget
 
+    @property
+    def transport_closing(self) -> bool:
+        """True if nothing more is sent, because the connection is being closed or is broken."""
+        return self.transport.is_closing()
+
     @property
     def recent_calls(self) -> RecentCalls:
         """Requests that were forwarded lately and must not run twice."""
--- a/tests/sidecar/test_repeated_ids.py
+++ b/tests/sidecar/test_repeated_ids.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
+
 import pytest
 
 from brassfall.sidecar.clients.recent_calls import MAX_CALLS, READ_BYTES, RecentCalls
@@ -20,12 +23,13 @@
     until,
 )
 from tests.support.processes import Platform, yes
+from tests.support.system_calls import Faults
 
 
 @pytest.mark.parametrize(("target", "status"), [("/pay", 502), ("/book", 502), ("/look", 200)])
 @pytest.mark.parametrize("leave", [App.close, close_with_reset])
 @loopback
-async def test_a_request_that_comes_again_after_its_client_has_left_does_not_run_twice(target, status, leave):
+async def test_a_repeated_request_does_not_run_twice_after_its_client_has_left(target, status, leave):
     """Guards against a second run of a request that may not be repeated: its first attempt was written."""
     method = "GET" if target == "/look" else "POST"
     upstream = await Upstream([hang, OK]).start()
@@ -42,7 +46,22 @@
 
 
 @loopback
-async def test_the_id_of_an_answered_request_may_be_used_again():
+async def test_a_repeated_request_does_not_run_twice_if_its_answer_could_not_be_sent():
+    """Guards against a second run of a request whose answer met a broken connection to its client."""
+    upstream = await Upstream([OK]).start()
+    async with running(upstream) as sidecar:
+        first, second = await App.connect(sidecar.address), await App.connect(sidecar.address)
+        client = first.writer.get_extra_info("sockname")
+        with Faults() as faults:
+            faults.script("send", errno.ECONNRESET, on=lambda sock: sock.getpeername() == client)
+            first.send("POST", "/pay", X_Call_Id="again")
+            assert await first.answer() is None
+        assert (await second.ask("POST", "/pay", X_Call_Id="again")).status == 502
+        assert len(upstream.seen) == 1
+
+
+@loopback
+async def test_the_id_of_an_answered_request_may_be_reused():
     """Guards against refusals of requests whose client has an answer to the one before."""
     upstream = await Upstream([OK]).start()
     async with running(upstream) as sidecar:
@@ -52,7 +71,7 @@
 
 
 @loopback
-async def test_a_request_that_was_never_forwarded_may_come_again():
+async def test_a_request_that_was_never_forwarded_may_be_repeated():
     """Guards against refusals of requests whose connection was closed before an attempt began."""
     upstream = await Upstream([OK]).start()
     async with running(upstream) as sidecar:
@@ -108,14 +127,14 @@
 
 
 @bounded(4 * PATIENCE_S)
-async def test_a_request_that_comes_again_during_an_upgrade_does_not_run_twice(tmp_path):
+async def test_a_repeated_request_does_not_run_twice_during_an_upgrade(tmp_path):
     """Guards against a second run at whichever process of an upgrade accepts the connection."""
     upstream = await Upstream([hang]).start()
     platform = Platform(tmp_path, known=listed(1, entry("s0", upstream.address)))
     try:
         for _ in range(2):
-            _, door = await platform.start()
-            await yes(door)
+            _, admin = await platform.start()
+            await yes(admin)
         for number in range(12):
             for _ in range(2):
                 app = await App.connect(platform.address)
@@ -128,4 +147,6 @@
         assert [seen.headers["x-call-id"] for seen in upstream.seen] == [f"call-{i}" for i in range(12)]
     finally:
         platform.end()
+        # A process that is not waited for leaves its pipe to a later test, whose event loop is another one.
+        await asyncio.gather(*(process.communicate() for process in platform.processes))
         upstream.stop()
